--- /dev/null
+++ b/adapter/src/wire.rs
@@ -0,0 +1,290 @@
+//! One batch in, one reply out.
+
+use serde_json::{json, Map, Value};
+use std::collections::BTreeMap;
+use whinwall::deployment::{Deployment, OpType, Repeat};
+use whinwall::interface::{ListScope, Listing, LoadReport, Met, ProbeAnswer, ServerId, Standing, Step};
+use whinwall::logic::Governor;
+use whinwall::time::{Moment, Span};
+
+/// The wire's table number that stands for all tables.
+const EVERY_TABLE: u64 = 65535;
+
+#[derive(Default)]
+pub struct Host {
+    governors: BTreeMap<u64, Governor>,
+    /// The numbered lists as they stand at this point of the stream.
+    sheets: BTreeMap<u64, Vec<Listing>>,
+}
+
+/// The values of one event, with words for what is wrong with them.
+struct Event<'a> {
+    name: &'a str,
+    values: &'a [Value],
+}
+
+impl<'a> Event<'a> {
+    fn read(raw: &'a Value) -> Result<Self, String> {
+        let items = raw.as_array().ok_or("an event is not an array")?;
+        let name = items.first().and_then(Value::as_str).ok_or("an event has no name")?;
+        Ok(Event { name, values: &items[1..] })
+    }
+
+    fn wrong<T>(&self, field: &str, value: Option<T>) -> Result<T, String> {
+        value.ok_or_else(|| format!("event {}: field {field} is missing or malformed", self.name))
+    }
+
+    fn value(&self, at: usize) -> &'a Value {
+        self.values.get(at).unwrap_or(&Value::Null)
+    }
+
+    fn whole(&self, at: usize, field: &str) -> Result<u64, String> {
+        self.wrong(field, self.value(at).as_u64())
+    }
+
+    fn id(&self, at: usize, field: &str) -> Result<u32, String> {
+        self.wrong(field, self.value(at).as_u64().and_then(|id| u32::try_from(id).ok()))
+    }
+
+    fn number(&self, at: usize, field: &str) -> Result<f64, String> {
+        self.wrong(field, self.value(at).as_f64().filter(|n| n.is_finite() && *n >= 0.0))
+    }
+
+    fn flag(&self, at: usize, field: &str) -> Result<bool, String> {
+        self.wrong(field, self.value(at).as_bool())
+    }
+
+    fn text(&self, at: usize, field: &str) -> Result<&'a str, String> {
+        self.wrong(field, self.value(at).as_str())
+    }
+
+    fn report(&self, at: usize) -> LoadReport {
+        let named = |name: &str| self.value(at).get(name).and_then(Value::as_f64);
+        LoadReport { inflight: named("inflight"), queue: named("queue"), service_ms: named("latency_ms") }
+    }
+}
+
+impl Host {
+    /// Answers one line, or says what keeps it from being a batch.
+    pub fn batch(&mut self, line: &str) -> Result<String, String> {
+        let batch: Value = serde_json::from_str(line).map_err(|e| format!("no JSON: {e}"))?;
+        let now = batch.get("nowNs").and_then(Value::as_u64).ok_or("nowNs is missing or no whole number")?;
+        let parts = batch.get("parts").and_then(Value::as_array).ok_or("parts is missing or no array")?;
+        let mut inputs = Vec::new();
+        for part in parts {
+            let id = part.get("governorId").and_then(Value::as_u64).ok_or("a part has no governorId")?;
+            let input = part.get("input").and_then(Value::as_array);
+            inputs.push((id, input.ok_or_else(|| format!("the part of instance {id} has no input"))?));
+        }
+        let now = Moment::at_ns(now);
+        let mut replies = Vec::new();
+        for (id, input) in inputs {
+            let mut output = self.instance(now, id, input);
+            if let Some(governor) = self.governors.get_mut(&id) {
+                output.extend(governor.collect(now).into_iter().map(encode));
+            }
+            if !output.is_empty() {
+                replies.push(json!({"governorId": id, "output": output}));
+            }
+        }
+        Ok(json!({ "parts": replies }).to_string())
+    }
+
+    fn instance(&mut self, now: Moment, id: u64, input: &[Value]) -> Vec<Value> {
+        let mut output = Vec::new();
+        let mut at = 0;
+        while at < input.len() {
+            let event = Event::read(&input[at]);
+            // The lines of a table handed over belong to the hand-over: the governor gets both as one call.
+            let lines = input[at + 1..].iter().take_while(|raw| raw.get(0).is_some_and(|n| n == "recorded"));
+            let follows = match &event {
+                Ok(event) if event.name == "charge" => lines.count(),
+                _ => 0,
+            };
+            let done = event
+                .and_then(|event| self.event(now, id, &event, &input[at + 1..at + 1 + follows], &mut output));
+            if let Err(wrong) = done {
+                eprintln!("instance {id}: {wrong}");
+            }
+            at += 1 + follows;
+        }
+        output
+    }
+
+    fn event(
+        &mut self,
+        now: Moment,
+        id: u64,
+        event: &Event,
+        lines: &[Value],
+        output: &mut Vec<Value>,
+    ) -> Result<(), String> {
+        match event.name {
+            "powerOn" => {
+                let seed = event.whole(0, "rngSeed")?;
+                match deployment(event.value(1)) {
+                    Ok(deployment) => {
+                        self.governors.insert(id, Governor::start(deployment, seed, now));
+                    }
+                    Err(key) => output.push(json!(["fault", format!("config lacks a usable {key}")])),
+                }
+                return Ok(());
+            }
+            "list" => {
+                self.sheets.insert(event.whole(0, "sheet")?, listings(event)?);
+                return Ok(());
+            }
+            "killed" => {
+                self.governors.remove(&id);
+                return Ok(());
+            }
+            _ => {}
+        }
+        let Some(governor) = self.governors.get_mut(&id) else {
+            return Err(format!("event {}: this instance has not been started", event.name));
+        };
+        match event.name {
+            "members" => {
+                let scope = match event.text(0, "mode")? {
+                    "patch" => ListScope::Changes,
+                    "whole" => ListScope::Whole,
+                    "stale_copy" => ListScope::Remembered,
+                    "broken" => {
+                        governor.list_failed(now);
+                        return Ok(());
+                    }
+                    other => return Err(format!("event members: field mode is unknown: {other}")),
+                };
+                let sheet = event.wrong("sheet", self.sheets.get(&event.whole(2, "sheet")?))?;
+                governor.listed(now, scope, sheet);
+            }
+            "bell" => governor.woken(now, event.whole(0, "name")?),
+            "pong" => {
+                let answer = match event.text(1, "code")? {
+                    "Ok" => ProbeAnswer::Served,
+                    "QueueFull" => ProbeAnswer::Refused,
+                    "Failed" => ProbeAnswer::Failed,
+                    _ => ProbeAnswer::Silent,
+                };
+                let latency = Span::ns(event.whole(2, "latencyNs")?);
+                governor.probed(now, event.id(0, "replica")?, answer, latency, event.report(3));
+            }
+            "connected" => {
+                governor.proxy_joined(now, event.id(0, "clientLb")?, event.flag(3, "set")?);
+            }
+            "parted" => governor.proxy_left(now, event.id(0, "clientLb")?),
+            "trafficReport" => {
+                let met = Met {
+                    aborted: event.number(1, "bad")?,
+                    tries: event.number(3, "many")?,
+                    mean_latency: Span::ns(event.whole(4, "latencyNs")?),
+                    report: event.report(6),
+                };
+                governor.met(now, event.id(5, "replica")?, met);
+            }
+            "sliceLoad" => {
+                let (came, aborted) = (event.number(2, "many")?, event.number(3, "bad")?);
+                governor.asked(now, event.id(0, "mapId")?, came, aborted);
+            }
+            "charge" if event.flag(0, "set")? => {
+                let mut table = Vec::new();
+                for raw in lines {
+                    let line = Event::read(raw)?;
+                    table.push((line.id(2, "replica")?, line.number(1, "weight")?));
+                }
+                governor.slice_given(now, event.id(1, "mapId")?, &table);
+            }
+            "charge" => governor.slice_taken(now, event.id(1, "mapId")?),
+            "installed" => {
+                let number = event.wrong("number", u16::try_from(event.whole(1, "number")?).ok())?;
+                governor.applied(now, event.id(0, "clientLb")?, number);
+            }
+            "usage" | "datagram" => {}
+            "recorded" => return Err("event recorded: it follows no charge".into()),
+            other => return Err(format!("event {other}: it is not known")),
+        }
+        Ok(())
+    }
+}
+
+fn listings(event: &Event) -> Result<Vec<Listing>, String> {
+    let entries = event.wrong("records", event.value(1).as_array())?;
+    entries.iter().map(|entry| event.wrong("records", listing(entry))).collect()
+}
+
+fn listing(entry: &Value) -> Option<Listing> {
+    Some(Listing {
+        server: ServerId::try_from(entry.get(0)?.as_u64()?).ok()?,
+        machine: entry.get(2)?.as_str()?.to_string(),
+        standing: match entry.get(4)?.as_str()? {
+            "live" => Standing::Ready,
+            "quiescing" => Standing::Draining,
+            "dead" => Standing::Gone,
+            _ => return None,
+        },
+        size: entry.get(5).and_then(Value::as_f64).unwrap_or(1.0),
+        started: entry.get(6).and_then(Value::as_u64).filter(|ns| *ns > 0).map(Moment::at_ns),
+    })
+}
+
+/// Facts out of the settings, or the key that is missing.
+fn deployment(config: &Value) -> Result<Deployment, String> {
+    let family = config.get("familyInfo").ok_or("familyInfo")?;
+    let rules = config.get("obligations").ok_or("obligations")?;
+    let number = |group: &Value, key: &str| group.get(key).and_then(Value::as_f64).ok_or(key.to_string());
+    let span = |group: &Value, key: &str| {
+        group.get(key).and_then(Value::as_u64).map(Span::ns).ok_or(key.to_string())
+    };
+    let flag = |group: &Value, key: &str| group.get(key).and_then(Value::as_bool).unwrap_or(false);
+    let word = |group: &Value, key: &str| group.get(key).and_then(Value::as_str).map(str::to_string);
+    let nothing = Value::Object(Map::new());
+    let bounds = config.get("bounds").unwrap_or(&nothing);
+    let telemetry = config.get("telemetry").unwrap_or(&nothing);
+    let mut op_types = Vec::new();
+    for row in config.get("classes").and_then(Value::as_array).ok_or("classes")? {
+        op_types.push(OpType {
+            repeat: match word(row, "repeat").as_deref() {
+                Some("safe") => Repeat::Retryable,
+                Some("keyed") => Repeat::Deduplicated,
+                Some("unsafe") => Repeat::OnceOnly,
+                _ => return Err("classes[].repeat".into()),
+            },
+            payoff: number(row, "value")?,
+            target_latency: span(row, "targetNs")?,
+            op_timeout: span(row, "deadlineNs")?,
+        });
+    }
+    Ok(Deployment {
+        op_types,
+        list_pushed: word(config, "membershipMode").ok_or("membershipMode")? != "ask",
+        probes_allowed: flag(bounds, "probes"),
+        reports_in_answers: word(telemetry, "source").as_deref() == Some("answers"),
+        sizes_known: matches!(word(config, "weights").as_deref(), Some("nominal" | "rough")),
+        levels_followed: word(family, "levelKind").as_deref() == Some("fraction"),
+        single_writer: flag(family, "singleWriter"),
+        drain_grace: span(rules, "drainGraceNs")?,
+        cold_share: number(rules, "coldFrom")?,
+        warm_after: span(rules, "warmAfterNs")?,
+        fall_multiple: number(rules, "fallMultiple")?,
+        message_head: number(family, "fixedCost")?,
+        queue_cap: number(family, "queueCap")?,
+        message_cap: number(family, "updateCap").unwrap_or(0.0) as u32,
+        message_window: span(family, "reloadSpanNs").unwrap_or_default(),
+        report_period: span(family, "periodNs")?,
+    })
+}
+
+fn encode(step: Step) -> Value {
+    match step {
+        Step::Line { slice, server, weight } => json!(["setWeight", server, slice, weight]),
+        Step::Withdraw { server, out } => json!(["takeOut", out, server]),
+        Step::Level { slice, op_types, share, tries } => {
+            json!(["ration", share, tries, op_types, slice.map_or(EVERY_TABLE, u64::from)])
+        }
+        Step::Mark { number } => json!(["barrier", number, false]),
+        Step::Probe { server } => json!(["probe", server]),
+        Step::FollowList => json!(["keepInformed", true]),
+        Step::Wake { token, after } => json!(["wakeAt", token, after.as_ns()]),
+        Step::Note(text) => json!(["sayLog", text]),
+    }
+}
--- /dev/null
+++ b/src/chance.rs
@@ -0,0 +1,17 @@
+//! Chance from a seed: a multiply-with-carry generator, so that the same events give the same orders.
+
+#[derive(Clone, Debug)]
+pub struct Chance(u64);
+
+impl Chance {
+    pub fn from_seed(seed: u64) -> Self {
+        // Both halves of the state must not be zero at once, or the sequence stands still.
+        Chance((seed ^ (seed >> 32) << 7) | 1 << 32)
+    }
+
+    /// A number from 0 up to, but not including, 1.
+    pub fn draw(&mut self) -> f64 {
+        self.0 = (self.0 & 0xffff_ffff).wrapping_mul(4_294_957_665).wrapping_add(self.0 >> 32);
+        (self.0 & 0xffff_ffff) as f64 / 4_294_967_296.0
+    }
+}
--- /dev/null
+++ b/src/deployment.rs
@@ -0,0 +1,47 @@
+//! What a governor is told of its deployment when it starts. It holds facts only: nothing here decides.
+
+use crate::time::Span;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Retryable,
+    Deduplicated,
+    OnceOnly,
+}
+
+/// One row an op type.
+#[derive(Clone, Debug)]
+pub struct OpType {
+    pub repeat: Repeat,
+    pub payoff: f64,
+    pub target_latency: Span,
+    pub op_timeout: Span,
+}
+
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub op_types: Vec<OpType>,
+    /// The list of servers is pushed unasked; where false it must be subscribed to.
+    pub list_pushed: bool,
+    pub probes_allowed: bool,
+    /// Load reports ride on answers, and so come with what the proxies met.
+    pub reports_in_answers: bool,
+    /// The list's sizes mean something and stand still.
+    pub sizes_known: bool,
+    /// A share of an op type can be let in.
+    pub levels_followed: bool,
+    /// A slice has one owner at a time, and its table one line.
+    pub single_writer: bool,
+    pub drain_grace: Span,
+    pub cold_share: f64,
+    pub warm_after: Span,
+    pub fall_multiple: f64,
+    /// Lines that a message costs besides its own.
+    pub message_head: f64,
+    /// Lines that may wait in the channel.
+    pub queue_cap: f64,
+    /// Messages to one proxy within `message_window`; 0 means no cap.
+    pub message_cap: u32,
+    pub message_window: Span,
+    pub report_period: Span,
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,71 @@
+//! What goes in and out of the decisions, in no protocol's terms.
+
+use crate::time::{Moment, Span};
+
+/// Ids stay as the protocol gives them; they carry no meaning.
+pub type ServerId = u32;
+pub type SliceId = u32;
+pub type ProxyId = u32;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One server as the list shows it.
+#[derive(Clone, Debug)]
+pub struct Listing {
+    pub server: ServerId,
+    pub machine: String,
+    pub standing: Standing,
+    pub size: f64,
+    pub started: Option<Moment>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListScope {
+    Changes,
+    Whole,
+    /// The whole list as a former life of this governor knew it.
+    Remembered,
+}
+
+/// A server's own account of its load; what the site does not report is absent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoadReport {
+    pub inflight: Option<f64>,
+    pub queue: Option<f64>,
+    pub service_ms: Option<f64>,
+}
+
+/// What proxies met at one server within one period.
+#[derive(Clone, Copy, Debug)]
+pub struct Met {
+    pub tries: f64,
+    pub aborted: f64,
+    pub mean_latency: Span,
+    pub report: LoadReport,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeAnswer {
+    Served,
+    Refused,
+    Failed,
+    Silent,
+}
+
+/// A step of a reply. Steps take effect in order: a withdrawal never overtakes the line that replaces it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    Line { slice: SliceId, server: ServerId, weight: f64 },
+    Withdraw { server: ServerId, out: bool },
+    Level { slice: Option<SliceId>, op_types: u64, share: f64, tries: u8 },
+    Mark { number: u16 },
+    Probe { server: ServerId },
+    FollowList,
+    Wake { token: u64, after: Span },
+    Note(String),
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,10 @@
+//! The decisions of a proxy fleet's governor. Start reading at [`logic`].
+#![forbid(unsafe_code)]
+
+pub mod chance;
+pub mod deployment;
+pub mod interface;
+pub mod logic;
+pub mod ring;
+mod state;
+pub mod time;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,132 @@
+//! What a governor remembers: plain records, no decisions.
+
+use crate::interface::{Listing, ProxyId, ServerId, Standing};
+use crate::ring::Ring;
+use crate::time::{Moment, Span};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Twelve seconds in half-second buckets: the longest that any rule looks back.
+fn ring() -> Ring {
+    Ring::new(Span::ms(500), 24)
+}
+
+pub struct Server {
+    pub machine: String,
+    pub standing: Standing,
+    pub size: f64,
+    pub started: Option<Moment>,
+    pub listed: bool,
+    pub tries: Ring,
+    pub aborted: Ring,
+    pub answered: Ring,
+    pub busy: Ring,
+    pub asked: Ring,
+    pub service: Option<f64>,
+    pub missed_probes: u32,
+    pub probe_at: Moment,
+    pub sick_until: Option<Moment>,
+    pub strikes: u32,
+    /// Rounds in a row above the band, or below it where negative.
+    pub outside: i32,
+}
+
+impl Server {
+    pub fn new(entry: &Listing, probe_at: Moment) -> Self {
+        Server {
+            machine: entry.machine.clone(),
+            standing: entry.standing,
+            size: entry.size,
+            started: entry.started,
+            listed: true,
+            tries: ring(),
+            aborted: ring(),
+            answered: ring(),
+            busy: ring(),
+            asked: ring(),
+            service: None,
+            missed_probes: 0,
+            probe_at,
+            sick_until: None,
+            strikes: 0,
+            outside: 0,
+        }
+    }
+
+    /// Drops all that was met here so far.
+    pub fn forget(&mut self) {
+        for ring in [&mut self.tries, &mut self.aborted, &mut self.answered, &mut self.busy, &mut self.asked]
+        {
+            ring.clear();
+        }
+        self.service = None;
+        self.missed_probes = 0;
+    }
+}
+
+#[derive(Default, Clone, Copy, PartialEq, PartialOrd, Eq, Ord)]
+pub enum Haste {
+    #[default]
+    Calm,
+    Urgent,
+}
+
+pub struct Slice {
+    /// The table as it should be.
+    pub wanted: BTreeMap<ServerId, f64>,
+    /// The table as the proxies were told.
+    pub held: BTreeMap<ServerId, f64>,
+    pub came: Ring,
+    pub moves: u32,
+    pub haste: Haste,
+    /// The mark that its last change waits for.
+    pub mark: Option<u16>,
+    pub settled: Moment,
+}
+
+impl Slice {
+    pub fn new(table: &[(ServerId, f64)], now: Moment) -> Self {
+        let lines: BTreeMap<_, _> = table.iter().copied().filter(|(_, weight)| *weight > 0.0).collect();
+        Slice {
+            wanted: lines.clone(),
+            held: lines,
+            came: ring(),
+            moves: 0,
+            haste: Haste::Calm,
+            mark: None,
+            settled: now,
+        }
+    }
+}
+
+/// One message to each of the proxies, of which some have not acked yet.
+pub struct Sent {
+    pub waiting: BTreeSet<ProxyId>,
+    pub lines_each: f64,
+    pub at: Moment,
+}
+
+/// Loads and powers as seen at one moment.
+pub struct Scene {
+    pub loads: BTreeMap<ServerId, f64>,
+    pub powers: BTreeMap<ServerId, f64>,
+    pub average: f64,
+    pub phi: f64,
+}
+
+impl Scene {
+    pub fn load(&self, id: ServerId) -> f64 {
+        self.loads.get(&id).copied().unwrap_or(0.0)
+    }
+
+    pub fn power(&self, id: ServerId) -> f64 {
+        self.powers.get(&id).copied().unwrap_or(1.0)
+    }
+
+    pub fn level(&self, id: ServerId) -> f64 {
+        self.load(id) / self.power(id)
+    }
+
+    pub fn room(&self, id: ServerId) -> f64 {
+        self.power(id) * (self.average + self.phi) - self.load(id)
+    }
+}
