--- a/src/logic.rs
+++ b/src/logic.rs
@@ -431,7 +431,7 @@
                 answered == 0.0 && (aborted >= ENOUGH || s.asked.sum(now, JUDGED_OVER) >= 2.0 * ENOUGH);
             let slow = |times: f64| pace(s).zip(usual).is_some_and(|(own, usual)| own > times * usual);
             let failing = tries >= ENOUGH && aborted / tries >= FAILING_SHARE && !slow(1.5);
-            if dead || failing || slow(CRAWL) || s.missed_probes >= 2 {
+            if dead || failing || s.missed_probes >= 2 {
                 let cause = if dead {
                     "silent"
                 } else if failing {
