--- a/src/logic.rs
+++ b/src/logic.rs
@@ -31,7 +31,6 @@
 const SICK_FOR: Span = Span::ms(8000);
 const ENOUGH: f64 = 6.0;
 const FAILING_SHARE: f64 = 0.3;
-const CRAWL: f64 = 3.0;
 const DOUBT_SHARE: f64 = 0.4;
 // Cold servers: the part of what would push one over that we allow ourselves.
 const COLD_SAFETY: f64 = 0.4;
@@ -213,6 +212,7 @@
         if let Some(s) = self.slices.get_mut(&slice) {
             // Clients come again after an abort: counted in full, a broken server's slices would look like hot ones.
             s.came.add(now, (came - 0.7 * aborted).max(0.0));
+            s.pressed.add(now, came);
             if s.mark.is_none() && now - s.settled > JUDGED_OVER {
                 let whole: f64 = s.wanted.values().sum();
                 for (server, weight) in &s.wanted {
@@ -270,6 +270,12 @@
         slice.came.sum(self.now, LOAD_OVER) / seen
     }
 
+    /// All that came, repeats of the same op too: what a server feels.
+    fn press_of(&self, slice: &Slice) -> f64 {
+        slice.pressed.sum(self.now, SPREAD_OVER).max(slice.pressed.sum(self.now, LOAD_OVER) / 3.0)
+            / SPREAD_OVER.seconds()
+    }
+
     fn burst_of(&self, slice: &Slice) -> f64 {
         slice.came.sum(self.now, SPREAD_OVER) / SPREAD_OVER.seconds()
     }
@@ -305,33 +311,34 @@
         self.servers.iter().map(|(id, s)| (*id, power(id, s))).collect()
     }
 
-    fn loads(&self) -> BTreeMap<ServerId, f64> {
-        let mut loads: BTreeMap<ServerId, f64> = BTreeMap::new();
+    fn scene(&self) -> Scene {
+        let (mut loads, mut pressures): (BTreeMap<ServerId, f64>, BTreeMap<ServerId, f64>) =
+            Default::default();
         for slice in self.slices.values() {
-            let (load, whole) = (self.load_of(slice), slice.wanted.values().sum::<f64>());
+            let whole = slice.wanted.values().sum::<f64>();
             for (server, weight) in &slice.wanted {
-                *loads.entry(*server).or_default() += load * weight / whole;
+                *loads.entry(*server).or_default() += self.load_of(slice) * weight / whole;
+                *pressures.entry(*server).or_default() += self.press_of(slice) * weight / whole;
             }
         }
-        loads
-    }
-
-    fn scene(&self) -> Scene {
-        let (loads, powers) = (self.loads(), self.powers());
-        let fit = self.servers.iter().filter(|(_, s)| self.is_fit(s)).map(|(id, _)| powers[id]).sum::<f64>();
-        let average = loads.values().sum::<f64>() / fit.max(0.01);
-        Scene { loads, powers, average, phi: BAND * average }
+        let powers = self.powers();
+        let fit = || self.servers.iter().filter(|(_, s)| self.is_fit(s));
+        let power: f64 = fit().map(|(id, _)| powers[id]).sum::<f64>().max(0.01);
+        let answered: f64 = fit().map(|(_, s)| s.answered.sum(self.now, LOAD_OVER)).sum();
+        let average = loads.values().sum::<f64>() / power;
+        let proven = average.min(answered / LOAD_OVER.seconds() / power);
+        Scene { loads, pressures, powers, average, proven, phi: BAND * average }
     }
 
-    /// What a cold server may carry now: of what would push it over, a safe part. That a warm server carries the
-    /// average load is the only sure sign of what servers can do.
+    /// What a cold server may be sent now: of what would push it over, a safe part. What the fleet answers, level
+    /// by level, is the only sure sign of what servers can do; what is asked may be far more (overload, repeats).
     fn allowance(&self, id: ServerId, scene: &Scene) -> f64 {
         match self.servers.get(&id) {
             Some(s) if self.is_cold(s) => {
                 let age = (self.now - s.started.unwrap_or(self.now)).seconds();
                 let warmth = self.site.cold_share
                     + (1.0 - self.site.cold_share) * age / self.site.warm_after.seconds().max(0.1);
-                scene.power(id) * scene.average * self.site.fall_multiple * warmth * COLD_SAFETY
+                scene.power(id) * scene.proven * self.site.fall_multiple * warmth * COLD_SAFETY
             }
             _ => f64::INFINITY,
         }
@@ -342,7 +349,7 @@
         let fresh = s.started.is_some_and(|at| self.now - at < FRESH_START);
         self.is_fit(s)
             && !(fresh && self.busy_in_round.contains(&id))
-            && scene.load(id) + load <= self.allowance(id, scene)
+            && scene.pressure(id) + load <= self.allowance(id, scene)
     }
 
     /// The live server with most room under AvgL+phi, else the least loaded; a bad one only where there is no good.
@@ -424,13 +431,19 @@
         let mut paces: Vec<f64> = self.servers.values().filter(|s| self.is_fit(s)).filter_map(pace).collect();
         paces.sort_by(f64::total_cmp);
         let usual = paces.get(paces.len() / 2).copied();
+        let share = |s: &Server| s.aborted.sum(now, JUDGED_OVER) / s.tries.sum(now, JUDGED_OVER).max(1.0);
+        let mut shares: Vec<f64> = self.servers.values().filter(|s| self.is_fit(s)).map(share).collect();
+        shares.sort_by(f64::total_cmp);
+        let usual_share = shares.get(shares.len() / 2).copied().unwrap_or(0.0);
         let mut ill = Vec::new();
         for (id, s) in self.servers.iter().filter(|(_, s)| self.is_fit(s)) {
             let (tries, aborted, answered) = met(s);
             let dead =
                 answered == 0.0 && (aborted >= ENOUGH || s.asked.sum(now, JUDGED_OVER) >= 2.0 * ENOUGH);
             let slow = |times: f64| pace(s).zip(usual).is_some_and(|(own, usual)| own > times * usual);
-            let failing = tries >= ENOUGH && aborted / tries >= FAILING_SHARE && !slow(1.5);
+            // A full server turns work away as well, but it is not alone in that, and what it answers is slow.
+            let failing =
+                tries >= ENOUGH && aborted / tries >= FAILING_SHARE + 2.0 * usual_share && !slow(1.0);
             if dead || failing || s.missed_probes >= 2 {
                 let cause = if dead {
                     "silent"
@@ -468,7 +481,7 @@
         }
         let scene = self.scene();
         let flees =
-            |id: &ServerId| bad(id) || cold(id) && scene.load(*id) > self.allowance(*id, &scene) * 1.2;
+            |id: &ServerId| bad(id) || cold(id) && scene.pressure(*id) > self.allowance(*id, &scene) * 1.2;
         let mut due: Vec<_> = lines().filter(|(_, id)| flees(id)).collect();
         due.sort_by(|a, b| self.load_of(&self.slices[&b.0]).total_cmp(&self.load_of(&self.slices[&a.0])));
         for (n, from) in due {
--- a/src/state.rs
+++ b/src/state.rs
@@ -75,7 +75,9 @@
     pub wanted: BTreeMap<ServerId, f64>,
     /// The table as the proxies were told.
     pub held: BTreeMap<ServerId, f64>,
+    /// Ops that came, cleared of repeats as well as can be; and all of them.
     pub came: Ring,
+    pub pressed: Ring,
     pub moves: u32,
     pub haste: Haste,
     /// The mark that its last change waits for.
@@ -90,6 +92,7 @@
             wanted: lines.clone(),
             held: lines,
             came: ring(),
+            pressed: ring(),
             moves: 0,
             haste: Haste::Calm,
             mark: None,
@@ -108,8 +111,11 @@
 /// Loads and powers as seen at one moment.
 pub struct Scene {
     pub loads: BTreeMap<ServerId, f64>,
+    pub pressures: BTreeMap<ServerId, f64>,
     pub powers: BTreeMap<ServerId, f64>,
     pub average: f64,
+    /// What a unit of power was seen to answer.
+    pub proven: f64,
     pub phi: f64,
 }
 
@@ -118,6 +124,10 @@
         self.loads.get(&id).copied().unwrap_or(0.0)
     }
 
+    pub fn pressure(&self, id: ServerId) -> f64 {
+        self.pressures.get(&id).copied().unwrap_or(0.0)
+    }
+
     pub fn power(&self, id: ServerId) -> f64 {
         self.powers.get(&id).copied().unwrap_or(1.0)
     }
