--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -184,7 +184,8 @@
             }
             "sliceLoad" => {
                 let (came, aborted) = (event.number(2, "many")?, event.number(3, "bad")?);
-                governor.asked(now, event.id(0, "mapId")?, came, aborted);
+                let op_type = event.wrong("category", governor.op_type(event.text(1, "category")?))?;
+                governor.asked(now, event.id(0, "mapId")?, op_type, came, aborted);
             }
             "charge" if event.flag(0, "set")? => {
                 let mut table = Vec::new();
@@ -243,6 +244,7 @@
     let mut op_types = Vec::new();
     for row in config.get("classes").and_then(Value::as_array).ok_or("classes")? {
         op_types.push(OpType {
+            name: word(row, "name").ok_or("classes[].name")?,
             repeat: match word(row, "repeat").as_deref() {
                 Some("safe") => Repeat::Retryable,
                 Some("keyed") => Repeat::Deduplicated,
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -12,6 +12,7 @@
 /// One row an op type.
 #[derive(Clone, Debug)]
 pub struct OpType {
+    pub name: String,
     pub repeat: Repeat,
     pub payoff: f64,
     pub target_latency: Span,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -10,7 +10,7 @@
 //!  3. spreading: a slice that alone overfills its server gets further lines.
 //!  4. pacing:   lines not yet acked are kept under the queue cap, messages under the message cap; urgent first.
 use crate::chance::Chance;
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, OpType};
 use crate::interface::*;
 use crate::ring::Ring;
 use crate::state::{Haste, Scene, Sent, Server, Slice};
@@ -36,6 +36,11 @@
 const COLD_SAFETY: f64 = 0.4;
 // Spreading looks at a shorter time than rounds do: a key in demand comes at once and may be gone in ten seconds.
 const SPREAD_OVER: Span = Span::ms(3000);
+// Levels: answers later than this part of the tightest target are cut down on; well below it, less is cut.
+const STRAINED: f64 = 0.6;
+const EASED: f64 = 0.35;
+const CUT_STEP: f64 = 0.15;
+const LEAST_LEVEL: f64 = 0.1;
 // Pacing.
 const QUEUE_PART: f64 = 0.8;
 const BEAT: Span = Span::ms(200);
@@ -58,6 +63,7 @@
     ask_at: Option<Moment>,
     list_fresh: bool,
     lift_at: Option<Moment>,
+    ration_at: Moment,
     round_at: Moment,
     round_open: bool,
     busy_in_round: BTreeSet<ServerId>,
@@ -75,7 +81,7 @@
 }
 
 type Rule = fn(&mut Governor) -> bool;
-const RULES: [Rule; 11] = [
+const RULES: [Rule; 12] = [
     Governor::follow_list,
     Governor::close_marks,
     Governor::judge,
@@ -83,6 +89,7 @@
     Governor::spread,
     Governor::gather,
     Governor::open_round,
+    Governor::ration,
     Governor::shift,
     Governor::probe,
     Governor::dispatch,
@@ -110,6 +117,7 @@
             ask_at,
             list_fresh: false,
             lift_at: None,
+            ration_at: now + ROUND,
             round_at: now + ROUND + ROUND,
             round_open: false,
             busy_in_round: BTreeSet::new(),
@@ -142,6 +150,11 @@
         self.settle(now);
     }
 
+    /// Where an op type stands among those told at start; its name says nothing else to us.
+    pub fn op_type(&self, name: &str) -> Option<usize> {
+        self.site.op_types.iter().position(|t| t.name == name)
+    }
+
     pub fn list_failed(&mut self, now: Moment) {
         let pause = ASK_AGAIN.times(1.0 + self.chance.draw());
         self.ask_at = (!self.site.list_pushed).then_some(now + pause);
@@ -208,16 +221,21 @@
         self.settle(now);
     }
 
-    pub fn asked(&mut self, now: Moment, slice: SliceId, came: f64, aborted: f64) {
+    pub fn asked(&mut self, now: Moment, slice: SliceId, op_type: usize, came: f64, aborted: f64) {
+        let level = self
+            .slices
+            .get(&slice)
+            .and_then(|s| self.levels(s.cut_held).get(op_type).copied())
+            .unwrap_or(1.0);
         if let Some(s) = self.slices.get_mut(&slice) {
             // Clients come again after an abort: counted in full, a broken server's slices would look like hot ones.
-            s.came.add(now, (came - 0.7 * aborted).max(0.0));
-            s.pressed.add(now, came);
+            s.came.add(now, (came * level - 0.7 * aborted).max(0.0));
+            s.pressed.add(now, came * level);
             if s.mark.is_none() && now - s.settled > JUDGED_OVER {
                 let whole: f64 = s.wanted.values().sum();
                 for (server, weight) in &s.wanted {
                     if let Some(owner) = self.servers.get_mut(server) {
-                        owner.asked.add(now, came * weight / whole);
+                        owner.asked.add(now, came * level * weight / whole);
                     }
                 }
             }
@@ -568,6 +586,40 @@
         true
     }
 
+    /// Levels follow what each owner can do: a queue that makes all its answers late serves nobody. The op type with
+    /// the least payoff is cut first, and further tries before any.
+    fn ration(&mut self) -> bool {
+        if !self.site.levels_followed || self.ration_at > self.now {
+            return false;
+        }
+        self.ration_at = self.now + ROUND;
+        let (now, site) = (self.now, &self.site);
+        let target = site.op_types.iter().map(|t| t.target_latency.seconds()).fold(f64::INFINITY, f64::min);
+        for s in self.servers.values_mut() {
+            let many = s.answered.sum(now, JUDGED_OVER);
+            let strain = s.busy.sum(now, JUDGED_OVER) / many.max(1.0) / target;
+            if many >= ENOUGH && strain > STRAINED {
+                s.cut = (s.cut + CUT_STEP).min(1.0);
+            } else if strain < EASED {
+                s.cut = (s.cut - CUT_STEP).max(0.0);
+            }
+        }
+        for slice in self.slices.values_mut() {
+            let cuts = slice.wanted.keys().filter_map(|id| self.servers.get(id)).map(|s| s.cut);
+            slice.cut = cuts.fold(1.0, f64::min);
+        }
+        true
+    }
+
+    /// The level of each op type at a cut between 0 and 1: types in order of payoff, one after the other.
+    fn levels(&self, cut: f64) -> Vec<f64> {
+        let types = &self.site.op_types;
+        let before = |t: &OpType| types.iter().filter(|o| o.payoff < t.payoff).count() as f64;
+        let level =
+            |t: &OpType| 1.0 - (cut * types.len() as f64 - before(t)).clamp(0.0, 1.0) * (1.0 - LEAST_LEVEL);
+        types.iter().map(level).collect()
+    }
+
     /// One move or swap of the ordinary path.
     fn shift(&mut self) -> bool {
         if !self.round_open {
@@ -651,7 +703,7 @@
 
     /// Sends one slice's difference, urgent ones first, as long as channel and message cap have room.
     fn dispatch(&mut self) -> bool {
-        let dirty = |s: &&Slice| s.wanted != s.held;
+        let dirty = |s: &&Slice| s.wanted != s.held || s.cut != s.cut_held;
         let urgent = |s: &&Slice| s.haste == Haste::Urgent;
         let pick = self.slices.iter().filter(|(_, s)| dirty(s)).max_by_key(|(_, s)| urgent(s));
         let Some((&n, slice)) = pick else { return false };
@@ -664,9 +716,15 @@
         }
         // The new line goes before the old one leaves: a table is at no moment empty (rule 1).
         lines.extend(slice.held.keys().filter(|id| !slice.wanted.contains_key(id)).map(|id| (*id, 0.0)));
+        let mut levels = Vec::new();
+        for (at, level) in self.levels(slice.cut).into_iter().enumerate() {
+            if level != self.levels(slice.cut_held)[at] {
+                levels.push(Step::Level { slice: Some(n), op_types: 1 << at, share: level, tries: 0 });
+            }
+        }
         let readers = self.proxies.len() as f64;
         let head = if self.open_mark.is_some() { 0.0 } else { self.site.message_head + 1.0 };
-        let cost = (lines.len() as f64 + head) * readers;
+        let cost = ((lines.len() + levels.len()) as f64 + head) * readers;
         let unacked: f64 = self.marks.values().map(|m| m.lines_each * m.waiting.len() as f64).sum();
         let part = if calm { 0.5 } else { 1.0 };
         // Lines not yet acked are at least those that wait, however slow the channel runs (rule 5).
@@ -687,13 +745,17 @@
         }
         let mark = self.open_mark;
         if let Some(sent) = mark.and_then(|m| self.marks.get_mut(&m)) {
-            sent.lines_each += lines.len() as f64;
+            sent.lines_each += (lines.len() + levels.len()) as f64;
         }
         let slice = self.slices.get_mut(&n).expect("picked above");
+        if slice.held != slice.wanted {
+            slice.mark = mark;
+        }
         slice.held = slice.wanted.clone();
+        slice.cut_held = slice.cut;
         slice.haste = Haste::Calm;
-        slice.mark = mark;
         self.steps.extend(lines.into_iter().map(|(server, weight)| Step::Line { slice: n, server, weight }));
+        self.steps.extend(levels);
         true
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -26,6 +26,8 @@
     pub probe_at: Moment,
     pub sick_until: Option<Moment>,
     pub strikes: u32,
+    /// How much of what comes for it is to be held back, from nothing to nearly all.
+    pub cut: f64,
     /// Rounds in a row above the band, or below it where negative.
     pub outside: i32,
 }
@@ -48,6 +50,7 @@
             probe_at,
             sick_until: None,
             strikes: 0,
+            cut: 0.0,
             outside: 0,
         }
     }
@@ -79,6 +82,8 @@
     pub came: Ring,
     pub pressed: Ring,
     pub moves: u32,
+    pub cut: f64,
+    pub cut_held: f64,
     pub haste: Haste,
     /// The mark that its last change waits for.
     pub mark: Option<u16>,
@@ -94,6 +99,8 @@
             came: ring(),
             pressed: ring(),
             moves: 0,
+            cut: 0.0,
+            cut_held: 0.0,
             haste: Haste::Calm,
             mark: None,
             settled: now,
