--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,7 +20,7 @@
 // The ordinary path; the design leaves these open.
 const ROUND: Span = Span::ms(1000);
 const LOAD_OVER: Span = Span::ms(8000);
-const BAND: f64 = 0.25;
+const BAND: f64 = 0.5;
 const OMEGA: f64 = 0.8;
 const DELTA: f64 = 0.3;
 const ROUNDS_OUTSIDE: u32 = 3;
@@ -298,7 +298,8 @@
         slice.came.sum(self.now, SPREAD_OVER) / SPREAD_OVER.seconds()
     }
 
-    /// mu: size times speed, speed from the service time against the like's.
+    /// mu: size times speed, speed from the service time against the like's. Its root only: a full server looks slow
+    /// too, and taken at its word it would throw out the slices whose keys it has warm.
     fn powers(&self) -> BTreeMap<ServerId, f64> {
         let pace = |s: &Server| {
             let many = s.answered.sum(self.now, LOAD_OVER);
@@ -321,7 +322,7 @@
         }
         let power = |id: &ServerId, s: &Server| {
             let speed = match (pace(s), like.get(groups[id].as_str())) {
-                (Some(ms), Some((sum, many))) if ms > 0.0 => (sum / many / ms).clamp(0.25, 1.6),
+                (Some(ms), Some((sum, many))) if ms > 0.0 => (sum / many / ms).sqrt().clamp(0.5, 1.3),
                 _ => 1.0,
             };
             s.size.max(0.01) * speed
