--- a/src/logic.rs
+++ b/src/logic.rs
@@ -283,6 +283,12 @@
         s.listed && s.standing == Standing::Ready && !self.is_sick(s)
     }
 
+    /// Mean time of the answers lately, against the tightest target.
+    fn strain(&self, s: &Server) -> f64 {
+        let target = self.site.op_types.iter().map(|t| t.target_latency.seconds()).fold(f64::INFINITY, f64::min);
+        s.busy.sum(self.now, JUDGED_OVER) / s.answered.sum(self.now, JUDGED_OVER).max(1.0) / target
+    }
+
     fn load_of(&self, slice: &Slice) -> f64 {
         let seen = LOAD_OVER.min(self.now - self.born).seconds().max(1.0);
         slice.came.sum(self.now, LOAD_OVER) / seen
@@ -653,7 +659,8 @@
         let (high, low) = (scene.average + scene.phi, scene.average - scene.phi);
         let mut heavy: Vec<_> = side(1).filter(|id| scene.level(*id) > high).collect();
         heavy.sort_by(|a, b| scene.level(*b).total_cmp(&scene.level(*a)));
-        let light = side(-1).filter(|id| scene.level(*id) < low && self.may_take(*id, 0.0, scene));
+        let easy = |id: &ServerId| self.strain(&self.servers[id]) < EASED;
+        let light = side(-1).filter(|id| scene.level(*id) < low && self.may_take(*id, 0.0, scene) && easy(id));
         let to = light.max_by(|a, b| scene.room(*a).total_cmp(&scene.room(*b)))?;
         let top = heavy.first().map(|id| scene.level(*id))?;
         for from in heavy {
