--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,7 +20,7 @@
 // The ordinary path; the design leaves these open.
 const ROUND: Span = Span::ms(1000);
 const LOAD_OVER: Span = Span::ms(8000);
-const BAND: f64 = 0.5;
+const BAND: f64 = 0.35;
 const OMEGA: f64 = 0.8;
 const DELTA: f64 = 0.3;
 const ROUNDS_OUTSIDE: u32 = 3;
@@ -58,6 +58,7 @@
     marks: BTreeMap<u16, Sent>,
     next_mark: u16,
     open_mark: Option<u16>,
+    last_through: Moment,
     messages: Ring,
     steps: Vec<Step>,
     ask_at: Option<Moment>,
@@ -112,6 +113,7 @@
             marks: BTreeMap::new(),
             next_mark: 0,
             open_mark: None,
+            last_through: now,
             messages,
             steps: Vec::new(),
             ask_at,
@@ -205,6 +207,7 @@
     pub fn applied(&mut self, now: Moment, proxy: ProxyId, mark: u16) {
         if let Some(sent) = self.marks.get_mut(&mark) {
             sent.waiting.remove(&proxy);
+            self.last_through = self.last_through.max(sent.at);
         }
         self.settle(now);
     }
@@ -285,7 +288,8 @@
 
     /// Mean time of the answers lately, against the tightest target.
     fn strain(&self, s: &Server) -> f64 {
-        let target = self.site.op_types.iter().map(|t| t.target_latency.seconds()).fold(f64::INFINITY, f64::min);
+        let target =
+            self.site.op_types.iter().map(|t| t.target_latency.seconds()).fold(f64::INFINITY, f64::min);
         s.busy.sum(self.now, JUDGED_OVER) / s.answered.sum(self.now, JUDGED_OVER).max(1.0) / target
     }
 
@@ -660,7 +664,8 @@
         let mut heavy: Vec<_> = side(1).filter(|id| scene.level(*id) > high).collect();
         heavy.sort_by(|a, b| scene.level(*b).total_cmp(&scene.level(*a)));
         let easy = |id: &ServerId| self.strain(&self.servers[id]) < EASED;
-        let light = side(-1).filter(|id| scene.level(*id) < low && self.may_take(*id, 0.0, scene) && easy(id));
+        let light =
+            side(-1).filter(|id| scene.level(*id) < low && self.may_take(*id, 0.0, scene) && easy(id));
         let to = light.max_by(|a, b| scene.room(*a).total_cmp(&scene.room(*b)))?;
         let top = heavy.first().map(|id| scene.level(*id))?;
         for from in heavy {
@@ -733,9 +738,11 @@
         let readers = self.proxies.len() as f64;
         let head = if self.open_mark.is_some() { 0.0 } else { self.site.message_head + 1.0 };
         let cost = ((lines.len() + levels.len()) as f64 + head) * readers;
-        let unacked: f64 = self.marks.values().map(|m| m.lines_each * m.waiting.len() as f64).sum();
+        // Messages leave the channel in order: an ack shows that all sent before it have left. Of the rest, lines not
+        // yet acked are at least those that wait, however slowly the channel runs (rule 5).
+        let behind = self.marks.values().filter(|m| m.at >= self.last_through);
+        let unacked: f64 = behind.map(|m| m.lines_each * m.waiting.len() as f64).sum();
         let part = if calm { 0.5 } else { 1.0 };
-        // Lines not yet acked are at least those that wait, however slow the channel runs (rule 5).
         if unacked > 0.0 && unacked + cost > self.site.queue_cap * QUEUE_PART * part {
             return false;
         }
