--- a/src/logic.rs
+++ b/src/logic.rs
@@ -392,11 +392,15 @@
         let least = |a: &ServerId, b: &ServerId| scene.level(*a).total_cmp(&scene.level(*b));
         let fit = open().filter(|id| self.may_take(*id, load, scene)).min_by(least);
         let ready = |id: &ServerId| self.servers[id].listed && self.servers[id].standing == Standing::Ready;
-        let well = || open().filter(|id| ready(id) && !self.is_sick(&self.servers[id])).min_by(least);
+        // With no fit one, a full warm server still beats a cold one, which would fall over (rule 4).
+        let warm = || open().filter(|id| ready(id) && !self.is_cold(&self.servers[id]));
+        let well = || warm().filter(|id| !self.is_sick(&self.servers[id])).min_by(least);
+        let share = |id: ServerId| scene.pressure(id) / self.allowance(id, scene).max(0.001);
+        let coolest = |a: &ServerId, b: &ServerId| share(*a).total_cmp(&share(*b));
         match need {
             Need::Relief => fit,
             Need::Escape => fit.or_else(well),
-            Need::Any => fit.or_else(well).or_else(|| open().filter(ready).min_by(least)),
+            Need::Any => fit.or_else(well).or_else(|| open().filter(ready).min_by(coolest)),
         }
     }
 
@@ -604,16 +608,20 @@
             return false;
         }
         self.ration_at = self.now + ROUND;
-        let (now, site) = (self.now, &self.site);
-        let target = site.op_types.iter().map(|t| t.target_latency.seconds()).fold(f64::INFINITY, f64::min);
-        for s in self.servers.values_mut() {
-            let many = s.answered.sum(now, JUDGED_OVER);
-            let strain = s.busy.sum(now, JUDGED_OVER) / many.max(1.0) / target;
-            if many >= ENOUGH && strain > STRAINED {
-                s.cut = (s.cut + CUT_STEP).min(1.0);
-            } else if strain < EASED {
-                s.cut = (s.cut - CUT_STEP).max(0.0);
+        let scene = self.scene();
+        let step = |id: ServerId, s: &Server| {
+            let strain = self.strain(s);
+            // Against a cold server pushed over where its slices have no other place to go.
+            let pushed = scene.pressure(id) > self.allowance(id, &scene);
+            match () {
+                _ if pushed || strain > STRAINED => CUT_STEP,
+                _ if strain < EASED => -CUT_STEP,
+                _ => 0.0,
             }
+        };
+        let steps: Vec<f64> = self.servers.iter().map(|(id, s)| step(*id, s)).collect();
+        for (s, step) in self.servers.values_mut().zip(steps) {
+            s.cut = (s.cut + step).clamp(0.0, 1.0);
         }
         for slice in self.slices.values_mut() {
             let cuts = slice.wanted.keys().filter_map(|id| self.servers.get(id)).map(|s| s.cut);
