--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -3,7 +3,7 @@
 use serde_json::{json, Map, Value};
 use std::collections::BTreeMap;
 use whinwall::deployment::{Deployment, OpType, Repeat};
-use whinwall::interface::{ListScope, Listing, LoadReport, Met, ProbeAnswer, ServerId, Standing, Step};
+use whinwall::interface::{ListScope, Listing, LoadReport, Met, ServerId, Standing, Step};
 use whinwall::logic::Governor;
 use whinwall::time::{Moment, Span};
 
@@ -160,14 +160,8 @@
             }
             "bell" => governor.woken(now, event.whole(0, "name")?),
             "pong" => {
-                let answer = match event.text(1, "code")? {
-                    "Ok" => ProbeAnswer::Served,
-                    "QueueFull" => ProbeAnswer::Refused,
-                    "Failed" => ProbeAnswer::Failed,
-                    _ => ProbeAnswer::Silent,
-                };
-                let latency = Span::ns(event.whole(2, "latencyNs")?);
-                governor.probed(now, event.id(0, "replica")?, answer, latency, event.report(3));
+                event.text(1, "code")?;
+                governor.probed(now, event.id(0, "replica")?, event.report(3));
             }
             "connected" => {
                 governor.proxy_joined(now, event.id(0, "clientLb")?, event.flag(3, "set")?);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -49,14 +49,6 @@
     pub report: LoadReport,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ProbeAnswer {
-    Served,
-    Refused,
-    Failed,
-    Silent,
-}
-
 /// A step of a reply. Steps take effect in order: a withdrawal never overtakes the line that replaces it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -170,20 +170,9 @@
         self.settle(now);
     }
 
-    pub fn probed(
-        &mut self,
-        now: Moment,
-        server: ServerId,
-        answer: ProbeAnswer,
-        _latency: Span,
-        report: LoadReport,
-    ) {
+    pub fn probed(&mut self, now: Moment, server: ServerId, report: LoadReport) {
         if let Some(s) = self.servers.get_mut(&server) {
-            match answer {
-                ProbeAnswer::Served => s.missed_probes = 0,
-                ProbeAnswer::Refused => {}
-                ProbeAnswer::Failed | ProbeAnswer::Silent => s.missed_probes += 1,
-            }
+            // Only what a probe brings counts: one that fails may have met a full server, not a sick one.
             s.service = report.service_ms.or(s.service);
         }
         self.settle(now);
@@ -454,40 +443,22 @@
         }
         self.judge_at = self.now + Span::ms(250);
         let now = self.now;
-        let met = |s: &Server| {
-            (s.tries.sum(now, JUDGED_OVER), s.aborted.sum(now, JUDGED_OVER), s.answered.sum(now, JUDGED_OVER))
-        };
-        let pace = |s: &Server| {
-            let many = s.answered.sum(now, JUDGED_OVER);
-            (many >= ENOUGH).then(|| s.busy.sum(now, JUDGED_OVER) / many)
-        };
-        let mut paces: Vec<f64> = self.servers.values().filter(|s| self.is_fit(s)).filter_map(pace).collect();
-        paces.sort_by(f64::total_cmp);
-        let usual = paces.get(paces.len() / 2).copied();
         let share = |s: &Server| s.aborted.sum(now, JUDGED_OVER) / s.tries.sum(now, JUDGED_OVER).max(1.0);
         let mut shares: Vec<f64> = self.servers.values().filter(|s| self.is_fit(s)).map(share).collect();
         shares.sort_by(f64::total_cmp);
-        let usual_share = shares.get(shares.len() / 2).copied().unwrap_or(0.0);
-        let mut ill = Vec::new();
-        for (id, s) in self.servers.iter().filter(|(_, s)| self.is_fit(s)) {
-            let (tries, aborted, answered) = met(s);
-            let dead =
-                answered == 0.0 && (aborted >= ENOUGH || s.asked.sum(now, JUDGED_OVER) >= 2.0 * ENOUGH);
-            let slow = |times: f64| pace(s).zip(usual).is_some_and(|(own, usual)| own > times * usual);
-            // A full server turns work away as well, but it is not alone in that, and what it answers is slow.
-            let failing =
-                tries >= ENOUGH && aborted / tries >= FAILING_SHARE + 2.0 * usual_share && !slow(1.0);
-            if dead || failing || s.missed_probes >= 2 {
-                let cause = if dead {
-                    "silent"
-                } else if failing {
-                    "failing"
-                } else {
-                    "slow"
-                };
-                ill.push((*id, cause));
+        let usual = shares.get(shares.len() / 2).copied().unwrap_or(0.0);
+        let cause = |s: &Server| {
+            let aborted = s.aborted.sum(now, JUDGED_OVER);
+            let asked = s.asked.sum(now, JUDGED_OVER);
+            if s.answered.sum(now, JUDGED_OVER) == 0.0 {
+                return (aborted >= ENOUGH || asked >= 2.0 * ENOUGH).then_some("answers nothing");
             }
-        }
+            // A full server turns work away too, but then the others do as well, or its answers are late.
+            let failing = aborted >= ENOUGH && share(s) >= FAILING_SHARE + 2.0 * usual;
+            (failing && self.strain(s) < EASED).then_some("fails quickly")
+        };
+        let fit = self.servers.iter().filter(|(_, s)| self.is_fit(s));
+        let ill: Vec<_> = fit.filter_map(|(id, s)| cause(s).map(|why| (*id, why))).collect();
         let around = self.servers.values().filter(|s| s.listed && s.standing == Standing::Ready);
         let (all, sick) = around.fold((0, ill.len()), |(a, k), s| (a + 1, k + usize::from(self.is_sick(s))));
         if sick as f64 > DOUBT_SHARE * all as f64 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,7 +22,6 @@
     pub busy: Ring,
     pub asked: Ring,
     pub service: Option<f64>,
-    pub missed_probes: u32,
     pub probe_at: Moment,
     pub sick_until: Option<Moment>,
     pub strikes: u32,
@@ -46,7 +45,6 @@
             busy: ring(),
             asked: ring(),
             service: None,
-            missed_probes: 0,
             probe_at,
             sick_until: None,
             strikes: 0,
@@ -62,7 +60,6 @@
             ring.clear();
         }
         self.service = None;
-        self.missed_probes = 0;
     }
 }
 
