--- a/src/logic.rs
+++ b/src/logic.rs
@@ -202,11 +202,15 @@
     }
 
     pub fn met(&mut self, now: Moment, server: ServerId, met: Met) {
+        let target = self.target();
         if let Some(s) = self.servers.get_mut(&server) {
             let answered = (met.tries - met.aborted).max(0.0);
             s.tries.add(now, met.tries);
             s.aborted.add(now, met.aborted);
             s.answered.add(now, answered);
+            if answered > 0.0 {
+                s.last_late = met.mean_latency.seconds() / target;
+            }
             s.busy.add(now, answered * met.mean_latency.seconds());
             s.service = met.report.service_ms.or(s.service);
         }
@@ -277,9 +281,16 @@
 
     /// Mean time of the answers lately, against the tightest target.
     fn strain(&self, s: &Server) -> f64 {
-        let target =
-            self.site.op_types.iter().map(|t| t.target_latency.seconds()).fold(f64::INFINITY, f64::min);
-        s.busy.sum(self.now, JUDGED_OVER) / s.answered.sum(self.now, JUDGED_OVER).max(1.0) / target
+        let many = s.answered.sum(self.now, JUDGED_OVER);
+        match () {
+            _ if many > 0.0 => s.busy.sum(self.now, JUDGED_OVER) / many / self.target(),
+            _ if s.tries.sum(self.now, JUDGED_OVER) > 0.0 => s.last_late,
+            _ => 0.0,
+        }
+    }
+
+    fn target(&self) -> f64 {
+        self.site.op_types.iter().map(|t| t.target_latency.seconds()).fold(f64::INFINITY, f64::min)
     }
 
     fn load_of(&self, slice: &Slice) -> f64 {
@@ -451,7 +462,10 @@
             let aborted = s.aborted.sum(now, JUDGED_OVER);
             let asked = s.asked.sum(now, JUDGED_OVER);
             if s.answered.sum(now, JUDGED_OVER) == 0.0 {
-                return (aborted >= ENOUGH || asked >= 2.0 * ENOUGH).then_some("answers nothing");
+                // One that answered late before it fell silent is more likely full, its answers given up on; it is
+                // cut down first and gets longer, for fleeing from it would fill the others with cold keys.
+                let full = s.last_late > STRAINED && s.answered.sum(now, JUDGED_OVER.times(2.0)) > 0.0;
+                return (!full && (aborted >= ENOUGH || asked >= 2.0 * ENOUGH)).then_some("answers nothing");
             }
             // A full server turns work away too, but then the others do as well, or its answers are late.
             let failing = aborted >= ENOUGH && share(s) >= FAILING_SHARE + 2.0 * usual;
@@ -585,7 +599,11 @@
             // Against a cold server pushed over where its slices have no other place to go.
             let pushed = scene.pressure(id) > self.allowance(id, &scene);
             match () {
-                _ if pushed || strain > STRAINED => CUT_STEP,
+                _ if strain > STRAINED => {
+                    let kept = s.answered.sum(self.now, JUDGED_OVER) / s.tries.sum(self.now, JUDGED_OVER).max(1.0);
+                    (1.0 - s.cut) * (1.0 - 0.85 * kept.max(0.5))
+                }
+                _ if pushed => CUT_STEP,
                 _ if strain < EASED => -CUT_STEP,
                 _ => 0.0,
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,6 +22,8 @@
     pub busy: Ring,
     pub asked: Ring,
     pub service: Option<f64>,
+    /// Its latest answers' time against the tightest target.
+    pub last_late: f64,
     pub probe_at: Moment,
     pub sick_until: Option<Moment>,
     pub strikes: u32,
@@ -45,6 +47,7 @@
             busy: ring(),
             asked: ring(),
             service: None,
+            last_late: 0.0,
             probe_at,
             sick_until: None,
             strikes: 0,
@@ -60,6 +63,7 @@
             ring.clear();
         }
         self.service = None;
+        self.last_late = 0.0;
     }
 }
 
