--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -2,7 +2,7 @@
 
 use serde_json::{json, Map, Value};
 use std::collections::BTreeMap;
-use whinwall::deployment::{Deployment, OpType, Repeat};
+use whinwall::deployment::{Deployment, OpType};
 use whinwall::interface::{ListScope, Listing, LoadReport, Met, ServerId, Standing, Step};
 use whinwall::logic::Governor;
 use whinwall::time::{Moment, Span};
@@ -13,6 +13,8 @@
 #[derive(Default)]
 pub struct Host {
     governors: BTreeMap<u64, Governor>,
+    /// The names of each instance's op types, in order: the decisions know them by their place only.
+    op_types: BTreeMap<u64, Vec<String>>,
     /// The numbered lists as they stand at this point of the stream.
     sheets: BTreeMap<u64, Vec<Listing>>,
 }
@@ -123,7 +125,8 @@
             "powerOn" => {
                 let seed = event.whole(0, "rngSeed")?;
                 match deployment(event.value(1)) {
-                    Ok(deployment) => {
+                    Ok((op_types, deployment)) => {
+                        self.op_types.insert(id, op_types);
                         self.governors.insert(id, Governor::start(deployment, seed, now));
                     }
                     Err(key) => output.push(json!(["fault", format!("config lacks a usable {key}")])),
@@ -178,7 +181,9 @@
             }
             "sliceLoad" => {
                 let (came, aborted) = (event.number(2, "many")?, event.number(3, "bad")?);
-                let op_type = event.wrong("category", governor.op_type(event.text(1, "category")?))?;
+                let op_type = event.text(1, "category")?;
+                let op_type = self.op_types[&id].iter().position(|name| name == op_type);
+                let op_type = event.wrong("category", op_type)?;
                 governor.asked(now, event.id(0, "mapId")?, op_type, came, aborted);
             }
             "charge" if event.flag(0, "set")? => {
@@ -223,7 +228,7 @@
 }
 
 /// Facts out of the settings, or the key that is missing.
-fn deployment(config: &Value) -> Result<Deployment, String> {
+fn deployment(config: &Value) -> Result<(Vec<String>, Deployment), String> {
     let family = config.get("familyInfo").ok_or("familyInfo")?;
     let rules = config.get("obligations").ok_or("obligations")?;
     let number = |group: &Value, key: &str| group.get(key).and_then(Value::as_f64).ok_or(key.to_string());
@@ -235,22 +240,12 @@
     let nothing = Value::Object(Map::new());
     let bounds = config.get("bounds").unwrap_or(&nothing);
     let telemetry = config.get("telemetry").unwrap_or(&nothing);
-    let mut op_types = Vec::new();
+    let (mut names, mut op_types) = (Vec::new(), Vec::new());
     for row in config.get("classes").and_then(Value::as_array).ok_or("classes")? {
-        op_types.push(OpType {
-            name: word(row, "name").ok_or("classes[].name")?,
-            repeat: match word(row, "repeat").as_deref() {
-                Some("safe") => Repeat::Retryable,
-                Some("keyed") => Repeat::Deduplicated,
-                Some("unsafe") => Repeat::OnceOnly,
-                _ => return Err("classes[].repeat".into()),
-            },
-            payoff: number(row, "value")?,
-            target_latency: span(row, "targetNs")?,
-            op_timeout: span(row, "deadlineNs")?,
-        });
+        names.push(word(row, "name").ok_or("classes[].name")?);
+        op_types.push(OpType { payoff: number(row, "value")?, target_latency: span(row, "targetNs")? });
     }
-    Ok(Deployment {
+    let deployment = Deployment {
         op_types,
         list_pushed: word(config, "membershipMode").ok_or("membershipMode")? != "ask",
         probes_allowed: flag(bounds, "probes"),
@@ -258,7 +253,9 @@
         sizes_known: matches!(word(config, "weights").as_deref(), Some("nominal" | "rough")),
         levels_followed: word(family, "levelKind").as_deref() == Some("fraction"),
         single_writer: flag(family, "singleWriter"),
-        drain_grace: span(rules, "drainGraceNs")?,
+        tenure: span(family, "tenureNs").unwrap_or_default(),
+        write_life: span(family, "writeLifeNs").unwrap_or_default(),
+        usual_tries: number(family, "defaultRetry").unwrap_or(0.0) as u8,
         cold_share: number(rules, "coldFrom")?,
         warm_after: span(rules, "warmAfterNs")?,
         fall_multiple: number(rules, "fallMultiple")?,
@@ -266,8 +263,8 @@
         queue_cap: number(family, "queueCap")?,
         message_cap: number(family, "updateCap").unwrap_or(0.0) as u32,
         message_window: span(family, "reloadSpanNs").unwrap_or_default(),
-        report_period: span(family, "periodNs")?,
-    })
+    };
+    Ok((names, deployment))
 }
 
 fn encode(step: Step) -> Value {
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -2,21 +2,11 @@
 
 use crate::time::Span;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Repeat {
-    Retryable,
-    Deduplicated,
-    OnceOnly,
-}
-
 /// One row an op type.
 #[derive(Clone, Debug)]
 pub struct OpType {
-    pub name: String,
-    pub repeat: Repeat,
     pub payoff: f64,
     pub target_latency: Span,
-    pub op_timeout: Span,
 }
 
 #[derive(Clone, Debug)]
@@ -33,7 +23,11 @@
     pub levels_followed: bool,
     /// A slice has one owner at a time, and its table one line.
     pub single_writer: bool,
-    pub drain_grace: Span,
+    /// How long a proxy still sends writes once its stream broke, and how long a write stays in hand.
+    pub tenure: Span,
+    pub write_life: Span,
+    /// The way of trying again that holds where none is set.
+    pub usual_tries: u8,
     pub cold_share: f64,
     pub warm_after: Span,
     pub fall_multiple: f64,
@@ -44,5 +38,4 @@
     /// Messages to one proxy within `message_window`; 0 means no cap.
     pub message_cap: u32,
     pub message_window: Span,
-    pub report_period: Span,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,19 +1,20 @@
 //! All decisions of a governor. To use them: `Governor::start`, then one call for each piece of news (the methods
-//! under "News"), then `collect` once the batch is through; it returns the steps of the reply, in order. The types
-//! of the calls are in `interface.rs`, what is told at start in `deployment.rs`.
+//! under "News"), then `collect` once the batch is through: it returns the steps of the reply, in order. The types
+//! of the calls are in `interface.rs`, what is told at start in `deployment.rs`, plain records in `state.rs`.
 //!
-//! After every call the RULES are gone through, in order, until none fires. They shape the tables as they should be
-//! (`wanted`); `dispatch`, the last, is the only one that sends, and sends only what differs from what is `held`.
-//! The ordinary path is DDMC: `open_round` and `shift`. Beside it stand these mechanisms:
-//!  1. judging:  a server asked much that answers nothing, or fails, or crawls, is taken for sick for a while.
-//!  2. fleeing:  slices leave servers that are gone, draining, sick, or cold and given too much.
-//!  3. spreading: a slice that alone overfills its server gets further lines.
-//!  4. pacing:   lines not yet acked are kept under the queue cap, messages under the message cap; urgent first.
+//! After every call the RULES are gone through, in order, until none fires. They shape each table as it should be
+//! (`wanted`); `dispatch` alone sends, and only what differs from what the proxies were told (`held`).
+//! The ordinary path is DDMC (docs/design.md): `open_round` and `shift`. Beside it stand six mechanisms:
+//!  1. judging:   a server that is asked and answers nothing, or fails quickly, is sick for a while.
+//!  2. fleeing:   slices leave servers that are gone, draining or sick, or cold and sent too much.
+//!  3. spreading: a slice that alone overfills its server gets further lines, and loses them when it cools.
+//!  4. rationing: where an owner answers late, further tries are cut, then levels, by payoff.
+//!  5. pacing:    urgent orders first; lines not yet acked stay under the queue cap, messages under theirs.
+//!  6. resuming:  the list is followed and asked for again; withdrawals from before our start are lifted.
 use crate::chance::Chance;
 use crate::deployment::{Deployment, OpType};
 use crate::interface::*;
-use crate::ring::Ring;
-use crate::state::{Haste, Scene, Sent, Server, Slice};
+use crate::state::{Channel, Due, Haste, Scene, Server, Slice};
 use crate::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -23,6 +24,8 @@
 const BAND: f64 = 0.35;
 const OMEGA: f64 = 0.8;
 const DELTA: f64 = 0.3;
+/// The part of aborted ops that is counted as coming again.
+const REPEATED: f64 = 0.7;
 const ROUNDS_OUTSIDE: u32 = 3;
 const ACK_WAIT: Span = Span::ms(5000);
 const FRESH_START: Span = Span::ms(30_000);
@@ -41,9 +44,15 @@
 const EASED: f64 = 0.35;
 const CUT_STEP: f64 = 0.15;
 const LEAST_LEVEL: f64 = 0.1;
+/// A cut so small that it stops further tries and leaves levels whole.
+const TRIES_ONLY: f64 = 0.001;
+/// Stands for a slice whose ops are all held back while its owner changes.
+const HALTED: f64 = 2.0;
 // Pacing.
 const QUEUE_PART: f64 = 0.8;
+const CALM_PART: f64 = 0.5;
 const BEAT: Span = Span::ms(200);
+const JUDGE_EVERY: Span = Span::ms(250);
 const PROBE_EVERY: Span = Span::ms(2000);
 const ASK_AGAIN: Span = Span::ms(1500);
 
@@ -54,22 +63,16 @@
     born: Moment,
     servers: BTreeMap<ServerId, Server>,
     slices: BTreeMap<SliceId, Slice>,
-    proxies: BTreeSet<ProxyId>,
-    marks: BTreeMap<u16, Sent>,
-    next_mark: u16,
-    open_mark: Option<u16>,
-    last_through: Moment,
-    messages: Ring,
+    channel: Channel,
     steps: Vec<Step>,
-    ask_at: Option<Moment>,
+    due: Due,
     list_fresh: bool,
-    lift_at: Option<Moment>,
-    ration_at: Moment,
-    round_at: Moment,
+    /// Proxies that have joined since our start, and when one was last lost.
+    known: BTreeSet<ProxyId>,
+    parted_at: Moment,
+    ration_open: bool,
     round_open: bool,
     busy_in_round: BTreeSet<ServerId>,
-    judge_at: Moment,
-    wake_at: Option<Moment>,
     token: u64,
 }
 
@@ -82,8 +85,9 @@
 }
 
 type Rule = fn(&mut Governor) -> bool;
-const RULES: [Rule; 12] = [
+const RULES: [Rule; 13] = [
     Governor::follow_list,
+    Governor::lift,
     Governor::close_marks,
     Governor::judge,
     Governor::flee,
@@ -100,31 +104,24 @@
 /// News.
 impl Governor {
     pub fn start(site: Deployment, seed: u64, now: Moment) -> Self {
-        let messages = Ring::new(Span::ms(500), site.message_window.as_ns() as usize / 500_000_000 + 2);
-        let ask_at = (!site.list_pushed).then_some(now);
+        let due =
+            Due { list: (!site.list_pushed).then_some(now), round: now + ROUND + ROUND, ..Due::default() };
         Governor {
+            channel: Channel::new(site.message_window),
             site,
             chance: Chance::from_seed(seed),
             now,
             born: now,
             servers: BTreeMap::new(),
             slices: BTreeMap::new(),
-            proxies: BTreeSet::new(),
-            marks: BTreeMap::new(),
-            next_mark: 0,
-            open_mark: None,
-            last_through: now,
-            messages,
             steps: Vec::new(),
-            ask_at,
+            due,
             list_fresh: false,
-            lift_at: None,
-            ration_at: now + ROUND,
-            round_at: now + ROUND + ROUND,
+            known: BTreeSet::new(),
+            parted_at: now,
+            ration_open: false,
             round_open: false,
             busy_in_round: BTreeSet::new(),
-            judge_at: now + ROUND,
-            wake_at: None,
             token: 0,
         }
     }
@@ -152,20 +149,16 @@
         self.settle(now);
     }
 
-    /// Where an op type stands among those told at start; its name says nothing else to us.
-    pub fn op_type(&self, name: &str) -> Option<usize> {
-        self.site.op_types.iter().position(|t| t.name == name)
-    }
-
     pub fn list_failed(&mut self, now: Moment) {
+        // Drawn, so that governors whose calls failed together do not come again together.
         let pause = ASK_AGAIN.times(1.0 + self.chance.draw());
-        self.ask_at = (!self.site.list_pushed).then_some(now + pause);
+        self.due.list = (!self.site.list_pushed).then_some(now + pause);
         self.settle(now);
     }
 
     pub fn woken(&mut self, now: Moment, token: u64) {
         if token == self.token {
-            self.wake_at = None;
+            self.due.wake = None;
         }
         self.settle(now);
     }
@@ -179,24 +172,25 @@
     }
 
     pub fn proxy_joined(&mut self, now: Moment, proxy: ProxyId, bare: bool) {
-        self.proxies.insert(proxy);
-        if !bare {
-            self.lift_at = self.lift_at.or(Some(now + BEAT));
+        self.channel.proxies.insert(proxy);
+        if self.known.insert(proxy) && !bare {
+            self.due.lift = self.due.lift.or(Some(now + BEAT));
         }
         self.settle(now);
     }
 
     pub fn proxy_left(&mut self, now: Moment, proxy: ProxyId) {
-        self.proxies.remove(&proxy);
+        self.channel.proxies.remove(&proxy);
         // What it had not acked travels no more.
-        self.marks.values_mut().for_each(|m| _ = m.waiting.remove(&proxy));
+        self.channel.marks.values_mut().for_each(|m| _ = m.waiting.remove(&proxy));
+        self.parted_at = now;
         self.settle(now);
     }
 
     pub fn applied(&mut self, now: Moment, proxy: ProxyId, mark: u16) {
-        if let Some(sent) = self.marks.get_mut(&mark) {
+        if let Some(sent) = self.channel.marks.get_mut(&mark) {
             sent.waiting.remove(&proxy);
-            self.last_through = self.last_through.max(sent.at);
+            self.channel.last_through = self.channel.last_through.max(sent.at);
         }
         self.settle(now);
     }
@@ -218,20 +212,17 @@
     }
 
     pub fn asked(&mut self, now: Moment, slice: SliceId, op_type: usize, came: f64, aborted: f64) {
-        let level = self
-            .slices
-            .get(&slice)
-            .and_then(|s| self.levels(s.cut_held).get(op_type).copied())
-            .unwrap_or(1.0);
+        let cut = self.slices.get(&slice).map_or(0.0, |s| s.cut_held);
+        let let_in = came * self.levels(cut).get(op_type).unwrap_or(&1.0);
         if let Some(s) = self.slices.get_mut(&slice) {
             // Clients come again after an abort: counted in full, a broken server's slices would look like hot ones.
-            s.came.add(now, (came * level - 0.7 * aborted).max(0.0));
-            s.pressed.add(now, came * level);
+            s.came.add(now, (let_in - REPEATED * aborted).max(0.0));
+            s.pressed.add(now, let_in);
             if s.mark.is_none() && now - s.settled > JUDGED_OVER {
                 let whole: f64 = s.wanted.values().sum();
                 for (server, weight) in &s.wanted {
                     if let Some(owner) = self.servers.get_mut(server) {
-                        owner.asked.add(now, came * level * weight / whole);
+                        owner.asked.add(now, let_in * weight / whole);
                     }
                 }
             }
@@ -252,7 +243,7 @@
     /// The steps of the reply to the batch at this moment.
     pub fn collect(&mut self, now: Moment) -> Vec<Step> {
         self.settle(now);
-        if let Some(number) = self.open_mark.take() {
+        if let Some(number) = self.channel.open_mark.take() {
             self.steps.push(Step::Mark { number });
         }
         std::mem::take(&mut self.steps)
@@ -315,29 +306,23 @@
             let many = s.answered.sum(self.now, LOAD_OVER);
             s.service.or((many >= ENOUGH).then(|| s.busy.sum(self.now, LOAD_OVER) / many))
         };
-        let mut like: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
-        let group = |s: &Server| {
-            if self.site.sizes_known {
-                s.machine.clone()
-            } else {
-                String::new()
-            }
-        };
-        let groups: BTreeMap<ServerId, String> = self.servers.iter().map(|(&id, s)| (id, group(s))).collect();
-        for (id, s) in &self.servers {
-            if let (true, Some(ms)) = (self.is_fit(s), pace(s)) {
-                let sum = like.entry(&groups[id]).or_default();
-                *sum = (sum.0 + ms, sum.1 + 1.0);
+        // A listed size holds what kinds of machine differ in; where there is none, all are compared with all.
+        let kind = |s: &Server| self.site.sizes_known.then(|| s.machine.clone());
+        let mut like: BTreeMap<Option<String>, (f64, f64)> = BTreeMap::new();
+        for s in self.servers.values().filter(|s| self.is_fit(s)) {
+            if let Some(time) = pace(s) {
+                let (sum, many) = like.entry(kind(s)).or_default();
+                (*sum, *many) = (*sum + time, *many + 1.0);
             }
         }
-        let power = |id: &ServerId, s: &Server| {
-            let speed = match (pace(s), like.get(groups[id].as_str())) {
-                (Some(ms), Some((sum, many))) if ms > 0.0 => (sum / many / ms).sqrt().clamp(0.5, 1.3),
+        let power = |s: &Server| {
+            let speed = match (pace(s), like.get(&kind(s))) {
+                (Some(time), Some((sum, many))) if time > 0.0 => (sum / many / time).sqrt().clamp(0.5, 1.3),
                 _ => 1.0,
             };
             s.size.max(0.01) * speed
         };
-        self.servers.iter().map(|(id, s)| (*id, power(id, s))).collect()
+        self.servers.iter().map(|(id, s)| (*id, power(s))).collect()
     }
 
     fn scene(&self) -> Scene {
@@ -405,54 +390,76 @@
     }
 
     fn hand_over(&mut self, slice: SliceId, from: ServerId, to: ServerId, haste: Haste) {
-        let Some(s) = self.slices.get_mut(&slice) else {
-            return;
-        };
+        let Some(s) = self.slices.get_mut(&slice) else { return };
         let weight = s.wanted.remove(&from).unwrap_or(1.0);
         s.wanted.insert(to, weight);
         s.moves += 1;
         s.settled = self.now;
-        if haste == Haste::Urgent {
-            s.haste = haste;
-        }
+        s.haste = s.haste.max(haste);
         self.busy_in_round.insert(to);
     }
+
+    /// Room for so many more lines to each proxy, under both caps (rule 5). A first message always has room.
+    fn has_room(&self, lines: f64, part: f64) -> bool {
+        let (waiting, fresh) = (self.channel.lines_waiting(), self.channel.open_mark.is_none());
+        let head = if fresh { self.site.message_head + 1.0 } else { 0.0 };
+        let more = (lines + head) * self.channel.proxies.len() as f64;
+        let cap = f64::from(self.site.message_cap);
+        let written = self.channel.messages.sum(self.now, self.site.message_window + BEAT);
+        (waiting == 0.0 || waiting + more <= self.site.queue_cap * QUEUE_PART * part)
+            && (cap == 0.0 || !fresh || written + 1.0 < cap * part)
+    }
 }
 
 /// Rules.
 impl Governor {
     fn follow_list(&mut self) -> bool {
-        if self.ask_at.is_none_or(|at| at > self.now) {
+        if self.due.list.is_none_or(|at| at > self.now) {
             return false;
         }
-        self.ask_at = None;
+        self.due.list = None;
         self.steps.push(Step::FollowList);
         true
     }
 
-    /// A mark is done once all have acked; one that stays open for long is given up, for its proxies may be gone.
-    fn close_marks(&mut self) -> bool {
-        let done = |m: &Sent| m.waiting.is_empty() || self.now - m.at >= ACK_WAIT;
-        let Some(number) = self.marks.iter().find(|(_, m)| done(m)).map(|(n, _)| *n) else {
-            return false;
-        };
-        if Some(number) == self.open_mark {
+    /// We never withdraw, for a line put in place of another does more; but a proxy that worked under another
+    /// governor, or an older release, may still hold its withdrawals and so find a table of ours bare (rule 1).
+    fn lift(&mut self) -> bool {
+        let lines = self.servers.len() as f64;
+        if self.due.lift.is_none_or(|at| at > self.now) || !self.has_room(lines, CALM_PART) {
             return false;
         }
-        self.marks.remove(&number);
-        for slice in self.slices.values_mut().filter(|s| s.mark == Some(number)) {
+        self.due.lift = None;
+        self.channel.write(self.now, self.site.message_head + 1.0, lines);
+        let restored = self.servers.keys().map(|id| Step::Withdraw { server: *id, out: false });
+        self.steps.extend(restored);
+        true
+    }
+
+    /// Slices wait for all acks, or for so long: some proxies may be gone. Lines wait on until they are acked.
+    fn close_marks(&mut self) -> bool {
+        let over = |n: &u16| self.channel.marks.get(n).is_none_or(|m| self.now - m.at >= ACK_WAIT);
+        let through = |n: &u16| self.channel.marks.get(n).is_some_and(|m| m.waiting.is_empty());
+        let open = self.channel.open_mark;
+        let done: BTreeSet<u16> = self.channel.marks.keys().copied().filter(|n| Some(*n) != open).collect();
+        let held = |s: &Slice| s.mark.filter(|n| Some(*n) != open && (over(n) || through(n))).is_some();
+        let free: Vec<SliceId> = self.slices.iter().filter(|(_, s)| held(s)).map(|(n, _)| *n).collect();
+        let done: Vec<u16> = done.into_iter().filter(through).collect();
+        for n in &free {
+            let slice = self.slices.get_mut(n).expect("listed above");
             slice.mark = None;
             slice.settled = self.now;
         }
-        true
+        done.iter().for_each(|n| _ = self.channel.marks.remove(n));
+        !free.is_empty() || !done.is_empty()
     }
 
     /// Against all that looks alike from outside: crash, hang, silence, fast errors, crawling.
     fn judge(&mut self) -> bool {
-        if self.judge_at > self.now {
+        if self.due.judge > self.now {
             return false;
         }
-        self.judge_at = self.now + Span::ms(250);
+        self.due.judge = self.now + JUDGE_EVERY;
         let now = self.now;
         let share = |s: &Server| s.aborted.sum(now, JUDGED_OVER) / s.tries.sum(now, JUDGED_OVER).max(1.0);
         let mut shares: Vec<f64> = self.servers.values().filter(|s| self.is_fit(s)).map(share).collect();
@@ -488,29 +495,32 @@
         true
     }
 
-    /// Slices leave what is gone or draining (rule 3), sick, or cold and given too much (rule 4); heaviest first.
+    /// Slices leave what is gone or draining (rule 3), sick, or cold and sent too much (rule 4), heaviest first; and
+    /// one without a line gets one (rule 1).
     fn flee(&mut self) -> bool {
         let lost = |s: &Server| s.standing != Standing::Ready || (!s.listed && self.list_fresh);
         let bad = |id: &ServerId| self.servers.get(id).is_none_or(|s| lost(s) || self.is_sick(s));
         let cold = |id: &ServerId| self.servers.get(id).is_some_and(|s| self.is_cold(s));
-        let lines = || self.slices.iter().flat_map(|(n, s)| s.wanted.keys().map(move |id| (*n, *id)));
-        if !lines().any(|(_, id)| bad(&id) || cold(&id)) {
+        let lines = || self.slices.iter().flat_map(|(n, s)| s.wanted.keys().map(move |id| (*n, Some(*id))));
+        let bare = self.slices.iter().filter(|(_, s)| s.wanted.is_empty()).map(|(n, _)| (*n, None));
+        let mut due: Vec<_> =
+            bare.chain(lines().filter(|(_, id)| id.is_some_and(|id| bad(&id) || cold(&id)))).collect();
+        if due.is_empty() {
             return false;
         }
         let scene = self.scene();
-        let flees =
-            |id: &ServerId| bad(id) || cold(id) && scene.pressure(*id) > self.allowance(*id, &scene) * 1.2;
-        let mut due: Vec<_> = lines().filter(|(_, id)| flees(id)).collect();
+        let pushed = |id: ServerId| scene.pressure(id) > self.allowance(id, &scene) * 1.2;
+        due.retain(|(_, id)| id.is_none_or(|id| bad(&id) || pushed(id)));
         due.sort_by(|a, b| self.load_of(&self.slices[&b.0]).total_cmp(&self.load_of(&self.slices[&a.0])));
         for (n, from) in due {
             let slice = &self.slices[&n];
-            let need = match self.servers.get(&from) {
+            let need = match from.and_then(|id| self.servers.get(&id)) {
                 Some(s) if !lost(s) && self.is_sick(s) => Need::Escape,
                 Some(s) if !lost(s) => Need::Relief,
                 _ => Need::Any,
             };
             if let Some(to) = self.refuge(slice, self.load_of(slice), &scene, need) {
-                self.hand_over(n, from, to, Haste::Urgent);
+                self.hand_over(n, from.unwrap_or(to), to, Haste::Urgent);
                 return true;
             }
         }
@@ -568,11 +578,11 @@
     }
 
     fn open_round(&mut self) -> bool {
-        if self.round_at > self.now {
+        if self.due.round > self.now {
             return false;
         }
-        self.round_at = self.now + ROUND;
-        self.round_open = true;
+        self.due.round = self.now + ROUND;
+        (self.round_open, self.ration_open) = (true, self.site.levels_followed);
         self.busy_in_round.clear();
         let scene = self.scene();
         for (id, s) in self.servers.iter_mut() {
@@ -589,10 +599,10 @@
     /// Levels follow what each owner can do: a queue that makes all its answers late serves nobody. The op type with
     /// the least payoff is cut first, and further tries before any.
     fn ration(&mut self) -> bool {
-        if !self.site.levels_followed || self.ration_at > self.now {
+        if !self.ration_open {
             return false;
         }
-        self.ration_at = self.now + ROUND;
+        self.ration_open = false;
         let scene = self.scene();
         let step = |id: ServerId, s: &Server| {
             let strain = self.strain(s);
@@ -600,7 +610,8 @@
             let pushed = scene.pressure(id) > self.allowance(id, &scene);
             match () {
                 _ if strain > STRAINED => {
-                    let kept = s.answered.sum(self.now, JUDGED_OVER) / s.tries.sum(self.now, JUDGED_OVER).max(1.0);
+                    let kept =
+                        s.answered.sum(self.now, JUDGED_OVER) / s.tries.sum(self.now, JUDGED_OVER).max(1.0);
                     (1.0 - s.cut) * (1.0 - 0.85 * kept.max(0.5))
                 }
                 _ if pushed => CUT_STEP,
@@ -614,7 +625,10 @@
         }
         for slice in self.slices.values_mut() {
             let cuts = slice.wanted.keys().filter_map(|id| self.servers.get(id)).map(|s| s.cut);
-            slice.cut = cuts.fold(1.0, f64::min);
+            let cut = cuts.fold(1.0, f64::min);
+            // Only where there is another line can a further try have gone anywhere: there it is cut first.
+            let tries_first = slice.wanted.len() > 1 && slice.cut_held == 0.0 && self.site.usual_tries > 0;
+            slice.cut = if tries_first { cut.min(TRIES_ONLY) } else { cut };
         }
         true
     }
@@ -622,6 +636,10 @@
     /// The level of each op type at a cut between 0 and 1: types in order of payoff, one after the other.
     fn levels(&self, cut: f64) -> Vec<f64> {
         let types = &self.site.op_types;
+        if cut == HALTED {
+            return vec![0.0; types.len()];
+        }
+        let cut = if cut <= TRIES_ONLY { 0.0 } else { cut };
         let before = |t: &OpType| types.iter().filter(|o| o.payoff < t.payoff).count() as f64;
         let level =
             |t: &OpType| 1.0 - (cut * types.len() as f64 - before(t)).clamp(0.0, 1.0) * (1.0 - LEAST_LEVEL);
@@ -635,9 +653,7 @@
         }
         let scene = self.scene();
         self.round_open = false;
-        let Some((moves, source)) = self.find_shift(&scene) else {
-            return true;
-        };
+        let Some((moves, source)) = self.find_shift(&scene) else { return true };
         for (n, from, to) in moves {
             self.hand_over(n, from, to, Haste::Calm);
         }
@@ -650,19 +666,16 @@
     fn find_shift(&self, scene: &Scene) -> Option<(Vec<(SliceId, ServerId, ServerId)>, ServerId)> {
         let idle = |id: &ServerId| self.is_fit(&self.servers[id]) && !self.busy_in_round.contains(id);
         let rounds = ROUNDS_OUTSIDE as i32;
-        let side = |sign: i32| {
-            self.servers
-                .iter()
-                .filter(move |(_, s)| s.outside * sign >= rounds)
-                .map(|(id, _)| *id)
-                .filter(idle)
+        let outside = |sign: i32| {
+            let far = move |s: &Server| s.outside * sign >= rounds;
+            self.servers.iter().filter(move |(_, s)| far(s)).map(|(id, _)| *id).filter(idle)
         };
         let (high, low) = (scene.average + scene.phi, scene.average - scene.phi);
-        let mut heavy: Vec<_> = side(1).filter(|id| scene.level(*id) > high).collect();
+        let mut heavy: Vec<_> = outside(1).filter(|id| scene.level(*id) > high).collect();
         heavy.sort_by(|a, b| scene.level(*b).total_cmp(&scene.level(*a)));
         let easy = |id: &ServerId| self.strain(&self.servers[id]) < EASED;
         let light =
-            side(-1).filter(|id| scene.level(*id) < low && self.may_take(*id, 0.0, scene) && easy(id));
+            outside(-1).filter(|id| scene.level(*id) < low && self.may_take(*id, 0.0, scene) && easy(id));
         let to = light.max_by(|a, b| scene.room(*a).total_cmp(&scene.room(*b)))?;
         let top = heavy.first().map(|id| scene.level(*id))?;
         for from in heavy {
@@ -703,80 +716,80 @@
         let now = self.now;
         let wanted = |s: &Server| !self.site.reports_in_answers || self.is_sick(s);
         let due = |s: &Server| s.listed && s.standing == Standing::Ready && s.probe_at <= now && wanted(s);
-        let Some(id) = self.servers.iter().find(|(_, s)| due(s)).map(|(id, _)| *id) else {
-            return false;
-        };
+        let found = self.servers.iter().find(|(_, s)| due(s)).map(|(id, _)| *id);
+        let Some(id) = found else { return false };
         self.servers.get_mut(&id).expect("found above").probe_at = now + PROBE_EVERY;
         self.steps.push(Step::Probe { server: id });
         true
     }
 
-    /// Sends one slice's difference, urgent ones first, as long as channel and message cap have room.
+    /// Sends one slice's difference, urgent ones first, as long as there is room.
     fn dispatch(&mut self) -> bool {
-        let dirty = |s: &&Slice| s.wanted != s.held || s.cut != s.cut_held;
-        let urgent = |s: &&Slice| s.haste == Haste::Urgent;
-        let pick = self.slices.iter().filter(|(_, s)| dirty(s)).max_by_key(|(_, s)| urgent(s));
+        let dirty = |s: &&Slice| (s.wanted != s.held || s.cut != s.cut_held) && self.may_send(s);
+        let pick = self.slices.iter().filter(|(_, s)| dirty(s)).max_by_key(|(_, s)| s.haste);
         let Some((&n, slice)) = pick else { return false };
-        let calm = !urgent(&slice);
-        let mut lines: Vec<(ServerId, f64)> = Vec::new();
-        for (id, weight) in &slice.wanted {
-            if slice.held.get(id) != Some(weight) {
-                lines.push((*id, *weight));
-            }
-        }
-        // The new line goes before the old one leaves: a table is at no moment empty (rule 1).
-        lines.extend(slice.held.keys().filter(|id| !slice.wanted.contains_key(id)).map(|id| (*id, 0.0)));
-        let mut levels = Vec::new();
-        for (at, level) in self.levels(slice.cut).into_iter().enumerate() {
-            if level != self.levels(slice.cut_held)[at] {
-                levels.push(Step::Level { slice: Some(n), op_types: 1 << at, share: level, tries: 0 });
-            }
-        }
-        let readers = self.proxies.len() as f64;
-        let head = if self.open_mark.is_some() { 0.0 } else { self.site.message_head + 1.0 };
-        let cost = ((lines.len() + levels.len()) as f64 + head) * readers;
-        // Messages leave the channel in order: an ack shows that all sent before it have left. Of the rest, lines not
-        // yet acked are at least those that wait, however slowly the channel runs (rule 5).
-        let behind = self.marks.values().filter(|m| m.at >= self.last_through);
-        let unacked: f64 = behind.map(|m| m.lines_each * m.waiting.len() as f64).sum();
-        let part = if calm { 0.5 } else { 1.0 };
-        if unacked > 0.0 && unacked + cost > self.site.queue_cap * QUEUE_PART * part {
-            return false;
-        }
-        let cap = f64::from(self.site.message_cap);
-        let written = self.messages.sum(self.now, self.site.message_window + Span::ms(500));
-        if cap > 0.0 && self.open_mark.is_none() && written + 1.0 > cap * part - 1.0 {
+        // A single writer's ops are held back, and the writes in hand run out, before another owner gets them: else
+        // a proxy that learns late would write to the former one still (rule 2).
+        let halts = self.site.single_writer && slice.wanted != slice.held && slice.cut_held != HALTED;
+        let halts = halts && !slice.held.is_empty();
+        let mut orders = Vec::new();
+        if !halts {
+            let line = |server: &ServerId, weight: f64| Step::Line { slice: n, server: *server, weight };
+            let new = slice.wanted.iter().filter(|(id, weight)| slice.held.get(id) != Some(weight));
+            orders.extend(new.map(|(id, weight)| line(id, *weight)));
+            // The new line goes before the old one leaves: a table is at no moment empty (rule 1).
+            let old =
+                slice.held.keys().filter(|id| !slice.wanted.contains_key(id) && !self.site.single_writer);
+            orders.extend(old.map(|id| line(id, 0.0)));
+        }
+        let moves = slice.wanted != slice.held && !halts;
+        let cut = match () {
+            _ if halts => HALTED,
+            _ if moves && slice.cut_held == HALTED => HALTED,
+            _ => slice.cut,
+        };
+        let tries = if cut == 0.0 { self.site.usual_tries } else { 0 };
+        let (old, new) = (self.levels(slice.cut_held), self.levels(cut));
+        let tries_change =
+            (cut == 0.0) != (slice.cut_held == 0.0) && slice.held.len().max(slice.wanted.len()) > 1;
+        for at in (0..new.len()).filter(|at| new[*at] != old[*at] || tries_change) {
+            orders.push(Step::Level { slice: Some(n), op_types: 1 << at, share: new[at], tries });
+        }
+        let part = if slice.haste == Haste::Urgent { 1.0 } else { CALM_PART };
+        if !self.has_room(orders.len() as f64, part) {
             return false;
         }
-        if self.open_mark.is_none() {
-            self.next_mark = self.next_mark.wrapping_add(1);
-            self.open_mark = Some(self.next_mark);
-            self.messages.add(self.now, 1.0);
-            let sent = Sent { waiting: self.proxies.clone(), lines_each: head, at: self.now };
-            self.marks.insert(self.next_mark, sent);
-        }
-        let mark = self.open_mark;
-        if let Some(sent) = mark.and_then(|m| self.marks.get_mut(&m)) {
-            sent.lines_each += (lines.len() + levels.len()) as f64;
-        }
+        let mark = (!orders.is_empty())
+            .then(|| self.channel.write(self.now, self.site.message_head + 1.0, orders.len() as f64));
         let slice = self.slices.get_mut(&n).expect("picked above");
-        if slice.held != slice.wanted {
+        slice.cut_held = cut;
+        if halts {
+            (slice.mark, slice.halted) = (mark, Some(self.now));
+        } else if moves {
             slice.mark = mark;
+            slice.held = slice.wanted.clone();
+            slice.haste = Haste::Calm;
         }
-        slice.held = slice.wanted.clone();
-        slice.cut_held = slice.cut;
-        slice.haste = Haste::Calm;
-        self.steps.extend(lines.into_iter().map(|(server, weight)| Step::Line { slice: n, server, weight }));
-        self.steps.extend(levels);
+        self.steps.extend(orders);
         true
     }
 
+    /// Where a slice has one writer, each stage of a change of owner waits for the one before: acks of all who are
+    /// joined, the time that those who parted may go on, and the life of a write.
+    fn may_send(&self, s: &Slice) -> bool {
+        let calm = || self.now - self.parted_at >= self.site.tenure + self.site.write_life;
+        let done = |at: Moment| self.now - at >= self.site.write_life;
+        !self.site.single_writer
+            || s.cut_held != HALTED
+            || (s.mark.is_none() && calm() && s.halted.is_none_or(done))
+    }
+
     fn set_wake(&mut self) -> bool {
-        if self.wake_at.is_some() {
+        if self.due.wake.is_some() {
             return false;
         }
         self.token += 1;
-        self.wake_at = Some(self.now + BEAT);
+        self.due.wake = Some(self.now + BEAT);
         self.steps.push(Step::Wake { token: self.token, after: BEAT });
         true
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -89,6 +89,8 @@
     /// The mark that its last change waits for.
     pub mark: Option<u16>,
     pub settled: Moment,
+    /// Since when its ops are halted for a change of owner (single-writer sites).
+    pub halted: Option<Moment>,
 }
 
 impl Slice {
@@ -105,6 +107,7 @@
             haste: Haste::Calm,
             mark: None,
             settled: now,
+            halted: None,
         }
     }
 }
@@ -116,6 +119,65 @@
     pub at: Moment,
 }
 
+/// The way to the proxies: who listens, and what may still be under way.
+pub struct Channel {
+    pub proxies: BTreeSet<ProxyId>,
+    pub marks: BTreeMap<u16, Sent>,
+    /// The mark of the reply now being made.
+    pub open_mark: Option<u16>,
+    pub last_mark: u16,
+    /// When the newest message was ordered that some proxy has acked.
+    pub last_through: Moment,
+    pub messages: Ring,
+}
+
+impl Channel {
+    pub fn new(window: Span) -> Self {
+        let bucket = Span::ms(500);
+        Channel {
+            proxies: BTreeSet::new(),
+            marks: BTreeMap::new(),
+            open_mark: None,
+            last_mark: 0,
+            last_through: Moment::default(),
+            messages: Ring::new(bucket, window.as_ns().div_ceil(bucket.as_ns()) as usize + 1),
+        }
+    }
+
+    /// Messages leave in order, so an ack shows that all ordered before have left. Of the rest, the lines not yet
+    /// acked are no fewer than those that wait, however slowly the channel runs.
+    pub fn lines_waiting(&self) -> f64 {
+        let behind = self.marks.values().filter(|m| m.at >= self.last_through);
+        behind.map(|m| m.lines_each * m.waiting.len() as f64).sum()
+    }
+
+    /// Adds lines to this reply's message, and opens the message where there is none yet.
+    pub fn write(&mut self, now: Moment, head: f64, lines: f64) -> u16 {
+        let number = self.open_mark.unwrap_or_else(|| {
+            self.last_mark = self.last_mark.wrapping_add(1);
+            self.messages.add(now, 1.0);
+            let sent = Sent { waiting: self.proxies.clone(), lines_each: head, at: now };
+            self.marks.insert(self.last_mark, sent);
+            self.last_mark
+        });
+        self.open_mark = Some(number);
+        if let Some(sent) = self.marks.get_mut(&number) {
+            sent.lines_each += lines;
+        }
+        number
+    }
+}
+
+/// When each recurring matter is next due.
+#[derive(Default)]
+pub struct Due {
+    pub list: Option<Moment>,
+    pub lift: Option<Moment>,
+    pub judge: Moment,
+    pub round: Moment,
+    pub wake: Option<Moment>,
+}
+
 /// Loads and powers as seen at one moment.
 pub struct Scene {
     pub loads: BTreeMap<ServerId, f64>,
