--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -164,7 +164,8 @@
             "bell" => governor.woken(now, event.whole(0, "name")?),
             "pong" => {
                 event.text(1, "code")?;
-                governor.probed(now, event.id(0, "replica")?, event.report(3));
+                let met = Met { report: event.report(3), ..Met::default() };
+                governor.met(now, event.id(0, "replica")?, met);
             }
             "connected" => {
                 governor.proxy_joined(now, event.id(0, "clientLb")?, event.flag(3, "set")?);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -41,7 +41,7 @@
 }
 
 /// What proxies met at one server within one period.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Met {
     pub tries: f64,
     pub aborted: f64,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,22 +1,24 @@
-//! All decisions of a governor. To use them: `Governor::start`, then one call for each piece of news (the methods
-//! under "News"), then `collect` once the batch is through: it returns the steps of the reply, in order. The types
-//! of the calls are in `interface.rs`, what is told at start in `deployment.rs`, plain records in `state.rs`.
+//! All decisions of a governor. To use them: `Governor::start`, then one call for each piece of news (the
+//! methods under "News"), then `collect` once the batch is through: it returns the steps of the reply, in
+//! order. The types of the calls are in `interface.rs`, what is told at start in `deployment.rs`, plain
+//! records in `state.rs`.
 //!
-//! After every call the RULES are gone through, in order, until none fires. They shape each table as it should be
-//! (`wanted`); `dispatch` alone sends, and only what differs from what the proxies were told (`held`).
-//! The ordinary path is DDMC (docs/design.md): `open_round` and `shift`. Beside it stand six mechanisms:
+//! After every call the RULES are gone through, in order, until none fires. They shape each table as it
+//! should be (`wanted`); `dispatch` alone sends, and only what differs from what the proxies were told
+//! (`held`). The ordinary path is DDMC (docs/design.md): `open_round` and `shift`. Beside it stand six
+//! mechanisms:
 //!  1. judging:   a server that is asked and answers nothing, or fails quickly, is sick for a while.
 //!  2. fleeing:   slices leave servers that are gone, draining or sick, or cold and sent too much.
 //!  3. spreading: a slice that alone overfills its server gets further lines, and loses them when it cools.
 //!  4. rationing: where an owner answers late, further tries are cut, then levels, by payoff.
 //!  5. pacing:    urgent orders first; lines not yet acked stay under the queue cap, messages under theirs.
 //!  6. resuming:  the list is followed and asked for again; withdrawals from before our start are lifted.
-use crate::chance::Chance;
 use crate::deployment::{Deployment, OpType};
 use crate::interface::*;
-use crate::state::{Channel, Due, Haste, Scene, Server, Slice};
+pub use crate::state::Governor;
+use crate::state::{Haste, Scene, Server, Slice};
 use crate::time::{Moment, Span};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 // The ordinary path; the design leaves these open.
 const ROUND: Span = Span::ms(1000);
@@ -26,7 +28,7 @@
 const DELTA: f64 = 0.3;
 /// The part of aborted ops that is counted as coming again.
 const REPEATED: f64 = 0.7;
-const ROUNDS_OUTSIDE: u32 = 3;
+const ROUNDS_OUTSIDE: i32 = 3;
 const ACK_WAIT: Span = Span::ms(5000);
 const FRESH_START: Span = Span::ms(30_000);
 // Judging.
@@ -37,8 +39,11 @@
 const DOUBT_SHARE: f64 = 0.4;
 // Cold servers: the part of what would push one over that we allow ourselves.
 const COLD_SAFETY: f64 = 0.4;
-// Spreading looks at a shorter time than rounds do: a key in demand comes at once and may be gone in ten seconds.
+// Spreading looks at a shorter time than rounds do: a key in demand comes at once and may be gone in ten
+// seconds.
 const SPREAD_OVER: Span = Span::ms(3000);
+const MOST_LINES: usize = 4;
+const GATHER_BELOW: f64 = 0.6;
 // Levels: answers later than this part of the tightest target are cut down on; well below it, less is cut.
 const STRAINED: f64 = 0.6;
 const EASED: f64 = 0.35;
@@ -56,26 +61,6 @@
 const PROBE_EVERY: Span = Span::ms(2000);
 const ASK_AGAIN: Span = Span::ms(1500);
 
-pub struct Governor {
-    site: Deployment,
-    chance: Chance,
-    now: Moment,
-    born: Moment,
-    servers: BTreeMap<ServerId, Server>,
-    slices: BTreeMap<SliceId, Slice>,
-    channel: Channel,
-    steps: Vec<Step>,
-    due: Due,
-    list_fresh: bool,
-    /// Proxies that have joined since our start, and when one was last lost.
-    known: BTreeSet<ProxyId>,
-    parted_at: Moment,
-    ration_open: bool,
-    round_open: bool,
-    busy_in_round: BTreeSet<ServerId>,
-    token: u64,
-}
-
 /// How far a search for another server may go.
 #[derive(Clone, Copy)]
 enum Need {
@@ -104,26 +89,10 @@
 /// News.
 impl Governor {
     pub fn start(site: Deployment, seed: u64, now: Moment) -> Self {
-        let due =
-            Due { list: (!site.list_pushed).then_some(now), round: now + ROUND + ROUND, ..Due::default() };
-        Governor {
-            channel: Channel::new(site.message_window),
-            site,
-            chance: Chance::from_seed(seed),
-            now,
-            born: now,
-            servers: BTreeMap::new(),
-            slices: BTreeMap::new(),
-            steps: Vec::new(),
-            due,
-            list_fresh: false,
-            known: BTreeSet::new(),
-            parted_at: now,
-            ration_open: false,
-            round_open: false,
-            busy_in_round: BTreeSet::new(),
-            token: 0,
-        }
+        let mut governor = Governor::blank(site, seed, now);
+        governor.due.list = (!governor.site.list_pushed).then_some(now);
+        governor.due.round = now + ROUND + ROUND;
+        governor
     }
 
     pub fn listed(&mut self, now: Moment, scope: ListScope, list: &[Listing]) {
@@ -133,18 +102,13 @@
         self.list_fresh |= scope != ListScope::Remembered;
         for entry in list {
             let probe_at = now + PROBE_EVERY.times(self.chance.draw());
-            let new = || Server::new(entry, probe_at);
-            let server = self.servers.entry(entry.server).or_insert_with(new);
+            let server = self.servers.entry(entry.server).or_insert_with(|| Server::new(entry, probe_at));
             if server.started != entry.started {
-                // A restarted process has shed whatever ailed it, and what was met at it before says nothing now.
+                // A restarted process has shed what ailed it, and what was met at it before says nothing now.
                 server.sick_until = None;
                 server.forget();
             }
-            server.started = entry.started;
-            server.standing = entry.standing;
-            server.size = entry.size;
-            server.machine.clone_from(&entry.machine);
-            server.listed = entry.standing != Standing::Gone;
+            server.relist(entry);
         }
         self.settle(now);
     }
@@ -163,14 +127,6 @@
         self.settle(now);
     }
 
-    pub fn probed(&mut self, now: Moment, server: ServerId, report: LoadReport) {
-        if let Some(s) = self.servers.get_mut(&server) {
-            // Only what a probe brings counts: one that fails may have met a full server, not a sick one.
-            s.service = report.service_ms.or(s.service);
-        }
-        self.settle(now);
-    }
-
     pub fn proxy_joined(&mut self, now: Moment, proxy: ProxyId, bare: bool) {
         self.channel.proxies.insert(proxy);
         if self.known.insert(proxy) && !bare {
@@ -180,33 +136,25 @@
     }
 
     pub fn proxy_left(&mut self, now: Moment, proxy: ProxyId) {
-        self.channel.proxies.remove(&proxy);
-        // What it had not acked travels no more.
-        self.channel.marks.values_mut().for_each(|m| _ = m.waiting.remove(&proxy));
+        self.channel.part(proxy);
         self.parted_at = now;
         self.settle(now);
     }
 
     pub fn applied(&mut self, now: Moment, proxy: ProxyId, mark: u16) {
-        if let Some(sent) = self.channel.marks.get_mut(&mark) {
-            sent.waiting.remove(&proxy);
-            self.channel.last_through = self.channel.last_through.max(sent.at);
-        }
+        self.channel.acked(proxy, mark);
         self.settle(now);
     }
 
+    /// A probe's report comes this way too, with no tries: only what it brings counts, for a probe that fails may
+    /// have met a full server, not a sick one.
     pub fn met(&mut self, now: Moment, server: ServerId, met: Met) {
         let target = self.target();
         if let Some(s) = self.servers.get_mut(&server) {
-            let answered = (met.tries - met.aborted).max(0.0);
-            s.tries.add(now, met.tries);
-            s.aborted.add(now, met.aborted);
-            s.answered.add(now, answered);
-            if answered > 0.0 {
+            s.record(now, &met);
+            if met.tries > met.aborted {
                 s.last_late = met.mean_latency.seconds() / target;
             }
-            s.busy.add(now, answered * met.mean_latency.seconds());
-            s.service = met.report.service_ms.or(s.service);
         }
         self.settle(now);
     }
@@ -215,7 +163,8 @@
         let cut = self.slices.get(&slice).map_or(0.0, |s| s.cut_held);
         let let_in = came * self.levels(cut).get(op_type).unwrap_or(&1.0);
         if let Some(s) = self.slices.get_mut(&slice) {
-            // Clients come again after an abort: counted in full, a broken server's slices would look like hot ones.
+            // Clients come again after an abort: counted in full, a broken server's slices would look like
+            // hot ones.
             s.came.add(now, (let_in - REPEATED * aborted).max(0.0));
             s.pressed.add(now, let_in);
             if s.mark.is_none() && now - s.settled > JUDGED_OVER {
@@ -272,10 +221,10 @@
 
     /// Mean time of the answers lately, against the tightest target.
     fn strain(&self, s: &Server) -> f64 {
-        let many = s.answered.sum(self.now, JUDGED_OVER);
+        let seen = s.lately(self.now, JUDGED_OVER);
         match () {
-            _ if many > 0.0 => s.busy.sum(self.now, JUDGED_OVER) / many / self.target(),
-            _ if s.tries.sum(self.now, JUDGED_OVER) > 0.0 => s.last_late,
+            _ if seen.answered > 0.0 => seen.busy / seen.answered / self.target(),
+            _ if seen.tries > 0.0 => s.last_late,
             _ => 0.0,
         }
     }
@@ -299,14 +248,15 @@
         slice.came.sum(self.now, SPREAD_OVER) / SPREAD_OVER.seconds()
     }
 
-    /// mu: size times speed, speed from the service time against the like's. Its root only: a full server looks slow
-    /// too, and taken at its word it would throw out the slices whose keys it has warm.
+    /// mu: size times speed, speed from the service time against the like's. Its root only: a full server
+    /// looks slow too, and taken at its word it would throw out the slices whose keys it has warm.
     fn powers(&self) -> BTreeMap<ServerId, f64> {
         let pace = |s: &Server| {
-            let many = s.answered.sum(self.now, LOAD_OVER);
-            s.service.or((many >= ENOUGH).then(|| s.busy.sum(self.now, LOAD_OVER) / many))
+            let seen = s.lately(self.now, LOAD_OVER);
+            s.service.or((seen.answered >= ENOUGH).then(|| seen.busy / seen.answered))
         };
-        // A listed size holds what kinds of machine differ in; where there is none, all are compared with all.
+        // A listed size holds what kinds of machine differ in; where there is none, all are compared with
+        // all.
         let kind = |s: &Server| self.site.sizes_known.then(|| s.machine.clone());
         let mut like: BTreeMap<Option<String>, (f64, f64)> = BTreeMap::new();
         for s in self.servers.values().filter(|s| self.is_fit(s)) {
@@ -338,14 +288,15 @@
         let powers = self.powers();
         let fit = || self.servers.iter().filter(|(_, s)| self.is_fit(s));
         let power: f64 = fit().map(|(id, _)| powers[id]).sum::<f64>().max(0.01);
-        let answered: f64 = fit().map(|(_, s)| s.answered.sum(self.now, LOAD_OVER)).sum();
+        let answered: f64 = fit().map(|(_, s)| s.lately(self.now, LOAD_OVER).answered).sum();
         let average = loads.values().sum::<f64>() / power;
         let proven = average.min(answered / LOAD_OVER.seconds() / power);
         Scene { loads, pressures, powers, average, proven, phi: BAND * average }
     }
 
-    /// What a cold server may be sent now: of what would push it over, a safe part. What the fleet answers, level
-    /// by level, is the only sure sign of what servers can do; what is asked may be far more (overload, repeats).
+    /// What a cold server may be sent now: of what would push it over, a safe part. What the fleet answers,
+    /// level by level, is the only sure sign of what servers can do; what is asked may be far more (overload,
+    /// repeats).
     fn allowance(&self, id: ServerId, scene: &Scene) -> f64 {
         match self.servers.get(&id) {
             Some(s) if self.is_cold(s) => {
@@ -366,7 +317,8 @@
             && scene.pressure(id) + load <= self.allowance(id, scene)
     }
 
-    /// The live server with most room under AvgL+phi, else the least loaded; a bad one only where there is no good.
+    /// The live server with most room under AvgL+phi, else the least loaded; a bad one only where there is no
+    /// good.
     fn refuge(&self, slice: &Slice, load: f64, scene: &Scene, need: Need) -> Option<ServerId> {
         let open = || self.servers.keys().copied().filter(|id| !slice.wanted.contains_key(id));
         let most_room = |a: &ServerId, b: &ServerId| scene.room(*a).total_cmp(&scene.room(*b));
@@ -378,8 +330,8 @@
         let fit = open().filter(|id| self.may_take(*id, load, scene)).min_by(least);
         let ready = |id: &ServerId| self.servers[id].listed && self.servers[id].standing == Standing::Ready;
         // With no fit one, a full warm server still beats a cold one, which would fall over (rule 4).
-        let warm = || open().filter(|id| ready(id) && !self.is_cold(&self.servers[id]));
-        let well = || warm().filter(|id| !self.is_sick(&self.servers[id])).min_by(least);
+        let warm = |id: &ServerId| self.is_fit(&self.servers[id]) && !self.is_cold(&self.servers[id]);
+        let well = || open().filter(warm).min_by(least);
         let share = |id: ServerId| scene.pressure(id) / self.allowance(id, scene).max(0.001);
         let coolest = |a: &ServerId, b: &ServerId| share(*a).total_cmp(&share(*b));
         match need {
@@ -390,12 +342,7 @@
     }
 
     fn hand_over(&mut self, slice: SliceId, from: ServerId, to: ServerId, haste: Haste) {
-        let Some(s) = self.slices.get_mut(&slice) else { return };
-        let weight = s.wanted.remove(&from).unwrap_or(1.0);
-        s.wanted.insert(to, weight);
-        s.moves += 1;
-        s.settled = self.now;
-        s.haste = s.haste.max(haste);
+        self.slices.get_mut(&slice).into_iter().for_each(|s| s.pass(from, to, haste, self.now));
         self.busy_in_round.insert(to);
     }
 
@@ -423,7 +370,8 @@
     }
 
     /// We never withdraw, for a line put in place of another does more; but a proxy that worked under another
-    /// governor, or an older release, may still hold its withdrawals and so find a table of ours bare (rule 1).
+    /// governor, or an older release, may still hold its withdrawals and so find a table of ours bare (rule
+    /// 1).
     fn lift(&mut self) -> bool {
         let lines = self.servers.len() as f64;
         if self.due.lift.is_none_or(|at| at > self.now) || !self.has_room(lines, CALM_PART) {
@@ -431,27 +379,22 @@
         }
         self.due.lift = None;
         self.channel.write(self.now, self.site.message_head + 1.0, lines);
-        let restored = self.servers.keys().map(|id| Step::Withdraw { server: *id, out: false });
-        self.steps.extend(restored);
+        self.steps.extend(self.servers.keys().map(|id| Step::Withdraw { server: *id, out: false }));
         true
     }
 
-    /// Slices wait for all acks, or for so long: some proxies may be gone. Lines wait on until they are acked.
+    /// Slices wait for all acks, or for so long: some proxies may be gone. Lines wait on until they are
+    /// acked.
     fn close_marks(&mut self) -> bool {
-        let over = |n: &u16| self.channel.marks.get(n).is_none_or(|m| self.now - m.at >= ACK_WAIT);
-        let through = |n: &u16| self.channel.marks.get(n).is_some_and(|m| m.waiting.is_empty());
-        let open = self.channel.open_mark;
-        let done: BTreeSet<u16> = self.channel.marks.keys().copied().filter(|n| Some(*n) != open).collect();
-        let held = |s: &Slice| s.mark.filter(|n| Some(*n) != open && (over(n) || through(n))).is_some();
-        let free: Vec<SliceId> = self.slices.iter().filter(|(_, s)| held(s)).map(|(n, _)| *n).collect();
-        let done: Vec<u16> = done.into_iter().filter(through).collect();
-        for n in &free {
-            let slice = self.slices.get_mut(n).expect("listed above");
-            slice.mark = None;
-            slice.settled = self.now;
-        }
-        done.iter().for_each(|n| _ = self.channel.marks.remove(n));
-        !free.is_empty() || !done.is_empty()
+        let (now, open) = (self.now, self.channel.open_mark);
+        self.channel.marks.retain(|n, m| Some(*n) == open || !m.waiting.is_empty());
+        let marks = &self.channel.marks;
+        let over = |n: u16| Some(n) != open && marks.get(&n).is_none_or(|m| now - m.at >= ACK_WAIT);
+        let mut freed = false;
+        for slice in self.slices.values_mut().filter(|s| s.mark.is_some_and(over)) {
+            (slice.mark, slice.settled, freed) = (None, now, true);
+        }
+        freed
     }
 
     /// Against all that looks alike from outside: crash, hang, silence, fast errors, crawling.
@@ -461,21 +404,22 @@
         }
         self.due.judge = self.now + JUDGE_EVERY;
         let now = self.now;
-        let share = |s: &Server| s.aborted.sum(now, JUDGED_OVER) / s.tries.sum(now, JUDGED_OVER).max(1.0);
+        let seen = |s: &Server| s.lately(now, JUDGED_OVER);
+        let share = |s: &Server| seen(s).aborted / seen(s).tries.max(1.0);
         let mut shares: Vec<f64> = self.servers.values().filter(|s| self.is_fit(s)).map(share).collect();
         shares.sort_by(f64::total_cmp);
         let usual = shares.get(shares.len() / 2).copied().unwrap_or(0.0);
         let cause = |s: &Server| {
-            let aborted = s.aborted.sum(now, JUDGED_OVER);
-            let asked = s.asked.sum(now, JUDGED_OVER);
-            if s.answered.sum(now, JUDGED_OVER) == 0.0 {
-                // One that answered late before it fell silent is more likely full, its answers given up on; it is
-                // cut down first and gets longer, for fleeing from it would fill the others with cold keys.
-                let full = s.last_late > STRAINED && s.answered.sum(now, JUDGED_OVER.times(2.0)) > 0.0;
-                return (!full && (aborted >= ENOUGH || asked >= 2.0 * ENOUGH)).then_some("answers nothing");
+            if seen(s).answered == 0.0 {
+                // One that answered late before it fell silent is more likely full, its answers given up on.
+                // It is cut down first and gets longer, for fleeing from it would fill the others with cold
+                // keys.
+                let full = s.last_late > STRAINED && s.lately(now, JUDGED_OVER.times(2.0)).answered > 0.0;
+                let dead = !full && (seen(s).aborted >= ENOUGH || seen(s).asked >= 2.0 * ENOUGH);
+                return dead.then_some("answers nothing");
             }
             // A full server turns work away too, but then the others do as well, or its answers are late.
-            let failing = aborted >= ENOUGH && share(s) >= FAILING_SHARE + 2.0 * usual;
+            let failing = seen(s).aborted >= ENOUGH && share(s) >= FAILING_SHARE + 2.0 * usual;
             (failing && self.strain(s) < EASED).then_some("fails quickly")
         };
         let fit = self.servers.iter().filter(|(_, s)| self.is_fit(s));
@@ -495,8 +439,8 @@
         true
     }
 
-    /// Slices leave what is gone or draining (rule 3), sick, or cold and sent too much (rule 4), heaviest first; and
-    /// one without a line gets one (rule 1).
+    /// Slices leave what is gone or draining (rule 3), sick, or cold and sent too much (rule 4), heaviest
+    /// first; and one without a line gets one (rule 1).
     fn flee(&mut self) -> bool {
         let lost = |s: &Server| s.standing != Standing::Ready || (!s.listed && self.list_fresh);
         let bad = |id: &ServerId| self.servers.get(id).is_none_or(|s| lost(s) || self.is_sick(s));
@@ -534,23 +478,22 @@
         }
         let free = |s: &&Slice| s.mark.is_none() && s.wanted == s.held;
         let total: f64 = self.slices.values().map(|s| self.burst_of(s)).sum();
-        let hot = |s: &&Slice| self.burst_of(s) > total * 0.5 / self.servers.len().max(1) as f64;
-        if !self.slices.values().filter(free).any(|s| hot(&s)) {
+        let even = total / self.servers.len().max(1) as f64;
+        let mut hot = self.slices.iter().filter(|(_, s)| free(s) && self.burst_of(s) > even * 0.5).peekable();
+        if hot.peek().is_none() {
             return false;
         }
         let scene = self.scene();
-        let mut found = None;
-        for (n, s) in self.slices.iter().filter(|(_, s)| free(s)) {
-            let top: f64 = s.wanted.keys().map(|id| scene.power(*id) * (scene.average + scene.phi)).sum();
-            if self.burst_of(s) > top && s.wanted.len() < 4 {
-                found = self.refuge(s, self.burst_of(s) - top, &scene, Need::Relief).map(|to| (*n, to));
-            }
-        }
+        let found = hot.find_map(|(n, s)| {
+            let over = self.burst_of(s) - s.wanted.keys().map(|id| scene.top(*id)).sum::<f64>();
+            let to = (over > 0.0 && s.wanted.len() < MOST_LINES)
+                .then(|| self.refuge(s, over, &scene, Need::Relief));
+            Some((*n, to??))
+        });
         let Some((n, to)) = found else { return false };
         let slice = self.slices.get_mut(&n).expect("found above");
         slice.wanted.insert(to, 1.0);
-        slice.haste = Haste::Urgent;
-        slice.settled = self.now;
+        (slice.haste, slice.settled) = (Haste::Urgent, self.now);
         true
     }
 
@@ -561,15 +504,11 @@
             return false;
         }
         let scene = self.scene();
-        let top = |id: ServerId| scene.power(id) * (scene.average + scene.phi);
-        let mut found = None;
-        for (n, s) in self.slices.iter().filter(|(_, s)| free(s)) {
-            let fullest = s.wanted.keys().copied().max_by(|a, b| scene.level(*a).total_cmp(&scene.level(*b)));
-            let rest: f64 = s.wanted.keys().filter(|id| Some(**id) != fullest).map(|id| top(*id)).sum();
-            if self.load_of(s) < 0.6 * rest && self.burst_of(s) < 0.6 * rest {
-                found = fullest.map(|id| (*n, id));
-            }
-        }
+        let found = self.slices.iter().filter(|(_, s)| free(s)).find_map(|(n, s)| {
+            let fullest = s.wanted.keys().max_by(|a, b| scene.level(**a).total_cmp(&scene.level(**b)))?;
+            let rest: f64 = s.wanted.keys().filter(|id| *id != fullest).map(|id| scene.top(*id)).sum();
+            (self.load_of(s).max(self.burst_of(s)) < GATHER_BELOW * rest).then_some((*n, *fullest))
+        });
         let Some((n, id)) = found else { return false };
         let slice = self.slices.get_mut(&n).expect("found above");
         slice.wanted.remove(&id);
@@ -596,8 +535,8 @@
         true
     }
 
-    /// Levels follow what each owner can do: a queue that makes all its answers late serves nobody. The op type with
-    /// the least payoff is cut first, and further tries before any.
+    /// Levels follow what each owner can do: a queue that makes all its answers late serves nobody. The op
+    /// type with the least payoff is cut first, and further tries before any.
     fn ration(&mut self) -> bool {
         if !self.ration_open {
             return false;
@@ -610,8 +549,8 @@
             let pushed = scene.pressure(id) > self.allowance(id, &scene);
             match () {
                 _ if strain > STRAINED => {
-                    let kept =
-                        s.answered.sum(self.now, JUDGED_OVER) / s.tries.sum(self.now, JUDGED_OVER).max(1.0);
+                    let seen = s.lately(self.now, JUDGED_OVER);
+                    let kept = seen.answered / seen.tries.max(1.0);
                     (1.0 - s.cut) * (1.0 - 0.85 * kept.max(0.5))
                 }
                 _ if pushed => CUT_STEP,
@@ -665,17 +604,15 @@
     #[allow(clippy::type_complexity)]
     fn find_shift(&self, scene: &Scene) -> Option<(Vec<(SliceId, ServerId, ServerId)>, ServerId)> {
         let idle = |id: &ServerId| self.is_fit(&self.servers[id]) && !self.busy_in_round.contains(id);
-        let rounds = ROUNDS_OUTSIDE as i32;
         let outside = |sign: i32| {
-            let far = move |s: &Server| s.outside * sign >= rounds;
+            let far = move |s: &Server| s.outside * sign >= ROUNDS_OUTSIDE;
             self.servers.iter().filter(move |(_, s)| far(s)).map(|(id, _)| *id).filter(idle)
         };
         let (high, low) = (scene.average + scene.phi, scene.average - scene.phi);
         let mut heavy: Vec<_> = outside(1).filter(|id| scene.level(*id) > high).collect();
         heavy.sort_by(|a, b| scene.level(*b).total_cmp(&scene.level(*a)));
-        let easy = |id: &ServerId| self.strain(&self.servers[id]) < EASED;
-        let light =
-            outside(-1).filter(|id| scene.level(*id) < low && self.may_take(*id, 0.0, scene) && easy(id));
+        let easy = |id: &ServerId| self.may_take(*id, 0.0, scene) && self.strain(&self.servers[id]) < EASED;
+        let light = outside(-1).filter(|id| scene.level(*id) < low && easy(id));
         let to = light.max_by(|a, b| scene.room(*a).total_cmp(&scene.room(*b)))?;
         let top = heavy.first().map(|id| scene.level(*id))?;
         for from in heavy {
@@ -728,30 +665,22 @@
         let dirty = |s: &&Slice| (s.wanted != s.held || s.cut != s.cut_held) && self.may_send(s);
         let pick = self.slices.iter().filter(|(_, s)| dirty(s)).max_by_key(|(_, s)| s.haste);
         let Some((&n, slice)) = pick else { return false };
-        // A single writer's ops are held back, and the writes in hand run out, before another owner gets them: else
-        // a proxy that learns late would write to the former one still (rule 2).
-        let halts = self.site.single_writer && slice.wanted != slice.held && slice.cut_held != HALTED;
-        let halts = halts && !slice.held.is_empty();
+        // A single writer's ops are held back, and the writes in hand run out, before another owner gets
+        // them: else a proxy that learns late would write to the former one still (rule 2).
+        let moves = slice.wanted != slice.held;
+        let single = moves && self.site.single_writer && !slice.held.is_empty();
+        let halts = single && slice.cut_held != HALTED;
         let mut orders = Vec::new();
         if !halts {
-            let line = |server: &ServerId, weight: f64| Step::Line { slice: n, server: *server, weight };
-            let new = slice.wanted.iter().filter(|(id, weight)| slice.held.get(id) != Some(weight));
-            orders.extend(new.map(|(id, weight)| line(id, *weight)));
-            // The new line goes before the old one leaves: a table is at no moment empty (rule 1).
-            let old =
-                slice.held.keys().filter(|id| !slice.wanted.contains_key(id) && !self.site.single_writer);
-            orders.extend(old.map(|id| line(id, 0.0)));
-        }
-        let moves = slice.wanted != slice.held && !halts;
-        let cut = match () {
-            _ if halts => HALTED,
-            _ if moves && slice.cut_held == HALTED => HALTED,
-            _ => slice.cut,
-        };
+            // New lines go before old ones leave: a table is at no moment empty (rule 1).
+            let line = |(server, weight)| Step::Line { slice: n, server, weight };
+            orders.extend(slice.differences(!self.site.single_writer).into_iter().map(line));
+        }
+        let cut = if single { HALTED } else { slice.cut };
         let tries = if cut == 0.0 { self.site.usual_tries } else { 0 };
         let (old, new) = (self.levels(slice.cut_held), self.levels(cut));
-        let tries_change =
-            (cut == 0.0) != (slice.cut_held == 0.0) && slice.held.len().max(slice.wanted.len()) > 1;
+        let several = slice.held.len().max(slice.wanted.len()) > 1;
+        let tries_change = several && (cut == 0.0) != (slice.cut_held == 0.0);
         for at in (0..new.len()).filter(|at| new[*at] != old[*at] || tries_change) {
             orders.push(Step::Level { slice: Some(n), op_types: 1 << at, share: new[at], tries });
         }
@@ -759,8 +688,8 @@
         if !self.has_room(orders.len() as f64, part) {
             return false;
         }
-        let mark = (!orders.is_empty())
-            .then(|| self.channel.write(self.now, self.site.message_head + 1.0, orders.len() as f64));
+        let lines = orders.len() as f64;
+        let mark = (lines > 0.0).then(|| self.channel.write(self.now, self.site.message_head + 1.0, lines));
         let slice = self.slices.get_mut(&n).expect("picked above");
         slice.cut_held = cut;
         if halts {
@@ -774,8 +703,8 @@
         true
     }
 
-    /// Where a slice has one writer, each stage of a change of owner waits for the one before: acks of all who are
-    /// joined, the time that those who parted may go on, and the life of a write.
+    /// Where a slice has one writer, each stage of a change of owner waits for the one before: acks of all
+    /// who are joined, the time that those who parted may go on, and the life of a write.
     fn may_send(&self, s: &Slice) -> bool {
         let calm = || self.now - self.parted_at >= self.site.tenure + self.site.write_life;
         let done = |at: Moment| self.now - at >= self.site.write_life;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,8 @@
 //! What a governor remembers: plain records, no decisions.
 
-use crate::interface::{Listing, ProxyId, ServerId, Standing};
+use crate::chance::Chance;
+use crate::deployment::Deployment;
+use crate::interface::{Listing, Met, ProxyId, ServerId, SliceId, Standing, Step};
 use crate::ring::Ring;
 use crate::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
@@ -33,6 +35,60 @@
     pub outside: i32,
 }
 
+/// One governor's whole memory; it is lost when the governor is killed.
+pub struct Governor {
+    pub(crate) site: Deployment,
+    pub(crate) chance: Chance,
+    pub(crate) now: Moment,
+    pub(crate) born: Moment,
+    pub(crate) servers: BTreeMap<ServerId, Server>,
+    pub(crate) slices: BTreeMap<SliceId, Slice>,
+    pub(crate) channel: Channel,
+    pub(crate) steps: Vec<Step>,
+    pub(crate) due: Due,
+    /// The list is more than what a former life remembered.
+    pub(crate) list_fresh: bool,
+    /// Proxies that have joined since the start, and when one was last lost.
+    pub(crate) known: BTreeSet<ProxyId>,
+    pub(crate) parted_at: Moment,
+    pub(crate) ration_open: bool,
+    pub(crate) round_open: bool,
+    pub(crate) busy_in_round: BTreeSet<ServerId>,
+    pub(crate) token: u64,
+}
+
+impl Governor {
+    pub(crate) fn blank(site: Deployment, seed: u64, now: Moment) -> Self {
+        Governor {
+            channel: Channel::new(site.message_window),
+            site,
+            chance: Chance::from_seed(seed),
+            now,
+            born: now,
+            servers: BTreeMap::new(),
+            slices: BTreeMap::new(),
+            steps: Vec::new(),
+            due: Due::default(),
+            list_fresh: false,
+            known: BTreeSet::new(),
+            parted_at: now,
+            ration_open: false,
+            round_open: false,
+            busy_in_round: BTreeSet::new(),
+            token: 0,
+        }
+    }
+}
+
+/// What was met at a server within some time: counts, the seconds its answers took, and what should have come.
+pub struct Lately {
+    pub tries: f64,
+    pub aborted: f64,
+    pub answered: f64,
+    pub busy: f64,
+    pub asked: f64,
+}
+
 impl Server {
     pub fn new(entry: &Listing, probe_at: Moment) -> Self {
         Server {
@@ -56,6 +112,34 @@
         }
     }
 
+    /// Takes over what the list says.
+    pub fn relist(&mut self, entry: &Listing) {
+        self.started = entry.started;
+        self.standing = entry.standing;
+        self.size = entry.size;
+        self.machine.clone_from(&entry.machine);
+        self.listed = entry.standing != Standing::Gone;
+    }
+
+    pub fn record(&mut self, now: Moment, met: &Met) {
+        let answered = (met.tries - met.aborted).max(0.0);
+        self.tries.add(now, met.tries);
+        self.aborted.add(now, met.aborted);
+        self.answered.add(now, answered);
+        self.busy.add(now, answered * met.mean_latency.seconds());
+        self.service = met.report.service_ms.or(self.service);
+    }
+
+    pub fn lately(&self, now: Moment, over: Span) -> Lately {
+        Lately {
+            tries: self.tries.sum(now, over),
+            aborted: self.aborted.sum(now, over),
+            answered: self.answered.sum(now, over),
+            busy: self.busy.sum(now, over),
+            asked: self.asked.sum(now, over),
+        }
+    }
+
     /// Drops all that was met here so far.
     pub fn forget(&mut self) {
         for ring in [&mut self.tries, &mut self.aborted, &mut self.answered, &mut self.busy, &mut self.asked]
@@ -110,6 +194,22 @@
             halted: None,
         }
     }
+
+    /// The lines that turn the table held into the one wanted, new ones first; weight 0 takes a line away.
+    pub fn differences(&self, with_old: bool) -> Vec<(ServerId, f64)> {
+        let new = self.wanted.iter().filter(|(id, weight)| self.held.get(id) != Some(weight));
+        let old = self.held.keys().filter(|id| with_old && !self.wanted.contains_key(id));
+        new.map(|(id, weight)| (*id, *weight)).chain(old.map(|id| (*id, 0.0))).collect()
+    }
+
+    /// Puts another server in one's place.
+    pub fn pass(&mut self, from: ServerId, to: ServerId, haste: Haste, now: Moment) {
+        let weight = self.wanted.remove(&from).unwrap_or(1.0);
+        self.wanted.insert(to, weight);
+        self.moves += 1;
+        self.settled = now;
+        self.haste = self.haste.max(haste);
+    }
 }
 
 /// One message to each of the proxies, of which some have not acked yet.
@@ -144,6 +244,19 @@
         }
     }
 
+    /// What it had not acked travels no more.
+    pub fn part(&mut self, proxy: ProxyId) {
+        self.proxies.remove(&proxy);
+        self.marks.values_mut().for_each(|m| _ = m.waiting.remove(&proxy));
+    }
+
+    pub fn acked(&mut self, proxy: ProxyId, mark: u16) {
+        if let Some(sent) = self.marks.get_mut(&mark) {
+            sent.waiting.remove(&proxy);
+            self.last_through = self.last_through.max(sent.at);
+        }
+    }
+
     /// Messages leave in order, so an ack shows that all ordered before have left. Of the rest, the lines not yet
     /// acked are no fewer than those that wait, however slowly the channel runs.
     pub fn lines_waiting(&self) -> f64 {
@@ -206,7 +319,12 @@
         self.load(id) / self.power(id)
     }
 
+    /// What this server may carry inside the band.
+    pub fn top(&self, id: ServerId) -> f64 {
+        self.power(id) * (self.average + self.phi)
+    }
+
     pub fn room(&self, id: ServerId) -> f64 {
-        self.power(id) * (self.average + self.phi) - self.load(id)
+        self.top(id) - self.load(id)
     }
 }
