--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,7 +48,6 @@
 const STRAINED: f64 = 0.6;
 const EASED: f64 = 0.35;
 const CUT_STEP: f64 = 0.15;
-const CUT_PAUSE: Span = Span::ms(2000);
 const LEAST_LEVEL: f64 = 0.1;
 /// A cut so small that it stops further tries and leaves levels whole.
 const TRIES_ONLY: f64 = 0.001;
@@ -545,7 +544,6 @@
             return false;
         }
         self.ration_open = false;
-        let now = self.now;
         let scene = self.scene();
         let step = |id: ServerId, s: &Server| {
             let strain = self.strain(s);
@@ -564,11 +562,7 @@
         };
         let steps: Vec<f64> = self.servers.iter().map(|(id, s)| step(*id, s)).collect();
         for (s, step) in self.servers.values_mut().zip(steps) {
-            // What a cut does shows only after orders and reports have travelled: no second one before that.
-            if step <= 0.0 || now >= s.cut_again {
-                s.cut = (s.cut + step).clamp(0.0, 1.0);
-                s.cut_again = if step > 0.0 { now + CUT_PAUSE } else { s.cut_again };
-            }
+            s.cut = (s.cut + step).clamp(0.0, 1.0);
         }
         for slice in self.slices.values_mut() {
             let cuts = slice.wanted.keys().filter_map(|id| self.servers.get(id)).map(|s| s.cut);
--- a/src/state.rs
+++ b/src/state.rs
@@ -31,7 +31,6 @@
     pub strikes: u32,
     /// How much of what comes for it is to be held back, from nothing to nearly all.
     pub cut: f64,
-    pub cut_again: Moment,
     /// Rounds in a row above the band, or below it where negative.
     pub outside: i32,
 }
@@ -109,7 +108,6 @@
             sick_until: None,
             strikes: 0,
             cut: 0.0,
-            cut_again: Moment::default(),
             outside: 0,
         }
     }
