--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,7 +38,7 @@
 const FAILING_SHARE: f64 = 0.3;
 const DOUBT_SHARE: f64 = 0.4;
 // Cold servers: the part of what would push one over that we allow ourselves.
-const COLD_SAFETY: f64 = 0.4;
+const COLD_SAFETY: f64 = 0.55;
 // Spreading looks at a shorter time than rounds do: a key in demand comes at once and may be gone in ten
 // seconds.
 const SPREAD_OVER: Span = Span::ms(3000);
