--- a/src/logic.rs
+++ b/src/logic.rs
@@ -556,7 +556,7 @@
                     (1.0 - s.cut) * (1.0 - 0.85 * kept.max(0.5))
                 }
                 _ if pushed => CUT_STEP,
-                _ if strain < EASED => -CUT_STEP,
+                _ if strain < EASED => CUT_STEP * (strain / EASED - 2.0),
                 _ => 0.0,
             }
         };
