--- a/src/logic.rs
+++ b/src/logic.rs
@@ -146,7 +146,7 @@
         self.settle(now);
     }
 
-    /// A probe's report comes this way too, with no tries: only what it brings counts, for a probe that fails may
+    /// A probe's report comes this way too, with no tries. Only what it brings counts: a probe that fails may
     /// have met a full server, not a sick one.
     pub fn met(&mut self, now: Moment, server: ServerId, met: Met) {
         let target = self.target();
--- a/src/state.rs
+++ b/src/state.rs
@@ -80,7 +80,7 @@
     }
 }
 
-/// What was met at a server within some time: counts, the seconds its answers took, and what should have come.
+/// What was met at a server within some time: counts, the seconds its answers took, what should have come.
 pub struct Lately {
     pub tries: f64,
     pub aborted: f64,
@@ -257,8 +257,8 @@
         }
     }
 
-    /// Messages leave in order, so an ack shows that all ordered before have left. Of the rest, the lines not yet
-    /// acked are no fewer than those that wait, however slowly the channel runs.
+    /// Messages leave in order, so an ack shows that all ordered before have left. Of the rest, the lines not
+    /// yet acked are no fewer than those that wait, however slowly the channel runs.
     pub fn lines_waiting(&self) -> f64 {
         let behind = self.marks.values().filter(|m| m.at >= self.last_through);
         behind.map(|m| m.lines_each * m.waiting.len() as f64).sum()
