--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -60,8 +60,9 @@
     assert_eq!(owner(&fleet, 3), [2]);
 }
 
-/// Slice 0, of 3.8, is left on whichever server the ballast of 8.05 weighs down. Ballast never fits alone (AvgL 5.975,
-/// band 3.88 to 8.07: without it 3.8 would be left). 0.8^5 is 0.33 and 0.8^6 is 0.26: six moves and no more.
+/// Slice 0, of 3.8, is left on whichever server the ballast of 8.05 weighs down. Ballast never fits alone
+/// (AvgL 5.975, band 3.88 to 8.07: without it 3.8 would be left). 0.8^5 is 0.33 and 0.8^6 is 0.26: six moves
+/// and no more.
 #[test]
 fn damping_holds_a_slice_that_has_moved_much() {
     let mut fleet = holding(true, &[&[3.8, 8.05], &[0.1]]);
@@ -106,7 +107,8 @@
     assert!(on(&fleet) < 0.5 * 0.24 * 3.0 * 12.0, "{} is left on it", on(&fleet));
 }
 
-/// Against a full server taken for dead (turnolar's hot key day): late before silent is cut down on, not fled from.
+/// Against a full server taken for dead (turnolar's hot key day): late before silent is cut down on, not fled
+/// from.
 #[test]
 fn late_before_silent_is_full_not_dead() {
     let mut governor = Governor::start(site(), 1, at(0));
@@ -130,7 +132,8 @@
     assert!(steps.iter().position(cut) < steps.iter().position(dear).or(Some(usize::MAX)));
 }
 
-/// Against a key in demand: more lines while it is hot, one again when it has cooled; never where one owner writes.
+/// Against a key in demand: more lines while it is hot, one again when it has cooled; never where one owner
+/// writes.
 #[test]
 fn a_slice_too_hot_for_one_server_gets_more_lines() {
     for single_writer in [false, true] {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -85,7 +85,8 @@
         let mut fleet = Fleet::new(whinwall::deployment::Deployment { single_writer, ..site() }, 10, 40, 5);
         fleet.advance(4000);
         for deed in &deeds {
-            // A change of charge mid-way is another governor's doing, of which a lone writer's test knows nothing.
+            // A change of charge mid-way is another governor's doing, of which a lone writer's test knows
+            // nothing.
             if !(single_writer
                 && matches!(deed, Deed::Hand(_) | Deed::Restart(_) | Deed::Join(_) | Deed::Part(_)))
             {
@@ -118,8 +119,8 @@
     assert_eq!(once, (200..205).map(log).collect::<Vec<_>>());
 }
 
-/// Calls in any order, with ids nobody has heard of: ignored or answered, never a panic, never a rule gone through
-/// without end.
+/// Calls in any order, with ids nobody has heard of: ignored or answered, never a panic, never a rule gone
+/// through without end.
 #[test]
 fn no_order_of_calls_does_harm() {
     for seed in 300..340 {
