--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -2,7 +2,6 @@
 
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
-use whinwall::deployment::{Deployment, OpType};
 use whinwall::interface::*;
 use whinwall::logic::Governor;
 use whinwall::time::{Moment, Span};
@@ -121,13 +120,13 @@
         match event.name {
             "powerOn" => {
                 let seed = event.whole(0, "rngSeed")?;
-                match deployment(event.value(1)) {
-                    Ok((op_types, deployment)) => {
-                        self.op_types.insert(id, op_types);
-                        self.places.insert(id, names(event.value(1).get("zones")));
-                        self.governors.insert(id, Governor::start(deployment, seed, now));
+                match whinwall_briefing::read(event.value(1)) {
+                    Ok(briefing) => {
+                        self.op_types.insert(id, briefing.op_types);
+                        self.places.insert(id, briefing.places);
+                        self.governors.insert(id, Governor::start(briefing.deployment, seed, now));
                     }
-                    Err(key) => output.push(json!(["fault", format!("config lacks a usable {key}")])),
+                    Err(wrong) => output.push(json!(["fault", format!("config: {wrong}")])),
                 }
                 return Ok(());
             }
@@ -210,11 +209,6 @@
     }
 }
 
-fn names(list: Option<&Value>) -> Vec<String> {
-    let names = list.and_then(Value::as_array).into_iter().flatten();
-    names.map(|name| name.as_str().unwrap_or_default().to_string()).collect()
-}
-
 fn listing(entry: &Value, place: impl Fn(&str) -> PlaceId) -> Option<Listing> {
     Some(Listing {
         server: ServerId::try_from(entry.get(0)?.as_u64()?).ok()?,
@@ -231,43 +225,6 @@
     })
 }
 
-/// Facts out of the settings, or the key that is missing.
-fn deployment(config: &Value) -> Result<(Vec<String>, Deployment), String> {
-    let family = config.get("familyInfo").ok_or("familyInfo")?;
-    let rules = config.get("obligations").ok_or("obligations")?;
-    let number = |group: &Value, key: &str| group.get(key).and_then(Value::as_f64).ok_or(key.to_string());
-    let span = |group: &Value, key: &str| {
-        group.get(key).and_then(Value::as_u64).map(Span::ns).ok_or(key.to_string())
-    };
-    let flag = |group: &Value, key: &str| group.get(key).and_then(Value::as_bool).unwrap_or(false);
-    let word = |group: &Value, key: &str| group.get(key).and_then(Value::as_str).map(str::to_string);
-    let (mut names, mut op_types) = (Vec::new(), Vec::new());
-    for row in config.get("classes").and_then(Value::as_array).ok_or("classes")? {
-        names.push(word(row, "name").ok_or("classes[].name")?);
-        op_types.push(OpType { payoff: number(row, "value")?, target_latency: span(row, "targetNs")? });
-    }
-    let deployment = Deployment {
-        op_types,
-        report_period: span(family, "periodNs").unwrap_or_default(),
-        gone_is_advice: flag(rules, "goneIsAdvice"),
-        list_pushed: word(config, "membershipMode").ok_or("membershipMode")? != "ask",
-        sizes_known: matches!(word(config, "weights").as_deref(), Some("nominal" | "rough")),
-        levels_followed: word(family, "levelKind").as_deref() == Some("fraction"),
-        single_writer: flag(family, "singleWriter"),
-        tenure: span(family, "tenureNs").unwrap_or_default(),
-        write_life: span(family, "writeLifeNs").unwrap_or_default(),
-        cold_share: number(rules, "coldFrom")?,
-        warm_after: span(rules, "warmAfterNs")?,
-        fall_multiple: number(rules, "fallMultiple")?,
-        message_head: number(family, "fixedCost")?,
-        pace: number(family, "pushRate")?,
-        queue_cap: number(family, "queueCap")?,
-        message_cap: number(family, "updateCap").unwrap_or(0.0) as u32,
-        message_window: span(family, "reloadSpanNs").unwrap_or_default(),
-    };
-    Ok((names, deployment))
-}
-
 fn encode(step: Step) -> Value {
     match step {
         Step::Line { slice, server, weight } => json!(["setWeight", server, slice, weight]),
--- /dev/null
+++ b/briefing/src/lib.rs
@@ -0,0 +1,125 @@
+//! What a governor is told of its deployment when it starts, read from JSON under the names and units of the
+//! simulator's first message. Adapter and governor share it; the decisions know no JSON.
+#![forbid(unsafe_code)]
+
+use serde::{Deserialize, Deserializer};
+use whinwall::deployment::{Deployment, OpType};
+use whinwall::time::Span;
+
+/// The facts for the decisions, and the names that stand behind the positions which these know.
+#[derive(Clone, Debug)]
+pub struct Briefing {
+    pub deployment: Deployment,
+    pub op_types: Vec<String>,
+    pub places: Vec<String>,
+}
+
+impl<'de> Deserialize<'de> for Briefing {
+    fn deserialize<D: Deserializer<'de>>(raw: D) -> Result<Self, D::Error> {
+        Ok(Sheet::deserialize(raw)?.briefing())
+    }
+}
+
+/// Reads the settings, or names the key that is missing or of the wrong kind.
+pub fn read(settings: &serde_json::Value) -> Result<Briefing, String> {
+    serde_path_to_error::deserialize(settings).map_err(|wrong| wrong.to_string())
+}
+
+#[derive(Deserialize)]
+struct Sheet {
+    classes: Vec<Row>,
+    #[serde(rename = "familyInfo")]
+    fleet: Fleet,
+    #[serde(rename = "obligations")]
+    rules: Rules,
+    #[serde(rename = "membershipMode")]
+    list_mode: ListMode,
+    #[serde(rename = "weights", default)]
+    sizes: String,
+    #[serde(rename = "zones", default)]
+    places: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Row {
+    name: String,
+    #[serde(rename = "value")]
+    payoff: f64,
+    #[serde(rename = "targetNs", deserialize_with = "span")]
+    target_latency: Span,
+}
+
+#[derive(Deserialize, PartialEq)]
+#[serde(rename_all = "lowercase")]
+enum ListMode {
+    Push,
+    Ask,
+}
+
+#[derive(Deserialize)]
+struct Fleet {
+    #[serde(rename = "periodNs", default, deserialize_with = "span")]
+    report_period: Span,
+    #[serde(rename = "levelKind", default)]
+    level_kind: String,
+    #[serde(rename = "singleWriter", default)]
+    single_writer: bool,
+    #[serde(rename = "tenureNs", default, deserialize_with = "span")]
+    tenure: Span,
+    #[serde(rename = "writeLifeNs", default, deserialize_with = "span")]
+    write_life: Span,
+    #[serde(rename = "fixedCost")]
+    message_head: f64,
+    #[serde(rename = "pushRate")]
+    pace: f64,
+    #[serde(rename = "queueCap")]
+    queue_cap: f64,
+    #[serde(rename = "updateCap", default)]
+    message_cap: f64,
+    #[serde(rename = "reloadSpanNs", default, deserialize_with = "span")]
+    message_window: Span,
+}
+
+#[derive(Deserialize)]
+struct Rules {
+    #[serde(rename = "goneIsAdvice", default)]
+    gone_is_advice: bool,
+    #[serde(rename = "coldFrom")]
+    cold_share: f64,
+    #[serde(rename = "warmAfterNs", deserialize_with = "span")]
+    warm_after: Span,
+    #[serde(rename = "fallMultiple")]
+    fall_multiple: f64,
+}
+
+fn span<'de, D: Deserializer<'de>>(raw: D) -> Result<Span, D::Error> {
+    u64::deserialize(raw).map(Span::ns)
+}
+
+impl Sheet {
+    fn briefing(self) -> Briefing {
+        let Sheet { fleet, rules, .. } = self;
+        let op_type = |row: &Row| OpType { payoff: row.payoff, target_latency: row.target_latency };
+        let deployment = Deployment {
+            op_types: self.classes.iter().map(op_type).collect(),
+            report_period: fleet.report_period,
+            gone_is_advice: rules.gone_is_advice,
+            list_pushed: self.list_mode == ListMode::Push,
+            sizes_known: matches!(self.sizes.as_str(), "nominal" | "rough"),
+            levels_followed: fleet.level_kind == "fraction",
+            single_writer: fleet.single_writer,
+            tenure: fleet.tenure,
+            write_life: fleet.write_life,
+            cold_share: rules.cold_share,
+            warm_after: rules.warm_after,
+            fall_multiple: rules.fall_multiple,
+            message_head: fleet.message_head,
+            pace: fleet.pace,
+            queue_cap: fleet.queue_cap,
+            message_cap: fleet.message_cap as u32,
+            message_window: fleet.message_window,
+        };
+        let op_types = self.classes.into_iter().map(|row| row.name).collect();
+        Briefing { deployment, op_types, places: self.places }
+    }
+}
--- /dev/null
+++ b/governor/src/lib.rs
@@ -0,0 +1,9 @@
+//! The parts of the governor, by layer; a layer knows only those below it.
+//! `program` starts and ends it and turns the loop; `routing` holds all state, behind one reducer; `protocol`
+//! decodes and encodes messages; `transport` reads and writes lines.
+#![forbid(unsafe_code)]
+
+pub mod program;
+pub mod protocol;
+pub mod routing;
+pub mod transport;
--- /dev/null
+++ b/governor/src/program/configuration.rs
@@ -0,0 +1,127 @@
+//! The one place where configuration is read, checked and given defaults. A message names the faulty key.
+
+use crate::protocol::discovery::List;
+use crate::transport::limits;
+use serde::{Deserialize, Deserializer};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{SystemTime, UNIX_EPOCH};
+use whinwall_briefing::Briefing;
+
+/// What the process finds around it; variables win over the file.
+#[derive(Default)]
+pub struct Surroundings {
+    pub name: Option<String>,
+    pub listen: Option<String>,
+    pub discovery: Option<String>,
+    pub file: Option<PathBuf>,
+}
+
+impl Surroundings {
+    pub fn of_process() -> Self {
+        let variable = |key| std::env::var(key).ok().filter(|value| !value.is_empty());
+        Surroundings {
+            name: variable("PROXY_NAME"),
+            listen: variable("PROXY_LISTEN"),
+            discovery: variable("PROXY_DISCOVERY"),
+            file: variable("PROXY_CONFIG").map(PathBuf::from),
+        }
+    }
+}
+
+/// All that the governor is told before it starts.
+#[derive(Clone, Debug)]
+pub struct Start {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub relay: SocketAddr,
+    pub seed: u64,
+    /// Connections to our address at the most.
+    pub connections: usize,
+    pub known: List,
+    pub briefing: Briefing,
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    #[serde(default, deserialize_with = "seed")]
+    seed: Option<u64>,
+    #[serde(default)]
+    limits: Limits,
+    distributor: Distributor,
+    #[serde(default)]
+    known: List,
+    settings: Briefing,
+}
+
+#[derive(Deserialize)]
+struct Distributor {
+    address: String,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1024 }
+    }
+}
+
+/// Sixteen hexadecimal digits, or a plain number.
+fn seed<'de, D: Deserializer<'de>>(raw: D) -> Result<Option<u64>, D::Error> {
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Seed {
+        Number(u64),
+        Digits(String),
+    }
+    match Option::deserialize(raw)? {
+        None => Ok(None),
+        Some(Seed::Number(seed)) => Ok(Some(seed)),
+        Some(Seed::Digits(digits)) => {
+            u64::from_str_radix(&digits, 16).map(Some).map_err(serde::de::Error::custom)
+        }
+    }
+}
+
+pub fn read(around: &Surroundings) -> Result<Start, String> {
+    let path = around.file.as_ref().ok_or("PROXY_CONFIG is not set; it names the configuration file")?;
+    let text = std::fs::read(path).map_err(|why| format!("PROXY_CONFIG: {}: {why}", path.display()))?;
+    let mut json = serde_json::Deserializer::from_slice(&text);
+    let file: File = serde_path_to_error::deserialize(&mut json).map_err(|wrong| match wrong.path() {
+        path if path.iter().next().is_none() => wrong.inner().to_string(),
+        path => format!("{path}: {}", wrong.inner()),
+    })?;
+    let either = |variable: &Option<String>, key: Option<String>, name: &str| {
+        let value = variable.clone().or(key);
+        value.ok_or_else(|| {
+            format!("{name} is given neither in the file nor as PROXY_{}", name.to_uppercase())
+        })
+    };
+    let address = |value: String, name: &str| {
+        value.parse::<SocketAddr>().map_err(|why| format!("{name}: {value:?} is no address: {why}"))
+    };
+    let clock = || SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_nanos() as u64);
+    let connections = file.limits.sockets.saturating_sub(limits::RESERVED) / 2;
+    if connections == 0 {
+        return Err(format!("limits.sockets: {} are too few", file.limits.sockets));
+    }
+    Ok(Start {
+        name: either(&around.name, file.name, "name")?,
+        listen: address(either(&around.listen, file.listen, "listen")?, "listen")?,
+        discovery: address(either(&around.discovery, file.discovery, "discovery")?, "discovery")?,
+        relay: address(file.distributor.address, "distributor.address")?,
+        seed: file.seed.unwrap_or_else(clock),
+        connections,
+        known: file.known,
+        briefing: file.settings,
+    })
+}
--- /dev/null
+++ b/governor/src/program/logger.rs
@@ -0,0 +1,76 @@
+//! A small logger on standard error. It never waits for a reader and never writes more than so much a second.
+
+use log::{Level, LevelFilter, Log, Metadata, Record};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use std::io::Write;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+const LINES_A_SECOND: u32 = 40;
+/// A pipe that takes anything takes this much at once.
+const LINE_BYTES: usize = 1000;
+
+struct Logger {
+    start: Instant,
+    second: Mutex<Second>,
+}
+
+struct Second {
+    began: Instant,
+    lines: u32,
+    left_out: u64,
+}
+
+/// `WHINWALL_LOG` names the least level that is written; without it, `info`.
+pub fn start() {
+    let now = Instant::now();
+    let second = Mutex::new(Second { began: now, lines: 0, left_out: 0 });
+    let level = std::env::var("WHINWALL_LOG").ok().and_then(|level| level.parse().ok());
+    if log::set_boxed_logger(Box::new(Logger { start: now, second })).is_ok() {
+        log::set_max_level(level.unwrap_or(LevelFilter::Info));
+    }
+}
+
+impl Second {
+    /// Whether one more line may be written; with how many were left out before it.
+    fn admit(&mut self, now: Instant) -> Option<u64> {
+        if now - self.began >= Duration::from_secs(1) {
+            (self.began, self.lines) = (now, 0);
+        }
+        if self.lines >= LINES_A_SECOND {
+            self.left_out += 1;
+            return None;
+        }
+        self.lines += 1;
+        Some(std::mem::take(&mut self.left_out))
+    }
+}
+
+impl Log for Logger {
+    fn enabled(&self, metadata: &Metadata) -> bool {
+        // What libraries say below a warning is theirs.
+        metadata.target().starts_with("whinwall") || metadata.level() <= Level::Warn
+    }
+
+    fn log(&self, record: &Record) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let Ok(mut second) = self.second.lock() else { return };
+        let Some(left_out) = second.admit(Instant::now()) else { return };
+        let since = self.start.elapsed().as_secs_f64();
+        let level = record.level().as_str().to_lowercase();
+        let mut line = format!("{since:.3} {level} {}", record.args()).replace('\n', " ");
+        if left_out > 0 {
+            line.push_str(&format!(" ({left_out} lines left out before this one)"));
+        }
+        let line: String = line.chars().take(LINE_BYTES).collect::<String>() + "\n";
+        let error = std::io::stderr();
+        let mut ready = [PollFd::new(&error, PollFlags::OUT)];
+        if matches!(poll(&mut ready, Some(&Timespec::default())), Ok(1..)) {
+            _ = error.lock().write_all(line.as_bytes());
+        }
+    }
+
+    fn flush(&self) {}
+}
--- /dev/null
+++ b/governor/src/protocol/mod.rs
@@ -0,0 +1,29 @@
+//! Messages as typed values: each is decoded once and encoded once, and the wire's names appear here only.
+
+pub mod collector;
+pub mod discovery;
+pub mod relay;
+
+use std::fmt;
+
+/// What keeps a line from being a message; it holds no more of the line than a log should.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Malformed(String);
+
+impl Malformed {
+    pub(crate) fn new(why: impl fmt::Display, line: &str) -> Self {
+        let start: String = line.chars().take(80).collect();
+        Malformed(format!("{why}, in {start:?}"))
+    }
+}
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// Figures out of nowhere (not a number, below nothing, beyond all measure) must not reach sums and means.
+pub(crate) fn is_sane(figure: f64) -> bool {
+    (0.0..=1e12).contains(&figure)
+}
--- /dev/null
+++ b/governor/src/protocol/relay.rs
@@ -0,0 +1,134 @@
+//! The relay's lines of text: news in, calls out, and their answers.
+
+use super::{is_sane, Malformed};
+use std::str::FromStr;
+use whinwall::interface::{ProxyId, SliceId};
+
+/// A call holds so many bytes of orders at the most.
+pub const CALL_LIMIT: usize = 60_000;
+/// Asks for the news on this connection.
+pub const WATCH: &str = "WATCH";
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// The relay will send news from here on, what stands first.
+    Begins,
+    Alive,
+    Joined {
+        proxy: ProxyId,
+        bare: bool,
+    },
+    Left {
+        proxy: ProxyId,
+    },
+    Acked {
+        proxy: ProxyId,
+        mark: u16,
+    },
+    Granted {
+        slice: SliceId,
+    },
+    Revoked {
+        slice: SliceId,
+    },
+    Line {
+        slice: SliceId,
+        server: String,
+        weight: f64,
+    },
+}
+
+pub fn decode_news(line: &str) -> Result<News, Malformed> {
+    let wrong = |what: &str| Malformed::new(what, line);
+    let mut words = line.split_ascii_whitespace();
+    match words.next() {
+        Some("OK") => return Ok(News::Begins),
+        Some("*") => {}
+        _ => return Err(wrong("no news")),
+    }
+    let Some(kind) = words.next() else { return Ok(News::Alive) };
+    let mut word = |what: &str| words.next().ok_or_else(|| wrong(&format!("no {what}")));
+    fn number<T: FromStr>(word: &str, line: &str) -> Result<T, Malformed> {
+        word.parse().map_err(|_| Malformed::new(format!("{word:?} is no usable number"), line))
+    }
+    let proxy = |word: Result<&str, Malformed>| number::<ProxyId>(word?, line);
+    let slice = |word: Result<&str, Malformed>| number::<SliceId>(word?, line);
+    Ok(match kind {
+        "SUBSCRIBE" => {
+            let (proxy, _place, _ops_a_second) = (proxy(word("proxy"))?, word("place")?, word("share")?);
+            News::Joined { proxy, bare: is_set(word("standing")?) }
+        }
+        "CLOSED" => News::Left { proxy: proxy(word("proxy"))? },
+        "ACK" => News::Acked { proxy: proxy(word("proxy"))?, mark: number(word("mark")?, line)? },
+        "GRANT" => match (slice(word("slice"))?, is_set(word("yes")?)) {
+            (slice, true) => News::Granted { slice },
+            (slice, false) => News::Revoked { slice },
+        },
+        "ROW" => {
+            let (slice, server) = (slice(word("slice"))?, word("server")?.to_string());
+            let weight = number(word("weight")?, line)?;
+            News::Line { slice, server, weight: Some(weight).filter(|w| is_sane(*w)).ok_or(wrong("weight"))? }
+        }
+        _ => return Err(wrong("news of an unknown kind")),
+    })
+}
+
+fn is_set(word: &str) -> bool {
+    matches!(word, "1" | "true" | "yes")
+}
+
+/// An order, in the names that the relay knows.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    Line { slice: SliceId, server: String, weight: f64 },
+    Withdraw { server: String, out: bool },
+    Level { slice: Option<SliceId>, op_types: Vec<String>, share: f64, tries: u8 },
+    Mark { number: u16, of_all: bool },
+}
+
+impl Order {
+    pub fn encode(&self) -> String {
+        match self {
+            Order::Line { slice, server, weight } => format!("SET,{slice},{server},{weight}"),
+            Order::Withdraw { server, out: true } => format!("OUT,{server}"),
+            Order::Withdraw { server, out: false } => format!("IN,{server}"),
+            Order::Level { slice, op_types, share, tries } => {
+                let slice = slice.map_or("*".into(), |n| n.to_string());
+                let op_types = if op_types.is_empty() { "*".into() } else { op_types.join("+") };
+                format!("LIMIT,{slice},{op_types},{share},{tries}")
+            }
+            Order::Mark { number, of_all } => format!("SYNC,{number},{}", u8::from(*of_all)),
+        }
+    }
+}
+
+pub fn encode_call(orders: &[String]) -> String {
+    format!("APPLY {}", orders.join(";"))
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// So many orders stand, counted from the first.
+    Taken(usize),
+    /// Nothing was done; the same call may be taken later.
+    NotNow(String),
+    /// Nothing was done, and never will be.
+    Unusable(String),
+}
+
+pub fn decode_answer(line: &str) -> Result<Answer, Malformed> {
+    let unreadable = || Malformed::new("no answer to a call", line);
+    let mut words = line.split_ascii_whitespace();
+    if words.next() == Some("OK") {
+        let taken = words.next().and_then(|n| n.parse().ok()).ok_or_else(unreadable)?;
+        return Ok(Answer::Taken(taken));
+    }
+    let named = |word: &str| line.contains(word);
+    match () {
+        _ if named("bad_request") => Ok(Answer::Unusable(line.into())),
+        _ if ["too_many_calls", "unavailable", "out_of_date"].into_iter().any(named) => {
+            Ok(Answer::NotNow(line.into()))
+        }
+        _ => Err(unreadable()),
+    }
+}
--- /dev/null
+++ b/governor/src/routing/mod.rs
@@ -0,0 +1,8 @@
+//! All state of the governor, behind one reducer without input, output or clock.
+
+mod names;
+mod outbox;
+mod reducer;
+mod snapshot;
+
+pub use reducer::{Effect, Event, Reducer};
--- /dev/null
+++ b/governor/src/transport/calls.rs
@@ -0,0 +1,55 @@
+//! Calls on the relay, one at a time, on one connection that is kept as long as it is good.
+
+use super::framing::Lines;
+use super::{connect, limits, within, Broken, CallError, Inbox, Input};
+use actix_codec::Framed;
+use actix_rt::net::TcpStream;
+use futures_util::{SinkExt, StreamExt};
+use std::net::SocketAddr;
+use tokio::sync::mpsc;
+
+type Line = Framed<TcpStream, Lines>;
+
+/// Makes each call that comes and says how it went. The relay closes idle connections: one that it has closed
+/// is seen at once, so that no call is written to it.
+pub async fn serve(relay: SocketAddr, mut calls: mpsc::Receiver<String>, inbox: Inbox) {
+    let mut open: Option<Line> = None;
+    loop {
+        let call = match &mut open {
+            None => calls.recv().await,
+            Some(line) => tokio::select! {
+                biased;
+                _ = line.next() => {
+                    open = None; // closed, or it says what nobody asked for
+                    continue;
+                }
+                call = calls.recv() => call,
+            },
+        };
+        let Some(call) = call else { return };
+        let answer = attempt(relay, &mut open, call).await;
+        if answer.is_err() {
+            open = None; // a late answer must not be taken for the next one's
+        }
+        if inbox.send(Input::Answer(answer)).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn attempt(relay: SocketAddr, open: &mut Option<Line>, call: String) -> Result<String, CallError> {
+    let line = match open {
+        Some(line) => line,
+        None => {
+            let stream = connect(relay).await.map_err(CallError::NotSent)?;
+            open.insert(Framed::new(stream, Lines::with_crlf(limits::LINE)))
+        }
+    };
+    let sent = within(limits::ANSWER, line.send(call)).await.map_err(CallError::NotSent)?;
+    sent.map_err(|why| CallError::NotSent(Broken::Unreachable(why.to_string())))?;
+    match within(limits::ANSWER, line.next()).await.map_err(CallError::OutcomeUnknown)? {
+        Some(Ok(answer)) => Ok(answer),
+        Some(Err(why)) => Err(CallError::OutcomeUnknown(Broken::Unreadable(why.to_string()))),
+        None => Err(CallError::OutcomeUnknown(Broken::Closed)),
+    }
+}
--- /dev/null
+++ b/governor/src/transport/framing.rs
@@ -0,0 +1,62 @@
+//! Lines out of bytes. A line without its end is no line: half a number reads like a whole one.
+
+use actix_codec::{Decoder, Encoder};
+use bytes::{Buf, BufMut, BytesMut};
+use std::io::{Error, ErrorKind};
+
+pub struct Lines {
+    limit: usize,
+    ending: &'static str,
+    /// So much of the buffer holds no end of a line.
+    searched: usize,
+}
+
+impl Lines {
+    pub fn new(limit: usize) -> Self {
+        Lines { limit, ending: "\n", searched: 0 }
+    }
+
+    pub fn with_crlf(limit: usize) -> Self {
+        Lines { ending: "\r\n", ..Lines::new(limit) }
+    }
+}
+
+impl Decoder for Lines {
+    type Item = String;
+    type Error = Error;
+
+    fn decode(&mut self, bytes: &mut BytesMut) -> Result<Option<String>, Error> {
+        let wrong = |why: &str| Err(Error::new(ErrorKind::InvalidData, why));
+        let end = bytes[self.searched..].iter().position(|byte| *byte == b'\n').map(|at| at + self.searched);
+        if end.unwrap_or(bytes.len()) > self.limit {
+            return wrong("a line is too long");
+        }
+        let Some(end) = end else {
+            self.searched = bytes.len();
+            return Ok(None);
+        };
+        self.searched = 0;
+        let line = bytes.split_to(end);
+        bytes.advance(1);
+        let line = line.strip_suffix(b"\r").unwrap_or(&line);
+        match std::str::from_utf8(line) {
+            Ok(line) => Ok(Some(line.to_string())),
+            Err(_) => wrong("a line is no text"),
+        }
+    }
+
+    fn decode_eof(&mut self, bytes: &mut BytesMut) -> Result<Option<String>, Error> {
+        self.decode(bytes)
+    }
+}
+
+impl Encoder<String> for Lines {
+    type Error = Error;
+
+    fn encode(&mut self, line: String, bytes: &mut BytesMut) -> Result<(), Error> {
+        bytes.reserve(line.len() + self.ending.len());
+        bytes.put_slice(line.as_bytes());
+        bytes.put_slice(self.ending.as_bytes());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/governor/src/transport/limits.rs
@@ -0,0 +1,26 @@
+//! The network's time-outs and sizes. They bound what others may cost; nothing is decided by them.
+
+use std::time::Duration;
+
+/// All parties are on the same network, a few milliseconds away: a connection that takes longer never comes up.
+pub const CONNECT: Duration = Duration::from_millis(300);
+/// The relay answers a call within 50 ms or never; the rest is for a busy machine.
+pub const ANSWER: Duration = Duration::from_millis(150);
+/// The relay gives a sign of life each second: two missed ones and some delay are silence.
+pub const NEWS_SILENCE: Duration = Duration::from_millis(2500);
+/// Discovery gives one every two seconds.
+pub const LIST_SILENCE: Duration = Duration::from_millis(5000);
+/// Before the next attempt to reach the relay or discovery. A refused connection costs next to nothing.
+pub const PAUSE: Duration = Duration::from_millis(100);
+/// Whoever connects to us says something in this time, or is let go.
+pub const FIRST_WORD: Duration = Duration::from_secs(10);
+/// A collector speaks each second; one that was cut off connects anew and never ends its old connection.
+pub const QUIET_PEER: Duration = Duration::from_secs(60);
+/// A message to our address.
+pub const LINE: usize = 1 << 20;
+/// What one peer may leave unread, in answers of a few bytes each.
+pub const UNREAD_ANSWERS: usize = 64;
+/// Lines that wait for the loop; readers stop there, and TCP holds the others back.
+pub const INBOX: usize = 4096;
+/// Descriptors kept for everything that is not a connection to our address.
+pub const RESERVED: usize = 64;
--- /dev/null
+++ b/governor/src/transport/listener.rs
@@ -0,0 +1,82 @@
+//! Our own address: bounded connections, each read line by line in a task of its own.
+
+use super::framing::Lines;
+use super::{limits, ConnectionId, Inbox, Input};
+use actix_codec::Framed;
+use actix_rt::net::{TcpListener, TcpStream};
+use futures_util::{SinkExt, StreamExt};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Instant;
+use tokio::sync::{mpsc, oneshot};
+
+struct Peer {
+    heard: Instant,
+    /// Dropped, it ends the connection.
+    _hold: oneshot::Sender<()>,
+}
+
+type Peers = Rc<RefCell<BTreeMap<ConnectionId, Peer>>>;
+
+/// Takes connections for ever. Where there are too many, the one that has been silent longest goes: strangers
+/// who connect and say nothing must not cost a collector its place.
+pub async fn listen(listener: TcpListener, most: usize, inbox: Inbox) {
+    let peers = Peers::default();
+    for id in 0.. {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(why) => {
+                log::warn!("a connection could not be taken: {why}");
+                actix_rt::time::sleep(limits::PAUSE).await;
+                continue;
+            }
+        };
+        let (hold, let_go) = oneshot::channel();
+        peers.borrow_mut().insert(id, Peer { heard: Instant::now(), _hold: hold });
+        if peers.borrow().len() > most {
+            let silent = peers.borrow().iter().min_by_key(|(_, peer)| peer.heard).map(|(id, _)| *id);
+            silent.and_then(|id| peers.borrow_mut().remove(&id));
+        }
+        let (peers, inbox) = (peers.clone(), inbox.clone());
+        actix_rt::spawn(async move {
+            let served = serve(id, stream, &peers, inbox);
+            tokio::select! {
+                why = served => log::debug!("connection {id} ended: {why}"),
+                _ = let_go => log::debug!("connection {id} was let go, others need its place"),
+            }
+            peers.borrow_mut().remove(&id);
+        });
+    }
+}
+
+async fn serve(id: ConnectionId, stream: TcpStream, peers: &Peers, inbox: Inbox) -> String {
+    let mut framed = Framed::new(stream, Lines::new(limits::LINE));
+    let (back, mut answers) = mpsc::channel(limits::UNREAD_ANSWERS);
+    let mut patience = limits::FIRST_WORD;
+    loop {
+        tokio::select! {
+            line = actix_rt::time::timeout(patience, framed.next()) => match line {
+                Ok(Some(Ok(line))) => {
+                    patience = limits::QUIET_PEER;
+                    if let Some(peer) = peers.borrow_mut().get_mut(&id) {
+                        peer.heard = Instant::now();
+                    }
+                    if inbox.send(Input::Line { from: id, line, back: back.clone() }).await.is_err() {
+                        return "the program ends".into();
+                    }
+                }
+                Ok(Some(Err(why))) => return why.to_string(),
+                Ok(None) => return "closed by the other side".into(),
+                Err(_) => return "silent".into(),
+            },
+            Some(answer) = answers.recv() => {
+                match actix_rt::time::timeout(limits::FIRST_WORD, framed.send(answer)).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(why)) => return why.to_string(),
+                    Err(_) => return "it reads nothing".into(),
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/governor/src/transport/mod.rs
@@ -0,0 +1,83 @@
+//! Reads and writes lines, and knows nothing of what they say. All that is read goes into one inbox.
+
+pub mod calls;
+pub mod framing;
+pub mod limits;
+pub mod listener;
+pub mod news;
+pub mod watch;
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Which of the connections to our own address.
+pub type ConnectionId = u64;
+
+#[derive(Debug)]
+pub enum Input {
+    /// At our own address, with the way back.
+    Line {
+        from: ConnectionId,
+        line: String,
+        back: mpsc::Sender<String>,
+    },
+    News(String),
+    NewsLost(Broken),
+    Answer(Result<String, CallError>),
+    List(String),
+    ListLost(Broken),
+}
+
+pub type Inbox = mpsc::Sender<Input>;
+
+/// Why a connection is no more.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Broken {
+    Unreachable(String),
+    Silent,
+    Closed,
+    Unreadable(String),
+}
+
+/// How far a call had come when it failed.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CallError {
+    /// Its last byte was not written: it was not carried out.
+    NotSent(Broken),
+    /// It may have been carried out.
+    OutcomeUnknown(Broken),
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Broken::Unreachable(why) => write!(f, "out of reach ({why})"),
+            Broken::Silent => f.write_str("silent"),
+            Broken::Closed => f.write_str("closed by the other side"),
+            Broken::Unreadable(why) => write!(f, "unreadable ({why})"),
+        }
+    }
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            CallError::NotSent(why) => write!(f, "not sent, {why}"),
+            CallError::OutcomeUnknown(why) => write!(f, "outcome unknown, {why}"),
+        }
+    }
+}
+
+async fn within<T>(most: Duration, work: impl std::future::Future<Output = T>) -> Result<T, Broken> {
+    actix_rt::time::timeout(most, work).await.map_err(|_| Broken::Silent)
+}
+
+async fn connect(to: SocketAddr) -> Result<actix_rt::net::TcpStream, Broken> {
+    let stream = within(limits::CONNECT, actix_rt::net::TcpStream::connect(to)).await?;
+    let stream = stream.map_err(|why| Broken::Unreachable(why.to_string()))?;
+    // A call is one small write: nothing is to wait for more to fill a packet.
+    stream.set_nodelay(true).map_err(|why| Broken::Unreachable(why.to_string()))?;
+    Ok(stream)
+}
--- /dev/null
+++ b/governor/src/transport/news.rs
@@ -0,0 +1,36 @@
+//! The connection that brings the relay's news. It ends with the first failure, and is said to have ended.
+
+use super::framing::Lines;
+use super::{connect, limits, within, Broken, Inbox, Input};
+use actix_codec::Framed;
+use futures_util::{SinkExt, StreamExt};
+use std::net::SocketAddr;
+
+pub async fn follow(relay: SocketAddr, request: &'static str, inbox: Inbox) {
+    let why = read(relay, request, &inbox).await;
+    _ = inbox.send(Input::NewsLost(why)).await;
+}
+
+async fn read(relay: SocketAddr, request: &'static str, inbox: &Inbox) -> Broken {
+    let stream = match connect(relay).await {
+        Ok(stream) => stream,
+        Err(why) => return why,
+    };
+    let mut framed = Framed::new(stream, Lines::with_crlf(limits::LINE));
+    match within(limits::ANSWER, framed.send(request.to_string())).await {
+        Ok(Ok(())) => {}
+        Ok(Err(why)) => return Broken::Unreachable(why.to_string()),
+        Err(why) => return why,
+    }
+    loop {
+        let line = match within(limits::NEWS_SILENCE, framed.next()).await {
+            Ok(Some(Ok(line))) => line,
+            Ok(Some(Err(why))) => return Broken::Unreadable(why.to_string()),
+            Ok(None) => return Broken::Closed,
+            Err(why) => return why,
+        };
+        if inbox.send(Input::News(line)).await.is_err() {
+            return Broken::Closed;
+        }
+    }
+}
--- /dev/null
+++ b/governor/src/transport/watch.rs
@@ -0,0 +1,41 @@
+//! Discovery's watch: one request, answered by lines for as long as it lasts.
+
+use super::framing::Lines;
+use super::{limits, within, Broken, Inbox, Input};
+use actix_codec::Decoder;
+use bytes::BytesMut;
+use futures_util::StreamExt;
+
+pub async fn follow(client: awc::Client, url: String, inbox: Inbox) {
+    let why = read(client, url, &inbox).await;
+    _ = inbox.send(Input::ListLost(why)).await;
+}
+
+async fn read(client: awc::Client, url: String, inbox: &Inbox) -> Broken {
+    let unreachable = |why: &dyn std::fmt::Display| Broken::Unreachable(why.to_string());
+    let mut answer = match within(limits::LIST_SILENCE, client.get(url).send()).await {
+        Ok(Ok(answer)) if answer.status().is_success() => answer,
+        Ok(Ok(answer)) => return unreachable(&answer.status()),
+        Ok(Err(why)) => return unreachable(&why),
+        Err(why) => return why,
+    };
+    let (mut lines, mut bytes) = (Lines::new(limits::LINE), BytesMut::new());
+    loop {
+        match within(limits::LIST_SILENCE, answer.next()).await {
+            Ok(Some(Ok(chunk))) => bytes.extend_from_slice(&chunk),
+            Ok(Some(Err(why))) => return Broken::Unreadable(why.to_string()),
+            Ok(None) => return Broken::Closed,
+            Err(why) => return why,
+        }
+        loop {
+            let line = match lines.decode(&mut bytes) {
+                Ok(Some(line)) => line,
+                Ok(None) => break,
+                Err(why) => return Broken::Unreadable(why.to_string()),
+            };
+            if inbox.send(Input::List(line)).await.is_err() {
+                return Broken::Closed;
+            }
+        }
+    }
+}
