--- a/governor/src/program/configuration.rs
+++ b/governor/src/program/configuration.rs
@@ -2,12 +2,15 @@
 
 use crate::protocol::discovery::List;
 use crate::transport::limits;
+use log::LevelFilter;
 use serde::{Deserialize, Deserializer};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{SystemTime, UNIX_EPOCH};
 use whinwall_briefing::Briefing;
 
+const LOG_LINES: u32 = 40;
+
 /// What the process finds around it; variables win over the file.
 #[derive(Default)]
 pub struct Surroundings {
@@ -15,6 +18,8 @@
     pub listen: Option<String>,
     pub discovery: Option<String>,
     pub file: Option<PathBuf>,
+    pub log_level: Option<String>,
+    pub log_lines: Option<String>,
 }
 
 impl Surroundings {
@@ -25,8 +30,20 @@
             listen: variable("PROXY_LISTEN"),
             discovery: variable("PROXY_DISCOVERY"),
             file: variable("PROXY_CONFIG").map(PathBuf::from),
+            log_level: variable("WHINWALL_LOG"),
+            log_lines: variable("WHINWALL_LOG_LINES"),
         }
     }
+
+    /// How much is logged: the least level, and lines a second at the most.
+    pub fn logging(&self) -> Result<(LevelFilter, u32), String> {
+        let level = self.log_level.as_deref().map_or(Ok(LevelFilter::Info), str::parse);
+        let lines = self.log_lines.as_deref().map_or(Ok(LOG_LINES), str::parse);
+        Ok((
+            level.map_err(|_| "WHINWALL_LOG: no level (error, warn, info, debug)")?,
+            lines.map_err(|why| format!("WHINWALL_LOG_LINES: {why}"))?,
+        ))
+    }
 }
 
 /// All that the governor is told before it starts.
--- a/governor/src/program/logger.rs
+++ b/governor/src/program/logger.rs
@@ -6,12 +6,12 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-const LINES_A_SECOND: u32 = 40;
 /// A pipe that takes anything takes this much at once.
 const LINE_BYTES: usize = 1000;
 
 struct Logger {
     start: Instant,
+    lines_a_second: u32,
     second: Mutex<Second>,
 }
 
@@ -21,23 +21,21 @@
     left_out: u64,
 }
 
-/// `WHINWALL_LOG` names the least level that is written; without it, `info`.
-pub fn start() {
-    let now = Instant::now();
-    let second = Mutex::new(Second { began: now, lines: 0, left_out: 0 });
-    let level = std::env::var("WHINWALL_LOG").ok().and_then(|level| level.parse().ok());
-    if log::set_boxed_logger(Box::new(Logger { start: now, second })).is_ok() {
-        log::set_max_level(level.unwrap_or(LevelFilter::Info));
+pub fn start(level: LevelFilter, lines_a_second: u32) {
+    let start = Instant::now();
+    let second = Mutex::new(Second { began: start, lines: 0, left_out: 0 });
+    if log::set_boxed_logger(Box::new(Logger { start, lines_a_second, second })).is_ok() {
+        log::set_max_level(level);
     }
 }
 
 impl Second {
     /// Whether one more line may be written; with how many were left out before it.
-    fn admit(&mut self, now: Instant) -> Option<u64> {
+    fn admit(&mut self, now: Instant, most: u32) -> Option<u64> {
         if now - self.began >= Duration::from_secs(1) {
             (self.began, self.lines) = (now, 0);
         }
-        if self.lines >= LINES_A_SECOND {
+        if self.lines >= most {
             self.left_out += 1;
             return None;
         }
@@ -57,7 +55,7 @@
             return;
         }
         let Ok(mut second) = self.second.lock() else { return };
-        let Some(left_out) = second.admit(Instant::now()) else { return };
+        let Some(left_out) = second.admit(Instant::now(), self.lines_a_second) else { return };
         let since = self.start.elapsed().as_secs_f64();
         let level = record.level().as_str().to_lowercase();
         let mut line = format!("{since:.3} {level} {}", record.args()).replace('\n', " ");
--- a/governor/src/program/mod.rs
+++ b/governor/src/program/mod.rs
@@ -9,8 +9,11 @@
 
 /// Runs until a signal ends it; a configuration that can't be used ends it at once.
 pub fn run() -> ExitCode {
-    logger::start();
-    let start = match configuration::read(&configuration::Surroundings::of_process()) {
+    let around = configuration::Surroundings::of_process();
+    let logging = around.logging();
+    let (level, lines) = logging.clone().unwrap_or((log::LevelFilter::Info, u32::MAX));
+    logger::start(level, lines);
+    let start = match logging.and_then(|_| configuration::read(&around)) {
         Ok(start) => start,
         Err(wrong) => {
             log::error!("configuration: {wrong}");
