--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -235,6 +235,6 @@
         Step::Mark { number } => json!(["barrier", number, false]),
         Step::FollowList => json!(["keepInformed", true]),
         Step::Wake { token, after } => json!(["wakeAt", token, after.as_ns()]),
-        Step::Note(text) => json!(["sayLog", text]),
+        Step::Sick { server, cause } => json!(["sayLog", format!("server {server} taken for sick: {cause}")]),
     }
 }
--- a/governor/src/program/configuration.rs
+++ b/governor/src/program/configuration.rs
@@ -56,6 +56,8 @@
     pub seed: u64,
     /// Connections to our address at the most.
     pub connections: usize,
+    /// What lines without their end may take in memory, in bytes.
+    pub unfinished: usize,
     pub known: List,
     pub briefing: Briefing,
 }
@@ -84,11 +86,12 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: 192 }
     }
 }
 
@@ -138,6 +141,7 @@
         relay: address(file.distributor.address, "distributor.address")?,
         seed: file.seed.unwrap_or_else(clock),
         connections,
+        unfinished: file.limits.memory_mb * 1_000_000 / limits::UNFINISHED_PART,
         known: file.known,
         briefing: file.settings,
     })
--- a/governor/src/program/event_loop.rs
+++ b/governor/src/program/event_loop.rs
@@ -1,87 +1,139 @@
 //! The loop: takes all that has arrived, decodes it, feeds the reducer, and carries out what it asks for.
 
+use super::clock::Clock;
 use super::configuration::Start;
 use super::signals::Signals;
 use crate::protocol::{collector, discovery, relay};
 use crate::routing::{Effect, Event, Reducer};
-use crate::transport::{calls, limits, listener, news, watch, Broken, CallError, ConnectionId, Inbox, Input};
+use crate::transport::{calls, framing, limits, listener, news, watch};
+use crate::transport::{Broken, CallError, ConnectionId, Inbox, Input};
 use actix_rt::net::TcpListener;
 use actix_rt::task::JoinHandle;
+use actix_rt::time::sleep;
+use futures_util::FutureExt;
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::sync::mpsc;
-use whinwall::time::{Moment, Span};
+use std::future::Future;
+use std::panic::AssertUnwindSafe;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::{self, Receiver, Sender};
+use whinwall::time::Moment;
 
-/// The wall's time at the start, and from then on a clock that never jumps.
-struct Clock {
-    wall: Moment,
-    start: Instant,
+/// Wakes so often at least, whatever the reducer asks for.
+const LONGEST_SLEEP: Duration = Duration::from_secs(1);
+/// A former process may hold our address a moment longer.
+const BIND_ATTEMPTS: u32 = 50;
+
+/// Serves until a signal comes. A panic costs what the reducer remembered, as a restart would, and not the
+/// process: the relay and discovery know all that stands.
+pub async fn serve(start: Start) -> Result<&'static str, String> {
+    let mut signals = Signals::listen().map_err(|why| format!("signals: {why}"))?;
+    let listener = Rc::new(bind(&start).await?);
+    log::info!("{} serves at {}", start.name, start.listen);
+    loop {
+        let life = live(&start, listener.clone(), &mut signals);
+        match AssertUnwindSafe(life).catch_unwind().await {
+            Ok(why) => return Ok(why),
+            Err(_) => log::error!("a panic; starting again from what relay and discovery know"),
+        }
+        sleep(limits::PAUSE).await;
+    }
+}
+
+async fn bind(start: &Start) -> Result<TcpListener, String> {
+    let mut attempts = 0;
+    loop {
+        match TcpListener::bind(start.listen).await {
+            Ok(listener) => return Ok(listener),
+            Err(why) if attempts == BIND_ATTEMPTS => return Err(format!("listen: {}: {why}", start.listen)),
+            Err(_) => attempts += 1,
+        }
+        sleep(limits::PAUSE).await;
+    }
+}
+
+async fn live(start: &Start, listener: Rc<TcpListener>, signals: &mut Signals) -> &'static str {
+    // Two inboxes, so that whoever floods our address delays neither relay nor discovery.
+    let (inbox, mut arrived) = mpsc::channel(limits::INBOX);
+    let (at_door, mut reports) = mpsc::channel(limits::INBOX);
+    let (calls, to_make) = mpsc::channel(1);
+    let unfinished = framing::Unfinished::new(start.unfinished, start.connections);
+    let _calls = Task::spawn(calls::serve(start.relay, to_make, inbox.clone()));
+    let _door = Task::spawn(listener::listen(listener, start.connections, unfinished, at_door));
+    let mut turn = Loop::new(start, inbox, calls);
+    turn.apply(Event::Started);
+    loop {
+        turn.wake = None;
+        turn.apply(Event::Quiet);
+        turn.backs.clear();
+        let wait = turn.wake.map_or(LONGEST_SLEEP, |at| turn.clock.until(at).min(LONGEST_SLEEP));
+        tokio::select! {
+            biased;
+            signal = signals.come() => return signal,
+            Some(first) = arrived.recv() => turn.take(first),
+            Some(first) = reports.recv() => turn.take(first),
+            _ = sleep(wait) => {}
+        }
+        for inbox in [&mut arrived, &mut reports] {
+            turn.take_all(inbox);
+        }
+    }
 }
 
-impl Clock {
-    fn start() -> Self {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { wall: Moment::at_ns(wall.as_nanos() as u64), start: Instant::now() }
+/// Ends with its handle.
+struct Task(JoinHandle<()>);
+
+impl Task {
+    fn spawn(work: impl Future<Output = ()> + 'static) -> Self {
+        Task(actix_rt::spawn(work))
     }
+}
 
-    fn now(&self) -> Moment {
-        self.wall + Span::ns(self.start.elapsed().as_nanos() as u64)
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
     }
 }
 
-struct Loop {
-    start: Start,
+struct Loop<'a> {
+    start: &'a Start,
     clock: Clock,
     reducer: Reducer,
     inbox: Inbox,
-    calls: mpsc::Sender<String>,
+    calls: Sender<calls::Call>,
     discovery: awc::Client,
-    news: Option<JoinHandle<()>>,
-    list: Option<JoinHandle<()>>,
+    news: Option<Task>,
+    list: Option<Task>,
     wake: Option<Moment>,
     /// The ways back of those who spoke in this turn.
-    backs: BTreeMap<ConnectionId, mpsc::Sender<String>>,
+    backs: BTreeMap<ConnectionId, Sender<String>>,
 }
 
-pub async fn serve(start: Start) -> Result<String, String> {
-    let mut signals = Signals::listen().map_err(|why| format!("signals: {why}"))?;
-    let listener = TcpListener::bind(start.listen).await;
-    let listener = listener.map_err(|why| format!("listen: {}: {why}", start.listen))?;
-    let (inbox, mut arrived) = mpsc::channel(limits::INBOX);
-    let (calls, to_make) = mpsc::channel(1);
-    actix_rt::spawn(calls::serve(start.relay, to_make, inbox.clone()));
-    actix_rt::spawn(listener::listen(listener, start.connections, inbox.clone()));
-    log::info!("{} serves at {}", start.name, start.listen);
-    let clock = Clock::start();
-    let reducer = Reducer::start(start.briefing.clone(), start.seed, &start.known, clock.now());
-    let discovery = awc::Client::builder().disable_timeout().finish();
-    let (news, list, wake, backs) = (None, None, None, BTreeMap::new());
-    let mut turn = Loop { start, clock, reducer, inbox, calls, discovery, news, list, wake, backs };
-    turn.apply(Event::Started);
-    turn.apply(Event::Quiet);
-    loop {
-        let wait = turn
-            .wake
-            .map_or(Duration::from_secs(1), |at| Duration::from_nanos((at - turn.clock.now()).as_ns()));
-        tokio::select! {
-            biased;
-            signal = signals.come() => return Ok(signal.into()),
-            Some(first) = arrived.recv() => {
-                turn.take(first);
-                while let Ok(more) = arrived.try_recv() {
-                    turn.take(more);
-                }
-            }
-            _ = actix_rt::time::sleep(wait) => {}
+impl<'a> Loop<'a> {
+    fn new(start: &'a Start, inbox: Inbox, calls: Sender<calls::Call>) -> Self {
+        let clock = Clock::start();
+        let reducer = Reducer::start(start.briefing.clone(), start.seed, &start.known, clock.now());
+        let discovery = awc::Client::builder().disable_timeout().finish();
+        let (news, list, wake, backs) = (None, None, None, BTreeMap::new());
+        Loop { start, clock, reducer, inbox, calls, discovery, news, list, wake, backs }
+    }
+
+    /// No more than fit in the inbox at once: what arrives meanwhile is for the next turn.
+    fn take_all(&mut self, inbox: &mut Receiver<Input>) {
+        for _ in 0..limits::INBOX {
+            let Ok(input) = inbox.try_recv() else { return };
+            self.take(input);
         }
-        turn.apply(Event::Quiet);
-        turn.backs.clear();
     }
-}
 
-impl Loop {
     fn take(&mut self, input: Input) {
-        let event = match input {
+        if let Some(event) = self.event(input) {
+            self.apply(event);
+        }
+    }
+
+    fn event(&mut self, input: Input) -> Option<Event> {
+        Some(match input {
             Input::Line { from, line, back } => match collector::decode(&line) {
                 Ok(message) => {
                     self.backs.insert(from, back);
@@ -89,7 +141,7 @@
                 }
                 Err(wrong) => {
                     log::warn!("connection {from}: {wrong}");
-                    return;
+                    return None;
                 }
             },
             Input::News(line) => match relay::decode_news(&line) {
@@ -98,8 +150,8 @@
                     Event::News(news)
                 }
                 Err(wrong) => {
-                    log::warn!("news: {wrong}");
-                    self.news.take().inspect(|task| task.abort());
+                    log::warn!("the relay's news can't be read: {wrong}");
+                    self.news = None;
                     Event::NewsLost
                 }
             },
@@ -107,34 +159,33 @@
                 log::warn!("the relay's news ended: {why}");
                 Event::NewsLost
             }
-            Input::Answer(outcome) => Event::Answer(outcome.and_then(|line| {
-                log::debug!("answer: {line}");
-                relay::decode_answer(&line)
-                    .map_err(|wrong| CallError::OutcomeUnknown(Broken::Unreadable(wrong.to_string())))
-            })),
+            Input::Answer(outcome) => {
+                log::debug!("answer: {outcome:?}");
+                let unreadable = |wrong| CallError::OutcomeUnknown(Broken::Unreadable(format!("{wrong}")));
+                let decode = |line: String| relay::decode_answer(&line).map_err(unreadable);
+                Event::Answer(outcome.and_then(decode))
+            }
             Input::List(line) => match discovery::decode(&line) {
-                Ok(Some(list)) => {
+                Ok(list) => {
+                    let list = list?; // nothing but a sign of life
                     log::debug!("list: version {}, {} entries", list.version, list.entries.len());
                     Event::List(list)
                 }
-                Ok(None) => return,
                 Err(wrong) => {
-                    log::warn!("discovery: {wrong}");
-                    self.list.take().inspect(|task| task.abort());
-                    Event::ListLost
+                    log::warn!("discovery's list can't be read: {wrong}");
+                    self.list = None;
+                    Event::ListLost { readable: false }
                 }
             },
             Input::ListLost(why) => {
                 log::warn!("discovery's watch ended: {why}");
-                Event::ListLost
+                Event::ListLost { readable: true }
             }
-        };
-        self.apply(event);
+        })
     }
 
     fn apply(&mut self, event: Event) {
-        let now = self.clock.now();
-        for effect in self.reducer.apply(now, event) {
+        for effect in self.reducer.apply(self.clock.now(), event) {
             self.carry_out(effect);
         }
     }
@@ -142,22 +193,23 @@
     fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Pong { to } => {
-                let back = self.backs.get(&to);
-                // Whoever asks and does not read loses answers, not we our time.
-                back.into_iter().for_each(|back| _ = back.try_send(collector::PONG.into()));
+                // Whoever asks and does not read loses answers, and costs us no time.
+                if let Some(back) = self.backs.get(&to) {
+                    _ = back.try_send(collector::PONG.into());
+                }
             }
-            Effect::Call(call) => {
-                log::debug!("call: {call}");
-                _ = self.calls.try_send(call);
+            Effect::Call { line, afresh } => {
+                log::debug!("call: {line}");
+                _ = self.calls.try_send(calls::Call { line, afresh }); // one is made at a time: there is room
             }
             Effect::FollowNews => {
-                let task = news::follow(self.start.relay, relay::WATCH, self.inbox.clone());
-                self.news.replace(actix_rt::spawn(task)).into_iter().for_each(|old| old.abort());
+                let follow = news::follow(self.start.relay, relay::WATCH, self.inbox.clone());
+                self.news = Some(Task::spawn(follow));
             }
             Effect::FollowList { since } => {
                 let url = format!("http://{}{}", self.start.discovery, discovery::watch_path(since));
-                let task = watch::follow(self.discovery.clone(), url, self.inbox.clone());
-                self.list.replace(actix_rt::spawn(task)).into_iter().for_each(|old| old.abort());
+                let follow = watch::follow(self.discovery.clone(), url, self.inbox.clone());
+                self.list = Some(Task::spawn(follow));
             }
             Effect::WakeAt(at) => self.wake = Some(at),
             Effect::Note(text) => log::info!("{text}"),
--- a/governor/src/program/mod.rs
+++ b/governor/src/program/mod.rs
@@ -1,5 +1,6 @@
 //! Starts and ends the governor.
 
+mod clock;
 pub mod configuration;
 mod event_loop;
 mod logger;
--- a/governor/src/protocol/relay.rs
+++ b/governor/src/protocol/relay.rs
@@ -87,6 +87,15 @@
 }
 
 impl Order {
+    /// The slice whose table it changes.
+    pub fn slice(&self) -> Option<SliceId> {
+        match self {
+            Order::Line { slice, .. } => Some(*slice),
+            Order::Level { slice, .. } => *slice,
+            Order::Withdraw { .. } | Order::Mark { .. } => None,
+        }
+    }
+
     pub fn encode(&self) -> String {
         match self {
             Order::Line { slice, server, weight } => format!("SET,{slice},{server},{weight}"),
@@ -102,7 +111,8 @@
     }
 }
 
-pub fn encode_call(orders: &[String]) -> String {
+pub fn encode_call(orders: &[Order]) -> String {
+    let orders: Vec<_> = orders.iter().map(Order::encode).collect();
     format!("APPLY {}", orders.join(";"))
 }
 
--- a/governor/src/routing/names.rs
+++ b/governor/src/routing/names.rs
@@ -26,7 +26,7 @@
         self.numbers.get(name).copied()
     }
 
-    pub fn name(&self, number: ServerId) -> Option<&str> {
-        self.names.get(number as usize).map(String::as_str)
+    pub fn name(&self, number: ServerId) -> Option<String> {
+        self.names.get(number as usize).cloned()
     }
 }
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -3,9 +3,9 @@
 
 use super::names::Names;
 use super::outbox::Outbox;
-use super::snapshot::{Snapshot, Table, PIECES};
+use super::snapshot::{Snapshot, Table};
 use crate::protocol::collector::{self, Message};
-use crate::protocol::discovery::List;
+use crate::protocol::discovery::{Entry, List};
 use crate::protocol::relay::{Answer, News, Order};
 use crate::transport::{limits, CallError, ConnectionId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,17 +25,18 @@
     NewsLost,
     Answer(Result<Answer, CallError>),
     List(List),
-    ListLost,
-    /// A time that was asked for has come.
-    Due,
-    /// All that had arrived is in.
+    /// With whether what the list was last said to be can still be built on.
+    ListLost {
+        readable: bool,
+    },
+    /// All that had arrived is in, and so is the time.
     Quiet,
 }
 
 #[derive(Debug, PartialEq)]
 pub enum Effect {
     Pong { to: ConnectionId },
-    Call(String),
+    Call { line: String, afresh: bool },
     FollowNews,
     FollowList { since: u64 },
     WakeAt(Moment),
@@ -48,7 +49,6 @@
     Call,
     News,
     List,
-    Snapshot,
 }
 
 pub struct Reducer {
@@ -105,10 +105,14 @@
                 self.list_version = list.version;
                 self.governor.listed(now, scope, &listings);
             }
-            // Where the list is asked for, the decisions say when to ask again.
-            Event::ListLost if !self.briefing.deployment.list_pushed => self.governor.list_failed(now),
-            Event::ListLost => self.after_pause(now, Due::List),
-            Event::Due => {}
+            Event::ListLost { readable } => {
+                self.list_version = if readable { self.list_version } else { 0 };
+                match self.briefing.deployment.list_pushed {
+                    true => self.after_pause(now, Due::List),
+                    // Where the list is asked for, the decisions say when to ask again.
+                    false => self.governor.list_failed(now),
+                }
+            }
             Event::Quiet => self.quiet(now),
         }
         std::mem::take(&mut self.effects)
@@ -118,12 +122,15 @@
         self.agenda.insert((now + Span::ns(limits::PAUSE.as_nanos() as u64), due));
     }
 
+    /// A place that the settings do not name is like no other.
+    fn place(&self, name: &str) -> PlaceId {
+        self.briefing.places.iter().position(|known| known == name).unwrap_or(PlaceId::MAX)
+    }
+
     fn listings(&mut self, list: &List) -> Vec<Listing> {
-        let places = &self.briefing.places;
-        let place = |name: &str| places.iter().position(|known| known == name).unwrap_or(PlaceId::MAX);
-        let listing = |entry: &crate::protocol::discovery::Entry| Listing {
+        let listing = |entry: &Entry| Listing {
+            place: self.place(&entry.place),
             server: self.names.number(&entry.server),
-            place: place(&entry.place),
             machine: entry.machine.clone(),
             standing: entry.state.into(),
             size: entry.size,
@@ -137,11 +144,11 @@
         match message {
             Message::Ping => self.effects.push(Effect::Pong { to: from }),
             Message::Met(collector::Met { place, server, tries, aborted, mean_latency_ms, covers_ms }) => {
-                let places = &self.briefing.places;
-                let place = places.iter().position(|known| *known == place).unwrap_or(PlaceId::MAX);
                 let (covers, mean_latency) = (span(covers_ms), span(mean_latency_ms));
+                let met = Met { place: self.place(&place), covers, tries, aborted, mean_latency };
+                // Reports invent no servers: one that neither the list nor the store has named is passed over.
                 if let Some(server) = self.names.known(&server) {
-                    self.governor.met(now, server, Met { place, covers, tries, aborted, mean_latency });
+                    self.governor.met(now, server, met);
                 }
             }
             Message::Asked(collector::Asked { slice, op_type, came, aborted, covers_ms }) => {
@@ -155,9 +162,12 @@
     }
 
     fn news(&mut self, now: Moment, news: News) {
-        let stands = matches!(news, News::Joined { .. } | News::Granted { .. } | News::Line { .. });
-        if !stands && !matches!(news, News::Acked { .. }) {
-            self.close_snapshot(now);
+        match &news {
+            News::Joined { .. } | News::Granted { .. } | News::Line { .. } => {
+                self.snapshot.iter_mut().for_each(|snapshot| snapshot.grew(now));
+            }
+            News::Acked { .. } => {}
+            _ => self.close_snapshot(now),
         }
         match news {
             News::Begins => self.snapshot = Some(Snapshot::new(true, now)),
@@ -166,10 +176,7 @@
                 Some(snapshot) if snapshot.whole => _ = snapshot.proxies.insert(proxy, bare),
                 _ => self.joined(now, proxy, bare),
             },
-            News::Left { proxy } => {
-                self.proxies.remove(&proxy);
-                self.governor.proxy_left(now, proxy);
-            }
+            News::Left { proxy } => self.left(now, proxy),
             News::Acked { proxy, mark } => self.governor.applied(now, proxy, mark),
             News::Granted { slice } => {
                 let snapshot = self.snapshot.get_or_insert_with(|| Snapshot::new(false, now));
@@ -177,18 +184,10 @@
             }
             News::Line { slice, server, weight } => {
                 let server = self.names.number(&server);
-                let given = self.snapshot.as_mut().and_then(|snapshot| snapshot.tables.get_mut(&slice));
-                if let Some(table) = given {
-                    table.insert(server, weight);
-                }
-            }
-            News::Revoked { slice } => {
-                self.tables.remove(&slice);
-                self.governor.slice_taken(now, slice);
+                let granted = self.snapshot.as_mut().and_then(|snapshot| snapshot.tables.get_mut(&slice));
+                granted.into_iter().for_each(|table| _ = table.insert(server, weight));
             }
-        }
-        if let Some(snapshot) = self.snapshot.as_mut().filter(|_| stands) {
-            snapshot.last = now;
+            News::Revoked { slice } => self.revoked(now, slice),
         }
     }
 
@@ -197,28 +196,40 @@
         self.governor.proxy_joined(now, proxy, bare);
     }
 
-    /// Rows belong with their grant: the decisions get both at once, or they would take a table for empty.
+    fn left(&mut self, now: Moment, proxy: ProxyId) {
+        self.proxies.remove(&proxy);
+        self.governor.proxy_left(now, proxy);
+    }
+
+    fn revoked(&mut self, now: Moment, slice: SliceId) {
+        self.tables.remove(&slice);
+        self.outbox.changed_hands(slice);
+        self.governor.slice_taken(now, slice);
+    }
+
+    /// Rows belong with their grant: the decisions get both at once, or they would take a table for empty and
+    /// fill it (against a break in the middle of a table, and news that come in pieces).
     fn close_snapshot(&mut self, now: Moment) {
         let Some(snapshot) = self.snapshot.take() else { return };
         if snapshot.whole {
-            let (proxies, slices) = (self.proxies.clone(), self.tables.keys().copied());
-            let taken: Vec<_> = slices.filter(|slice| !snapshot.tables.contains_key(slice)).collect();
-            for proxy in proxies.into_iter().filter(|proxy| !snapshot.proxies.contains_key(proxy)) {
-                self.proxies.remove(&proxy);
-                self.governor.proxy_left(now, proxy);
-            }
-            for slice in taken {
-                self.tables.remove(&slice);
-                self.governor.slice_taken(now, slice);
-            }
+            let gone = |proxy: &ProxyId| !snapshot.proxies.contains_key(proxy);
+            let gone: Vec<_> = self.proxies.iter().copied().filter(gone).collect();
+            gone.into_iter().for_each(|proxy| self.left(now, proxy));
+            let taken = |slice: &SliceId| !snapshot.tables.contains_key(slice);
+            let taken: Vec<_> = self.tables.keys().copied().filter(taken).collect();
+            taken.into_iter().for_each(|slice| self.revoked(now, slice));
             for (proxy, bare) in snapshot.proxies {
                 self.joined(now, proxy, bare);
             }
         }
         for (slice, table) in snapshot.tables {
-            // After a break in the news most tables are as we left them; what is remembered of them holds.
-            if !snapshot.whole || self.tables.get(&slice) != Some(&table) {
+            // After a break in the news most tables are as we left them, or will be once the open call is
+            // through: what is remembered of their loads must not be lost over that.
+            let ours = self.tables.get(&slice);
+            let holds = ours.is_some_and(|ours| *ours == table || self.outbox.concerns(slice));
+            if !(snapshot.whole && holds) {
                 let lines: Vec<_> = table.iter().map(|(server, weight)| (*server, *weight)).collect();
+                self.outbox.changed_hands(slice);
                 self.governor.slice_given(now, slice, &lines);
                 self.tables.insert(slice, table);
             }
@@ -226,31 +237,36 @@
     }
 
     fn answer(&mut self, now: Moment, outcome: Result<Answer, CallError>) {
-        match outcome {
-            Ok(answer) => {
-                let refused = self.outbox.answered(&answer);
-                if let Answer::NotNow(why) | Answer::Unusable(why) = &answer {
-                    self.effects.push(Effect::Note(format!("a call was turned away: {why}")));
-                } else if let Some(order) = refused {
-                    self.effects
-                        .push(Effect::Note(format!("an order can't be used and is skipped: {order}")));
-                }
-                if matches!(answer, Answer::NotNow(_)) {
-                    self.outbox.hold();
-                    self.after_pause(now, Due::Call);
+        let failed = match outcome {
+            Ok(Answer::Taken(many)) => {
+                if let Some(order) = self.outbox.taken(many) {
+                    self.note(format!("an order can't be used and is skipped: {}", order.encode()));
                 }
+                return;
             }
+            Ok(Answer::Unusable(why)) => {
+                self.note(format!("a call is dropped, the relay can't use it: {why}"));
+                self.outbox.dropped();
+                // Its orders stand in our tables and nowhere else: what the store has must be seen anew.
+                return self.effects.push(Effect::FollowNews);
+            }
+            Ok(Answer::NotNow(why)) => format!("a call was turned away: {why}"),
             Err(why) => {
-                self.effects.push(Effect::Note(format!("a call failed and is repeated: {why}")));
-                self.outbox.failed();
-                if matches!(why, CallError::NotSent(_)) {
-                    self.outbox.hold();
-                    self.after_pause(now, Due::Call);
-                }
+                let mark = self.outbox.mark().filter(|_| matches!(why, CallError::OutcomeUnknown(_)));
+                mark.into_iter().for_each(|mark| self.governor.ordered_again(now, mark));
+                format!("a call failed and is repeated: {why}")
             }
+        };
+        self.note(failed);
+        if self.outbox.failed() {
+            self.after_pause(now, Due::Call);
         }
     }
 
+    fn note(&mut self, text: String) {
+        self.effects.push(Effect::Note(text));
+    }
+
     fn quiet(&mut self, now: Moment) {
         while let Some((at, due)) = self.agenda.first().copied().filter(|(at, _)| *at <= now) {
             self.agenda.remove(&(at, due));
@@ -259,63 +275,60 @@
                 Due::Call => self.outbox.release(),
                 Due::News => self.effects.push(Effect::FollowNews),
                 Due::List => self.effects.push(Effect::FollowList { since: self.list_version }),
-                Due::Snapshot => {}
             }
         }
-        if let Some(last) = self.snapshot.as_ref().map(|snapshot| snapshot.last) {
-            if now - last >= PIECES {
-                self.close_snapshot(now);
-            } else {
-                self.agenda.insert((last + PIECES, Due::Snapshot));
-            }
+        if self.snapshot.as_ref().is_some_and(|snapshot| snapshot.ends() <= now) {
+            self.close_snapshot(now);
         }
         if self.outbox.is_clear() && self.snapshot.is_none() {
             self.collect(now);
         }
-        self.effects.extend(self.outbox.next().map(Effect::Call));
-        self.effects.extend(self.agenda.first().map(|(at, _)| Effect::WakeAt(*at)));
+        let call = self.outbox.next();
+        self.effects.extend(call.map(|(line, afresh)| Effect::Call { line, afresh }));
+        let next = self.agenda.first().map(|(at, _)| *at).into_iter();
+        let next = next.chain(self.snapshot.as_ref().map(Snapshot::ends)).min();
+        self.effects.extend(next.map(Effect::WakeAt));
     }
 
     fn collect(&mut self, now: Moment) {
-        let mut orders = Vec::new();
-        for step in self.governor.collect(now) {
-            let order = match step {
-                Step::Line { slice, server, weight } => {
-                    let table = self.tables.entry(slice).or_default();
-                    if weight > 0.0 {
-                        table.insert(server, weight);
-                    } else {
-                        table.remove(&server);
-                    }
-                    let named = self.names.name(server).map(str::to_string);
-                    named.map(|server| Order::Line { slice, server, weight })
-                }
-                Step::Withdraw { server, out } => {
-                    let named = self.names.name(server).map(str::to_string);
-                    named.map(|server| Order::Withdraw { server, out })
-                }
-                Step::Level { slice, op_types, share, tries } => {
-                    let named = self.briefing.op_types.iter().enumerate();
-                    let meant = named.filter(|(at, _)| op_types >> at & 1 == 1);
-                    let op_types = meant.map(|(_, name)| name.clone()).collect();
-                    Some(Order::Level { slice, op_types, share, tries })
-                }
-                Step::Mark { number } => Some(Order::Mark { number, of_all: false }),
-                Step::FollowList => {
-                    self.effects.push(Effect::FollowList { since: self.list_version });
-                    None
-                }
-                Step::Wake { token, after } => {
-                    self.agenda.insert((now + after, Due::Decisions(token)));
-                    None
-                }
-                Step::Note(text) => {
-                    self.effects.push(Effect::Note(text));
-                    None
+        let steps = self.governor.collect(now);
+        let orders = steps.into_iter().filter_map(|step| self.order(now, step)).collect();
+        self.outbox.put(orders);
+    }
+
+    /// The order that a step stands for; what concerns nobody but us is seen to here.
+    fn order(&mut self, now: Moment, step: Step) -> Option<Order> {
+        Some(match step {
+            Step::Line { slice, server, weight } => {
+                let name = self.names.name(server)?;
+                let table = self.tables.entry(slice).or_default();
+                match weight > 0.0 {
+                    true => _ = table.insert(server, weight),
+                    false => _ = table.remove(&server),
                 }
-            };
-            orders.extend(order);
-        }
-        self.outbox.put(&orders);
+                Order::Line { slice, server: name, weight }
+            }
+            Step::Withdraw { server, out } => Order::Withdraw { server: self.names.name(server)?, out },
+            Step::Level { slice, op_types, share, tries } => {
+                let named = self.briefing.op_types.iter().enumerate();
+                let meant = named.filter(|(at, _)| op_types >> at & 1 == 1);
+                let op_types = meant.map(|(_, name)| name.clone()).collect();
+                Order::Level { slice, op_types, share, tries }
+            }
+            Step::Mark { number } => Order::Mark { number, of_all: false },
+            Step::FollowList => {
+                self.effects.push(Effect::FollowList { since: self.list_version });
+                return None;
+            }
+            Step::Wake { token, after } => {
+                self.agenda.insert((now + after, Due::Decisions(token)));
+                return None;
+            }
+            Step::Sick { server, cause } => {
+                let name = self.names.name(server)?;
+                self.note(format!("server {name} is taken for sick: {cause}"));
+                return None;
+            }
+        })
     }
 }
--- a/governor/src/transport/calls.rs
+++ b/governor/src/transport/calls.rs
@@ -1,18 +1,24 @@
 //! Calls on the relay, one at a time, on one connection that is kept as long as it is good.
 
 use super::framing::Lines;
-use super::{connect, limits, within, Broken, CallError, Inbox, Input};
+use super::{connect, contained, limits, within, Broken, CallError, Inbox, Input};
 use actix_codec::Framed;
 use actix_rt::net::TcpStream;
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
 use tokio::sync::mpsc;
 
+pub struct Call {
+    pub line: String,
+    /// On a new connection: what the open one brings is not to be trusted.
+    pub afresh: bool,
+}
+
 type Line = Framed<TcpStream, Lines>;
 
 /// Makes each call that comes and says how it went. The relay closes idle connections: one that it has closed
 /// is seen at once, so that no call is written to it.
-pub async fn serve(relay: SocketAddr, mut calls: mpsc::Receiver<String>, inbox: Inbox) {
+pub async fn serve(relay: SocketAddr, mut calls: mpsc::Receiver<Call>, inbox: Inbox) {
     let mut open: Option<Line> = None;
     loop {
         let call = match &mut open {
@@ -26,8 +32,10 @@
                 call = calls.recv() => call,
             },
         };
-        let Some(call) = call else { return };
-        let answer = attempt(relay, &mut open, call).await;
+        let Some(Call { line, afresh }) = call else { return };
+        open = open.filter(|_| !afresh);
+        let attempt = contained(attempt(relay, &mut open, line)).await;
+        let answer = attempt.unwrap_or_else(|panicked| Err(CallError::OutcomeUnknown(panicked)));
         if answer.is_err() {
             open = None; // a late answer must not be taken for the next one's
         }
--- a/governor/src/transport/framing.rs
+++ b/governor/src/transport/framing.rs
@@ -2,10 +2,49 @@
 
 use actix_codec::{Decoder, Encoder};
 use bytes::{Buf, BufMut, BytesMut};
+use std::cell::Cell;
 use std::io::{Error, ErrorKind};
+use std::rc::Rc;
+
+/// What lines without their end may take in memory, of all connections that share it. Where that is too much,
+/// whoever holds more than an even share goes: many strangers with long lines cost no collector its place.
+#[derive(Clone)]
+pub struct Unfinished {
+    held: Rc<Cell<usize>>,
+    most: usize,
+    share: usize,
+}
+
+impl Unfinished {
+    pub fn new(most: usize, connections: usize) -> Self {
+        Unfinished { held: Rc::default(), most, share: most / connections.max(1) }
+    }
+}
+
+/// The part of one connection.
+struct Held {
+    all: Unfinished,
+    own: usize,
+}
+
+impl Held {
+    /// False where it is too much.
+    fn set(&mut self, own: usize) -> bool {
+        self.all.held.set(self.all.held.get() - self.own + own);
+        self.own = own;
+        own <= self.all.share || self.all.held.get() <= self.all.most
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
 
 pub struct Lines {
     limit: usize,
+    held: Option<Held>,
     ending: &'static str,
     /// So much of the buffer holds no end of a line.
     searched: usize,
@@ -13,12 +52,16 @@
 
 impl Lines {
     pub fn new(limit: usize) -> Self {
-        Lines { limit, ending: "\n", searched: 0 }
+        Lines { limit, held: None, ending: "\n", searched: 0 }
     }
 
     pub fn with_crlf(limit: usize) -> Self {
         Lines { ending: "\r\n", ..Lines::new(limit) }
     }
+
+    pub fn within(limit: usize, all: &Unfinished) -> Self {
+        Lines { held: Some(Held { all: all.clone(), own: 0 }), ..Lines::new(limit) }
+    }
 }
 
 impl Decoder for Lines {
@@ -33,7 +76,10 @@
         }
         let Some(end) = end else {
             self.searched = bytes.len();
-            return Ok(None);
+            return match self.held.as_mut().is_none_or(|held| held.set(bytes.len())) {
+                true => Ok(None),
+                false => wrong("too much memory is taken by lines without an end"),
+            };
         };
         self.searched = 0;
         let line = bytes.split_to(end);
--- a/governor/src/transport/limits.rs
+++ b/governor/src/transport/limits.rs
@@ -8,8 +8,11 @@
 pub const ANSWER: Duration = Duration::from_millis(150);
 /// The relay gives a sign of life each second: two missed ones and some delay are silence.
 pub const NEWS_SILENCE: Duration = Duration::from_millis(2500);
-/// Discovery gives one every two seconds.
-pub const LIST_SILENCE: Duration = Duration::from_millis(5000);
+/// Discovery gives one every two seconds, from our own machine and at no cost, and what it has not delivered
+/// counts as told after six: one missed sign and some delay are silence.
+pub const LIST_SILENCE: Duration = Duration::from_millis(3000);
+/// It answers at once, or is silent.
+pub const LIST_ANSWER: Duration = Duration::from_millis(500);
 /// Before the next attempt to reach the relay or discovery. A refused connection costs next to nothing.
 pub const PAUSE: Duration = Duration::from_millis(100);
 /// Whoever connects to us says something in this time, or is let go.
@@ -21,6 +24,8 @@
 /// What one peer may leave unread, in answers of a few bytes each.
 pub const UNREAD_ANSWERS: usize = 64;
 /// Lines that wait for the loop; readers stop there, and TCP holds the others back.
-pub const INBOX: usize = 4096;
+pub const INBOX: usize = 1024;
+/// The part of our memory that lines which lack their end may take, all together.
+pub const UNFINISHED_PART: usize = 8;
 /// Descriptors kept for everything that is not a connection to our address.
 pub const RESERVED: usize = 64;
--- a/governor/src/transport/listener.rs
+++ b/governor/src/transport/listener.rs
@@ -1,6 +1,6 @@
 //! Our own address: bounded connections, each read line by line in a task of its own.
 
-use super::framing::Lines;
+use super::framing::{Lines, Unfinished};
 use super::{limits, ConnectionId, Inbox, Input};
 use actix_codec::Framed;
 use actix_rt::net::{TcpListener, TcpStream};
@@ -21,7 +21,7 @@
 
 /// Takes connections for ever. Where there are too many, the one that has been silent longest goes: strangers
 /// who connect and say nothing must not cost a collector its place.
-pub async fn listen(listener: TcpListener, most: usize, inbox: Inbox) {
+pub async fn listen(listener: Rc<TcpListener>, most: usize, unfinished: Unfinished, inbox: Inbox) {
     let peers = Peers::default();
     for id in 0.. {
         let stream = match listener.accept().await {
@@ -39,8 +39,9 @@
             silent.and_then(|id| peers.borrow_mut().remove(&id));
         }
         let (peers, inbox) = (peers.clone(), inbox.clone());
+        let framed = Framed::new(stream, Lines::within(limits::LINE, &unfinished));
         actix_rt::spawn(async move {
-            let served = serve(id, stream, &peers, inbox);
+            let served = serve(id, framed, &peers, inbox);
             tokio::select! {
                 why = served => log::debug!("connection {id} ended: {why}"),
                 _ = let_go => log::debug!("connection {id} was let go, others need its place"),
@@ -50,8 +51,12 @@
     }
 }
 
-async fn serve(id: ConnectionId, stream: TcpStream, peers: &Peers, inbox: Inbox) -> String {
-    let mut framed = Framed::new(stream, Lines::new(limits::LINE));
+async fn serve(
+    id: ConnectionId,
+    mut framed: Framed<TcpStream, Lines>,
+    peers: &Peers,
+    inbox: Inbox,
+) -> String {
     let (back, mut answers) = mpsc::channel(limits::UNREAD_ANSWERS);
     let mut patience = limits::FIRST_WORD;
     loop {
--- a/governor/src/transport/mod.rs
+++ b/governor/src/transport/mod.rs
@@ -7,8 +7,11 @@
 pub mod news;
 pub mod watch;
 
+use futures_util::FutureExt;
 use std::fmt;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::time::Duration;
 use tokio::sync::mpsc;
 
@@ -39,6 +42,8 @@
     Silent,
     Closed,
     Unreadable(String),
+    /// Our own fault, which must cost no more than the connection.
+    Panicked,
 }
 
 /// How far a call had come when it failed.
@@ -57,6 +62,7 @@
             Broken::Silent => f.write_str("silent"),
             Broken::Closed => f.write_str("closed by the other side"),
             Broken::Unreadable(why) => write!(f, "unreadable ({why})"),
+            Broken::Panicked => f.write_str("lost by a panic of ours"),
         }
     }
 }
@@ -70,7 +76,12 @@
     }
 }
 
-async fn within<T>(most: Duration, work: impl std::future::Future<Output = T>) -> Result<T, Broken> {
+/// A panic stops at the connection on which it happened.
+async fn contained<T>(work: impl Future<Output = T>) -> Result<T, Broken> {
+    AssertUnwindSafe(work).catch_unwind().await.map_err(|_| Broken::Panicked)
+}
+
+async fn within<T>(most: Duration, work: impl Future<Output = T>) -> Result<T, Broken> {
     actix_rt::time::timeout(most, work).await.map_err(|_| Broken::Silent)
 }
 
--- a/governor/src/transport/news.rs
+++ b/governor/src/transport/news.rs
@@ -1,13 +1,13 @@
 //! The connection that brings the relay's news. It ends with the first failure, and is said to have ended.
 
 use super::framing::Lines;
-use super::{connect, limits, within, Broken, Inbox, Input};
+use super::{connect, contained, limits, within, Broken, Inbox, Input};
 use actix_codec::Framed;
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
 
 pub async fn follow(relay: SocketAddr, request: &'static str, inbox: Inbox) {
-    let why = read(relay, request, &inbox).await;
+    let why = contained(read(relay, request, &inbox)).await.unwrap_or_else(|panicked| panicked);
     _ = inbox.send(Input::NewsLost(why)).await;
 }
 
--- a/governor/src/transport/watch.rs
+++ b/governor/src/transport/watch.rs
@@ -1,19 +1,19 @@
 //! Discovery's watch: one request, answered by lines for as long as it lasts.
 
 use super::framing::Lines;
-use super::{limits, within, Broken, Inbox, Input};
+use super::{contained, limits, within, Broken, Inbox, Input};
 use actix_codec::Decoder;
 use bytes::BytesMut;
 use futures_util::StreamExt;
 
 pub async fn follow(client: awc::Client, url: String, inbox: Inbox) {
-    let why = read(client, url, &inbox).await;
+    let why = contained(read(client, url, &inbox)).await.unwrap_or_else(|panicked| panicked);
     _ = inbox.send(Input::ListLost(why)).await;
 }
 
 async fn read(client: awc::Client, url: String, inbox: &Inbox) -> Broken {
     let unreachable = |why: &dyn std::fmt::Display| Broken::Unreachable(why.to_string());
-    let mut answer = match within(limits::LIST_SILENCE, client.get(url).send()).await {
+    let mut answer = match within(limits::LIST_ANSWER, client.get(url).send()).await {
         Ok(Ok(answer)) if answer.status().is_success() => answer,
         Ok(Ok(answer)) => return unreachable(&answer.status()),
         Ok(Err(why)) => return unreachable(&why),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -57,11 +57,32 @@
 /// A step of a reply. Steps take effect in order: a withdrawal never overtakes the line that replaces it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
-    Line { slice: SliceId, server: ServerId, weight: f64 },
-    Withdraw { server: ServerId, out: bool },
-    Level { slice: Option<SliceId>, op_types: u64, share: f64, tries: u8 },
-    Mark { number: u16 },
+    Line {
+        slice: SliceId,
+        server: ServerId,
+        weight: f64,
+    },
+    Withdraw {
+        server: ServerId,
+        out: bool,
+    },
+    Level {
+        slice: Option<SliceId>,
+        op_types: u64,
+        share: f64,
+        tries: u8,
+    },
+    Mark {
+        number: u16,
+    },
     FollowList,
-    Wake { token: u64, after: Span },
-    Note(String),
+    Wake {
+        token: u64,
+        after: Span,
+    },
+    /// For whoever watches: a server is taken for sick, and why.
+    Sick {
+        server: ServerId,
+        cause: &'static str,
+    },
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -371,7 +371,7 @@
             s.strikes += 1;
             s.sick_until = Some(self.now + SICK_FOR.times(f64::from(s.strikes.min(4))));
             s.forget();
-            self.steps.push(Step::Note(format!("server {id} taken for sick: {cause}")));
+            self.steps.push(Step::Sick { server: id, cause });
         }
         true
     }
--- a/src/news.rs
+++ b/src/news.rs
@@ -38,6 +38,13 @@
         self.settle(now);
     }
 
+    /// The reply with this mark is ordered once more, as its outcome is not known: its lines may be in the
+    /// channel twice, and its message counts again (rule 5).
+    pub fn ordered_again(&mut self, now: Moment, mark: u16) {
+        self.channel.repeat(now, mark);
+        self.settle(now);
+    }
+
     pub fn met(&mut self, now: Moment, server: ServerId, met: Met) {
         if let Some(s) = self.servers.get_mut(&server) {
             let way = (met.place, s.place);
--- a/src/state.rs
+++ b/src/state.rs
@@ -464,6 +464,8 @@
 pub struct Sent {
     pub waiting: BTreeSet<ProxyId>,
     pub lines_each: f64,
+    /// How often it was ordered.
+    pub times: f64,
     pub at: Moment,
     /// The slices that wait for it.
     pub slices: Vec<SliceId>,
@@ -502,6 +504,13 @@
         self.marks.values_mut().for_each(|m| _ = m.waiting.remove(&proxy));
     }
 
+    pub fn repeat(&mut self, now: Moment, mark: u16) {
+        if let Some(sent) = self.marks.get_mut(&mark) {
+            sent.times += 1.0;
+            self.messages.add(now, 1.0);
+        }
+    }
+
     pub fn acked(&mut self, proxy: ProxyId, mark: u16) {
         if let Some(sent) = self.marks.get_mut(&mark) {
             sent.waiting.remove(&proxy);
@@ -513,7 +522,7 @@
     /// yet acked are no fewer than those that wait, however slowly the channel runs.
     pub fn lines_waiting(&self) -> f64 {
         let behind = self.marks.values().filter(|m| m.at >= self.last_through);
-        behind.map(|m| m.lines_each * m.waiting.len() as f64).sum()
+        behind.map(|m| m.lines_each * m.times * m.waiting.len() as f64).sum()
     }
 
     /// Adds lines to this reply's message, and opens the message where there is none yet.
@@ -523,8 +532,8 @@
             self.messages.add(now, 1.0);
             self.written = now;
             let waiting = self.proxies.clone();
-            self.marks
-                .insert(self.last_mark, Sent { waiting, lines_each: head, at: now, slices: Vec::new() });
+            let sent = Sent { waiting, lines_each: head, times: 1.0, at: now, slices: Vec::new() };
+            self.marks.insert(self.last_mark, sent);
             self.last_mark
         });
         self.open_mark = Some(number);
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -126,7 +126,7 @@
 }
 
 fn verdicts(steps: &[Step]) -> usize {
-    steps.iter().filter(|s| matches!(s, Step::Note(_))).count()
+    steps.iter().filter(|s| matches!(s, Step::Sick { .. })).count()
 }
 
 fn is_cut(step: &Step, of: Option<SliceId>, mask: u64) -> bool {
