--- a/governor/src/routing/outbox.rs
+++ b/governor/src/routing/outbox.rs
@@ -58,9 +58,9 @@
         }
     }
 
-    /// Its table is about to change by what waits here.
-    pub fn concerns(&self, slice: SliceId) -> bool {
-        self.calls.iter().flatten().any(|order| order.slice() == Some(slice))
+    /// The slices whose tables are about to change by what waits here.
+    pub fn slices(&self) -> BTreeSet<SliceId> {
+        self.calls.iter().flatten().filter_map(Order::slice).collect()
     }
 
     /// The call to make now, if none is being made; on a fresh connection where the last attempt failed.
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -60,6 +60,9 @@
     /// The tables as the store has them, once it has carried out what was ordered.
     tables: BTreeMap<SliceId, Table>,
     snapshot: Option<Snapshot>,
+    /// Slices with orders that were open, or made, since the news was last asked for: of these a snapshot may
+    /// show what was before or what comes after.
+    in_motion: BTreeSet<SliceId>,
     outbox: Outbox,
     agenda: BTreeSet<(Moment, Due)>,
     effects: Vec<Effect>,
@@ -75,6 +78,7 @@
             proxies: BTreeSet::new(),
             tables: BTreeMap::new(),
             snapshot: None,
+            in_motion: BTreeSet::new(),
             outbox: Outbox::default(),
             agenda: BTreeSet::new(),
             effects: Vec::new(),
@@ -87,7 +91,7 @@
     pub fn apply(&mut self, now: Moment, event: Event) -> Vec<Effect> {
         match event {
             Event::Started => {
-                self.effects.push(Effect::FollowNews);
+                self.follow_news();
                 if self.briefing.deployment.list_pushed {
                     self.effects.push(Effect::FollowList { since: self.list_version });
                 }
@@ -122,6 +126,11 @@
         self.agenda.insert((now + Span::ns(limits::PAUSE.as_nanos() as u64), due));
     }
 
+    fn follow_news(&mut self) {
+        self.in_motion = self.outbox.slices();
+        self.effects.push(Effect::FollowNews);
+    }
+
     /// A place that the settings do not name is like no other.
     fn place(&self, name: &str) -> PlaceId {
         self.briefing.places.iter().position(|known| known == name).unwrap_or(PlaceId::MAX)
@@ -211,7 +220,8 @@
     /// fill it (against a break in the middle of a table, and news that come in pieces).
     fn close_snapshot(&mut self, now: Moment) {
         let Some(snapshot) = self.snapshot.take() else { return };
-        if snapshot.whole {
+        let whole = snapshot.whole;
+        if whole {
             let gone = |proxy: &ProxyId| !snapshot.proxies.contains_key(proxy);
             let gone: Vec<_> = self.proxies.iter().copied().filter(gone).collect();
             gone.into_iter().for_each(|proxy| self.left(now, proxy));
@@ -223,17 +233,21 @@
             }
         }
         for (slice, table) in snapshot.tables {
-            // After a break in the news most tables are as we left them, or will be once the open call is
-            // through: what is remembered of their loads must not be lost over that.
+            // After a break in the news most tables are as we left them, or as orders on their way leave them:
+            // what is remembered of their loads must not be lost over that.
             let ours = self.tables.get(&slice);
-            let holds = ours.is_some_and(|ours| *ours == table || self.outbox.concerns(slice));
-            if !(snapshot.whole && holds) {
+            let holds = ours.is_some_and(|ours| *ours == table || self.in_motion.contains(&slice));
+            if !(whole && holds) {
                 let lines: Vec<_> = table.iter().map(|(server, weight)| (*server, *weight)).collect();
                 self.outbox.changed_hands(slice);
                 self.governor.slice_given(now, slice, &lines);
                 self.tables.insert(slice, table);
             }
         }
+        if whole {
+            let (proxies, slices) = (self.proxies.len(), self.tables.len());
+            self.note(format!("the relay's news stands: {proxies} proxies, {slices} slices"));
+        }
     }
 
     fn answer(&mut self, now: Moment, outcome: Result<Answer, CallError>) {
@@ -248,7 +262,7 @@
                 self.note(format!("a call is dropped, the relay can't use it: {why}"));
                 self.outbox.dropped();
                 // Its orders stand in our tables and nowhere else: what the store has must be seen anew.
-                return self.effects.push(Effect::FollowNews);
+                return self.follow_news();
             }
             Ok(Answer::NotNow(why)) => format!("a call was turned away: {why}"),
             Err(why) => {
@@ -273,7 +287,7 @@
             match due {
                 Due::Decisions(token) => self.governor.woken(now, token),
                 Due::Call => self.outbox.release(),
-                Due::News => self.effects.push(Effect::FollowNews),
+                Due::News => self.follow_news(),
                 Due::List => self.effects.push(Effect::FollowList { since: self.list_version }),
             }
         }
@@ -292,7 +306,8 @@
 
     fn collect(&mut self, now: Moment) {
         let steps = self.governor.collect(now);
-        let orders = steps.into_iter().filter_map(|step| self.order(now, step)).collect();
+        let orders: Vec<_> = steps.into_iter().filter_map(|step| self.order(now, step)).collect();
+        self.in_motion.extend(orders.iter().filter_map(Order::slice));
         self.outbox.put(orders);
     }
 
--- /dev/null
+++ b/governor/tests/reducer.rs
@@ -0,0 +1,415 @@
+//! The reducer without sockets, against a store that carries out calls or loses them.
+
+use quickcheck::{Arbitrary, Gen};
+use std::collections::{BTreeMap, BTreeSet};
+use whinwall::time::{Moment, Span};
+use whinwall_governor::protocol::relay::{decode_news, Answer};
+use whinwall_governor::protocol::{collector, discovery};
+use whinwall_governor::routing::{Effect, Event, Reducer};
+use whinwall_governor::transport::{Broken, CallError};
+
+type Store = BTreeMap<u32, BTreeMap<String, f64>>;
+
+struct Rig {
+    reducer: Reducer,
+    now: Moment,
+    wake: Option<Moment>,
+    store: Store,
+    servers: BTreeMap<String, &'static str>,
+    proxies: u32,
+    /// The call that waits for its answer, and all that were made.
+    open: Option<String>,
+    calls: Vec<String>,
+    follows: Vec<Effect>,
+    notes: Vec<String>,
+}
+
+const UNKNOWN: Event = Event::Answer(Err(CallError::OutcomeUnknown(Broken::Silent)));
+
+impl Rig {
+    /// Six servers, twelve slices, four proxies; nothing of it told yet.
+    fn new() -> Self {
+        let example = include_str!("../../deploy/example.json");
+        let example: serde_json::Value = serde_json::from_str(example).unwrap();
+        let briefing = whinwall_briefing::read(&example["settings"]).unwrap();
+        let now = Moment::default() + Span::ms(1_800_000_000_000);
+        let mut rig = Rig {
+            reducer: Reducer::start(briefing, 7, &discovery::List::default(), now),
+            now,
+            wake: None,
+            store: (0..12).map(|n| (n, BTreeMap::from([(format!("s-{}", n % 6), 1.0)]))).collect(),
+            servers: (0..6).map(|n| (format!("s-{n}"), "active")).collect(),
+            proxies: 4,
+            open: None,
+            calls: Vec::new(),
+            follows: Vec::new(),
+            notes: Vec::new(),
+        };
+        rig.tell(Event::Started);
+        rig
+    }
+
+    /// One that serves: list and news told, the first orders out.
+    fn serving() -> Self {
+        let mut rig = Rig::new();
+        rig.list();
+        rig.standing(&[]);
+        rig.pass(2000);
+        rig
+    }
+
+    fn tell(&mut self, event: Event) {
+        for effect in self.reducer.apply(self.now, event) {
+            match effect {
+                Effect::Call { line, .. } => {
+                    assert_eq!(self.open.replace(line.clone()), None, "two calls at a time");
+                    self.calls.push(line);
+                }
+                Effect::WakeAt(at) => self.wake = Some(at),
+                Effect::Note(text) => self.notes.push(text),
+                other => self.follows.push(other),
+            }
+        }
+    }
+
+    fn quiet(&mut self) {
+        self.wake = None;
+        self.tell(Event::Quiet);
+    }
+
+    fn news(&mut self, line: &str) {
+        self.tell(Event::News(decode_news(line).unwrap()));
+    }
+
+    fn list(&mut self) {
+        let entry = |(id, state): (&String, &&str)| serde_json::json!({"id": id, "zone": "north", "kind": "m2", "state": state, "weight": 1.0});
+        let entries: Vec<_> = self.servers.iter().map(entry).collect();
+        let list = serde_json::json!({"version": 41, "full": true, "servers": entries});
+        self.tell(Event::List(discovery::decode(&list.to_string()).unwrap().unwrap()));
+    }
+
+    /// What a new news connection says stands, all but the slices without a grant.
+    fn standing(&mut self, ungranted: &[u32]) {
+        let mut lines = vec!["OK".to_string()];
+        lines.extend((0..self.proxies).map(|proxy| format!("* SUBSCRIBE {proxy} north 21.5 1")));
+        for (slice, table) in self.store.iter().filter(|(slice, _)| !ungranted.contains(slice)) {
+            lines.push(format!("* GRANT {slice} 1"));
+            lines.extend(table.iter().map(|(server, weight)| format!("* ROW {slice} {server} {weight}")));
+        }
+        lines.iter().for_each(|line| self.news(line));
+        self.quiet();
+    }
+
+    /// Carries out what the call says, and acks its mark.
+    fn carry_out(&mut self, call: &str) -> usize {
+        let orders: Vec<_> = call.strip_prefix("APPLY ").unwrap().split(';').collect();
+        for order in &orders {
+            match order.split(',').collect::<Vec<_>>()[..] {
+                ["SET", slice, server, weight] => {
+                    assert!(self.servers.contains_key(server), "{order}");
+                    let table = self.store.get_mut(&slice.parse().unwrap()).unwrap();
+                    match weight.parse().unwrap() {
+                        0.0 => _ = table.remove(server),
+                        weight => _ = table.insert(server.into(), weight),
+                    }
+                    assert!(!table.is_empty(), "{order} leaves a table empty");
+                }
+                ["SYNC", mark, _] => {
+                    (0..self.proxies).for_each(|proxy| self.news(&format!("* ACK {proxy} {mark} 90.5")))
+                }
+                _ => {}
+            }
+        }
+        orders.len()
+    }
+
+    fn answer(&mut self) {
+        let Some(call) = self.open.take() else { return };
+        let taken = self.carry_out(&call);
+        self.tell(Event::Answer(Ok(Answer::Taken(taken))));
+        self.quiet();
+    }
+
+    /// Time passes, calls are answered at once.
+    fn pass(&mut self, ms: u64) {
+        let end = self.now + Span::ms(ms);
+        loop {
+            self.answer();
+            if self.open.is_some() {
+                continue;
+            }
+            match self.wake {
+                Some(at) if at <= end => self.now = at.max(self.now),
+                _ => break,
+            }
+            self.quiet();
+        }
+        self.now = end;
+        self.quiet();
+    }
+
+    fn drain(&mut self, server: &str) {
+        self.servers.insert(server.into(), "leaving");
+        self.list();
+        self.quiet();
+    }
+
+    fn owners(&self) -> BTreeSet<&str> {
+        let whole =
+            |(server, weight): (&'_ String, &f64)| (*weight >= 1.0).then_some(server.as_str().to_owned());
+        let all: Vec<String> = self.store.values().flat_map(|table| table.iter().filter_map(whole)).collect();
+        self.servers.keys().map(String::as_str).filter(|server| all.iter().any(|s| s == server)).collect()
+    }
+}
+
+#[test]
+fn orders_rest_on_whole_tables() {
+    let mut rig = Rig::new();
+    rig.list();
+    for line in ["OK", "* SUBSCRIBE 0 north 9.5 1", "* GRANT 3 1"] {
+        rig.news(line);
+    }
+    // The piece ends here: the row is still under way, and the table must not be taken for empty.
+    rig.quiet();
+    assert_eq!(rig.calls, Vec::<String>::new());
+    rig.now = rig.now + Span::ms(20);
+    rig.news("* ROW 3 s-3 1.0");
+    rig.quiet();
+    rig.pass(3000);
+    assert!(rig.calls.iter().all(|call| !call.contains("SET,3,s-3,")), "{:?}", rig.calls);
+    assert!(rig.calls.iter().any(|call| call.contains("SET,3,")), "who stands by is never ordered");
+}
+
+#[test]
+fn a_drain_moves_all_slices_in_one_call() {
+    let mut rig = Rig::serving();
+    let before = rig.calls.len();
+    rig.drain("s-2");
+    let call = rig.calls[before..].first().expect("no call follows a drain").clone();
+    assert!(
+        call.starts_with("APPLY OUT,s-2;") && call.contains("SET,2,s-2,0") && call.contains("SET,8,s-2,0")
+    );
+    rig.pass(1000);
+    assert!(!rig.owners().contains("s-2"));
+}
+
+#[test]
+fn an_open_call_is_said_again_before_anything_newer() {
+    let mut rig = Rig::serving();
+    rig.drain("s-2");
+    let first = rig.open.take().unwrap();
+    rig.tell(UNKNOWN);
+    // What is learnt meanwhile makes no call of its own.
+    rig.drain("s-3");
+    assert_eq!(rig.open.as_ref(), Some(&first), "the first repeat is made at once");
+    rig.open = None;
+    rig.tell(UNKNOWN);
+    rig.quiet();
+    assert_eq!(rig.open, None, "the second repeat waits, or a broken relay would be called without end");
+    rig.now = rig.now + Span::ms(100);
+    rig.quiet();
+    assert_eq!(rig.open.as_ref(), Some(&first));
+    rig.answer();
+    assert!(rig.open.as_ref().unwrap().contains("OUT,s-3"));
+    rig.pass(1000);
+    assert!(!rig.owners().contains("s-2") && !rig.owners().contains("s-3"));
+}
+
+#[test]
+fn an_order_that_cant_be_used_is_skipped_once() {
+    let mut rig = Rig::serving();
+    rig.drain("s-2");
+    let call = rig.open.take().unwrap();
+    let orders: Vec<_> = call.strip_prefix("APPLY ").unwrap().split(';').collect();
+    rig.tell(Event::Answer(Ok(Answer::Taken(2))));
+    rig.quiet();
+    assert_eq!(rig.open, Some(format!("APPLY {}", orders[3..].join(";"))));
+    assert!(rig.notes.last().unwrap().contains(orders[2]));
+    // At the last order nothing is left to be said, and a figure out of nowhere ends the call too.
+    for taken in [orders.len() - 4, usize::MAX] {
+        rig.open = None;
+        rig.tell(Event::Answer(Ok(Answer::Taken(taken))));
+        rig.quiet();
+        assert!(rig.open.iter().all(|next| !call.contains(&next[6..])));
+        rig.drain("s-3");
+    }
+}
+
+#[test]
+fn a_call_that_is_no_call_is_dropped_and_the_store_read_anew() {
+    let mut rig = Rig::serving();
+    rig.drain("s-2");
+    rig.open = None;
+    rig.follows.clear();
+    rig.tell(Event::Answer(Ok(Answer::Unusable("ERR bad_request".into()))));
+    assert_eq!(rig.follows, [Effect::FollowNews]);
+    rig.standing(&[]);
+    rig.pass(1000);
+    assert!(!rig.owners().contains("s-2"), "what was dropped is ordered again");
+}
+
+#[test]
+fn news_that_broke_off_is_made_up_for() {
+    let mut rig = Rig::serving();
+    // A break in the middle of a table: the half is forgotten.
+    rig.news("OK");
+    rig.news("* GRANT 3 1");
+    rig.tell(Event::NewsLost);
+    rig.quiet();
+    assert_eq!(rig.follows.last(), Some(&Effect::FollowList { since: 0 }), "it pauses first");
+    let before = rig.calls.len();
+    rig.pass(100);
+    assert_eq!(rig.follows.last(), Some(&Effect::FollowNews));
+    assert!(!rig.calls[before..].iter().any(|call| call.contains("SET,3,")), "half a table was built on");
+    // Meanwhile two proxies left, slice 4 went to another governor, and slice 5 to another server.
+    rig.store.insert(5, BTreeMap::from([("s-0".into(), 1.0)]));
+    rig.proxies = 2;
+    rig.standing(&[4]);
+    rig.pass(500);
+    assert_eq!(rig.notes.last().unwrap(), "the relay's news stands: 2 proxies, 11 slices");
+    let before = rig.calls.len();
+    rig.drain("s-4");
+    rig.drain("s-0");
+    rig.pass(1000);
+    let after = rig.calls[before..].join(" ");
+    assert!(!after.contains("SET,4,") && after.contains("SET,10,s-4,0") && after.contains("SET,5,s-0,0"));
+}
+
+#[test]
+fn stale_orders_for_a_slice_that_changed_hands_are_not_repeated() {
+    let mut rig = Rig::serving();
+    rig.drain("s-2");
+    assert!(rig.open.take().unwrap().contains("SET,8,s-2,0"));
+    rig.news("* GRANT 8 0");
+    rig.tell(UNKNOWN);
+    rig.quiet();
+    let again = rig.open.clone().unwrap();
+    assert!(again.contains("SET,2,s-2,0") && !again.contains(",8,"), "{again}");
+}
+
+#[test]
+fn tables_under_an_open_call_are_not_taken_for_changed() {
+    let mut rig = Rig::serving();
+    rig.drain("s-2");
+    let call = rig.open.take().unwrap();
+    rig.tell(Event::Answer(Err(CallError::NotSent(Broken::Closed))));
+    // The relay is back with the tables as they were: the call is still to come, and it alone.
+    rig.standing(&[]);
+    assert_eq!(rig.open.as_ref(), Some(&call));
+    rig.answer();
+    rig.pass(250);
+    let again = rig.calls.iter().filter(|made| made.contains("SET,2,s-2,0")).count();
+    assert_eq!(again, 2, "{:?}", rig.calls);
+}
+
+#[test]
+fn a_lost_list_is_asked_for_again() {
+    let mut rig = Rig::serving();
+    for (readable, since) in [(true, 41), (false, 0)] {
+        rig.tell(Event::ListLost { readable });
+        rig.quiet();
+        rig.pass(100);
+        assert_eq!(rig.follows.last(), Some(&Effect::FollowList { since }));
+    }
+}
+
+#[test]
+fn strange_messages_change_nothing() {
+    let mut rig = Rig::serving();
+    let before = rig.calls.len();
+    for line in [
+        r#"{"@type":"LOAD","az":"nowhere","host":"s-99","n":2e2,"bad":3,"avg":41.7,"window":1000.0}"#,
+        r#"{"@type":"LOAD","az":"nowhere","host":"s-1","n":0,"bad":0,"avg":0,"window":0}"#,
+        r#"{"@type":"SHARD","partition":4000000000,"kind":"lookup","n":40,"bad":1,"window":1000.0}"#,
+        r#"{"@type":"SHARD","partition":1,"kind":"unheard","n":1e12,"bad":1,"window":1000.0}"#,
+        r#"{"@type":"SOURCE","az":"nowhere"}"#,
+        r#"{"@type":"GREETING","of":{"any":["shape"]}}"#,
+    ] {
+        rig.tell(Event::Message { from: 1, message: collector::decode(line).unwrap() });
+        rig.quiet();
+    }
+    for line in ["* CLOSED 77", "* ACK 77 9 1.5", "* ACK 0 65535 1.5", "* GRANT 400 0", "* ROW 401 s-1 1.0"] {
+        rig.news(line);
+        rig.quiet();
+    }
+    assert_eq!(rig.calls.len(), before);
+    for line in [
+        "",
+        "[]",
+        "{",
+        r#"{"@type":7}"#,
+        r#"{"@type":"LOAD","az":"a","host":"s-1","n":-1,"bad":0,"avg":1,"window":1}"#,
+        r#"{"@type":"LOAD","az":"a","host":"s-1","n":1e300,"bad":0,"avg":1,"window":1}"#,
+        r#"{"@type":"SHARD","partition":-4,"kind":"lookup","n":40,"bad":1,"window":1000.0}"#,
+    ] {
+        assert!(collector::decode(line).is_err(), "{line}");
+    }
+    for line in ["", "GRANT 1 1", "* GRANT", "* GRANT x 1", "* ROW 1 s-1 NaN", "* ACK 1 70000 1", "* NEWS"] {
+        assert!(decode_news(line).is_err(), "{line}");
+    }
+}
+
+/// What happens, in any order: every call is answered, lost before or after it was carried out, or turned
+/// away; news break off; servers drain and return; slices go and come.
+#[derive(Clone, Debug)]
+struct Deeds(Vec<(u8, u32)>);
+
+impl Arbitrary for Deeds {
+    fn arbitrary(gen: &mut Gen) -> Self {
+        Deeds(Vec::arbitrary(gen))
+    }
+}
+
+#[test]
+fn whatever_fails_the_store_ends_as_ordered() {
+    for seed in 0..60 {
+        let deeds = Deeds::arbitrary(&mut Gen::from_size_and_seed(80, seed));
+        let mut rig = Rig::serving();
+        for (deed, n) in &deeds.0 {
+            let server = format!("s-{}", n % 6);
+            match deed % 9 {
+                0 if rig.servers.values().filter(|state| **state == "active").count() > 2 => {
+                    rig.drain(&server)
+                }
+                1 => {
+                    rig.servers.insert(server, "active");
+                    rig.list();
+                    rig.quiet();
+                }
+                2 | 3 => {
+                    if let Some(call) = rig.open.take() {
+                        if deed % 9 == 2 {
+                            rig.carry_out(&call);
+                        }
+                        rig.tell(UNKNOWN);
+                        rig.quiet();
+                    }
+                }
+                4 if rig.open.take().is_some() => {
+                    rig.tell(Event::Answer(Ok(Answer::NotNow("ERR unavailable".into()))));
+                    rig.quiet();
+                }
+                5 => {
+                    rig.tell(Event::NewsLost);
+                    rig.standing(&[]);
+                }
+                6 => {
+                    let slice = n % 12;
+                    rig.news(&format!("* GRANT {slice} 0"));
+                    rig.news(&format!("* GRANT {slice} 1"));
+                    let rows = rig.store[&slice].clone();
+                    rows.iter().for_each(|(s, weight)| rig.news(&format!("* ROW {slice} {s} {weight}")));
+                    rig.quiet();
+                }
+                7 => {
+                    rig.now = rig.wake.unwrap_or(rig.now).max(rig.now);
+                    rig.quiet();
+                }
+                _ => rig.pass(u64::from(n % 400)),
+            }
+        }
+        rig.pass(8000);
+        let drained = rig.owners().into_iter().find(|server| rig.servers[*server] == "leaving");
+        assert_eq!(drained, None, "seed {seed}: {deeds:?}");
+    }
+}
