--- a/governor/src/program/event_loop.rs
+++ b/governor/src/program/event_loop.rs
@@ -29,7 +29,8 @@
 pub async fn serve(start: Start) -> Result<&'static str, String> {
     let mut signals = Signals::listen().map_err(|why| format!("signals: {why}"))?;
     let listener = Rc::new(bind(&start).await?);
-    log::info!("{} serves at {}", start.name, start.listen);
+    let address = listener.local_addr().map_err(|why| format!("listen: {why}"))?;
+    log::info!("{} serves at {address}", start.name);
     loop {
         let life = live(&start, listener.clone(), &mut signals);
         match AssertUnwindSafe(life).catch_unwind().await {
--- a/governor/src/transport/listener.rs
+++ b/governor/src/transport/listener.rs
@@ -12,6 +12,8 @@
 use tokio::sync::{mpsc, oneshot};
 
 struct Peer {
+    /// Whoever has not said anything yet is the first to go.
+    has_spoken: bool,
     heard: Instant,
     /// Dropped, it ends the connection.
     _hold: oneshot::Sender<()>,
@@ -19,8 +21,8 @@
 
 type Peers = Rc<RefCell<BTreeMap<ConnectionId, Peer>>>;
 
-/// Takes connections for ever. Where there are too many, the one that has been silent longest goes: strangers
-/// who connect and say nothing must not cost a collector its place.
+/// Takes connections for ever. Where there are too many, one that never spoke goes, else the one that has been
+/// silent longest: strangers who connect and say nothing must not cost a collector its place.
 pub async fn listen(listener: Rc<TcpListener>, most: usize, unfinished: Unfinished, inbox: Inbox) {
     let peers = Peers::default();
     for id in 0.. {
@@ -33,9 +35,13 @@
             }
         };
         let (hold, let_go) = oneshot::channel();
-        peers.borrow_mut().insert(id, Peer { heard: Instant::now(), _hold: hold });
+        peers.borrow_mut().insert(id, Peer { has_spoken: false, heard: Instant::now(), _hold: hold });
         if peers.borrow().len() > most {
-            let silent = peers.borrow().iter().min_by_key(|(_, peer)| peer.heard).map(|(id, _)| *id);
+            let silent = peers
+                .borrow()
+                .iter()
+                .min_by_key(|(_, peer)| (peer.has_spoken, peer.heard))
+                .map(|(id, _)| *id);
             silent.and_then(|id| peers.borrow_mut().remove(&id));
         }
         let (peers, inbox) = (peers.clone(), inbox.clone());
@@ -65,7 +71,7 @@
                 Ok(Some(Ok(line))) => {
                     patience = limits::QUIET_PEER;
                     if let Some(peer) = peers.borrow_mut().get_mut(&id) {
-                        peer.heard = Instant::now();
+                        (peer.has_spoken, peer.heard) = (true, Instant::now());
                     }
                     if inbox.send(Input::Line { from: id, line, back: back.clone() }).await.is_err() {
                         return "the program ends".into();
