--- a/governor/src/program/event_loop.rs
+++ b/governor/src/program/event_loop.rs
@@ -3,7 +3,7 @@
 use super::clock::Clock;
 use super::configuration::Start;
 use super::signals::Signals;
-use crate::protocol::{collector, discovery, relay};
+use crate::protocol::{collector, discovery, relay, Malformed};
 use crate::routing::{Effect, Event, Reducer};
 use crate::transport::{calls, framing, limits, listener, news, watch};
 use crate::transport::{Broken, CallError, ConnectionId, Inbox, Input};
@@ -134,6 +134,7 @@
     }
 
     fn event(&mut self, input: Input) -> Option<Event> {
+        let unreadable = |wrong: Malformed| Broken::Unreadable(wrong.to_string());
         Some(match input {
             Input::Line { from, line, back } => match collector::decode(&line) {
                 Ok(message) => {
@@ -151,20 +152,15 @@
                     Event::News(news)
                 }
                 Err(wrong) => {
-                    log::warn!("the relay's news can't be read: {wrong}");
                     self.news = None;
-                    Event::NewsLost
+                    Event::NewsLost(unreadable(wrong))
                 }
             },
-            Input::NewsLost(why) => {
-                log::warn!("the relay's news ended: {why}");
-                Event::NewsLost
-            }
+            Input::NewsLost(why) => Event::NewsLost(why),
             Input::Answer(outcome) => {
                 log::debug!("answer: {outcome:?}");
-                let unreadable = |wrong| CallError::OutcomeUnknown(Broken::Unreadable(format!("{wrong}")));
-                let decode = |line: String| relay::decode_answer(&line).map_err(unreadable);
-                Event::Answer(outcome.and_then(decode))
+                let unclear = |wrong| CallError::OutcomeUnknown(unreadable(wrong));
+                Event::Answer(outcome.and_then(|line| relay::decode_answer(&line).map_err(unclear)))
             }
             Input::List(line) => match discovery::decode(&line) {
                 Ok(list) => {
@@ -173,15 +169,11 @@
                     Event::List(list)
                 }
                 Err(wrong) => {
-                    log::warn!("discovery's list can't be read: {wrong}");
                     self.list = None;
-                    Event::ListLost { readable: false }
+                    Event::ListLost(unreadable(wrong))
                 }
             },
-            Input::ListLost(why) => {
-                log::warn!("discovery's watch ended: {why}");
-                Event::ListLost { readable: true }
-            }
+            Input::ListLost(why) => Event::ListLost(why),
         })
     }
 
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -7,8 +7,9 @@
 use crate::protocol::collector::{self, Message};
 use crate::protocol::discovery::{Entry, List};
 use crate::protocol::relay::{Answer, News, Order};
-use crate::transport::{limits, CallError, ConnectionId};
+use crate::transport::{limits, Broken, CallError, ConnectionId};
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use whinwall::interface::*;
 use whinwall::logic::Governor;
 use whinwall::time::{Moment, Span};
@@ -22,13 +23,10 @@
         message: Message,
     },
     News(News),
-    NewsLost,
+    NewsLost(Broken),
     Answer(Result<Answer, CallError>),
     List(List),
-    /// With whether what the list was last said to be can still be built on.
-    ListLost {
-        readable: bool,
-    },
+    ListLost(Broken),
     /// All that had arrived is in, and so is the time.
     Quiet,
 }
@@ -51,6 +49,24 @@
     List,
 }
 
+/// Where all we know comes from; of each the first failure is noted, and its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Source {
+    News,
+    List,
+    Calls,
+}
+
+impl Source {
+    fn name(self) -> &'static str {
+        match self {
+            Source::News => "the relay's news",
+            Source::List => "discovery's watch",
+            Source::Calls => "a call on the relay",
+        }
+    }
+}
+
 pub struct Reducer {
     governor: Governor,
     briefing: Briefing,
@@ -64,6 +80,8 @@
     /// show what was before or what comes after.
     in_motion: BTreeSet<SliceId>,
     outbox: Outbox,
+    /// What has failed since it last worked, and how often.
+    failures: BTreeMap<Source, u32>,
     agenda: BTreeSet<(Moment, Due)>,
     effects: Vec<Effect>,
 }
@@ -80,6 +98,7 @@
             snapshot: Snapshot::default(),
             in_motion: BTreeSet::new(),
             outbox: Outbox::default(),
+            failures: BTreeMap::new(),
             agenda: BTreeSet::new(),
             effects: Vec::new(),
         };
@@ -98,19 +117,24 @@
             }
             Event::Message { from, message } => self.message(now, from, message),
             Event::News(news) => self.news(now, news),
-            Event::NewsLost => {
+            Event::NewsLost(why) => {
                 self.snapshot = Snapshot::default();
+                self.lost(Source::News, why);
                 self.after_pause(now, Due::News);
             }
             Event::Answer(outcome) => self.answer(now, outcome),
             Event::List(list) => {
+                self.found(Source::List);
                 let scope = if list.whole { ListScope::Whole } else { ListScope::Changes };
                 let listings = self.listings(&list);
                 self.list_version = list.version;
                 self.governor.listed(now, scope, &listings);
             }
-            Event::ListLost { readable } => {
-                self.list_version = if readable { self.list_version } else { 0 };
+            Event::ListLost(why) => {
+                if matches!(why, Broken::Unreadable(_)) {
+                    self.list_version = 0;
+                }
+                self.lost(Source::List, why);
                 match self.briefing.deployment.list_pushed {
                     true => self.after_pause(now, Due::List),
                     // Where the list is asked for, the decisions say when to ask again.
@@ -175,7 +199,10 @@
             self.end_snapshot(now);
         }
         match news {
-            News::Begins => self.snapshot = Snapshot::beginning(),
+            News::Begins => {
+                self.found(Source::News);
+                self.snapshot = Snapshot::beginning();
+            }
             News::Alive => {}
             News::Joined { proxy, bare } => {
                 self.snapshot.joined(proxy);
@@ -236,8 +263,9 @@
     }
 
     fn answer(&mut self, now: Moment, outcome: Result<Answer, CallError>) {
-        let failed = match outcome {
+        match outcome {
             Ok(Answer::Taken(many)) => {
+                self.found(Source::Calls);
                 if let Some(order) = self.outbox.taken(many) {
                     self.note(format!("an order can't be used and is skipped: {}", order.encode()));
                 }
@@ -249,19 +277,33 @@
                 // Its orders stand in our tables and nowhere else: what the store has must be seen anew.
                 return self.follow_news();
             }
-            Ok(Answer::NotNow(why)) => format!("a call was turned away: {why}"),
+            Ok(Answer::NotNow(why)) => self.lost(Source::Calls, why),
             Err(why) => {
                 let mark = self.outbox.mark().filter(|_| matches!(why, CallError::OutcomeUnknown(_)));
                 mark.into_iter().for_each(|mark| self.governor.ordered_again(now, mark));
-                format!("a call failed and is repeated: {why}")
+                self.lost(Source::Calls, why);
             }
-        };
-        self.note(failed);
+        }
         if self.outbox.failed() {
             self.after_pause(now, Due::Call);
         }
     }
 
+    /// What stays out of reach fails many times a second, and is worth one line.
+    fn lost(&mut self, source: Source, why: impl fmt::Display) {
+        let failures = self.failures.entry(source).or_default();
+        *failures += 1;
+        if *failures == 1 {
+            self.note(format!("{} failed: {why}", source.name()));
+        }
+    }
+
+    fn found(&mut self, source: Source) {
+        if let Some(failures) = self.failures.remove(&source) {
+            self.note(format!("{} works again, after {failures} failures", source.name()));
+        }
+    }
+
     fn note(&mut self, text: String) {
         self.effects.push(Effect::Note(text));
     }
--- a/governor/src/transport/calls.rs
+++ b/governor/src/transport/calls.rs
@@ -54,10 +54,10 @@
         }
     };
     let sent = within(limits::ANSWER, line.send(call)).await.map_err(CallError::NotSent)?;
-    sent.map_err(|why| CallError::NotSent(Broken::Unreachable(why.to_string())))?;
+    sent.map_err(|why| CallError::NotSent(why.into()))?;
     match within(limits::ANSWER, line.next()).await.map_err(CallError::OutcomeUnknown)? {
         Some(Ok(answer)) => Ok(answer),
-        Some(Err(why)) => Err(CallError::OutcomeUnknown(Broken::Unreadable(why.to_string()))),
+        Some(Err(why)) => Err(CallError::OutcomeUnknown(why.into())),
         None => Err(CallError::OutcomeUnknown(Broken::Closed)),
     }
 }
--- a/governor/src/transport/limits.rs
+++ b/governor/src/transport/limits.rs
@@ -6,6 +6,8 @@
 pub const CONNECT: Duration = Duration::from_millis(300);
 /// The relay answers a call within 50 ms or never; the rest is for a busy machine.
 pub const ANSWER: Duration = Duration::from_millis(150);
+/// A request for news is answered like a call, but with all that stands behind the answer.
+pub const NEWS_ANSWER: Duration = Duration::from_millis(500);
 /// The relay gives a sign of life each second: two missed ones and some delay are silence.
 pub const NEWS_SILENCE: Duration = Duration::from_millis(2500);
 /// Discovery gives one every two seconds, from our own machine and at no cost, and what it has not delivered
@@ -21,6 +23,8 @@
 pub const QUIET_PEER: Duration = Duration::from_secs(60);
 /// A message to our address.
 pub const LINE: usize = 1 << 20;
+/// A whole list of servers.
+pub const LIST: usize = 8 << 20;
 /// What one peer may leave unread, in answers of a few bytes each.
 pub const UNREAD_ANSWERS: usize = 64;
 /// Lines that wait for the loop; readers stop there, and TCP holds the others back.
--- a/governor/src/transport/mod.rs
+++ b/governor/src/transport/mod.rs
@@ -41,6 +41,9 @@
     Unreachable(String),
     Silent,
     Closed,
+    /// In the middle, by the network.
+    Cut(String),
+    /// It goes on with what is no line, or says nothing: what it said before is to be doubted too.
     Unreadable(String),
     /// Our own fault, which must cost no more than the connection.
     Panicked,
@@ -55,12 +58,22 @@
     OutcomeUnknown(Broken),
 }
 
+impl From<std::io::Error> for Broken {
+    fn from(why: std::io::Error) -> Self {
+        match why.kind() {
+            std::io::ErrorKind::InvalidData => Broken::Unreadable(why.to_string()),
+            _ => Broken::Cut(why.to_string()),
+        }
+    }
+}
+
 impl fmt::Display for Broken {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
             Broken::Unreachable(why) => write!(f, "out of reach ({why})"),
             Broken::Silent => f.write_str("silent"),
             Broken::Closed => f.write_str("closed by the other side"),
+            Broken::Cut(why) => write!(f, "cut off ({why})"),
             Broken::Unreadable(why) => write!(f, "unreadable ({why})"),
             Broken::Panicked => f.write_str("lost by a panic of ours"),
         }
--- a/governor/src/transport/news.rs
+++ b/governor/src/transport/news.rs
@@ -19,16 +19,18 @@
     let mut framed = Framed::new(stream, Lines::with_crlf(limits::LINE));
     match within(limits::ANSWER, framed.send(request.to_string())).await {
         Ok(Ok(())) => {}
-        Ok(Err(why)) => return Broken::Unreachable(why.to_string()),
+        Ok(Err(why)) => return why.into(),
         Err(why) => return why,
     }
+    let mut patience = limits::NEWS_ANSWER;
     loop {
-        let line = match within(limits::NEWS_SILENCE, framed.next()).await {
+        let line = match within(patience, framed.next()).await {
             Ok(Some(Ok(line))) => line,
-            Ok(Some(Err(why))) => return Broken::Unreadable(why.to_string()),
+            Ok(Some(Err(why))) => return why.into(),
             Ok(None) => return Broken::Closed,
             Err(why) => return why,
         };
+        patience = limits::NEWS_SILENCE;
         if inbox.send(Input::News(line)).await.is_err() {
             return Broken::Closed;
         }
--- a/governor/src/transport/watch.rs
+++ b/governor/src/transport/watch.rs
@@ -19,11 +19,11 @@
         Ok(Err(why)) => return unreachable(&why),
         Err(why) => return why,
     };
-    let (mut lines, mut bytes) = (Lines::new(limits::LINE), BytesMut::new());
+    let (mut lines, mut bytes) = (Lines::new(limits::LIST), BytesMut::new());
     loop {
         match within(limits::LIST_SILENCE, answer.next()).await {
             Ok(Some(Ok(chunk))) => bytes.extend_from_slice(&chunk),
-            Ok(Some(Err(why))) => return Broken::Unreadable(why.to_string()),
+            Ok(Some(Err(why))) => return Broken::Cut(why.to_string()),
             Ok(None) => return Broken::Closed,
             Err(why) => return why,
         }
@@ -31,7 +31,7 @@
             let line = match lines.decode(&mut bytes) {
                 Ok(Some(line)) => line,
                 Ok(None) => break,
-                Err(why) => return Broken::Unreadable(why.to_string()),
+                Err(why) => return why.into(),
             };
             if inbox.send(Input::List(line)).await.is_err() {
                 return Broken::Closed;
--- a/governor/tests/reducer.rs
+++ b/governor/tests/reducer.rs
@@ -270,7 +270,7 @@
     // A break in the middle of a table: the half is forgotten.
     rig.news("OK");
     rig.news("* GRANT 3 1");
-    rig.tell(Event::NewsLost);
+    rig.tell(Event::NewsLost(Broken::Closed));
     rig.quiet();
     assert_eq!(rig.follows.last(), Some(&Effect::FollowList { since: 0 }), "it pauses first");
     let before = rig.notes.len();
@@ -321,12 +321,19 @@
 #[test]
 fn a_lost_list_is_asked_for_again() {
     let mut rig = Rig::serving();
-    for (readable, since) in [(true, 41), (false, 0)] {
-        rig.tell(Event::ListLost { readable });
+    rig.notes.clear();
+    for (why, since) in [(Broken::Closed, 41), (Broken::Unreadable("a list that is none".into()), 0)] {
+        rig.tell(Event::ListLost(why));
         rig.quiet();
         rig.pass(100);
         assert_eq!(rig.follows.last(), Some(&Effect::FollowList { since }));
     }
+    rig.list();
+    let notes = [
+        "discovery's watch failed: closed by the other side",
+        "discovery's watch works again, after 2 failures",
+    ];
+    assert_eq!(rig.notes, notes, "an outage is worth two lines, not one an attempt");
 }
 
 #[test]
@@ -406,7 +413,7 @@
                     rig.quiet();
                 }
                 5 => {
-                    rig.tell(Event::NewsLost);
+                    rig.tell(Event::NewsLost(Broken::Closed));
                     rig.standing(&[]);
                 }
                 6 => {
