--- a/governor/src/protocol/collector.rs
+++ b/governor/src/protocol/collector.rs
@@ -1,6 +1,6 @@
 //! What comes to the governor's own address: JSON lines, mostly from the collectors of the places.
 
-use super::{is_sane, Malformed};
+use super::{is_sane, is_sane_ms, Malformed};
 use serde::Deserialize;
 
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -59,8 +59,11 @@
 pub fn decode(line: &str) -> Result<Message, Malformed> {
     let message = serde_json::from_str(line).map_err(|why| Malformed::new(why, line))?;
     let sane = match &message {
-        Message::Met(m) => [m.tries, m.aborted, m.mean_latency_ms, m.covers_ms].into_iter().all(is_sane),
-        Message::Asked(a) => [a.came, a.aborted, a.covers_ms].into_iter().all(is_sane),
+        Message::Met(m) => {
+            [m.tries, m.aborted].into_iter().all(is_sane)
+                && [m.mean_latency_ms, m.covers_ms].into_iter().all(is_sane_ms)
+        }
+        Message::Asked(a) => [a.came, a.aborted].into_iter().all(is_sane) && is_sane_ms(a.covers_ms),
         _ => true,
     };
     sane.then_some(message).ok_or_else(|| Malformed::new("an absurd figure", line))
--- a/governor/src/protocol/mod.rs
+++ b/governor/src/protocol/mod.rs
@@ -23,7 +23,13 @@
     }
 }
 
-/// Figures out of nowhere (not a number, below nothing, beyond all measure) must not reach sums and means.
+/// Figures out of nowhere (not a number, below nothing, beyond all measure) must not reach sums and means: one
+/// report that claims to cover a year would make all others look late.
 pub(crate) fn is_sane(figure: f64) -> bool {
-    (0.0..=1e12).contains(&figure)
+    (0.0..=1e9).contains(&figure)
+}
+
+/// The like for times in milliseconds: nothing that is told here covers or takes an hour.
+pub(crate) fn is_sane_ms(figure: f64) -> bool {
+    (0.0..=3.6e6).contains(&figure)
 }
--- a/governor/tests/reducer.rs
+++ b/governor/tests/reducer.rs
@@ -344,7 +344,7 @@
         r#"{"@type":"LOAD","az":"nowhere","host":"s-99","n":2e2,"bad":3,"avg":41.7,"window":1000.0}"#,
         r#"{"@type":"LOAD","az":"nowhere","host":"s-1","n":0,"bad":0,"avg":0,"window":0}"#,
         r#"{"@type":"SHARD","partition":4000000000,"kind":"lookup","n":40,"bad":1,"window":1000.0}"#,
-        r#"{"@type":"SHARD","partition":1,"kind":"unheard","n":1e12,"bad":1,"window":1000.0}"#,
+        r#"{"@type":"SHARD","partition":1,"kind":"unheard","n":1e9,"bad":1,"window":1000.0}"#,
         r#"{"@type":"SOURCE","az":"nowhere"}"#,
         r#"{"@type":"GREETING","of":{"any":["shape"]}}"#,
     ] {
@@ -363,6 +363,7 @@
         r#"{"@type":7}"#,
         r#"{"@type":"LOAD","az":"a","host":"s-1","n":-1,"bad":0,"avg":1,"window":1}"#,
         r#"{"@type":"LOAD","az":"a","host":"s-1","n":1e300,"bad":0,"avg":1,"window":1}"#,
+        r#"{"@type":"LOAD","az":"a","host":"s-1","n":1,"bad":0,"avg":1,"window":4e6}"#,
         r#"{"@type":"SHARD","partition":-4,"kind":"lookup","n":40,"bad":1,"window":1000.0}"#,
     ] {
         assert!(collector::decode(line).is_err(), "{line}");
