A call that crosses with a slice changing hands is found out by reading the store anew

Found by a stronger end to the random runs (the store must end as the governor believes): orders made for a table just given were stripped as stale while an older call was under way, and a call that met the slice after its lines were told changed it unseen (routing/outbox.rs).

--- a/governor/src/protocol/relay.rs
+++ b/governor/src/protocol/relay.rs
@@ -83,7 +83,7 @@
     Line { slice: SliceId, server: String, weight: f64 },
     Withdraw { server: String, out: bool },
     Level { slice: Option<SliceId>, op_types: Vec<String>, share: f64, tries: u8 },
-    Mark { number: u16, of_all: bool },
+    Mark { number: u16 },
 }
 
 impl Order {
@@ -96,7 +96,15 @@
         }
     }
 
-    pub fn encode(&self) -> String {
+    pub fn mark(&self) -> Option<u16> {
+        match self {
+            Order::Mark { number } => Some(*number),
+            _ => None,
+        }
+    }
+
+    /// A mark is answered by the proxies that the call reaches, or by all that are joined.
+    pub fn encode(&self, by_all: bool) -> String {
         match self {
             Order::Line { slice, server, weight } => format!("SET,{slice},{server},{weight}"),
             Order::Withdraw { server, out: true } => format!("OUT,{server}"),
@@ -106,13 +114,12 @@
                 let op_types = if op_types.is_empty() { "*".into() } else { op_types.join("+") };
                 format!("LIMIT,{slice},{op_types},{share},{tries}")
             }
-            Order::Mark { number, of_all } => format!("SYNC,{number},{}", u8::from(*of_all)),
+            Order::Mark { number } => format!("SYNC,{number},{}", u8::from(by_all)),
         }
     }
 }
 
-pub fn encode_call(orders: &[Order]) -> String {
-    let orders: Vec<_> = orders.iter().map(Order::encode).collect();
+pub fn encode_call(orders: &[&str]) -> String {
     format!("APPLY {}", orders.join(";"))
 }
 
--- a/governor/src/routing/outbox.rs
+++ b/governor/src/routing/outbox.rs
@@ -6,14 +6,21 @@
 
 #[derive(Default)]
 pub struct Outbox {
-    calls: VecDeque<Vec<Order>>,
+    calls: VecDeque<Vec<Written>>,
     state: State,
     /// Failures in a row.
     failures: u32,
-    /// Slices that have changed hands since what waits was ordered.
+    /// Slices that have changed hands since the call now being made was sent.
     changed_hands: BTreeSet<SliceId>,
 }
 
+/// An order as the relay reads it, and what must be known of it.
+struct Written {
+    text: String,
+    slice: Option<SliceId>,
+    mark: Option<u16>,
+}
+
 #[derive(Clone, Copy, Default, PartialEq)]
 enum State {
     #[default]
@@ -26,41 +33,41 @@
 impl Outbox {
     /// Nothing is open: newer orders may be made.
     pub fn is_clear(&self) -> bool {
-        self.calls.is_empty()
+        self.calls.iter().all(Vec::is_empty)
     }
 
     /// One reply is one call, unless it is too large. Of the pieces the last alone has the mark, and asks all
-    /// proxies to answer: some may have got an earlier piece only.
-    pub fn put(&mut self, mut orders: Vec<Order>) {
+    /// proxies to answer: some may have got an earlier piece only. Comes only while nothing is open.
+    pub fn put(&mut self, orders: &[Order]) {
+        self.calls.clear();
         let (mut call, mut bytes) = (Vec::new(), 0);
-        let whole: usize = orders.iter().map(|order| order.encode().len() + 1).sum();
-        for order in &mut orders {
-            if let Order::Mark { of_all, .. } = order {
-                *of_all = whole > relay::CALL_LIMIT;
-            }
-        }
         for order in orders {
-            let length = order.encode().len() + 1;
-            if bytes + length > relay::CALL_LIMIT {
+            let text = order.encode(!self.calls.is_empty());
+            if bytes + text.len() + 1 > relay::CALL_LIMIT {
                 self.calls.push_back(std::mem::take(&mut call));
                 bytes = 0;
             }
-            bytes += length;
-            call.push(order);
+            bytes += text.len() + 1;
+            call.push(Written { text, slice: order.slice(), mark: order.mark() });
         }
         self.calls.extend((!call.is_empty()).then_some(call));
     }
 
-    /// What waits for this slice was ordered for a table that is no longer there.
+    /// What waits for this slice was ordered for a table that is no longer there. The call that is being made
+    /// is out of reach, but will not be repeated with it.
     pub fn changed_hands(&mut self, slice: SliceId) {
-        if !self.is_clear() {
+        let flying = self.state == State::Flying;
+        for call in self.calls.iter_mut().skip(usize::from(flying)) {
+            call.retain(|order| order.slice != Some(slice));
+        }
+        if flying {
             self.changed_hands.insert(slice);
         }
     }
 
     /// The slices whose tables are about to change by what waits here.
     pub fn slices(&self) -> BTreeSet<SliceId> {
-        self.calls.iter().flatten().filter_map(Order::slice).collect()
+        self.calls.iter().flatten().filter_map(|order| order.slice).collect()
     }
 
     /// The call to make now, if none is being made; on a fresh connection where the last attempt failed.
@@ -68,14 +75,10 @@
         if self.state != State::Idle {
             return None;
         }
-        let stale = std::mem::take(&mut self.changed_hands);
-        for call in self.calls.iter_mut().filter(|_| !stale.is_empty()) {
-            call.retain(|order| order.slice().is_none_or(|slice| !stale.contains(&slice)));
-        }
         self.calls.retain(|call| !call.is_empty());
-        let call = relay::encode_call(self.calls.front()?);
+        let texts: Vec<_> = self.calls.front()?.iter().map(|order| order.text.as_str()).collect();
         self.state = State::Flying;
-        Some((call, self.failures > 0))
+        Some((relay::encode_call(&texts), self.failures > 0))
     }
 
     pub fn release(&mut self) {
@@ -90,32 +93,43 @@
         self.failures += 1;
         let waits = self.failures > 1;
         self.state = if waits { State::Held } else { State::Idle };
+        self.forget_crossed();
         waits
     }
 
-    /// The mark of the call that is open.
+    /// Whether slices of the call being made changed hands since it was sent: if it still met them, it changed a
+    /// table after its lines were told.
+    pub fn is_crossed(&self) -> bool {
+        let slices = self.calls.front().into_iter().flatten().filter_map(|order| order.slice);
+        slices.into_iter().any(|slice| self.changed_hands.contains(&slice))
+    }
+
+    /// Leaves those slices out of what is said again.
+    fn forget_crossed(&mut self) {
+        let crossed = std::mem::take(&mut self.changed_hands);
+        let call = self.calls.front_mut().into_iter();
+        call.for_each(|call| call.retain(|order| order.slice.is_none_or(|slice| !crossed.contains(&slice))));
+    }
+
+    /// The mark of the reply that is open.
     pub fn mark(&self) -> Option<u16> {
-        self.calls.front()?.iter().find_map(|order| match order {
-            Order::Mark { number, .. } => Some(*number),
-            _ => None,
-        })
+        self.calls.iter().flatten().find_map(|order| order.mark)
     }
 
     /// So many orders were taken, and leave. The one at which the relay stopped is skipped and returned: said
     /// again, it would stop there for ever.
-    pub fn taken(&mut self, many: usize) -> Option<Order> {
+    pub fn taken(&mut self, many: usize) -> Option<String> {
         (self.state, self.failures) = (State::Idle, 0);
         let call = self.calls.front_mut()?;
-        let refused = call.drain(..(many.saturating_add(1)).min(call.len())).nth(many);
-        if call.is_empty() {
-            self.calls.pop_front();
-        }
-        refused
+        let refused = call.drain(..many.saturating_add(1).min(call.len())).nth(many);
+        self.forget_crossed();
+        refused.map(|order| order.text)
     }
 
     /// The relay can't read the call.
     pub fn dropped(&mut self) {
         (self.state, self.failures) = (State::Idle, 0);
+        self.changed_hands.clear();
         self.calls.pop_front();
     }
 }
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -79,6 +79,9 @@
     /// Slices with orders that were open, or made, since the news was last asked for: of these a snapshot may
     /// show what was before or what comes after.
     in_motion: BTreeSet<SliceId>,
+    /// A call was dropped, or crossed with a slice that changed hands: no orders are made until the store was
+    /// read anew, or can't be read.
+    in_doubt: bool,
     outbox: Outbox,
     /// What has failed since it last worked, and how often.
     failures: BTreeMap<Source, u32>,
@@ -97,6 +100,7 @@
             tables: BTreeMap::new(),
             snapshot: Snapshot::default(),
             in_motion: BTreeSet::new(),
+            in_doubt: false,
             outbox: Outbox::default(),
             failures: BTreeMap::new(),
             agenda: BTreeSet::new(),
@@ -119,6 +123,7 @@
             Event::News(news) => self.news(now, news),
             Event::NewsLost(why) => {
                 self.snapshot = Snapshot::default();
+                self.in_doubt = false;
                 self.lost(Source::News, why);
                 self.after_pause(now, Due::News);
             }
@@ -155,6 +160,11 @@
         self.effects.push(Effect::FollowNews);
     }
 
+    fn read_anew(&mut self) {
+        self.in_doubt = true;
+        self.follow_news();
+    }
+
     /// A place that the settings do not name is like no other.
     fn place(&self, name: &str) -> PlaceId {
         self.briefing.places.iter().position(|known| known == name).unwrap_or(PlaceId::MAX)
@@ -245,29 +255,36 @@
                 self.outbox.changed_hands(slice);
                 self.governor.slice_given(now, slice, &lines);
                 self.tables.insert(slice, table);
+                self.snapshot.differed();
             }
         }
     }
 
     /// All that stands has been said: what is not there any more left while nobody told us.
     fn end_snapshot(&mut self, now: Moment) {
-        let (tables, named) = self.snapshot.ended();
-        self.given(now, tables, named.is_some());
-        let Some(named) = named else { return };
+        let (tables, again) = (self.snapshot.rest(), self.snapshot.is_whole());
+        self.given(now, tables, again);
+        let Some(named) = self.snapshot.ended() else { return };
+        self.in_doubt = false;
         let gone: Vec<_> = self.proxies.difference(&named.proxies).copied().collect();
         gone.into_iter().for_each(|proxy| self.left(now, proxy));
         let taken = self.tables.keys().copied().filter(|slice| !named.slices.contains(slice));
         taken.collect::<Vec<_>>().into_iter().for_each(|slice| self.revoked(now, slice));
         let (proxies, slices) = (self.proxies.len(), self.tables.len());
-        self.note(format!("the relay's news stands: {proxies} proxies, {slices} slices"));
+        let differ = named.differ;
+        self.note(format!("the relay's news stands: {proxies} proxies, {slices} slices, {differ} new to us"));
     }
 
     fn answer(&mut self, now: Moment, outcome: Result<Answer, CallError>) {
+        let done = !matches!(outcome, Ok(Answer::NotNow(_)) | Err(CallError::NotSent(_)));
+        if self.outbox.is_crossed() && done {
+            self.read_anew();
+        }
         match outcome {
             Ok(Answer::Taken(many)) => {
                 self.found(Source::Calls);
                 if let Some(order) = self.outbox.taken(many) {
-                    self.note(format!("an order can't be used and is skipped: {}", order.encode()));
+                    self.note(format!("an order can't be used and is skipped: {order}"));
                 }
                 return;
             }
@@ -275,11 +292,11 @@
                 self.note(format!("a call is dropped, the relay can't use it: {why}"));
                 self.outbox.dropped();
                 // Its orders stand in our tables and nowhere else: what the store has must be seen anew.
-                return self.follow_news();
+                return self.read_anew();
             }
             Ok(Answer::NotNow(why)) => self.lost(Source::Calls, why),
             Err(why) => {
-                let mark = self.outbox.mark().filter(|_| matches!(why, CallError::OutcomeUnknown(_)));
+                let mark = self.outbox.mark().filter(|_| done);
                 mark.into_iter().for_each(|mark| self.governor.ordered_again(now, mark));
                 self.lost(Source::Calls, why);
             }
@@ -320,7 +337,7 @@
         }
         let (tables, again) = (self.snapshot.settled(now), self.snapshot.is_whole());
         self.given(now, tables, again);
-        if self.outbox.is_clear() && self.snapshot.settles().is_none() {
+        if self.outbox.is_clear() && self.snapshot.settles().is_none() && !self.in_doubt {
             self.collect(now);
         }
         let call = self.outbox.next();
@@ -333,7 +350,7 @@
         let steps = self.governor.collect(now);
         let orders: Vec<_> = steps.into_iter().filter_map(|step| self.order(now, step)).collect();
         self.in_motion.extend(orders.iter().filter_map(Order::slice));
-        self.outbox.put(orders);
+        self.outbox.put(&orders);
     }
 
     /// The order that a step stands for; what concerns nobody but us is seen to here.
@@ -355,7 +372,7 @@
                 let op_types = meant.map(|(_, name)| name.clone()).collect();
                 Order::Level { slice, op_types, share, tries }
             }
-            Step::Mark { number } => Order::Mark { number, of_all: false },
+            Step::Mark { number } => Order::Mark { number },
             Step::FollowList => {
                 self.effects.push(Effect::FollowList { since: self.list_version });
                 return None;
--- a/governor/src/routing/snapshot.rs
+++ b/governor/src/routing/snapshot.rs
@@ -15,6 +15,8 @@
 pub struct Named {
     pub proxies: BTreeSet<ProxyId>,
     pub slices: BTreeSet<SliceId>,
+    /// How many slices were not as we left them.
+    pub differ: usize,
 }
 
 #[derive(Default)]
@@ -78,8 +80,17 @@
         full
     }
 
-    /// Something else was said: all is there. The rest of the tables, and all names where all were said.
-    pub fn ended(&mut self) -> (BTreeMap<SliceId, Table>, Option<Named>) {
-        (std::mem::take(&mut self.tables), self.named.take())
+    /// Something else was said: all tables are there.
+    pub fn rest(&mut self) -> BTreeMap<SliceId, Table> {
+        std::mem::take(&mut self.tables)
+    }
+
+    pub fn differed(&mut self) {
+        self.named.iter_mut().for_each(|named| named.differ += 1);
+    }
+
+    /// All names, where all were said.
+    pub fn ended(&mut self) -> Option<Named> {
+        self.named.take()
     }
 }
--- a/governor/tests/reducer.rs
+++ b/governor/tests/reducer.rs
@@ -282,7 +282,7 @@
     rig.proxies = 2;
     rig.standing(&[4]);
     rig.pass(500);
-    assert_eq!(rig.notes.last().unwrap(), "the relay's news stands: 2 proxies, 11 slices");
+    assert_eq!(rig.notes.last().unwrap(), "the relay's news stands: 2 proxies, 11 slices, 1 new to us");
     let before = rig.calls.len();
     rig.drain("s-4");
     rig.drain("s-0");
@@ -303,6 +303,23 @@
     assert!(again.contains("SET,2,s-2,0") && !again.contains(",8,"), "{again}");
 }
 
+#[test]
+fn newer_orders_for_a_slice_that_changed_hands_are_made() {
+    let mut rig = Rig::serving();
+    rig.drain("s-2");
+    // Another governor had it meanwhile; it comes back on a server that drains.
+    rig.store.insert(8, BTreeMap::from([("s-2".into(), 1.0)]));
+    for line in ["* GRANT 8 0", "* GRANT 8 1", "* ROW 8 s-2 1.0", "*"] {
+        rig.news(line);
+    }
+    rig.follows.clear();
+    rig.pass(100);
+    assert_eq!(rig.follows, [Effect::FollowNews], "the open call may have met the slice, or not");
+    rig.standing(&[]);
+    rig.pass(1000);
+    assert!(!rig.owners().contains("s-2"));
+}
+
 #[test]
 fn tables_under_an_open_call_are_not_taken_for_changed() {
     let mut rig = Rig::serving();
@@ -431,8 +448,16 @@
                 }
                 _ => rig.pass(u64::from(n % 400)),
             }
+            if rig.follows.drain(..).any(|follow| follow == Effect::FollowNews) {
+                rig.standing(&[]);
+            }
         }
         rig.pass(8000);
+        rig.tell(Event::NewsLost(Broken::Closed));
+        rig.pass(100);
+        rig.standing(&[]);
+        let stands = "the relay's news stands: 4 proxies, 12 slices, 0 new to us";
+        assert_eq!(rig.notes.last().unwrap(), stands, "seed {seed}: {deeds:?}");
         let drained = rig.owners().into_iter().find(|server| rig.servers[*server] == "leaving");
         assert_eq!(drained, None, "seed {seed}: {deeds:?}");
     }
--- a/governor/tests/sockets.rs
+++ b/governor/tests/sockets.rs
@@ -408,7 +408,7 @@
 fn news_are_asked_for_again_when_they_break_off() {
     let (mut relay, mut discovery, mut program) = all();
     let _watch = discovery.introduce();
-    let stands = |line: &String| line.contains("3 proxies, 6 slices");
+    let stands = |line: &String| line.contains("3 proxies, 6 slices,");
     let mut news = relay.introduce();
     program.log.wait("a snapshot", stands);
     // Half a line and the end; what can't be read; silence (no sign of life for seconds).
