--- a/governor/tests/reducer.rs
+++ b/governor/tests/reducer.rs
@@ -149,6 +149,15 @@
         self.quiet();
     }
 
+    /// Tells what stands if that was asked for.
+    fn renew(&mut self) -> bool {
+        let asked = self.follows.drain(..).any(|follow| follow == Effect::FollowNews);
+        if asked {
+            self.standing(&[]);
+        }
+        asked
+    }
+
     fn drain(&mut self, server: &str) {
         self.servers.insert(server.into(), "leaving");
         self.list();
@@ -448,9 +457,10 @@
                 }
                 _ => rig.pass(u64::from(n % 400)),
             }
-            if rig.follows.drain(..).any(|follow| follow == Effect::FollowNews) {
-                rig.standing(&[]);
-            }
+            rig.renew();
+        }
+        while rig.renew() || rig.open.is_some() {
+            rig.pass(1000);
         }
         rig.pass(8000);
         rig.tell(Event::NewsLost(Broken::Closed));
