A list that must be asked for is asked for though calls wait; replies too large are split

Seen by reading: with an open call nothing was collected, so a lost list was not asked for again while the relay was silent (rule 3 where the list is asked for). Steps that need no way to the proxies are now taken meanwhile (asides in news.rs).

--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -339,6 +339,9 @@
         self.given(now, tables, again);
         if self.outbox.is_clear() && self.snapshot.settles().is_none() && !self.in_doubt {
             self.collect(now);
+        } else {
+            let asides = self.governor.asides();
+            asides.into_iter().for_each(|step| _ = self.order(now, step));
         }
         let call = self.outbox.next();
         self.effects.extend(call.map(|(line, afresh)| Effect::Call { line, afresh }));
--- a/governor/tests/reducer.rs
+++ b/governor/tests/reducer.rs
@@ -29,15 +29,20 @@
 impl Rig {
     /// Six servers, twelve slices, four proxies; nothing of it told yet.
     fn new() -> Self {
+        Rig::with("push", 12)
+    }
+
+    fn with(list_mode: &str, slices: u32) -> Self {
         let example = include_str!("../../deploy/example.json");
-        let example: serde_json::Value = serde_json::from_str(example).unwrap();
+        let mut example: serde_json::Value = serde_json::from_str(example).unwrap();
+        example["settings"]["membershipMode"] = list_mode.into();
         let briefing = whinwall_briefing::read(&example["settings"]).unwrap();
         let now = Moment::default() + Span::ms(1_800_000_000_000);
         let mut rig = Rig {
             reducer: Reducer::start(briefing, 7, &discovery::List::default(), now),
             now,
             wake: None,
-            store: (0..12).map(|n| (n, BTreeMap::from([(format!("s-{}", n % 6), 1.0)]))).collect(),
+            store: (0..slices).map(|n| (n, BTreeMap::from([(format!("s-{}", n % 6), 1.0)]))).collect(),
             servers: (0..6).map(|n| (format!("s-{n}"), "active")).collect(),
             proxies: 4,
             open: None,
@@ -362,6 +367,40 @@
     assert_eq!(rig.notes, notes, "an outage is worth two lines, not one an attempt");
 }
 
+#[test]
+fn a_list_that_must_be_asked_for_is_asked_for_though_the_relay_is_silent() {
+    let mut rig = Rig::with("ask", 12);
+    rig.quiet();
+    assert_eq!(rig.follows, [Effect::FollowNews, Effect::FollowList { since: 0 }]);
+    rig.list();
+    rig.standing(&[]);
+    rig.pass(2000);
+    rig.drain("s-2");
+    assert!(rig.open.is_some());
+    rig.tell(Event::ListLost(Broken::Silent));
+    for _ in 0..31 {
+        rig.now = rig.now + Span::ms(100);
+        rig.quiet();
+    }
+    assert_eq!(rig.follows.last(), Some(&Effect::FollowList { since: 41 }));
+}
+
+#[test]
+fn a_reply_too_large_for_a_call_becomes_several_in_order() {
+    let mut rig = Rig::with("push", 5000);
+    rig.list();
+    rig.standing(&[]);
+    rig.pass(4000);
+    let [first, second] = &rig.calls.iter().filter(|call| call.contains("SET,")).collect::<Vec<_>>()[..]
+    else {
+        panic!("{} calls", rig.calls.len())
+    };
+    assert!(first.len() < 60_010 && !first.contains("SYNC"));
+    // Some proxies may have got the first piece only: all are asked whether they are through.
+    assert!(second.contains("SYNC,") && second.ends_with(",1"));
+    assert!(rig.store.values().all(|table| table.len() == 2));
+}
+
 #[test]
 fn strange_messages_change_nothing() {
     let mut rig = Rig::serving();
--- a/governor/tests/sockets.rs
+++ b/governor/tests/sockets.rs
@@ -96,7 +96,11 @@
             lines.push(format!("* ROW {slice} s-{} 1.0", slice % 3));
         }
         lines.push("*".into());
-        write!(way, "{}\r\n", lines.join("\r\n")).unwrap();
+        // In pieces that end anywhere.
+        for piece in format!("{}\r\n", lines.join("\r\n")).as_bytes().chunks(37) {
+            way.write_all(piece).unwrap();
+            thread::yield_now();
+        }
         way
     }
 
--- a/src/news.rs
+++ b/src/news.rs
@@ -38,6 +38,16 @@
         self.settle(now);
     }
 
+    /// Steps that need no way to the proxies: they can be taken while no order can be made, lest one broken way
+    /// break the others (against a list lost while orders wait).
+    pub fn asides(&mut self) -> Vec<Step> {
+        let is_order =
+            |step: &Step| !matches!(step, Step::FollowList | Step::Wake { .. } | Step::Sick { .. });
+        let (orders, asides) = std::mem::take(&mut self.steps).into_iter().partition(is_order);
+        self.steps = orders;
+        asides
+    }
+
     /// The reply with this mark is ordered once more, as its outcome is not known: its lines may be in the
     /// channel twice, and its message counts again (rule 5).
     pub fn ordered_again(&mut self, now: Moment, mark: u16) {
