--- a/briefing/src/lib.rs
+++ b/briefing/src/lib.rs
@@ -2,6 +2,7 @@
 //! simulator's first message. Adapter and governor share it; the decisions know no JSON.
 #![forbid(unsafe_code)]
 
+use serde::de::Error;
 use serde::{Deserialize, Deserializer};
 use whinwall::deployment::{Deployment, OpType};
 use whinwall::time::Span;
@@ -16,7 +17,12 @@
 
 impl<'de> Deserialize<'de> for Briefing {
     fn deserialize<D: Deserializer<'de>>(raw: D) -> Result<Self, D::Error> {
-        Ok(Sheet::deserialize(raw)?.briefing())
+        let sheet = Sheet::deserialize(raw)?;
+        // The decisions name op types by the bits of one number.
+        if !(1..=64).contains(&sheet.op_types.len()) {
+            return Err(D::Error::custom(format!("classes: {} op types, not 1 to 64", sheet.op_types.len())));
+        }
+        Ok(sheet.briefing())
     }
 }
 
@@ -27,7 +33,8 @@
 
 #[derive(Deserialize)]
 struct Sheet {
-    classes: Vec<Row>,
+    #[serde(rename = "classes")]
+    op_types: Vec<Row>,
     #[serde(rename = "familyInfo")]
     fleet: Fleet,
     #[serde(rename = "obligations")]
@@ -43,7 +50,7 @@
 #[derive(Deserialize)]
 struct Row {
     name: String,
-    #[serde(rename = "value")]
+    #[serde(rename = "value", deserialize_with = "figure")]
     payoff: f64,
     #[serde(rename = "targetNs", deserialize_with = "span")]
     target_latency: Span,
@@ -68,11 +75,11 @@
     tenure: Span,
     #[serde(rename = "writeLifeNs", default, deserialize_with = "span")]
     write_life: Span,
-    #[serde(rename = "fixedCost")]
+    #[serde(rename = "fixedCost", deserialize_with = "figure")]
     message_head: f64,
-    #[serde(rename = "pushRate")]
+    #[serde(rename = "pushRate", deserialize_with = "figure")]
     pace: f64,
-    #[serde(rename = "queueCap")]
+    #[serde(rename = "queueCap", deserialize_with = "figure")]
     queue_cap: f64,
     #[serde(rename = "updateCap", default)]
     message_cap: f64,
@@ -84,11 +91,11 @@
 struct Rules {
     #[serde(rename = "goneIsAdvice", default)]
     gone_is_advice: bool,
-    #[serde(rename = "coldFrom")]
+    #[serde(rename = "coldFrom", deserialize_with = "figure")]
     cold_share: f64,
     #[serde(rename = "warmAfterNs", deserialize_with = "span")]
     warm_after: Span,
-    #[serde(rename = "fallMultiple")]
+    #[serde(rename = "fallMultiple", deserialize_with = "figure")]
     fall_multiple: f64,
 }
 
@@ -96,12 +103,19 @@
     u64::deserialize(raw).map(Span::ns)
 }
 
+/// None of them can be below nothing.
+fn figure<'de, D: Deserializer<'de>>(raw: D) -> Result<f64, D::Error> {
+    let figure = f64::deserialize(raw)?;
+    let sane = (figure >= 0.0).then_some(figure);
+    sane.ok_or_else(|| D::Error::custom(format!("{figure} is below 0")))
+}
+
 impl Sheet {
     fn briefing(self) -> Briefing {
         let Sheet { fleet, rules, .. } = self;
         let op_type = |row: &Row| OpType { payoff: row.payoff, target_latency: row.target_latency };
         let deployment = Deployment {
-            op_types: self.classes.iter().map(op_type).collect(),
+            op_types: self.op_types.iter().map(op_type).collect(),
             report_period: fleet.report_period,
             gone_is_advice: rules.gone_is_advice,
             list_pushed: self.list_mode == ListMode::Push,
@@ -119,7 +133,7 @@
             message_cap: fleet.message_cap as u32,
             message_window: fleet.message_window,
         };
-        let op_types = self.classes.into_iter().map(|row| row.name).collect();
+        let op_types = self.op_types.into_iter().map(|row| row.name).collect();
         Briefing { deployment, op_types, places: self.places }
     }
 }
--- a/governor/src/program/logger.rs
+++ b/governor/src/program/logger.rs
@@ -1,7 +1,8 @@
-//! A small logger on standard error. It never waits for a reader and never writes more than so much a second.
+//! A small logger on standard error. It never waits for a reader and never writes more than so much of one kind a second.
 
 use log::{Level, LevelFilter, Log, Metadata, Record};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -12,9 +13,12 @@
 struct Logger {
     start: Instant,
     lines_a_second: u32,
-    second: Mutex<Second>,
+    /// By the place in the code, that is, by kind: a flood of one kind hides no other.
+    seconds: Mutex<BTreeMap<Place, Second>>,
 }
 
+type Place = (Option<&'static str>, Option<u32>);
+
 struct Second {
     began: Instant,
     lines: u32,
@@ -23,8 +27,8 @@
 
 pub fn start(level: LevelFilter, lines_a_second: u32) {
     let start = Instant::now();
-    let second = Mutex::new(Second { began: start, lines: 0, left_out: 0 });
-    if log::set_boxed_logger(Box::new(Logger { start, lines_a_second, second })).is_ok() {
+    let seconds = Mutex::default();
+    if log::set_boxed_logger(Box::new(Logger { start, lines_a_second, seconds })).is_ok() {
         log::set_max_level(level);
     }
 }
@@ -54,13 +58,15 @@
         if !self.enabled(record.metadata()) {
             return;
         }
-        let Ok(mut second) = self.second.lock() else { return };
-        let Some(left_out) = second.admit(Instant::now(), self.lines_a_second) else { return };
+        let Ok(mut seconds) = self.seconds.lock() else { return };
+        let (place, now) = ((record.file_static(), record.line()), Instant::now());
+        let second = seconds.entry(place).or_insert(Second { began: now, lines: 0, left_out: 0 });
+        let Some(left_out) = second.admit(now, self.lines_a_second) else { return };
         let since = self.start.elapsed().as_secs_f64();
         let level = record.level().as_str().to_lowercase();
         let mut line = format!("{since:.3} {level} {}", record.args()).replace('\n', " ");
         if left_out > 0 {
-            line.push_str(&format!(" ({left_out} lines left out before this one)"));
+            line.push_str(&format!(" ({left_out} of the kind left out before this one)"));
         }
         let line: String = line.chars().take(LINE_BYTES).collect::<String>() + "\n";
         let error = std::io::stderr();
--- a/governor/tests/sockets.rs
+++ b/governor/tests/sockets.rs
@@ -315,11 +315,13 @@
     };
     refuses("{ no JSON", "line 1");
     type Change = fn(&mut Value);
-    let cases: [(Change, &str); 9] = [
-        (|file| file["settings"]["familyInfo"]["fixedCost"] = json!("eight"), "settings"),
+    let cases: [(Change, &str); 11] = [
+        (|file| file["settings"]["familyInfo"]["fixedCost"] = json!("eight"), "familyInfo.fixedCost"),
         (|file| _ = file["settings"]["familyInfo"].as_object_mut().unwrap().remove("queueCap"), "queueCap"),
         (|file| file["settings"]["classes"][1]["targetNs"] = json!(-4), "classes[1].targetNs"),
         (|file| file["settings"]["membershipMode"] = json!("guess"), "membershipMode"),
+        (|file| file["settings"]["familyInfo"]["queueCap"] = json!(-1), "queueCap"),
+        (|file| file["settings"]["classes"] = json!([]), "classes"),
         (|file| file["listen"] = json!("here"), "listen"),
         (|file| _ = file.as_object_mut().unwrap().remove("discovery"), "PROXY_DISCOVERY"),
         (|file| file["distributor"] = json!({}), "distributor"),
