--- a/governor/src/transport/mod.rs
+++ b/governor/src/transport/mod.rs
@@ -1,4 +1,4 @@
-//! Reads and writes lines, and knows nothing of what they say. All that is read goes into one inbox.
+//! Reads and writes lines, and knows nothing of what they say. All that is read goes into an inbox.
 
 pub mod calls;
 pub mod framing;
