--- a/governor/src/program/event_loop.rs
+++ b/governor/src/program/event_loop.rs
@@ -138,6 +138,7 @@
         Some(match input {
             Input::Line { from, line, back } => match collector::decode(&line) {
                 Ok(message) => {
+                    log::debug!("from {from}: {line}");
                     self.backs.insert(from, back);
                     Event::Message { from, message }
                 }
