--- a/governor/src/program/logger.rs
+++ b/governor/src/program/logger.rs
@@ -1,4 +1,5 @@
-//! A small logger on standard error. It never waits for a reader and never writes more than so much of one kind a second.
+//! A small logger on standard error. It never waits for a reader and never writes more than so much of one
+//! kind a second.
 
 use log::{Level, LevelFilter, Log, Metadata, Record};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
--- a/governor/src/protocol/mod.rs
+++ b/governor/src/protocol/mod.rs
@@ -23,8 +23,8 @@
     }
 }
 
-/// Figures out of nowhere (not a number, below nothing, beyond all measure) must not reach sums and means: one
-/// report that claims to cover a year would make all others look late.
+/// Figures out of nowhere (not a number, below nothing, beyond all measure) must not reach sums and means:
+/// one report that claims to cover a year would make all others look late.
 pub(crate) fn is_sane(figure: f64) -> bool {
     (0.0..=1e9).contains(&figure)
 }
--- a/governor/src/routing/outbox.rs
+++ b/governor/src/routing/outbox.rs
@@ -97,8 +97,8 @@
         waits
     }
 
-    /// Whether slices of the call being made changed hands since it was sent: if it still met them, it changed a
-    /// table after its lines were told.
+    /// Whether slices of the call being made changed hands since it was sent: if it still met them, it
+    /// changed a table after its lines were told.
     pub fn is_crossed(&self) -> bool {
         let slices = self.calls.front().into_iter().flatten().filter_map(|order| order.slice);
         slices.into_iter().any(|slice| self.changed_hands.contains(&slice))
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -184,7 +184,8 @@
             Message::Met(collector::Met { place, server, tries, aborted, mean_latency_ms, covers_ms }) => {
                 let (covers, mean_latency) = (span(covers_ms), span(mean_latency_ms));
                 let met = Met { place: self.place(&place), covers, tries, aborted, mean_latency };
-                // Reports invent no servers: one that neither the list nor the store has named is passed over.
+                // Reports invent no servers: one that neither the list nor the store has named is passed
+                // over.
                 if let Some(server) = self.names.known(&server) {
                     self.governor.met(now, server, met);
                 }
@@ -237,12 +238,12 @@
         self.governor.slice_taken(now, slice);
     }
 
-    /// Lines belong with their grant: the decisions get both at once, or they would take a table for empty and
-    /// fill it (against news that come in pieces, or break in the middle of a table).
+    /// Lines belong with their grant: the decisions get both at once, or they would take a table for empty
+    /// and fill it (against news that come in pieces, or break in the middle of a table).
     fn given(&mut self, now: Moment, tables: BTreeMap<SliceId, Table>, again: bool) {
         for (slice, table) in tables {
-            // After a break in the news most tables are as we left them, or as orders on their way leave them:
-            // what is remembered of their loads must not be lost over that.
+            // After a break in the news most tables are as we left them, or as orders on their way leave
+            // them: what is remembered of their loads must not be lost over that.
             let ours = self.tables.get(&slice);
             let holds = ours.is_some_and(|ours| *ours == table || self.in_motion.contains(&slice));
             if !(again && holds) {
--- a/governor/src/routing/snapshot.rs
+++ b/governor/src/routing/snapshot.rs
@@ -1,5 +1,5 @@
-//! What the relay says that stands, piece by piece: joined proxies, and slices with their lines. Its end is not
-//! marked, and neither is that of a table.
+//! What the relay says that stands, piece by piece: joined proxies, and slices with their lines. Its end is
+//! not marked, and neither is that of a table.
 
 use std::collections::{BTreeMap, BTreeSet};
 use whinwall::interface::{ProxyId, ServerId, SliceId};
@@ -63,8 +63,8 @@
         }
     }
 
-    /// From then on no further line is expected for tables that have some. That one has none at all is believed
-    /// only once something else is said: to take a table for empty is to fill it.
+    /// From then on no further line is expected for tables that have some. That one has none at all is
+    /// believed only once something else is said: to take a table for empty is to fill it.
     pub fn settles(&self) -> Option<Moment> {
         self.tables.values().any(|table| !table.is_empty()).then_some(self.last + PIECES)
     }
--- a/governor/src/transport/limits.rs
+++ b/governor/src/transport/limits.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-/// All parties are on the same network, a few milliseconds away: a connection that takes longer never comes up.
+/// All parties are on the same network, a few milliseconds away: a connection that takes longer never comes
+/// up.
 pub const CONNECT: Duration = Duration::from_millis(300);
 /// The relay answers a call within 50 ms or never; the rest is for a busy machine.
 pub const ANSWER: Duration = Duration::from_millis(150);
--- a/governor/src/transport/listener.rs
+++ b/governor/src/transport/listener.rs
@@ -21,8 +21,8 @@
 
 type Peers = Rc<RefCell<BTreeMap<ConnectionId, Peer>>>;
 
-/// Takes connections for ever. Where there are too many, one that never spoke goes, else the one that has been
-/// silent longest: strangers who connect and say nothing must not cost a collector its place.
+/// Takes connections for ever. Where there are too many, one that never spoke goes, else the one that has
+/// been silent longest: strangers who connect and say nothing must not cost a collector its place.
 pub async fn listen(listener: Rc<TcpListener>, most: usize, unfinished: Unfinished, inbox: Inbox) {
     let peers = Peers::default();
     for id in 0.. {
--- a/src/news.rs
+++ b/src/news.rs
@@ -38,8 +38,8 @@
         self.settle(now);
     }
 
-    /// Steps that need no way to the proxies: they can be taken while no order can be made, lest one broken way
-    /// break the others (against a list lost while orders wait).
+    /// Steps that need no way to the proxies: they can be taken while no order can be made, lest one broken
+    /// way break the others (against a list lost while orders wait).
     pub fn asides(&mut self) -> Vec<Step> {
         let is_order =
             |step: &Step| !matches!(step, Step::FollowList | Step::Wake { .. } | Step::Sick { .. });
