--- a/governor/src/program/configuration.rs
+++ b/governor/src/program/configuration.rs
@@ -85,13 +85,13 @@
 #[derive(Deserialize)]
 #[serde(default)]
 struct Limits {
-    sockets: usize,
-    memory_mb: usize,
+    sockets: f64,
+    memory_mb: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024, memory_mb: 192 }
+        Limits { sockets: 1024.0, memory_mb: 192.0 }
     }
 }
 
@@ -130,7 +130,7 @@
         value.parse::<SocketAddr>().map_err(|why| format!("{name}: {value:?} is no address: {why}"))
     };
     let clock = || SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_nanos() as u64);
-    let connections = file.limits.sockets.saturating_sub(limits::RESERVED) / 2;
+    let connections = (file.limits.sockets as usize).saturating_sub(limits::RESERVED) / 2;
     if connections == 0 {
         return Err(format!("limits.sockets: {} are too few", file.limits.sockets));
     }
@@ -141,7 +141,7 @@
         relay: address(file.distributor.address, "distributor.address")?,
         seed: file.seed.unwrap_or_else(clock),
         connections,
-        unfinished: file.limits.memory_mb * 1_000_000 / limits::UNFINISHED_PART,
+        unfinished: (file.limits.memory_mb * 1e6) as usize / limits::UNFINISHED_PART,
         known: file.known,
         briefing: file.settings,
     })
--- a/governor/tests/sockets.rs
+++ b/governor/tests/sockets.rs
@@ -449,7 +449,7 @@
 fn strangers_cost_nobody_else_a_place() {
     let (relay, discovery) = (Relay::start(), Discovery::start());
     let program = Program::start_with(&relay, &discovery, |file| {
-        file["limits"] = json!({"sockets": 128, "memory_mb": 32})
+        file["limits"] = json!({"sockets": 128, "memory_mb": 31.5})
     });
     let mut collector = program.connect();
     collector.pings();
