--- a/governor/tests/sockets.rs
+++ b/governor/tests/sockets.rs
@@ -445,6 +445,27 @@
     drop((watch, silent));
 }
 
+#[test]
+fn all_ways_may_fail_at_once() {
+    let (mut relay, mut discovery, program) = all();
+    let watch = discovery.introduce();
+    let news = relay.introduce();
+    relay.answer_until("SYNC").carried_out();
+    watch.list(42, false, &["leaving"]);
+    let open = relay.answer_until("OUT,s-0;");
+    drop(watch);
+    _ = news.shutdown(std::net::Shutdown::Both);
+    _ = open.way.shutdown(std::net::Shutdown::Both);
+    let _strangers: Vec<_> = (0..40).map(|_| program.connect()).collect();
+    // All are back, and more has happened: what was open is carried out, then what is new.
+    let watch = discovery.watch(42);
+    watch.list(43, false, &["leaving", "leaving"]);
+    let _news = relay.introduce();
+    relay.call("OUT,s-0;").carried_out();
+    let call = relay.answer_until("OUT,s-1;");
+    assert!(call.line.contains("SET,1,s-1,0") && call.line.contains("SET,4,s-1,0"), "{}", call.line);
+}
+
 #[test]
 fn strangers_cost_nobody_else_a_place() {
     let (relay, discovery) = (Relay::start(), Discovery::start());
