SIGHUP reads the configuration anew and moves calls, news and watch

Now the signal is known before anything else is read; the file goes through the reader used at the start; an unusable one changes nothing and its key is logged; what only a start takes over is named. New addresses are an event, effects carry targets; an open call is said again at the new address first. What an attempt that was given up still says is dropped. Socket test fails on the old program (seen).

--- a/governor/src/program/configuration.rs
+++ b/governor/src/program/configuration.rs
@@ -1,18 +1,21 @@
 //! The one place where configuration is read, checked and given defaults. A message names the faulty key.
 
 use crate::protocol::discovery::List;
-use crate::transport::limits;
+use crate::transport::{limits, Targets};
 use log::LevelFilter;
 use serde::{Deserialize, Deserializer};
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{SystemTime, UNIX_EPOCH};
 use whinwall_briefing::Briefing;
 
 const LOG_LINES: u32 = 40;
+/// What a running program can't change.
+const ONLY_AT_START: [&str; 4] = ["name", "listen", "limits", "settings"];
 
 /// What the process finds around it; variables win over the file.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Surroundings {
     pub name: Option<String>,
     pub listen: Option<String>,
@@ -51,8 +54,7 @@
 pub struct Start {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
-    pub relay: SocketAddr,
+    pub targets: Targets,
     pub seed: u64,
     /// Connections to our address at the most.
     pub connections: usize,
@@ -60,6 +62,9 @@
     pub unfinished: usize,
     pub known: List,
     pub briefing: Briefing,
+    /// Where all this is from, for reading it anew.
+    around: Surroundings,
+    file: Value,
 }
 
 #[derive(Deserialize)]
@@ -112,11 +117,37 @@
     }
 }
 
-pub fn read(around: &Surroundings) -> Result<Start, String> {
+pub fn read(around: Surroundings) -> Result<Start, String> {
+    let written = written(&around)?;
+    check(around, written)
+}
+
+impl Start {
+    /// Takes over what the file says now; where that can't be used, all stays as it was. Returns the keys that
+    /// changed and that only a start can take over.
+    pub fn read_anew(&mut self) -> Result<Vec<&'static str>, String> {
+        let written = written(&self.around)?;
+        let mut around = self.around.clone();
+        // A variable wins until its key changes in the file: whoever changes that means it.
+        let before = self.file.get("discovery");
+        if written.get("discovery").is_some_and(|now| Some(now) != before) {
+            around.discovery = None;
+        }
+        let new = check(around, written)?;
+        let left = ONLY_AT_START.into_iter().filter(|key| new.file.get(key) != self.file.get(key)).collect();
+        (self.targets, self.around, self.file) = (new.targets, new.around, new.file);
+        Ok(left)
+    }
+}
+
+fn written(around: &Surroundings) -> Result<Value, String> {
     let path = around.file.as_ref().ok_or("PROXY_CONFIG is not set; it names the configuration file")?;
     let text = std::fs::read(path).map_err(|why| format!("PROXY_CONFIG: {}: {why}", path.display()))?;
-    let mut json = serde_json::Deserializer::from_slice(&text);
-    let file: File = serde_path_to_error::deserialize(&mut json).map_err(|wrong| match wrong.path() {
+    serde_json::from_slice(&text).map_err(|why| format!("PROXY_CONFIG: {}: {why}", path.display()))
+}
+
+fn check(around: Surroundings, written: Value) -> Result<Start, String> {
+    let file: File = serde_path_to_error::deserialize(&written).map_err(|wrong| match wrong.path() {
         path if path.iter().next().is_none() => wrong.inner().to_string(),
         path => format!("{path}: {}", wrong.inner()),
     })?;
@@ -137,12 +168,16 @@
     Ok(Start {
         name: either(&around.name, file.name, "name")?,
         listen: address(either(&around.listen, file.listen, "listen")?, "listen")?,
-        discovery: address(either(&around.discovery, file.discovery, "discovery")?, "discovery")?,
-        relay: address(file.distributor.address, "distributor.address")?,
+        targets: Targets {
+            discovery: address(either(&around.discovery, file.discovery, "discovery")?, "discovery")?,
+            relay: address(file.distributor.address, "distributor.address")?,
+        },
         seed: file.seed.unwrap_or_else(clock),
         connections,
         unfinished: (file.limits.memory_mb * 1e6) as usize / limits::UNFINISHED_PART,
         known: file.known,
         briefing: file.settings,
+        around,
+        file: written,
     })
 }
--- a/governor/src/program/event_loop.rs
+++ b/governor/src/program/event_loop.rs
@@ -2,17 +2,18 @@
 
 use super::clock::Clock;
 use super::configuration::Start;
-use super::signals::Signals;
+use super::signals::{Signal, Signals};
 use crate::protocol::{collector, discovery, relay, Malformed};
 use crate::routing::{Effect, Event, Reducer};
 use crate::transport::{calls, framing, limits, listener, news, watch};
-use crate::transport::{Broken, CallError, ConnectionId, Inbox, Input};
+use crate::transport::{Broken, CallError, ConnectionId, FollowId, Inbox, Input};
 use actix_rt::net::TcpListener;
 use actix_rt::task::JoinHandle;
 use actix_rt::time::sleep;
 use futures_util::FutureExt;
 use std::collections::BTreeMap;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,15 +25,18 @@
 /// A former process may hold our address a moment longer.
 const BIND_ATTEMPTS: u32 = 50;
 
-/// Serves until a signal comes. A panic costs what the reducer remembered, as a restart would, and not the
+/// Serves until a signal ends it. A panic costs what the reducer remembered, as a restart would, and not the
 /// process: the relay and discovery know all that stands.
-pub async fn serve(start: Start) -> Result<&'static str, String> {
-    let mut signals = Signals::listen().map_err(|why| format!("signals: {why}"))?;
-    let listener = Rc::new(bind(&start).await?);
+pub async fn serve(mut start: Start, mut signals: Signals) -> Result<&'static str, String> {
+    let listener = tokio::select! {
+        biased;
+        listener = bind(start.listen) => Rc::new(listener?),
+        why = until_end(&mut signals) => return Ok(why),
+    };
     let address = listener.local_addr().map_err(|why| format!("listen: {why}"))?;
     log::info!("{} serves at {address}", start.name);
     loop {
-        let life = live(&start, listener.clone(), &mut signals);
+        let life = live(&mut start, listener.clone(), &mut signals);
         match AssertUnwindSafe(life).catch_unwind().await {
             Ok(why) => return Ok(why),
             Err(_) => log::error!("a panic; starting again from what relay and discovery know"),
@@ -41,25 +45,34 @@
     }
 }
 
-async fn bind(start: &Start) -> Result<TcpListener, String> {
+/// The file is read only now and has nothing newer: other signals are passed over.
+async fn until_end(signals: &mut Signals) -> &'static str {
+    loop {
+        if let Signal::End(why) = signals.come().await {
+            return why;
+        }
+    }
+}
+
+async fn bind(listen: SocketAddr) -> Result<TcpListener, String> {
     let mut attempts = 0;
     loop {
-        match TcpListener::bind(start.listen).await {
+        match TcpListener::bind(listen).await {
             Ok(listener) => return Ok(listener),
-            Err(why) if attempts == BIND_ATTEMPTS => return Err(format!("listen: {}: {why}", start.listen)),
+            Err(why) if attempts == BIND_ATTEMPTS => return Err(format!("listen: {listen}: {why}")),
             Err(_) => attempts += 1,
         }
         sleep(limits::PAUSE).await;
     }
 }
 
-async fn live(start: &Start, listener: Rc<TcpListener>, signals: &mut Signals) -> &'static str {
+async fn live(start: &mut Start, listener: Rc<TcpListener>, signals: &mut Signals) -> &'static str {
     // Two inboxes, so that whoever floods our address delays neither relay nor discovery.
     let (inbox, mut arrived) = mpsc::channel(limits::INBOX);
     let (at_door, mut reports) = mpsc::channel(limits::INBOX);
     let (calls, to_make) = mpsc::channel(1);
     let unfinished = framing::Unfinished::new(start.unfinished, start.connections);
-    let _calls = Task::spawn(calls::serve(start.relay, to_make, inbox.clone()));
+    let _calls = Task::spawn(calls::serve(to_make, inbox.clone()));
     let _door = Task::spawn(listener::listen(listener, start.connections, unfinished, at_door));
     let mut turn = Loop::new(start, inbox, calls);
     turn.apply(Event::Started);
@@ -70,7 +83,10 @@
         let wait = turn.wake.map_or(LONGEST_SLEEP, |at| turn.clock.until(at).min(LONGEST_SLEEP));
         tokio::select! {
             biased;
-            signal = signals.come() => return signal,
+            signal = signals.come() => match signal {
+                Signal::End(why) => return why,
+                Signal::ReadAnew => turn.read_anew(start),
+            },
             Some(first) = arrived.recv() => turn.take(first),
             Some(first) = reports.recv() => turn.take(first),
             _ = sleep(wait) => {}
@@ -96,27 +112,54 @@
     }
 }
 
-struct Loop<'a> {
-    start: &'a Start,
+/// Something that is followed; what an earlier attempt still says is nobody's.
+struct Follow {
+    id: FollowId,
+    _task: Task,
+}
+
+struct Loop {
     clock: Clock,
     reducer: Reducer,
     inbox: Inbox,
     calls: Sender<calls::Call>,
     discovery: awc::Client,
-    news: Option<Task>,
-    list: Option<Task>,
+    news: Option<Follow>,
+    list: Option<Follow>,
+    follows: FollowId,
     wake: Option<Moment>,
     /// The ways back of those who spoke in this turn.
     backs: BTreeMap<ConnectionId, Sender<String>>,
 }
 
-impl<'a> Loop<'a> {
-    fn new(start: &'a Start, inbox: Inbox, calls: Sender<calls::Call>) -> Self {
+impl Loop {
+    fn new(start: &Start, inbox: Inbox, calls: Sender<calls::Call>) -> Self {
         let clock = Clock::start();
-        let reducer = Reducer::start(start.briefing.clone(), start.seed, &start.known, clock.now());
+        let reducer =
+            Reducer::start(start.briefing.clone(), start.targets, start.seed, &start.known, clock.now());
         let discovery = awc::Client::builder().disable_timeout().finish();
         let (news, list, wake, backs) = (None, None, None, BTreeMap::new());
-        Loop { start, clock, reducer, inbox, calls, discovery, news, list, wake, backs }
+        Loop { clock, reducer, inbox, calls, discovery, news, list, follows: 0, wake, backs }
+    }
+
+    /// A file that can't be used, or is only half there, changes nothing.
+    fn read_anew(&mut self, start: &mut Start) {
+        match start.read_anew() {
+            Ok(left) => {
+                let targets = start.targets;
+                log::info!("SIGHUP: relay at {}, discovery at {}", targets.relay, targets.discovery);
+                for key in left {
+                    log::warn!("configuration: {key} has changed, which only a new start takes over");
+                }
+                self.apply(Event::Configured(targets));
+            }
+            Err(wrong) => log::error!("configuration: {wrong}; all stays as it was"),
+        }
+    }
+
+    fn follow(&mut self, work: impl FnOnce(FollowId) -> Task) -> Option<Follow> {
+        self.follows += 1;
+        Some(Follow { id: self.follows, _task: work(self.follows) })
     }
 
     /// No more than fit in the inbox at once: what arrives meanwhile is for the next turn.
@@ -147,7 +190,11 @@
                     return None;
                 }
             },
-            Input::News(line) => match relay::decode_news(&line) {
+            Input::News(id, _) if self.news.as_ref().is_none_or(|news| news.id != id) => return None,
+            Input::List(id, _) if self.list.as_ref().is_none_or(|list| list.id != id) => return None,
+            Input::News(_, Err(why)) => Event::NewsLost(why),
+            Input::List(_, Err(why)) => Event::ListLost(why),
+            Input::News(_, Ok(line)) => match relay::decode_news(&line) {
                 Ok(news) => {
                     log::debug!("news: {line}");
                     Event::News(news)
@@ -157,13 +204,12 @@
                     Event::NewsLost(unreadable(wrong))
                 }
             },
-            Input::NewsLost(why) => Event::NewsLost(why),
             Input::Answer(outcome) => {
                 log::debug!("answer: {outcome:?}");
                 let unclear = |wrong| CallError::OutcomeUnknown(unreadable(wrong));
                 Event::Answer(outcome.and_then(|line| relay::decode_answer(&line).map_err(unclear)))
             }
-            Input::List(line) => match discovery::decode(&line) {
+            Input::List(_, Ok(line)) => match discovery::decode(&line) {
                 Ok(list) => {
                     let list = list?; // nothing but a sign of life
                     log::debug!("list: version {}, {} entries", list.version, list.entries.len());
@@ -174,7 +220,6 @@
                     Event::ListLost(unreadable(wrong))
                 }
             },
-            Input::ListLost(why) => Event::ListLost(why),
         })
     }
 
@@ -192,18 +237,18 @@
                     _ = back.try_send(collector::PONG.into());
                 }
             }
-            Effect::Call { line, afresh } => {
+            Effect::Call { relay, line, afresh } => {
                 log::debug!("call: {line}");
-                _ = self.calls.try_send(calls::Call { line, afresh }); // one is made at a time: there is room
+                _ = self.calls.try_send(calls::Call { relay, line, afresh }); // one is made at a time: there is room
             }
-            Effect::FollowNews => {
-                let follow = news::follow(self.start.relay, relay::WATCH, self.inbox.clone());
-                self.news = Some(Task::spawn(follow));
+            Effect::FollowNews { relay } => {
+                let inbox = self.inbox.clone();
+                self.news = self.follow(|id| Task::spawn(news::follow(id, relay, relay::WATCH, inbox)));
             }
-            Effect::FollowList { since } => {
-                let url = format!("http://{}{}", self.start.discovery, discovery::watch_path(since));
-                let follow = watch::follow(self.discovery.clone(), url, self.inbox.clone());
-                self.list = Some(Task::spawn(follow));
+            Effect::FollowList { discovery, since } => {
+                let url = format!("http://{discovery}{}", discovery::watch_path(since));
+                let (client, inbox) = (self.discovery.clone(), self.inbox.clone());
+                self.list = self.follow(|id| Task::spawn(watch::follow(id, client, url, inbox)));
             }
             Effect::WakeAt(at) => self.wake = Some(at),
             Effect::Note(text) => log::info!("{text}"),
--- a/governor/src/program/mod.rs
+++ b/governor/src/program/mod.rs
@@ -6,6 +6,7 @@
 mod logger;
 mod signals;
 
+use signals::Signals;
 use std::process::ExitCode;
 
 /// Runs until a signal ends it; a configuration that can't be used ends it at once.
@@ -14,14 +15,19 @@
     let logging = around.logging();
     let (level, lines) = logging.clone().unwrap_or((log::LevelFilter::Info, u32::MAX));
     logger::start(level, lines);
-    let start = match logging.and_then(|_| configuration::read(&around)) {
-        Ok(start) => start,
-        Err(wrong) => {
+    let system = actix_rt::System::new();
+    // Before anything else, lest a signal meet a program that does not know it yet.
+    let signals = system.block_on(async { Signals::listen() });
+    let signals = signals.map_err(|why| format!("signals: {why}"));
+    let read = || Ok((signals?, logging.and_then(|_| configuration::read(around))?));
+    let (signals, start) = match read() {
+        Ok(all) => all,
+        Err::<_, String>(wrong) => {
             log::error!("configuration: {wrong}");
             return ExitCode::from(2);
         }
     };
-    match actix_rt::System::new().block_on(event_loop::serve(start)) {
+    match system.block_on(event_loop::serve(start, signals)) {
         Ok(why) => {
             log::info!("{why}, ending");
             ExitCode::SUCCESS
--- a/governor/src/program/signals.rs
+++ b/governor/src/program/signals.rs
@@ -1,11 +1,18 @@
-//! The signals that end the program.
+//! The signals that end the program, or have it read its configuration anew.
 
-use actix_rt::signal::unix::{signal, Signal, SignalKind};
+use actix_rt::signal::unix::{self, signal, SignalKind};
 use std::io;
 
+pub enum Signal {
+    /// To end, under this name.
+    End(&'static str),
+    ReadAnew,
+}
+
 pub struct Signals {
-    terminate: Signal,
-    interrupt: Signal,
+    terminate: unix::Signal,
+    interrupt: unix::Signal,
+    hangup: unix::Signal,
 }
 
 impl Signals {
@@ -13,14 +20,16 @@
         Ok(Signals {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
         })
     }
 
-    /// The name of the first that comes.
-    pub async fn come(&mut self) -> &'static str {
+    pub async fn come(&mut self) -> Signal {
         tokio::select! {
-            _ = self.terminate.recv() => "SIGTERM",
-            _ = self.interrupt.recv() => "SIGINT",
+            biased;
+            _ = self.terminate.recv() => Signal::End("SIGTERM"),
+            _ = self.interrupt.recv() => Signal::End("SIGINT"),
+            _ = self.hangup.recv() => Signal::ReadAnew,
         }
     }
 }
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -7,9 +7,10 @@
 use crate::protocol::collector::{self, Message};
 use crate::protocol::discovery::{Entry, List};
 use crate::protocol::relay::{Answer, News, Order};
-use crate::transport::{limits, Broken, CallError, ConnectionId};
+use crate::transport::{limits, Broken, CallError, ConnectionId, Targets};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::net::SocketAddr;
 use whinwall::interface::*;
 use whinwall::logic::Governor;
 use whinwall::time::{Moment, Span};
@@ -18,6 +19,8 @@
 #[derive(Debug)]
 pub enum Event {
     Started,
+    /// The configuration was read anew.
+    Configured(Targets),
     Message {
         from: ConnectionId,
         message: Message,
@@ -34,9 +37,9 @@
 #[derive(Debug, PartialEq)]
 pub enum Effect {
     Pong { to: ConnectionId },
-    Call { line: String, afresh: bool },
-    FollowNews,
-    FollowList { since: u64 },
+    Call { relay: SocketAddr, line: String, afresh: bool },
+    FollowNews { relay: SocketAddr },
+    FollowList { discovery: SocketAddr, since: u64 },
     WakeAt(Moment),
     Note(String),
 }
@@ -70,6 +73,7 @@
 pub struct Reducer {
     governor: Governor,
     briefing: Briefing,
+    targets: Targets,
     names: Names,
     list_version: u64,
     proxies: BTreeSet<ProxyId>,
@@ -90,10 +94,11 @@
 }
 
 impl Reducer {
-    pub fn start(briefing: Briefing, seed: u64, known: &List, now: Moment) -> Self {
+    pub fn start(briefing: Briefing, targets: Targets, seed: u64, known: &List, now: Moment) -> Self {
         let mut reducer = Reducer {
             governor: Governor::start(briefing.deployment.clone(), seed, now),
             briefing,
+            targets,
             names: Names::default(),
             list_version: known.version,
             proxies: BTreeSet::new(),
@@ -116,9 +121,10 @@
             Event::Started => {
                 self.follow_news();
                 if self.briefing.deployment.list_pushed {
-                    self.effects.push(Effect::FollowList { since: self.list_version });
+                    self.follow_list();
                 }
             }
+            Event::Configured(targets) => self.configured(targets),
             Event::Message { from, message } => self.message(now, from, message),
             Event::News(news) => self.news(now, news),
             Event::NewsLost(why) => {
@@ -157,7 +163,29 @@
 
     fn follow_news(&mut self) {
         self.in_motion = self.outbox.slices();
-        self.effects.push(Effect::FollowNews);
+        // A break that waits to be made up for is made up for by this: another would only cut it short.
+        self.agenda.retain(|(_, due)| *due != Due::News);
+        self.effects.push(Effect::FollowNews { relay: self.targets.relay });
+    }
+
+    fn follow_list(&mut self) {
+        self.agenda.retain(|(_, due)| *due != Due::List);
+        let (discovery, since) = (self.targets.discovery, self.list_version);
+        self.effects.push(Effect::FollowList { discovery, since });
+    }
+
+    /// What has moved is asked for at its new address; all that is known stays, and a call that is open stays
+    /// the first: what its former address does not answer is said again at the new one.
+    fn configured(&mut self, targets: Targets) {
+        let former = std::mem::replace(&mut self.targets, targets);
+        if former.relay != targets.relay {
+            self.snapshot = Snapshot::default();
+            self.outbox.release();
+            self.follow_news();
+        }
+        if former.discovery != targets.discovery {
+            self.follow_list();
+        }
     }
 
     /// A place that the settings do not name is like no other.
@@ -333,7 +361,7 @@
                 Due::Decisions(token) => self.governor.woken(now, token),
                 Due::Call => self.outbox.release(),
                 Due::News => self.follow_news(),
-                Due::List => self.effects.push(Effect::FollowList { since: self.list_version }),
+                Due::List => self.follow_list(),
             }
         }
         let (tables, again) = (self.snapshot.settled(now), self.snapshot.is_whole());
@@ -345,7 +373,8 @@
             asides.into_iter().for_each(|step| _ = self.order(now, step));
         }
         let call = self.outbox.next();
-        self.effects.extend(call.map(|(line, afresh)| Effect::Call { line, afresh }));
+        let relay = self.targets.relay;
+        self.effects.extend(call.map(|(line, afresh)| Effect::Call { relay, line, afresh }));
         let next = self.agenda.first().map(|(at, _)| *at).into_iter();
         self.effects.extend(next.chain(self.snapshot.settles()).min().map(Effect::WakeAt));
     }
@@ -378,7 +407,7 @@
             }
             Step::Mark { number } => Order::Mark { number },
             Step::FollowList => {
-                self.effects.push(Effect::FollowList { since: self.list_version });
+                self.follow_list();
                 return None;
             }
             Step::Wake { token, after } => {
--- a/governor/src/transport/calls.rs
+++ b/governor/src/transport/calls.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 
 pub struct Call {
+    pub relay: SocketAddr,
     pub line: String,
     /// On a new connection: what the open one brings is not to be trusted.
     pub afresh: bool,
@@ -16,14 +17,17 @@
 
 type Line = Framed<TcpStream, Lines>;
 
+/// The connection that is kept, and to whom.
+type Open = Option<(SocketAddr, Line)>;
+
 /// Makes each call that comes and says how it went. The relay closes idle connections: one that it has closed
 /// is seen at once, so that no call is written to it.
-pub async fn serve(relay: SocketAddr, mut calls: mpsc::Receiver<Call>, inbox: Inbox) {
-    let mut open: Option<Line> = None;
+pub async fn serve(mut calls: mpsc::Receiver<Call>, inbox: Inbox) {
+    let mut open: Open = None;
     loop {
         let call = match &mut open {
             None => calls.recv().await,
-            Some(line) => tokio::select! {
+            Some((_, line)) => tokio::select! {
                 biased;
                 _ = line.next() => {
                     open = None; // closed, or it says what nobody asked for
@@ -32,8 +36,8 @@
                 call = calls.recv() => call,
             },
         };
-        let Some(Call { line, afresh }) = call else { return };
-        open = open.filter(|_| !afresh);
+        let Some(Call { relay, line, afresh }) = call else { return };
+        open = open.filter(|(to, _)| !afresh && *to == relay);
         let attempt = contained(attempt(relay, &mut open, line)).await;
         let answer = attempt.unwrap_or_else(|panicked| Err(CallError::OutcomeUnknown(panicked)));
         if answer.is_err() {
@@ -45,12 +49,12 @@
     }
 }
 
-async fn attempt(relay: SocketAddr, open: &mut Option<Line>, call: String) -> Result<String, CallError> {
+async fn attempt(relay: SocketAddr, open: &mut Open, call: String) -> Result<String, CallError> {
     let line = match open {
-        Some(line) => line,
+        Some((_, line)) => line,
         None => {
             let stream = connect(relay).await.map_err(CallError::NotSent)?;
-            open.insert(Framed::new(stream, Lines::with_crlf(limits::LINE)))
+            &mut open.insert((relay, Framed::new(stream, Lines::with_crlf(limits::LINE)))).1
         }
     };
     let sent = within(limits::ANSWER, line.send(call)).await.map_err(CallError::NotSent)?;
--- a/governor/src/transport/mod.rs
+++ b/governor/src/transport/mod.rs
@@ -17,6 +17,15 @@
 
 /// Which of the connections to our own address.
 pub type ConnectionId = u64;
+/// Which of the attempts to follow the relay's news, or the list.
+pub type FollowId = u64;
+
+/// Where others are; a new configuration may name new addresses.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Targets {
+    pub discovery: SocketAddr,
+    pub relay: SocketAddr,
+}
 
 #[derive(Debug)]
 pub enum Input {
@@ -26,11 +35,10 @@
         line: String,
         back: mpsc::Sender<String>,
     },
-    News(String),
-    NewsLost(Broken),
+    /// What is followed says something, or is no more.
+    News(FollowId, Result<String, Broken>),
+    List(FollowId, Result<String, Broken>),
     Answer(Result<String, CallError>),
-    List(String),
-    ListLost(Broken),
 }
 
 pub type Inbox = mpsc::Sender<Input>;
--- a/governor/src/transport/news.rs
+++ b/governor/src/transport/news.rs
@@ -1,17 +1,17 @@
 //! The connection that brings the relay's news. It ends with the first failure, and is said to have ended.
 
 use super::framing::Lines;
-use super::{connect, contained, limits, within, Broken, Inbox, Input};
+use super::{connect, contained, limits, within, Broken, FollowId, Inbox, Input};
 use actix_codec::Framed;
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
 
-pub async fn follow(relay: SocketAddr, request: &'static str, inbox: Inbox) {
-    let why = contained(read(relay, request, &inbox)).await.unwrap_or_else(|panicked| panicked);
-    _ = inbox.send(Input::NewsLost(why)).await;
+pub async fn follow(id: FollowId, relay: SocketAddr, request: &'static str, inbox: Inbox) {
+    let why = contained(read(id, relay, request, &inbox)).await.unwrap_or_else(|panicked| panicked);
+    _ = inbox.send(Input::News(id, Err(why))).await;
 }
 
-async fn read(relay: SocketAddr, request: &'static str, inbox: &Inbox) -> Broken {
+async fn read(id: FollowId, relay: SocketAddr, request: &'static str, inbox: &Inbox) -> Broken {
     let stream = match connect(relay).await {
         Ok(stream) => stream,
         Err(why) => return why,
@@ -31,7 +31,7 @@
             Err(why) => return why,
         };
         patience = limits::NEWS_SILENCE;
-        if inbox.send(Input::News(line)).await.is_err() {
+        if inbox.send(Input::News(id, Ok(line))).await.is_err() {
             return Broken::Closed;
         }
     }
--- a/governor/src/transport/watch.rs
+++ b/governor/src/transport/watch.rs
@@ -1,17 +1,17 @@
 //! Discovery's watch: one request, answered by lines for as long as it lasts.
 
 use super::framing::Lines;
-use super::{contained, limits, within, Broken, Inbox, Input};
+use super::{contained, limits, within, Broken, FollowId, Inbox, Input};
 use actix_codec::Decoder;
 use bytes::BytesMut;
 use futures_util::StreamExt;
 
-pub async fn follow(client: awc::Client, url: String, inbox: Inbox) {
-    let why = contained(read(client, url, &inbox)).await.unwrap_or_else(|panicked| panicked);
-    _ = inbox.send(Input::ListLost(why)).await;
+pub async fn follow(id: FollowId, client: awc::Client, url: String, inbox: Inbox) {
+    let why = contained(read(id, client, url, &inbox)).await.unwrap_or_else(|panicked| panicked);
+    _ = inbox.send(Input::List(id, Err(why))).await;
 }
 
-async fn read(client: awc::Client, url: String, inbox: &Inbox) -> Broken {
+async fn read(id: FollowId, client: awc::Client, url: String, inbox: &Inbox) -> Broken {
     let unreachable = |why: &dyn std::fmt::Display| Broken::Unreachable(why.to_string());
     let mut answer = match within(limits::LIST_ANSWER, client.get(url).send()).await {
         Ok(Ok(answer)) if answer.status().is_success() => answer,
@@ -33,7 +33,7 @@
                 Ok(None) => break,
                 Err(why) => return why.into(),
             };
-            if inbox.send(Input::List(line)).await.is_err() {
+            if inbox.send(Input::List(id, Ok(line))).await.is_err() {
                 return Broken::Closed;
             }
         }
--- a/governor/tests/reducer.rs
+++ b/governor/tests/reducer.rs
@@ -3,11 +3,12 @@
 use quickcheck::{Arbitrary, Gen};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use whinwall::time::{Moment, Span};
 use whinwall_governor::protocol::relay::{decode_news, Answer};
 use whinwall_governor::protocol::{collector, discovery};
 use whinwall_governor::routing::{Effect, Event, Reducer};
-use whinwall_governor::transport::{Broken, CallError};
+use whinwall_governor::transport::{Broken, CallError, Targets};
 
 type Store = BTreeMap<u32, BTreeMap<String, f64>>;
 
@@ -20,11 +21,14 @@
     proxies: u32,
     /// The call that waits for its answer, and all that were made.
     open: Option<String>,
+    relay: Option<SocketAddr>,
     calls: Vec<String>,
     follows: Vec<Effect>,
     notes: Vec<String>,
 }
 
+const RELAY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 6400);
+const DISCOVERY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8500);
 const UNKNOWN: Event = Event::Answer(Err(CallError::OutcomeUnknown(Broken::Silent)));
 
 impl Rig {
@@ -39,14 +43,16 @@
         example["settings"]["membershipMode"] = list_mode.into();
         let briefing = whinwall_briefing::read(&example["settings"]).unwrap();
         let now = Moment::default() + Span::ms(1_800_000_000_000);
+        let targets = Targets { discovery: DISCOVERY, relay: RELAY };
         let mut rig = Rig {
-            reducer: Reducer::start(briefing, 7, &discovery::List::default(), now),
+            reducer: Reducer::start(briefing, targets, 7, &discovery::List::default(), now),
             now,
             wake: None,
             store: (0..slices).map(|n| (n, BTreeMap::from([(format!("s-{}", n % 6), 1.0)]))).collect(),
             servers: (0..6).map(|n| (format!("s-{n}"), "active")).collect(),
             proxies: 4,
             open: None,
+            relay: None,
             calls: Vec::new(),
             follows: Vec::new(),
             notes: Vec::new(),
@@ -67,7 +73,8 @@
     fn tell(&mut self, event: Event) {
         for effect in self.reducer.apply(self.now, event) {
             match effect {
-                Effect::Call { line, .. } => {
+                Effect::Call { relay, line, .. } => {
+                    self.relay = Some(relay);
                     assert_eq!(self.open.replace(line.clone()), None, "two calls at a time");
                     self.calls.push(line);
                 }
@@ -157,7 +164,7 @@
 
     /// Tells what stands if that was asked for.
     fn renew(&mut self) -> bool {
-        let asked = self.follows.drain(..).any(|follow| follow == Effect::FollowNews);
+        let asked = self.follows.drain(..).any(|follow| matches!(follow, Effect::FollowNews { .. }));
         if asked {
             self.standing(&[]);
         }
@@ -246,6 +253,37 @@
     assert!(!rig.owners().contains("s-2") && !rig.owners().contains("s-3"));
 }
 
+#[test]
+fn new_targets_are_followed_and_an_open_call_stays_the_first() {
+    let mut rig = Rig::serving();
+    rig.drain("s-2");
+    let first = rig.open.clone().unwrap();
+    rig.tell(Event::NewsLost(Broken::Closed));
+    rig.follows.clear();
+    let moved = |port, other| Targets {
+        relay: SocketAddr::new(RELAY.ip(), port),
+        discovery: SocketAddr::new(RELAY.ip(), other),
+    };
+    rig.tell(Event::Configured(moved(RELAY.port(), DISCOVERY.port())));
+    assert_eq!(rig.follows, [], "nothing has moved");
+    let (targets, before) = (moved(6401, 8501), rig.calls.len());
+    rig.tell(Event::Configured(targets));
+    let expected = [
+        Effect::FollowNews { relay: targets.relay },
+        Effect::FollowList { discovery: targets.discovery, since: 41 },
+    ];
+    assert_eq!(rig.follows, expected);
+    rig.open = None;
+    rig.tell(UNKNOWN);
+    rig.drain("s-3");
+    assert_eq!((rig.open.as_ref(), rig.relay), (Some(&first), Some(targets.relay)));
+    rig.follows.clear();
+    rig.standing(&[]);
+    rig.pass(1000);
+    assert_eq!(rig.follows, [], "what was to be asked for again is asked for already");
+    assert!(rig.calls.len() > before && !rig.owners().contains("s-2") && !rig.owners().contains("s-3"));
+}
+
 #[test]
 fn an_order_that_cant_be_used_is_skipped_once() {
     let mut rig = Rig::serving();
@@ -273,7 +311,7 @@
     rig.open = None;
     rig.follows.clear();
     rig.tell(Event::Answer(Ok(Answer::Unusable("ERR bad_request".into()))));
-    assert_eq!(rig.follows, [Effect::FollowNews]);
+    assert_eq!(rig.follows, [Effect::FollowNews { relay: RELAY }]);
     rig.standing(&[]);
     rig.pass(1000);
     assert!(!rig.owners().contains("s-2"), "what was dropped is ordered again");
@@ -287,10 +325,14 @@
     rig.news("* GRANT 3 1");
     rig.tell(Event::NewsLost(Broken::Closed));
     rig.quiet();
-    assert_eq!(rig.follows.last(), Some(&Effect::FollowList { since: 0 }), "it pauses first");
+    assert_eq!(
+        rig.follows.last(),
+        Some(&Effect::FollowList { discovery: DISCOVERY, since: 0 }),
+        "it pauses first"
+    );
     let before = rig.notes.len();
     rig.pass(100);
-    assert_eq!(rig.follows.last(), Some(&Effect::FollowNews));
+    assert_eq!(rig.follows.last(), Some(&Effect::FollowNews { relay: RELAY }));
     assert_eq!(rig.notes.len(), before, "half a snapshot was taken for all that stands");
     // Meanwhile two proxies left, slice 4 went to another governor, and slice 5 to another server.
     rig.store.insert(5, BTreeMap::from([("s-0".into(), 1.0)]));
@@ -329,7 +371,11 @@
     }
     rig.follows.clear();
     rig.pass(100);
-    assert_eq!(rig.follows, [Effect::FollowNews], "the open call may have met the slice, or not");
+    assert_eq!(
+        rig.follows,
+        [Effect::FollowNews { relay: RELAY }],
+        "the open call may have met the slice, or not"
+    );
     rig.standing(&[]);
     rig.pass(1000);
     assert!(!rig.owners().contains("s-2"));
@@ -358,7 +404,7 @@
         rig.tell(Event::ListLost(why));
         rig.quiet();
         rig.pass(100);
-        assert_eq!(rig.follows.last(), Some(&Effect::FollowList { since }));
+        assert_eq!(rig.follows.last(), Some(&Effect::FollowList { discovery: DISCOVERY, since }));
     }
     rig.list();
     let notes = [
@@ -372,7 +418,10 @@
 fn a_list_that_must_be_asked_for_is_asked_for_though_the_relay_is_silent() {
     let mut rig = Rig::with("ask", 12);
     rig.quiet();
-    assert_eq!(rig.follows, [Effect::FollowNews, Effect::FollowList { since: 0 }]);
+    assert_eq!(
+        rig.follows,
+        [Effect::FollowNews { relay: RELAY }, Effect::FollowList { discovery: DISCOVERY, since: 0 }]
+    );
     rig.list();
     rig.standing(&[]);
     rig.pass(2000);
@@ -383,7 +432,7 @@
         rig.now = rig.now + Span::ms(100);
         rig.quiet();
     }
-    assert_eq!(rig.follows.last(), Some(&Effect::FollowList { since: 41 }));
+    assert_eq!(rig.follows.last(), Some(&Effect::FollowList { discovery: DISCOVERY, since: 41 }));
 }
 
 #[test]
--- a/governor/tests/sockets.rs
+++ b/governor/tests/sockets.rs
@@ -214,7 +214,7 @@
     child: Child,
     address: SocketAddr,
     log: Heard<String>,
-    _file: ConfigurationFile,
+    file: ConfigurationFile,
 }
 
 fn configuration() -> Value {
@@ -247,7 +247,7 @@
         let mut log = Heard::new(log);
         let serves = log.wait("the address", |line: &String| line.contains("serves at"));
         let address = serves.rsplit(' ').next().unwrap().parse().unwrap();
-        Program { child, address, log, _file: file }
+        Program { child, address, log, file }
     }
 
     fn connect(&self) -> Peer {
@@ -256,6 +256,12 @@
         Peer { reader: BufReader::new(stream.try_clone().unwrap()), stream }
     }
 
+    /// The configuration is replaced, and the program told.
+    fn reads_anew(&self, text: &str) {
+        std::fs::write(&self.file.0, text).unwrap();
+        kill_process(Pid::from_child(&self.child), Signal::HUP).unwrap();
+    }
+
     fn ends(&mut self) -> ExitStatus {
         let end = Instant::now() + PATIENCE;
         while Instant::now() < end {
@@ -486,6 +492,45 @@
     collector.pings();
 }
 
+#[test]
+fn a_new_configuration_moves_calls_news_and_watch() {
+    let (mut relay, mut discovery, mut program) = all();
+    let watch = discovery.introduce();
+    let _news = relay.introduce();
+    relay.answer_until("SYNC").carried_out();
+    watch.list(42, false, &["active", "leaving"]);
+    let open = relay.answer_until("OUT,s-1;");
+    let mut file = configuration();
+    for (text, key) in [("{\"name\":", "PROXY_CONFIG"), ("{\"distributor\":{}}", "distributor")] {
+        program.reads_anew(text);
+        program.log.wait(key, |line: &String| line.contains("stays as it was") && line.contains(key));
+        program.connect().pings();
+    }
+    for round in 0..2 {
+        // The second time the variable names what the file named in between.
+        let (mut second, mut agent) = (Relay::start(), Discovery::start());
+        file["distributor"]["address"] = json!(second.address.to_string());
+        file["discovery"] = json!(agent.address.to_string());
+        file["limits"]["sockets"] = json!(500 + round);
+        program.reads_anew(&file.to_string());
+        program.log.wait("limits", |line: &String| line.contains("limits has changed"));
+        let watch = agent.watch(42 + round);
+        _ = open.way.shutdown(std::net::Shutdown::Both);
+        let _news = second.introduce();
+        if round == 0 {
+            let again = second.call("APPLY ");
+            assert_eq!(again.line, open.line, "the open call is the first at the new address");
+            again.carried_out();
+        }
+        watch.list(43 + round, false, &["leaving", "leaving"]);
+        if round == 0 {
+            second.answer_until("OUT,s-0;").carried_out();
+        }
+    }
+    kill_process(Pid::from_child(&program.child), Signal::TERM).unwrap();
+    assert!(program.ends().success());
+}
+
 #[test]
 fn it_ends_at_once_though_nobody_answers() {
     let (mut relay, _discovery, mut program) = all();
