Whoever has not joined hears NACK or is closed in 1.5 s; spoilt and unreadable are two errors

Now joining is state of the reducer, ends are effects; who has not joined has 1.5 s and lines of 4 KiB; a spoilt report (also: avg absent, report spoilt, no time covered, unknown place or slice, more aborted than tried) changes nothing; a syntax error ends a collector's connection. Checked in the trace: in 86 good SHARD lines more is aborted than came (windows overlap), never in LOAD: only there it is spoilt. No good SHARD named a slice that was not ours. Tests fail on the old program (seen).

--- a/governor/src/program/configuration.rs
+++ b/governor/src/program/configuration.rs
@@ -58,8 +58,8 @@
     pub seed: u64,
     /// Connections to our address at the most.
     pub connections: usize,
-    /// What lines without their end may take in memory, in bytes.
-    pub unfinished: usize,
+    /// What lines without their end may take in memory, in bytes; and those that wait as much again.
+    pub line_bytes: usize,
     pub known: List,
     pub briefing: Briefing,
     /// Where all this is from, for reading it anew.
@@ -174,7 +174,7 @@
         },
         seed: file.seed.unwrap_or_else(clock),
         connections,
-        unfinished: (file.limits.memory_mb * 1e6) as usize / limits::UNFINISHED_PART,
+        line_bytes: (file.limits.memory_mb * 1e6) as usize / limits::LINES_PART,
         known: file.known,
         briefing: file.settings,
         around,
--- a/governor/src/program/event_loop.rs
+++ b/governor/src/program/event_loop.rs
@@ -3,10 +3,11 @@
 use super::clock::Clock;
 use super::configuration::Start;
 use super::signals::{Signal, Signals};
-use crate::protocol::{collector, discovery, relay, Malformed};
+use crate::protocol::collector::{self, Reply};
+use crate::protocol::{discovery, relay, Malformed};
 use crate::routing::{Effect, Event, Reducer};
-use crate::transport::{calls, framing, limits, listener, news, watch};
-use crate::transport::{Broken, CallError, ConnectionId, FollowId, Inbox, Input};
+use crate::transport::{calls, limits, listener, news, watch};
+use crate::transport::{Back, Broken, CallError, ConnectionId, FollowId, Inbox, Input};
 use actix_rt::net::TcpListener;
 use actix_rt::task::JoinHandle;
 use actix_rt::time::sleep;
@@ -71,9 +72,9 @@
     let (inbox, mut arrived) = mpsc::channel(limits::INBOX);
     let (at_door, mut reports) = mpsc::channel(limits::INBOX);
     let (calls, to_make) = mpsc::channel(1);
-    let unfinished = framing::Unfinished::new(start.unfinished, start.connections);
+    let bounds = listener::Bounds::new(start.connections, start.line_bytes);
     let _calls = Task::spawn(calls::serve(to_make, inbox.clone()));
-    let _door = Task::spawn(listener::listen(listener, start.connections, unfinished, at_door));
+    let _door = Task::spawn(listener::listen(listener, bounds, at_door));
     let mut turn = Loop::new(start, inbox, calls);
     turn.apply(Event::Started);
     loop {
@@ -129,7 +130,7 @@
     follows: FollowId,
     wake: Option<Moment>,
     /// The ways back of those who spoke in this turn.
-    backs: BTreeMap<ConnectionId, Sender<String>>,
+    backs: BTreeMap<ConnectionId, Sender<Back>>,
 }
 
 impl Loop {
@@ -179,17 +180,15 @@
     fn event(&mut self, input: Input) -> Option<Event> {
         let unreadable = |wrong: Malformed| Broken::Unreadable(wrong.to_string());
         Some(match input {
-            Input::Line { from, line, back } => match collector::decode(&line) {
-                Ok(message) => {
-                    log::debug!("from {from}: {line}");
-                    self.backs.insert(from, back);
-                    Event::Message { from, message }
+            Input::Line { from, line, back, .. } => {
+                log::debug!("from {from}: {line}");
+                self.backs.insert(from, back);
+                match collector::decode(&line) {
+                    Ok(message) => Event::Message { from, message },
+                    Err(wrong) => Event::Wrong { from, wrong },
                 }
-                Err(wrong) => {
-                    log::warn!("connection {from}: {wrong}");
-                    return None;
-                }
-            },
+            }
+            Input::Ended(id) => Event::Ended(id),
             Input::News(id, _) if self.news.as_ref().is_none_or(|news| news.id != id) => return None,
             Input::List(id, _) if self.list.as_ref().is_none_or(|list| list.id != id) => return None,
             Input::News(_, Err(why)) => Event::NewsLost(why),
@@ -229,13 +228,18 @@
         }
     }
 
+    /// Whoever asks and does not read loses answers, then its connection, and costs us no time.
+    fn back(&self, to: ConnectionId, back: Back) {
+        _ = self.backs.get(&to).map(|way| way.try_send(back));
+    }
+
     fn carry_out(&mut self, effect: Effect) {
         match effect {
-            Effect::Pong { to } => {
-                // Whoever asks and does not read loses answers, and costs us no time.
-                if let Some(back) = self.backs.get(&to) {
-                    _ = back.try_send(collector::PONG.into());
-                }
+            Effect::Pong { to } => self.back(to, Back::Say(collector::encode(Reply::Pong))),
+            Effect::Keep { to } => self.back(to, Back::Keep),
+            Effect::LetGo { to, why } => {
+                let last = why.map(|why| collector::encode(Reply::Nack { why }));
+                self.back(to, Back::End(last));
             }
             Effect::Call { relay, line, afresh } => {
                 log::debug!("call: {line}");
--- a/governor/src/protocol/mod.rs
+++ b/governor/src/protocol/mod.rs
@@ -10,6 +10,14 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Malformed(String);
 
+/// What is wrong with a message: spoilt, it alone is lost, and those around it are good; unreadable, so is all
+/// that comes on its connection.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Wrong {
+    Spoilt(Malformed),
+    Unreadable(Malformed),
+}
+
 impl Malformed {
     pub(crate) fn new(why: impl fmt::Display, line: &str) -> Self {
         let start: String = line.chars().take(80).collect();
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -7,6 +7,7 @@
 use crate::protocol::collector::{self, Message};
 use crate::protocol::discovery::{Entry, List};
 use crate::protocol::relay::{Answer, News, Order};
+use crate::protocol::Wrong;
 use crate::transport::{limits, Broken, CallError, ConnectionId, Targets};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -25,6 +26,13 @@
         from: ConnectionId,
         message: Message,
     },
+    /// What came at our address is no message.
+    Wrong {
+        from: ConnectionId,
+        wrong: Wrong,
+    },
+    /// A connection to our address is no more.
+    Ended(ConnectionId),
     News(News),
     NewsLost(Broken),
     Answer(Result<Answer, CallError>),
@@ -36,10 +44,30 @@
 
 #[derive(Debug, PartialEq)]
 pub enum Effect {
-    Pong { to: ConnectionId },
-    Call { relay: SocketAddr, line: String, afresh: bool },
-    FollowNews { relay: SocketAddr },
-    FollowList { discovery: SocketAddr, since: u64 },
+    Pong {
+        to: ConnectionId,
+    },
+    /// It has joined, and may stay.
+    Keep {
+        to: ConnectionId,
+    },
+    /// It is let go, and told why where it has not joined: nothing is ever said to a collector.
+    LetGo {
+        to: ConnectionId,
+        why: Option<&'static str>,
+    },
+    Call {
+        relay: SocketAddr,
+        line: String,
+        afresh: bool,
+    },
+    FollowNews {
+        relay: SocketAddr,
+    },
+    FollowList {
+        discovery: SocketAddr,
+        since: u64,
+    },
     WakeAt(Moment),
     Note(String),
 }
@@ -76,6 +104,8 @@
     targets: Targets,
     names: Names,
     list_version: u64,
+    /// The connections that have joined.
+    collectors: BTreeSet<ConnectionId>,
     proxies: BTreeSet<ProxyId>,
     /// The tables as the store has them, once it has carried out what was ordered.
     tables: BTreeMap<SliceId, Table>,
@@ -101,6 +131,7 @@
             targets,
             names: Names::default(),
             list_version: known.version,
+            collectors: BTreeSet::new(),
             proxies: BTreeSet::new(),
             tables: BTreeMap::new(),
             snapshot: Snapshot::default(),
@@ -126,6 +157,18 @@
             }
             Event::Configured(targets) => self.configured(targets),
             Event::Message { from, message } => self.message(now, from, message),
+            Event::Wrong { from, wrong } => match wrong {
+                Wrong::Spoilt(why) => self.pass_over(from, why),
+                Wrong::Unreadable(why) => {
+                    let joined = self.collectors.contains(&from);
+                    if joined {
+                        self.note(format!("a collector goes on with what can't be read: {why}"));
+                    }
+                    let why = (!joined).then_some("unreadable");
+                    self.effects.push(Effect::LetGo { to: from, why });
+                }
+            },
+            Event::Ended(from) => _ = self.collectors.remove(&from),
             Event::News(news) => self.news(now, news),
             Event::NewsLost(why) => {
                 self.snapshot = Snapshot::default();
@@ -190,7 +233,11 @@
 
     /// A place that the settings do not name is like no other.
     fn place(&self, name: &str) -> PlaceId {
-        self.briefing.places.iter().position(|known| known == name).unwrap_or(PlaceId::MAX)
+        self.known_place(name).unwrap_or(PlaceId::MAX)
+    }
+
+    fn known_place(&self, name: &str) -> Option<PlaceId> {
+        self.briefing.places.iter().position(|known| known == name)
     }
 
     fn listings(&mut self, list: &List) -> Vec<Listing> {
@@ -205,26 +252,55 @@
         list.entries.iter().map(listing).collect()
     }
 
+    /// A message that is spoilt, or names what does not exist, changes nothing; whoever has not joined goes.
+    fn pass_over(&mut self, from: ConnectionId, why: impl fmt::Display) {
+        match self.collectors.contains(&from) {
+            true => self.note(format!("a report is passed over: {why}")),
+            false => self
+                .effects
+                .push(Effect::LetGo { to: from, why: Some("of no use from whoever has not joined") }),
+        }
+    }
+
     fn message(&mut self, now: Moment, from: ConnectionId, message: Message) {
         let span = |ms: f64| Span::ms(1).times(ms);
+        let joined = self.collectors.contains(&from);
         match message {
             Message::Ping => self.effects.push(Effect::Pong { to: from }),
-            Message::Met(collector::Met { place, server, tries, aborted, mean_latency_ms, covers_ms }) => {
+            Message::Source { place } if self.known_place(&place).is_some() => {
+                self.collectors.insert(from);
+                self.effects.push(Effect::Keep { to: from });
+            }
+            Message::Met(collector::Met {
+                place,
+                server,
+                tries,
+                aborted,
+                mean_latency_ms,
+                covers_ms,
+                ..
+            }) if joined => {
                 let (covers, mean_latency) = (span(covers_ms), span(mean_latency_ms));
-                let met = Met { place: self.place(&place), covers, tries, aborted, mean_latency };
-                // Reports invent no servers: one that neither the list nor the store has named is passed
-                // over.
-                if let Some(server) = self.names.known(&server) {
-                    self.governor.met(now, server, met);
+                // Reports invent neither places nor servers.
+                match (self.known_place(&place), self.names.known(&server)) {
+                    (Some(place), Some(server)) => {
+                        let met = Met { place, covers, tries, aborted, mean_latency };
+                        self.governor.met(now, server, met);
+                    }
+                    _ => self.pass_over(from, format!("met at {server:?} from {place:?}")),
                 }
             }
-            Message::Asked(collector::Asked { slice, op_type, came, aborted, covers_ms }) => {
-                if let Some(op_type) = self.briefing.op_types.iter().position(|known| *known == op_type) {
-                    let asked = Asked { op_type, covers: span(covers_ms), came, aborted };
-                    self.governor.asked(now, slice, asked);
+            Message::Asked(collector::Asked { slice, op_type, came, aborted, covers_ms }) if joined => {
+                let known = self.briefing.op_types.iter().position(|known| *known == op_type);
+                match known.filter(|_| self.tables.contains_key(&slice)) {
+                    Some(op_type) => {
+                        let asked = Asked { op_type, covers: span(covers_ms), came, aborted };
+                        self.governor.asked(now, slice, asked);
+                    }
+                    None => self.pass_over(from, format!("{op_type:?} asked of slice {slice}")),
                 }
             }
-            Message::Source { .. } | Message::Unknown => {}
+            other => self.pass_over(from, format!("{other:?}")),
         }
     }
 
--- a/governor/src/transport/framing.rs
+++ b/governor/src/transport/framing.rs
@@ -1,5 +1,6 @@
 //! Lines out of bytes. A line without its end is no line: half a number reads like a whole one.
 
+use super::limits;
 use actix_codec::{Decoder, Encoder};
 use bytes::{Buf, BufMut, BytesMut};
 use std::cell::Cell;
@@ -59,6 +60,11 @@
         Lines { ending: "\r\n", ..Lines::new(limit) }
     }
 
+    /// From now on a line may have so many bytes.
+    pub fn allow(&mut self, limit: usize) {
+        self.limit = limit;
+    }
+
     pub fn within(limit: usize, all: &Unfinished) -> Self {
         Lines { held: Some(Held { all: all.clone(), own: 0 }), ..Lines::new(limit) }
     }
@@ -84,6 +90,9 @@
         self.searched = 0;
         let line = bytes.split_to(end);
         bytes.advance(1);
+        if bytes.is_empty() && bytes.capacity() > limits::BUFFER {
+            *bytes = BytesMut::new();
+        }
         let line = line.strip_suffix(b"\r").unwrap_or(&line);
         match std::str::from_utf8(line) {
             Ok(line) => Ok(Some(line.to_string())),
--- a/governor/src/transport/limits.rs
+++ b/governor/src/transport/limits.rs
@@ -18,19 +18,27 @@
 pub const LIST_ANSWER: Duration = Duration::from_millis(500);
 /// Before the next attempt to reach the relay or discovery. A refused connection costs next to nothing.
 pub const PAUSE: Duration = Duration::from_millis(100);
-/// Whoever connects to us says something in this time, or is let go.
-pub const FIRST_WORD: Duration = Duration::from_secs(10);
+/// Whoever connects to us has joined in this time, or is let go: a second is what it may take, and three are
+/// what a stranger may be kept waiting.
+pub const JOIN: Duration = Duration::from_millis(1500);
+/// Whoever gets an answer from us reads it in this time, or is let go.
+pub const READS: Duration = Duration::from_millis(1000);
 /// A collector speaks each second; one that was cut off connects anew and never ends its old connection.
 pub const QUIET_PEER: Duration = Duration::from_secs(60);
-/// A message to our address.
+/// A message to our address, or from the relay.
 pub const LINE: usize = 1 << 20;
+/// A message of whoever has not joined: only a name or a request for a sign of life is of use.
+pub const FIRST_LINE: usize = 4 << 10;
+/// A buffer that grew beyond this for one long line is given back after it.
+pub const BUFFER: usize = 64 << 10;
 /// A whole list of servers.
 pub const LIST: usize = 8 << 20;
 /// What one peer may leave unread, in answers of a few bytes each.
 pub const UNREAD_ANSWERS: usize = 64;
 /// Lines that wait for the loop; readers stop there, and TCP holds the others back.
 pub const INBOX: usize = 1024;
-/// The part of our memory that lines which lack their end may take, all together.
-pub const UNFINISHED_PART: usize = 8;
+/// The part of our memory that lines which lack their end may take, all together, and those that wait for the
+/// loop as much again.
+pub const LINES_PART: usize = 8;
 /// Descriptors kept for everything that is not a connection to our address.
 pub const RESERVED: usize = 64;
--- a/governor/src/transport/mod.rs
+++ b/governor/src/transport/mod.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, OwnedSemaphorePermit};
 
 /// Which of the connections to our own address.
 pub type ConnectionId = u64;
@@ -33,14 +33,28 @@
     Line {
         from: ConnectionId,
         line: String,
-        back: mpsc::Sender<String>,
+        back: mpsc::Sender<Back>,
+        /// Its part of the memory for lines that wait; given back when it is dropped.
+        _weight: OwnedSemaphorePermit,
     },
+    /// It will say nothing more.
+    Ended(ConnectionId),
     /// What is followed says something, or is no more.
     News(FollowId, Result<String, Broken>),
     List(FollowId, Result<String, Broken>),
     Answer(Result<String, CallError>),
 }
 
+/// What is to be done at one of the connections to our own address.
+#[derive(Debug)]
+pub enum Back {
+    Say(String),
+    /// It is let go, after a last word or without one.
+    End(Option<String>),
+    /// It has joined, and may stay.
+    Keep,
+}
+
 pub type Inbox = mpsc::Sender<Input>;
 
 /// Why a connection is no more.
--- a/governor/tests/reducer.rs
+++ b/governor/tests/reducer.rs
@@ -94,6 +94,13 @@
         self.tell(Event::News(decode_news(line).unwrap()));
     }
 
+    fn says(&mut self, from: u64, line: &str) {
+        self.tell(match collector::decode(line) {
+            Ok(message) => Event::Message { from, message },
+            Err(wrong) => Event::Wrong { from, wrong },
+        });
+    }
+
     fn list(&mut self) {
         let entry = |(id, state)| json!({"id": id, "zone": "north", "state": state});
         let entries: Vec<_> = self.servers.iter().map(entry).collect();
@@ -453,41 +460,79 @@
 
 #[test]
 fn strange_messages_change_nothing() {
-    let mut rig = Rig::serving();
-    let before = rig.calls.len();
-    for line in [
-        r#"{"@type":"LOAD","az":"nowhere","host":"s-99","n":2e2,"bad":3,"avg":41.7,"window":1000.0}"#,
-        r#"{"@type":"LOAD","az":"nowhere","host":"s-1","n":0,"bad":0,"avg":0,"window":0}"#,
-        r#"{"@type":"SHARD","partition":4000000000,"kind":"lookup","n":40,"bad":1,"window":1000.0}"#,
+    let mut rigs = [Rig::serving(), Rig::serving()];
+    rigs.iter_mut().for_each(|rig| rig.says(1, r#"{"@type":"SOURCE","az":"north"}"#));
+    let [rig, twin] = &mut rigs;
+    let spoilt = [
+        r#"{"@type":"LOAD","az":"nowhere","host":"s-1","n":200,"bad":0,"avg":1,"window":9000.0}"#,
+        r#"{"@type":"LOAD","az":"north","host":"s-99","n":200,"bad":200,"avg":0,"window":9000.0}"#,
+        r#"{"@type":"LOAD","az":"north","host":"s-1","n":200,"bad":201,"avg":1,"window":9000.0}"#,
+        r#"{"@type":"LOAD","az":"north","host":"s-1","n":200,"bad":200,"window":1000.0}"#,
+        r#"{"@type":"LOAD","az":"north","host":"s-1","n":200,"bad":200,"avg":1,"window":0}"#,
+        r#"{"@type":"LOAD","az":"north","host":"s-1","n":200,"bad":200,"avg":1,"window":1,"report":7}"#,
+        r#"{"@type":"LOAD","az":"north","host":"s-1","n":-1,"bad":0,"avg":1,"window":1}"#,
+        r#"{"@type":"LOAD","az":"north","host":"s-1","n":1e30,"bad":0,"avg":1,"window":1}"#,
+        r#"{"@type":"LOAD","az":"north","host":"s-1","n":1,"bad":0,"avg":1,"window":4e6}"#,
+        r#"{"@type":"SHARD","partition":4000000000,"kind":"lookup","n":900,"bad":900,"window":9000.0}"#,
         r#"{"@type":"SHARD","partition":1,"kind":"unheard","n":1e9,"bad":1,"window":1000.0}"#,
+        r#"{"@type":"SHARD","partition":-4,"kind":"lookup","n":40,"bad":1,"window":1000.0}"#,
         r#"{"@type":"SOURCE","az":"nowhere"}"#,
         r#"{"@type":"GREETING","of":{"any":["shape"]}}"#,
-    ] {
-        rig.tell(Event::Message { from: 1, message: collector::decode(line).unwrap() });
-        rig.quiet();
+        r#"{"@type":7}"#,
+    ];
+    for second in 0..30 {
+        for rig in [&mut *rig, &mut *twin] {
+            for n in 0..12 {
+                let (server, aborted) = (n % 6, if n == 1 && second > 9 { 9 } else { 0 });
+                rig.says(1, &format!(
+                    r#"{{"@type":"LOAD","az":"north","host":"s-{server}","n":9,"bad":{aborted},"avg":41.7,"window":1000.0}}"#
+                ));
+                rig.says(1, &format!(
+                    r#"{{"@type":"SHARD","partition":{n},"kind":"lookup","n":9,"bad":{aborted},"window":1000.0}}"#
+                ));
+            }
+            rig.pass(1000);
+        }
+        spoilt.iter().for_each(|line| rig.says(1, line));
     }
     for line in ["* CLOSED 77", "* ACK 77 9 1.5", "* ACK 0 65535 1.5", "* GRANT 400 0", "* ROW 401 s-1 1.0"] {
         rig.news(line);
         rig.quiet();
     }
-    assert_eq!(rig.calls.len(), before);
-    for line in [
-        "",
-        "[]",
-        "{",
-        r#"{"@type":7}"#,
-        r#"{"@type":"LOAD","az":"a","host":"s-1","n":-1,"bad":0,"avg":1,"window":1}"#,
-        r#"{"@type":"LOAD","az":"a","host":"s-1","n":1e300,"bad":0,"avg":1,"window":1}"#,
-        r#"{"@type":"LOAD","az":"a","host":"s-1","n":1,"bad":0,"avg":1,"window":4e6}"#,
-        r#"{"@type":"SHARD","partition":-4,"kind":"lookup","n":40,"bad":1,"window":1000.0}"#,
-    ] {
-        assert!(collector::decode(line).is_err(), "{line}");
+    assert!(twin.calls.iter().any(|call| call.contains("OUT,s-1")), "good reports count");
+    assert_eq!(rig.calls, twin.calls);
+    assert!(!rig.follows.iter().any(|effect| matches!(effect, Effect::LetGo { .. })));
+    for line in ["", "[]", "{", r#"{"@type":"LOAD","az":"a{"@type":"LOAD"}"#, "GET / HTTP/1.1", "7"] {
+        rig.follows.clear();
+        rig.says(1, line);
+        assert_eq!(rig.follows, [Effect::LetGo { to: 1, why: None }], "{line}: a collector is told nothing");
     }
     for line in ["", "GRANT 1 1", "* GRANT", "* GRANT x 1", "* ROW 1 s-1 NaN", "* ACK 1 70000 1", "* NEWS"] {
         assert!(decode_news(line).is_err(), "{line}");
     }
 }
 
+#[test]
+fn whoever_has_not_joined_is_let_go() {
+    let mut rig = Rig::serving();
+    let met = r#"{"@type":"LOAD","az":"north","host":"s-1","n":9,"bad":9,"avg":1,"window":1000}"#;
+    rig.says(1, r#"{"@type":"SOURCE","az":"north"}"#);
+    assert_eq!(rig.follows.last(), Some(&Effect::Keep { to: 1 }));
+    rig.says(1, met);
+    rig.tell(Event::Ended(1));
+    for line in [met, r#"{"@type":"SOURCE","az":"nowhere"}"#, r#"{"@type":"SET","partition":1}"#, "GET /"] {
+        rig.follows.clear();
+        rig.says(1, line);
+        assert!(
+            matches!(rig.follows[..], [Effect::LetGo { to: 1, why: Some(_) }]),
+            "{line}: {:?}",
+            rig.follows
+        );
+    }
+    rig.says(2, r#"{"@type":"PING"}"#);
+    assert_eq!(rig.follows.last(), Some(&Effect::Pong { to: 2 }));
+}
+
 /// What happens, in any order: every call is answered, lost before or after it was carried out, or turned
 /// away; news break off; servers drain and return; slices go and come.
 #[derive(Clone, Debug)]
--- a/governor/tests/sockets.rs
+++ b/governor/tests/sockets.rs
@@ -299,9 +299,23 @@
         assert_eq!(answer, "{\"@type\":\"PONG\"}\n");
     }
 
+    fn joins(&mut self) {
+        self.says(r#"{"@type":"SOURCE","az":"north"}"#);
+        self.pings();
+    }
+
     /// Nothing more can be read: the other side has let go.
     fn is_let_go(&mut self) -> bool {
-        !matches!(self.reader.read(&mut [0; 64]), Ok(1..))
+        self.let_go_in(PATIENCE)
+    }
+
+    /// ... within this time, whatever it said before.
+    fn let_go_in(&mut self, time: Duration) -> bool {
+        self.stream.set_read_timeout(Some(time)).unwrap();
+        match self.reader.read_to_end(&mut Vec::new()) {
+            Err(why) => !matches!(why.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut),
+            Ok(_) => true,
+        }
     }
 }
 
@@ -381,8 +395,7 @@
             r#"{"@type":"LOAD","az":"north","host":"s-1","n":9,"bad":9,"avg":0.0,"window":100.0}"#,
             r#"{"@type":"LOAD","az":"north","host":"s-2","n":9,"bad":0,"avg":41.7,"window":100.0}"#,
             r#"{"@type":"SHARD","partition":1,"kind":"lookup","n":9,"bad":9,"window":100.0}"#,
-            r#"{"@type":"LOAD","az":"north""#,
-            "no JSON at all",
+            r#"{"@type":"LOAD","az":"north"}"#,
         ] {
             collector.says(line);
         }
@@ -479,19 +492,57 @@
         file["limits"] = json!({"sockets": 128, "memory_mb": 31.5})
     });
     let mut collector = program.connect();
-    collector.pings();
+    collector.joins();
     let mut strangers: Vec<_> = (0..64).map(|_| program.connect()).collect();
     collector.pings();
     assert!(strangers[0].is_let_go(), "64 strangers fit where 32 connections may be");
     let held = || std::fs::read_dir(format!("/proc/{}/fd", program.child.id())).unwrap().count();
     assert!(held() < 64, "{} descriptors", held());
-    // A line without an end is read up to a limit.
-    let mut endless = program.connect();
-    while endless.stream.write_all(&[b'x'; 65536]).is_ok() {}
-    assert!(endless.is_let_go());
     collector.pings();
 }
 
+#[test]
+fn whoever_is_of_no_use_hears_so_and_goes() {
+    let (_relay, _discovery, mut program) = all();
+    let mut collector = program.connect();
+    collector.joins();
+    let met = r#"{"@type":"LOAD","az":"north","host":"s-0","n":9,"bad":0,"avg":41.7,"window":100.0}"#;
+    for line in [
+        "GET / HTTP/1.1\r\nHost: x\r\n\r",
+        "{\"@type\":",
+        "\0\0\0\u{7f}",
+        met,
+        r#"{"@type":"SOURCE","az":"nowhere"}"#,
+        r#"{"@type":"SUBSCRIBE","sidecar":3,"az":"north","share":1.5,"standing":true}"#,
+        r#"{"@type":"SET","partition":1,"host":"s-0","weight":1.0}"#,
+    ] {
+        let mut stranger = program.connect();
+        stranger.says(line);
+        let mut answer = String::new();
+        _ = stranger.reader.read_line(&mut answer);
+        assert!(answer.starts_with(r#"{"@type":"NACK""#), "{line}: {answer}");
+        assert!(stranger.is_let_go());
+    }
+    // Nothing, half a line, no end of a line, a sign of life now and then: all gain no time.
+    let began = Instant::now();
+    let mut strangers: Vec<_> = (0..4).map(|_| program.connect()).collect();
+    strangers[1].stream.write_all(b"{\"@type\":\"SOU").unwrap();
+    while strangers[2].stream.write_all(&[b'x'; 4096]).is_ok() {}
+    while strangers[3].stream.write_all(b"{\"@type\":\"PING\"}\n").is_ok() {
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert!(strangers.iter_mut().all(|stranger| stranger.let_go_in(Duration::from_millis(10))));
+    assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
+    collector.pings();
+    // A spoilt report is passed over; one that can't be read ends the connection, so that it comes back.
+    collector
+        .says(r#"{"@type":"LOAD","az":"north","host":"s-0","n":"nan","bad":0,"avg":41.7,"window":100.0}"#);
+    program.log.wait("a note", |line: &String| line.contains("a report is passed over"));
+    collector.pings();
+    collector.says(&format!("{}{met}", &met[..40]));
+    assert!(collector.is_let_go());
+}
+
 #[test]
 fn a_new_configuration_moves_calls_news_and_watch() {
     let (mut relay, mut discovery, mut program) = all();
