--- a/governor/src/protocol/relay.rs
+++ b/governor/src/protocol/relay.rs
@@ -137,15 +137,16 @@
     let unreadable = || Malformed::new("no answer to a call", line);
     let mut words = line.split_ascii_whitespace();
     if words.next() == Some("OK") {
-        let taken = words.next().and_then(|n| n.parse().ok()).ok_or_else(unreadable)?;
-        return Ok(Answer::Taken(taken));
-    }
-    let named = |word: &str| line.contains(word);
-    match () {
-        _ if named("bad_request") => Ok(Answer::Unusable(line.into())),
-        _ if ["too_many_calls", "unavailable", "out_of_date"].into_iter().any(named) => {
-            Ok(Answer::NotNow(line.into()))
-        }
-        _ => Err(unreadable()),
+        let taken = words.next().filter(|_| words.next().is_none()).and_then(|n| n.parse().ok());
+        return taken.map(Answer::Taken).ok_or_else(unreadable);
     }
+    // An error stands alone or behind a word of its kind.
+    let mut named = line.split(|c: char| !c.is_ascii_alphanumeric() && c != '_');
+    named
+        .find_map(|word| match word {
+            "bad_request" => Some(Answer::Unusable(line.into())),
+            "too_many_calls" | "unavailable" | "out_of_date" => Some(Answer::NotNow(line.into())),
+            _ => None,
+        })
+        .ok_or_else(unreadable)
 }
--- a/governor/src/routing/names.rs
+++ b/governor/src/routing/names.rs
@@ -6,7 +6,9 @@
 #[derive(Default)]
 pub struct Names {
     numbers: BTreeMap<String, ServerId>,
-    names: Vec<String>,
+    names: BTreeMap<ServerId, String>,
+    /// No number is given twice: a server must not come back under another's.
+    next: ServerId,
 }
 
 impl Names {
@@ -15,8 +17,9 @@
         if let Some(number) = self.numbers.get(name) {
             return *number;
         }
-        let number = self.names.len() as ServerId;
-        self.names.push(name.to_string());
+        let number = self.next;
+        self.next += 1;
+        self.names.insert(number, name.to_string());
         self.numbers.insert(name.to_string(), number);
         number
     }
@@ -27,6 +30,16 @@
     }
 
     pub fn name(&self, number: ServerId) -> Option<String> {
-        self.names.get(number as usize).cloned()
+        self.names.get(&number).cloned()
+    }
+
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Forgets all others.
+    pub fn keep(&mut self, needed: impl Fn(ServerId) -> bool) {
+        self.names.retain(|number, _| needed(*number));
+        self.numbers.retain(|_, number| needed(*number));
     }
 }
--- a/governor/src/routing/outbox.rs
+++ b/governor/src/routing/outbox.rs
@@ -10,6 +10,8 @@
     state: State,
     /// Failures in a row.
     failures: u32,
+    /// The relay has stopped once at the order that is now the first.
+    refused: bool,
     /// Slices that have changed hands since the call now being made was sent.
     changed_hands: BTreeSet<SliceId>,
 }
@@ -39,7 +41,7 @@
     /// One reply is one call, unless it is too large. Of the pieces the last alone has the mark, and asks all
     /// proxies to answer: some may have got an earlier piece only. Comes only while nothing is open.
     pub fn put(&mut self, orders: &[Order]) {
-        self.calls.clear();
+        (self.calls, self.refused) = (VecDeque::new(), false);
         let (mut call, mut bytes) = (Vec::new(), 0);
         for order in orders {
             let text = order.encode(!self.calls.is_empty());
@@ -116,14 +118,22 @@
         self.calls.iter().flatten().find_map(|order| order.mark)
     }
 
-    /// So many orders were taken, and leave. The one at which the relay stopped is skipped and returned: said
-    /// again, it would stop there for ever.
+    /// How many orders the call has that is being made.
+    pub fn sent(&self) -> usize {
+        self.calls.front().map_or(0, Vec::len)
+    }
+
+    /// So many orders were taken, and leave. The rest is said again, for the figure may be wrong, and an order
+    /// sets a state. One at which the relay stops twice is skipped and returned: it would stop there for ever.
     pub fn taken(&mut self, many: usize) -> Option<String> {
         (self.state, self.failures) = (State::Idle, 0);
         let call = self.calls.front_mut()?;
-        let refused = call.drain(..many.saturating_add(1).min(call.len())).nth(many);
+        call.drain(..many.min(call.len()));
+        let skips = many == 0 && self.refused && !call.is_empty();
+        let skipped = skips.then(|| call.remove(0));
+        self.refused = !skips && !call.is_empty();
         self.forget_crossed();
-        refused.map(|order| order.text)
+        skipped.map(|order| order.text)
     }
 
     /// The relay can't read the call.
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -292,12 +292,14 @@
             }
             Message::Asked(collector::Asked { slice, op_type, came, aborted, covers_ms }) if joined => {
                 let known = self.briefing.op_types.iter().position(|known| *known == op_type);
-                match known.filter(|_| self.tables.contains_key(&slice)) {
-                    Some(op_type) => {
-                        let asked = Asked { op_type, covers: span(covers_ms), came, aborted };
-                        self.governor.asked(now, slice, asked);
-                    }
-                    None => self.pass_over(from, format!("{op_type:?} asked of slice {slice}")),
+                let Some(known) = known else {
+                    return self.pass_over(from, format!("{op_type:?} asked of slice {slice}"));
+                };
+                // One that has just changed hands is still reported on for a while, and one of this number
+                // may never have been: nobody's ops count for nothing.
+                if self.tables.contains_key(&slice) {
+                    let asked = Asked { op_type: known, covers: span(covers_ms), came, aborted };
+                    self.governor.asked(now, slice, asked);
                 }
             }
             other => self.pass_over(from, format!("{other:?}")),
@@ -371,19 +373,33 @@
         let taken = self.tables.keys().copied().filter(|slice| !named.slices.contains(slice));
         taken.collect::<Vec<_>>().into_iter().for_each(|slice| self.revoked(now, slice));
         let (proxies, slices) = (self.proxies.len(), self.tables.len());
-        let differ = named.differ;
-        self.note(format!("the relay's news stands: {proxies} proxies, {slices} slices, {differ} new to us"));
+        let (differ, servers) = (named.differ, self.names.len());
+        self.note(format!(
+            "the relay's news stands: {proxies} proxies, {slices} slices, {differ} new to us, {servers} servers known"
+        ));
     }
 
     fn answer(&mut self, now: Moment, outcome: Result<Answer, CallError>) {
+        let sent = self.outbox.sent();
+        let outcome = outcome.and_then(|answer| match answer {
+            Answer::Taken(many) if many > sent => {
+                let why = format!("{many} orders taken of {sent}");
+                Err(CallError::OutcomeUnknown(Broken::Unreadable(why)))
+            }
+            answer => Ok(answer),
+        });
         let may_be_done = !matches!(outcome, Ok(Answer::NotNow(_)) | Err(CallError::NotSent(_)));
         let mut in_doubt = may_be_done && self.outbox.is_crossed();
         match outcome {
             Ok(Answer::Taken(many)) => {
                 self.found(Source::Calls);
+                let refused = many < sent;
                 if let Some(order) = self.outbox.taken(many) {
                     self.note(format!("an order can't be used and is skipped: {order}"));
                 }
+                // The rest is one more message to the proxies.
+                let mark = self.outbox.mark().filter(|_| refused);
+                mark.into_iter().for_each(|mark| self.governor.ordered_again(now, mark));
             }
             Ok(Answer::Unusable(why)) => {
                 self.note(format!("a call is dropped, the relay can't use it: {why}"));
@@ -460,6 +476,11 @@
         let orders: Vec<_> = steps.into_iter().filter_map(|step| self.order(now, step)).collect();
         self.in_motion.extend(orders.iter().filter_map(Order::slice));
         self.outbox.put(&orders);
+        // Only now: an order may be the last that a server is named in.
+        if self.names.len() > self.governor.servers_known() {
+            let needed = |server| self.governor.knows(server) || self.snapshot.mentions(server);
+            self.names.keep(needed);
+        }
     }
 
     /// The order that a step stands for; what concerns nobody but us is seen to here.
--- a/governor/src/routing/snapshot.rs
+++ b/governor/src/routing/snapshot.rs
@@ -85,6 +85,11 @@
         std::mem::take(&mut self.tables)
     }
 
+    /// Whether a table that is not handed over yet names this server.
+    pub fn mentions(&self, server: ServerId) -> bool {
+        self.tables.values().any(|table| table.contains_key(&server))
+    }
+
     pub fn differed(&mut self) {
         self.named.iter_mut().for_each(|named| named.differ += 1);
     }
--- a/governor/tests/reducer.rs
+++ b/governor/tests/reducer.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use whinwall::time::{Moment, Span};
-use whinwall_governor::protocol::relay::{decode_news, Answer};
+use whinwall_governor::protocol::relay::{decode_answer, decode_news, Answer};
 use whinwall_governor::protocol::{collector, discovery};
 use whinwall_governor::routing::{Effect, Event, Reducer};
 use whinwall_governor::transport::{Broken, CallError, Targets};
@@ -34,13 +34,13 @@
 impl Rig {
     /// Six servers, twelve slices, four proxies; nothing of it told yet.
     fn new() -> Self {
-        Rig::with("push", 12)
+        Rig::with(12, |_| {})
     }
 
-    fn with(list_mode: &str, slices: u32) -> Self {
+    fn with(slices: u32, change: impl Fn(&mut serde_json::Value)) -> Self {
         let example = include_str!("../../deploy/example.json");
         let mut example: serde_json::Value = serde_json::from_str(example).unwrap();
-        example["settings"]["membershipMode"] = list_mode.into();
+        change(&mut example["settings"]);
         let briefing = whinwall_briefing::read(&example["settings"]).unwrap();
         let now = Moment::default() + Span::ms(1_800_000_000_000);
         let targets = Targets { discovery: DISCOVERY, relay: RELAY };
@@ -63,11 +63,14 @@
 
     /// One that serves: list and news told, the first orders out.
     fn serving() -> Self {
-        let mut rig = Rig::new();
-        rig.list();
-        rig.standing(&[]);
-        rig.pass(2000);
-        rig
+        Rig::new().set_going()
+    }
+
+    fn set_going(mut self) -> Self {
+        self.list();
+        self.standing(&[]);
+        self.pass(2000);
+        self
     }
 
     fn tell(&mut self, event: Event) {
@@ -292,23 +295,79 @@
 }
 
 #[test]
-fn an_order_that_cant_be_used_is_skipped_once() {
+fn only_what_is_refused_twice_is_skipped() {
     let mut rig = Rig::serving();
     rig.drain("s-2");
-    let call = rig.open.take().unwrap();
+    let call = rig.open.clone().unwrap();
     let orders: Vec<_> = call.strip_prefix("APPLY ").unwrap().split(';').collect();
-    rig.tell(Event::Answer(Ok(Answer::Taken(2))));
-    rig.quiet();
-    assert_eq!(rig.open, Some(format!("APPLY {}", orders[3..].join(";"))));
-    assert!(rig.notes.last().unwrap().contains(orders[2]));
-    // At the last order nothing is left to be said, and a figure out of nowhere ends the call too.
-    for taken in [orders.len() - 4, usize::MAX] {
+    // What was taken, as the relay says, and where the next call begins: a figure that can't be says nothing,
+    // one that is wrong costs a repeat and no order.
+    let mut from = 0;
+    for (taken, next) in [(usize::MAX, 0), (orders.len() + 1, 0), (0, 0), (2, 2), (1, 3), (0, 4)] {
+        let before = rig.notes.len();
         rig.open = None;
         rig.tell(Event::Answer(Ok(Answer::Taken(taken))));
         rig.quiet();
-        assert!(rig.open.iter().all(|next| !call.contains(&next[6..])));
-        rig.drain("s-3");
+        if rig.open.is_none() {
+            rig.now = rig.now + Span::ms(100);
+            rig.quiet();
+        }
+        assert_eq!(rig.open, Some(format!("APPLY {}", orders[next..].join(";"))), "{taken} from {from}");
+        let skipped =
+            rig.notes[before..].iter().any(|note| note.contains("skipped") && note.contains(orders[3]));
+        assert_eq!(skipped, next == 4);
+        from = next;
+    }
+    for line in ["OK", "OK -1", "OK 2 3", "OK x", "?????", "unavailablex", "ERR"] {
+        assert!(decode_answer(line).is_err(), "{line}");
+    }
+    assert_eq!(decode_answer("-ERR unavailable"), Ok(Answer::NotNow("-ERR unavailable".into())));
+}
+
+#[test]
+fn acks_lost_with_the_news_are_made_up_for_by_later_ones() {
+    let single = |settings: &mut serde_json::Value| settings["familyInfo"]["singleWriter"] = true.into();
+    let mut rig = Rig::with(12, single).set_going();
+    rig.pass(5000);
+    rig.drain("s-2");
+    let proxies = std::mem::take(&mut rig.proxies);
+    rig.answer();
+    rig.proxies = proxies;
+    rig.pass(500);
+    let moved = |rig: &Rig| rig.calls.iter().any(|call| call.contains("SET,2,") && call.contains("SET,8,"));
+    assert!(!moved(&rig), "a single writer waits until all know that ops are held back");
+    rig.drain("s-3");
+    rig.pass(1000);
+    assert!(moved(&rig), "who is through with what came later has the former too: {:?}", rig.calls);
+}
+
+#[test]
+fn servers_are_replaced_without_end() {
+    let mut rig = Rig::serving();
+    let known = |rig: &mut Rig| {
+        rig.tell(Event::NewsLost(Broken::Closed));
+        rig.pass(100);
+        rig.standing(&[]);
+        let note = rig.notes.last().unwrap().clone();
+        note.split(", ").last().unwrap().split(' ').next().unwrap().parse::<usize>().unwrap()
+    };
+    assert_eq!(known(&mut rig), 6);
+    for n in 0..2000 {
+        // One drains, leaves, and is replaced; now and then one comes back whose name was heard before.
+        let name = if n % 50 == 49 { format!("s-{}", 6 + n - 49) } else { format!("s-{}", 6 + n) };
+        let former = rig.servers.keys().nth(n % 6).unwrap().clone();
+        rig.drain(&former);
+        rig.pass(500);
+        assert!(!rig.owners().contains(former.as_str()));
+        rig.servers.remove(&former);
+        rig.servers.insert(name, "active");
+        rig.list();
+        rig.pass(1500);
     }
+    rig.pass(30_000);
+    let calls = rig.calls.join(" ");
+    assert!(calls.contains("OUT,s-100;") && calls.contains("IN,s-100;"));
+    assert_eq!(known(&mut rig), 6, "those that went are forgotten");
 }
 
 #[test]
@@ -346,7 +405,10 @@
     rig.proxies = 2;
     rig.standing(&[4]);
     rig.pass(500);
-    assert_eq!(rig.notes.last().unwrap(), "the relay's news stands: 2 proxies, 11 slices, 1 new to us");
+    assert_eq!(
+        rig.notes.last().unwrap(),
+        "the relay's news stands: 2 proxies, 11 slices, 1 new to us, 6 servers known"
+    );
     let before = rig.calls.len();
     rig.drain("s-4");
     rig.drain("s-0");
@@ -423,7 +485,7 @@
 
 #[test]
 fn a_list_that_must_be_asked_for_is_asked_for_though_the_relay_is_silent() {
-    let mut rig = Rig::with("ask", 12);
+    let mut rig = Rig::with(12, |settings| settings["membershipMode"] = "ask".into());
     rig.quiet();
     assert_eq!(
         rig.follows,
@@ -444,7 +506,7 @@
 
 #[test]
 fn a_reply_too_large_for_a_call_becomes_several_in_order() {
-    let mut rig = Rig::with("push", 5000);
+    let mut rig = Rig::with(5000, |_| {});
     rig.list();
     rig.standing(&[]);
     rig.pass(4000);
@@ -600,7 +662,7 @@
         rig.tell(Event::NewsLost(Broken::Closed));
         rig.pass(100);
         rig.standing(&[]);
-        let stands = "the relay's news stands: 4 proxies, 12 slices, 0 new to us";
+        let stands = "the relay's news stands: 4 proxies, 12 slices, 0 new to us, 6 servers known";
         assert_eq!(rig.notes.last().unwrap(), stands, "seed {seed}: {deeds:?}");
         let drained = rig.owners().into_iter().find(|server| rig.servers[*server] == "leaving");
         assert_eq!(drained, None, "seed {seed}: {deeds:?}");
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -329,6 +329,7 @@
         if !take(&mut self.agenda.survey) {
             return false;
         }
+        self.forget_gone();
         self.behind = self.lag(JUDGED_OVER);
         self.delays = self.way_delays(JUDGED_OVER + self.behind, ENOUGH);
         self.see_servers(JUDGED_OVER + self.behind);
@@ -424,7 +425,7 @@
         let spared = || s.lines.iter().any(wants);
         match self.is_sick(s) {
             _ if self.site.single_writer => false,
-            _ if self.is_lost(s) => s.shut || named,
+            _ if self.is_lost(s) => named || (s.shut && !s.is_past(self.now)),
             true => (s.shut || named) && !spared(),
             false => s.shut && named && !spared(),
         }
@@ -713,8 +714,7 @@
         if self.due.wake.is_some() {
             return false;
         }
-        self.token += 1;
-        self.due.wake = Some(self.now + BEAT);
+        (self.token, self.due.wake) = (self.token + 1, Some(self.now + BEAT));
         self.steps.push(Step::Wake { token: self.token, after: BEAT });
         true
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -8,6 +8,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Twenty seconds in half-second buckets: the longest that any rule looks back.
+const LONGEST: Span = Span::ms(20_000);
+
 fn ring() -> Ring {
     Ring::new(Span::ms(500), 40)
 }
@@ -129,6 +131,21 @@
         }
     }
 
+    pub fn knows(&self, server: ServerId) -> bool {
+        self.servers.contains_key(&server)
+    }
+
+    pub fn servers_known(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Servers are replaced for as long as the fleet runs: what went for good and stands in nobody's way is
+    /// forgotten, or the map would grow for ever.
+    pub(crate) fn forget_gone(&mut self) {
+        let (now, shut, lift) = (self.now, &self.to_shut, &self.to_lift);
+        self.servers.retain(|id, s| s.shut || shut.contains(id) || lift.contains(id) || !s.is_past(now));
+    }
+
     /// Changes a slice's table, and what its servers carry with it.
     pub(crate) fn retable(&mut self, n: SliceId, change: impl FnOnce(&mut Slice)) {
         self.weigh(n, -1.0);
@@ -364,6 +381,11 @@
         self.seen = Lately::default();
     }
 
+    /// Not on the list, in no table, and nothing was met at it for longer than any rule looks back.
+    pub fn is_past(&self, now: Moment) -> bool {
+        !self.listed && self.lines.is_empty() && now - self.tries.newest() > LONGEST
+    }
+
     pub fn level(&self) -> f64 {
         self.load / self.power
     }
@@ -511,11 +533,13 @@
         }
     }
 
+    /// It has applied all that was sent up to this mark: an ack that was lost on its way is made up for by the
+    /// next one.
     pub fn acked(&mut self, proxy: ProxyId, mark: u16) {
-        if let Some(sent) = self.marks.get_mut(&mark) {
-            sent.waiting.remove(&proxy);
-            self.last_through = self.last_through.max(sent.at);
-        }
+        let Some(at) = self.marks.get(&mark).map(|sent| sent.at) else { return };
+        let before = self.marks.values_mut().filter(|sent| sent.at <= at);
+        before.for_each(|sent| _ = sent.waiting.remove(&proxy));
+        self.last_through = self.last_through.max(at);
     }
 
     /// Messages leave in order, so an ack shows that all ordered before have left. Of the rest, the lines not
