--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -160,7 +160,8 @@
             Event::Wrong { from, wrong } => match wrong {
                 Wrong::Spoilt(why) => self.pass_over(from, why),
                 Wrong::Unreadable(why) => {
-                    let joined = self.collectors.contains(&from);
+                    // What it still says counts for nothing either.
+                    let joined = self.collectors.remove(&from);
                     if joined {
                         self.note(format!("a collector goes on with what can't be read: {why}"));
                     }
@@ -236,8 +237,11 @@
         self.known_place(name).unwrap_or(PlaceId::MAX)
     }
 
+    /// Where the settings name none, any will do.
     fn known_place(&self, name: &str) -> Option<PlaceId> {
-        self.briefing.places.iter().position(|known| known == name)
+        let places = &self.briefing.places;
+        let any = places.is_empty().then_some(PlaceId::MAX);
+        places.iter().position(|known| known == name).or(any)
     }
 
     fn listings(&mut self, list: &List) -> Vec<Listing> {
--- a/governor/tests/reducer.rs
+++ b/governor/tests/reducer.rs
@@ -565,9 +565,12 @@
     assert_eq!(rig.calls, twin.calls);
     assert!(!rig.follows.iter().any(|effect| matches!(effect, Effect::LetGo { .. })));
     for line in ["", "[]", "{", r#"{"@type":"LOAD","az":"a{"@type":"LOAD"}"#, "GET / HTTP/1.1", "7"] {
+        rig.says(1, r#"{"@type":"SOURCE","az":"north"}"#);
         rig.follows.clear();
         rig.says(1, line);
         assert_eq!(rig.follows, [Effect::LetGo { to: 1, why: None }], "{line}: a collector is told nothing");
+        rig.says(1, spoilt[0]);
+        assert_eq!(rig.follows.len(), 2, "{line}: it has not joined any more");
     }
     for line in ["", "GRANT 1 1", "* GRANT", "* GRANT x 1", "* ROW 1 s-1 NaN", "* ACK 1 70000 1", "* NEWS"] {
         assert!(decode_news(line).is_err(), "{line}");
