--- a/governor/src/program/configuration.rs
+++ b/governor/src/program/configuration.rs
@@ -123,8 +123,8 @@
 }
 
 impl Start {
-    /// Takes over what the file says now; where that can't be used, all stays as it was. Returns the keys that
-    /// changed and that only a start can take over.
+    /// Takes over what the file says now; where that can't be used, all stays as it was. Returns the keys
+    /// that changed and that only a start can take over.
     pub fn read_anew(&mut self) -> Result<Vec<&'static str>, String> {
         let written = written(&self.around)?;
         let mut around = self.around.clone();
--- a/governor/src/program/event_loop.rs
+++ b/governor/src/program/event_loop.rs
@@ -243,7 +243,8 @@
             }
             Effect::Call { relay, line, afresh } => {
                 log::debug!("call: {line}");
-                _ = self.calls.try_send(calls::Call { relay, line, afresh }); // one is made at a time: there is room
+                // One is made at a time: there is room.
+                _ = self.calls.try_send(calls::Call { relay, line, afresh });
             }
             Effect::FollowNews { relay } => {
                 let inbox = self.inbox.clone();
--- a/governor/src/protocol/mod.rs
+++ b/governor/src/protocol/mod.rs
@@ -10,8 +10,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Malformed(String);
 
-/// What is wrong with a message: spoilt, it alone is lost, and those around it are good; unreadable, so is all
-/// that comes on its connection.
+/// What is wrong with a message: spoilt, it alone is lost, and those around it are good; unreadable, so is
+/// all that comes on its connection.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Wrong {
     Spoilt(Malformed),
--- a/governor/src/routing/outbox.rs
+++ b/governor/src/routing/outbox.rs
@@ -123,8 +123,8 @@
         self.calls.front().map_or(0, Vec::len)
     }
 
-    /// So many orders were taken, and leave. The rest is said again, for the figure may be wrong, and an order
-    /// sets a state. One at which the relay stops twice is skipped and returned: it would stop there for ever.
+    /// So many orders were taken, and leave. The rest is said again, for the figure may be wrong, and an
+    /// order sets a state. One at which the relay stops twice is skipped and returned: it would stop there for ever.
     pub fn taken(&mut self, many: usize) -> Option<String> {
         (self.state, self.failures) = (State::Idle, 0);
         let call = self.calls.front_mut()?;
--- a/src/state.rs
+++ b/src/state.rs
@@ -533,8 +533,8 @@
         }
     }
 
-    /// It has applied all that was sent up to this mark: an ack that was lost on its way is made up for by the
-    /// next one.
+    /// It has applied all that was sent up to this mark: an ack that was lost on its way is made up for by
+    /// the next one.
     pub fn acked(&mut self, proxy: ProxyId, mark: u16) {
         let Some(at) = self.marks.get(&mark).map(|sent| sent.at) else { return };
         let before = self.marks.values_mut().filter(|sent| sent.at <= at);
