Operators' wishes reach the decisions: weight, out of service, pinned slices

Change: Governor::wished tells the decisions what stands, Governor::heeded asks how far each has come. First try: a weight under 1 moved nothing, as nobody was light by it; a server made small may give to any in the band.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -35,6 +35,38 @@
     Remembered,
 }
 
+/// What operators want for a while, whatever the list says.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Wish {
+    /// A factor on a server's listed size.
+    Weight { server: ServerId, factor: f64 },
+    /// Out of service: left as one that drains is.
+    Out { server: ServerId },
+    /// These slices, both ends included, are to be on this server; where wishes overlap the newer one counts.
+    Pin { first: SliceId, last: SliceId, server: ServerId },
+}
+
+impl Wish {
+    pub fn server(&self) -> ServerId {
+        match self {
+            Wish::Weight { server, .. } | Wish::Out { server } | Wish::Pin { server, .. } => *server,
+        }
+    }
+}
+
+/// Given by whoever tells of a wish; it stays the same for as long as the wish stands.
+pub type WishId = u64;
+
+/// How far a wish has come, and what it waits for or stands back for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heeded {
+    InForce,
+    Waiting(&'static str),
+    Suspended(&'static str),
+    /// The list does not have its server.
+    Absent,
+}
+
 /// What the proxies of one place met at one server within the time that the report covers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Met {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod logic;
 mod measures;
 mod news;
+pub mod pins;
 pub mod ring;
 mod state;
 pub mod time;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,8 +5,8 @@
 //! After every call the RULES are gone through, in order, until none fires. What needs a look at the whole
 //! fleet is on the agenda of a beat, so that a line of news costs next to nothing. The rules shape each table
 //! as it should be (`wanted`); `dispatch` alone sends, and only what differs from what proxies were told
-//! (`held`). The ordinary path is DDMC (docs/design.md): `survey`, `open_round`, `shift`. Beside it stand six
-//! mechanisms:
+//! (`held`). The ordinary path is DDMC (docs/design.md): `survey`, `open_round`, `shift`. Before it come the
+//! operators' wishes (`heed`), beside it stand six mechanisms:
 //!  1. judging:   a server that is asked and answers nothing, or fails quickly, is sick for a while.
 //!  2. fleeing:   slices leave servers that are gone, draining or sick, which are withdrawn from all tables,
 //!     or cold and sent too much.
@@ -18,9 +18,11 @@
 use crate::deployment::{Deployment, OpType};
 use crate::interface::*;
 pub use crate::state::Governor;
-use crate::state::{Haste, Sent, Server, Slice};
+use crate::state::{Haste, Sent, Server, Slice, Wished};
 use crate::time::{Moment, Span};
+use std::collections::BTreeMap;
 use std::mem::take;
+use Heeded::{Absent, InForce, Suspended, Waiting};
 
 // The ordinary path; the design leaves these open.
 const ROUND: Span = Span::ms(1000);
@@ -61,6 +63,8 @@
 const QUEUE_PART: f64 = 0.8;
 const CALM_PART: f64 = 0.5;
 const HEADS_PART: f64 = 0.25;
+const MOST_PULLS: f64 = 12.0;
+const PULLS: &str = "its slices come";
 const BEAT: Span = Span::ms(250);
 const ASK_AGAIN: Span = Span::ms(1500);
 
@@ -83,7 +87,7 @@
 }
 
 type Rule = fn(&mut Governor) -> bool;
-const RULES: [Rule; 16] = [
+const RULES: [Rule; 17] = [
     Governor::follow_list,
     Governor::withdraw,
     Governor::tell_all,
@@ -91,6 +95,7 @@
     Governor::beat,
     Governor::survey,
     Governor::judge,
+    Governor::heed,
     Governor::flee,
     Governor::spread,
     Governor::gather,
@@ -140,7 +145,7 @@
         // Only now is it known who all will get the message: proxies may join with the batch's last news.
         self.replying = true;
         if take(&mut self.alarm) {
-            (self.agenda.survey, self.agenda.flee) = (true, true);
+            (self.agenda.survey, self.agenda.heed, self.agenda.flee) = (true, true, true);
         }
         self.settle(now);
         if let Some(number) = self.channel.open_mark.take() {
@@ -154,23 +159,22 @@
         self.now = now;
         while RULES.iter().any(|rule| rule(self)) {}
     }
-}
 
-impl Governor {
     /// To be left whatever it does (rule 3). Where being dropped from the list does not bind, the list may be
     /// wrong, and what is met there counts.
     fn is_lost(&self, s: &Server) -> bool {
         match s.standing {
             Standing::Draining => true,
+            _ if s.out => true,
             Standing::Ready if s.listed => false,
             _ => (self.list_fresh || self.now - self.born > ACK_WAIT) && !self.site.gone_is_advice,
         }
     }
 
     /// In its place, and so in the averages.
-    fn is_fit(&self, s: &Server) -> bool {
+    pub(crate) fn is_fit(&self, s: &Server) -> bool {
         let there = s.listed || (self.site.gone_is_advice && s.seen.answered > 0.0);
-        there && !s.shut && s.standing != Standing::Draining && !self.is_sick(s)
+        there && !s.shut && !s.out && s.standing != Standing::Draining && !self.is_sick(s)
     }
 
     /// What a cold server may be sent now: of what would push it over, a safe part. What the fleet answers,
@@ -180,7 +184,7 @@
         if !self.is_cold(s) {
             return f64::INFINITY;
         }
-        s.power * self.picture.proven * self.site.fall_multiple * self.warmth(s) * COLD_SAFETY
+        s.able * self.picture.proven * self.site.fall_multiple * self.warmth(s) * COLD_SAFETY
     }
 
     /// Its table is with all proxies, long enough to have shown in reports.
@@ -209,8 +213,8 @@
         }
         let fit = least(&takes, &Server::level);
         // With no fit one, a full warm server still beats a cold one, which would fall over (rule 4).
-        let well = || least(&|s| self.is_fit(s) && !self.is_cold(s), &Server::level);
-        let ready = |s: &Server| s.listed && !s.shut && s.standing == Standing::Ready;
+        let well = || least(&|s| self.is_good(s), &Server::level);
+        let ready = |s: &Server| s.is_ready() && !s.shut && !s.out;
         let pushed = |s: &Server| (s.press + slice.press.max(load)) / self.allowance(s).max(0.001);
         match need {
             Need::Relief => fit,
@@ -258,9 +262,7 @@
             _ => 1.0 - (cut * types.len() as f64 - before(own)).clamp(0.0, 1.0) * (1.0 - LEAST_LEVEL),
         }
     }
-}
 
-impl Governor {
     fn follow_list(&mut self) -> bool {
         if self.due.list.is_none_or(|at| at > self.now) {
             return false;
@@ -337,7 +339,8 @@
         // server looks slow too, and taken at its word it would throw out the slices whose keys it has warm.
         let slownesses = self.slownesses(LOAD_OVER + self.behind, ENOUGH, |s| self.is_fit(s));
         for (s, slowness) in self.servers.values_mut().zip(slownesses) {
-            s.power = s.size.clamp(0.01, 1e6) * (1.0 / slowness).sqrt().clamp(0.5, 1.3);
+            s.able = s.size.clamp(0.01, 1e6) * (1.0 / slowness).sqrt().clamp(0.5, 1.3);
+            s.power = s.able * s.factor;
         }
         self.see_slices(LOAD_OVER, SPREAD_OVER, REPEATED);
         self.picture = self.sum_up(BAND, LOAD_OVER, |s| self.is_fit(s));
@@ -390,6 +393,106 @@
                 || (s.seen.aborted >= ENOUGH && last().aborted >= ENOUGH && last().answered == 0.0))
     }
 
+    /// What operators wish, as far as the rules let it; what had to stand back comes into force again by
+    /// itself, but not at once.
+    fn heed(&mut self) -> bool {
+        if !take(&mut self.agenda.heed) || self.wishes.is_empty() {
+            return false;
+        }
+        let (pins, mut wishes) = (self.heed_pins(), take(&mut self.wishes));
+        let missing = |s: &Server| s.is_ready() && (s.out || self.is_sick(s));
+        let mut left = (self.many(|s| self.is_good(s)), self.many(Server::is_ready), self.many(missing));
+        for (id, w) in &mut wishes {
+            let was = w.heeded;
+            w.heeded = match w.wish {
+                Wish::Out { server } => self.heed_out(server, w, &mut left),
+                Wish::Weight { server, factor } => self.heed_weight(server, factor),
+                Wish::Pin { .. } => pins.get(id).copied().unwrap_or(Waiting("no slice of it is ours")),
+            };
+            let back = matches!((was, w.heeded), (InForce | Waiting(_), Suspended(_)));
+            w.stood_back = if back { Some(self.now) } else { w.stood_back };
+        }
+        self.wishes = wishes;
+        true
+    }
+
+    /// Where a warm server stays, and half of the fleet: one more could not be made up for. What is in force
+    /// stays so for as long as there is a warm one.
+    fn heed_out(&mut self, id: ServerId, w: &Wished, left: &mut (usize, usize, usize)) -> Heeded {
+        let Some(s) = self.servers.get(&id).filter(|s| s.listed || s.out) else { return Absent };
+        let good = left.0 > usize::from(self.is_good(s));
+        let missing = left.2 + usize::from(!s.out && !self.is_sick(s));
+        let again = w.stood_back.is_some_and(|at| self.now - at < SICK_FOR);
+        let out = s.standing == Standing::Draining || (good && (s.out || !(missing * 2 > left.1 || again)));
+        if out && !s.out {
+            (left.0, left.2) = (left.0 - usize::from(self.is_good(s)), missing);
+        }
+        let leaves = || s.lines.iter().any(|n| self.slices[n].owners().any(|owner| owner == id));
+        let heeded = match () {
+            _ if !out && !good => Suspended("rule 1: no other warm server is well"),
+            _ if !out && again => Suspended("rule 1: it stood back a moment ago"),
+            _ if !out => Suspended("rule 1: over half of the servers would be missing"),
+            _ if self.to_shut.contains(&id) => Waiting("rule 5: its withdrawal waits for room"),
+            _ if leaves() => Waiting("its slices leave"),
+            _ => InForce,
+        };
+        self.agenda.flee |= s.out != out;
+        self.servers.get_mut(&id).into_iter().for_each(|s| s.out = out);
+        heeded
+    }
+
+    /// What a cold server may be sent does not grow with what it counts for.
+    fn heed_weight(&mut self, id: ServerId, factor: f64) -> Heeded {
+        let Some(s) = self.servers.get(&id).filter(|s| s.listed) else { return Absent };
+        let heeded = match () {
+            _ if s.standing == Standing::Draining => Suspended("rule 3: the server drains"),
+            _ if s.out => Suspended("the server is out of service"),
+            _ if factor > 1.0 && self.is_cold(s) => Suspended("rule 4: the server is cold"),
+            _ => InForce,
+        };
+        let factor = if heeded == InForce { factor } else { 1.0 };
+        self.servers.get_mut(&id).into_iter().for_each(|s| s.factor = factor);
+        heeded
+    }
+
+    /// Brings pinned slices to their servers, one a server and beat; says what holds up the first of each.
+    fn heed_pins(&mut self) -> BTreeMap<WishId, Heeded> {
+        let (mut heeded, mut pulls) = (BTreeMap::new(), BTreeMap::new());
+        for (first, last, (to, id)) in self.pins.ranges() {
+            for (n, slice) in self.slices.range(first..=last) {
+                let how = self.heed_pin(*n, slice, to, id);
+                let seen = heeded.entry(id).or_insert(InForce);
+                *seen = if *seen == InForce { how } else { *seen };
+                _ = (how == Waiting(PULLS)).then(|| pulls.entry(to).or_insert((*n, id)));
+            }
+        }
+        for (to, (n, id)) in pulls {
+            let others: Vec<_> = self.slices[&n].owners().filter(|owner| *owner != to).collect();
+            others.iter().skip(1).for_each(|other| self.reline(n, Some(*other), None, Haste::Calm));
+            self.hand_over(n, others.first().copied().unwrap_or(to), to, Haste::Calm);
+            self.slices.get_mut(&n).into_iter().for_each(|s| s.note_pull(id));
+        }
+        heeded
+    }
+
+    /// What the rules take from its pin comes back later each time: no flapping.
+    fn heed_pin(&self, n: SliceId, slice: &Slice, to: ServerId, id: WishId) -> Heeded {
+        let wait = ACK_WAIT.times(slice.pulls(id).min(MOST_PULLS));
+        let Some(s) = self.servers.get(&to).filter(|s| s.listed) else { return Absent };
+        match () {
+            _ if s.standing == Standing::Draining => Suspended("rule 3: the server drains"),
+            _ if s.out => Suspended("the server is out of service"),
+            _ if self.is_sick(s) || s.shut => Suspended("rule 1: the server is sick or withdrawn"),
+            _ if self.is_at_pin(n, slice) && slice.is_told() => InForce,
+            _ if self.is_at_pin(n, slice) => Waiting("rule 5: orders wait for room"),
+            _ if slice.mark.is_some() => Waiting("an earlier change is not acked yet"),
+            _ if self.now - slice.settled < wait => Waiting("it had to leave lately"),
+            _ if s.strain >= EASED => Suspended("the server answers late"),
+            _ if !self.may_take(s, slice.load.max(slice.press)) => Suspended("rule 4: the server is cold"),
+            _ => Waiting(PULLS),
+        }
+    }
+
     /// Slices leave what is gone or draining (rule 3), sick, or cold and sent too much (rule 4), heaviest
     /// first; and one without a line gets one (rule 1).
     fn flee(&mut self) -> bool {
@@ -467,13 +570,14 @@
             return false;
         }
         let hot = |s: &Slice| s.mark.is_none() && s.is_told() && s.burst > self.picture.even * 0.5;
-        let found = self.slices.iter().filter(|(_, s)| hot(s)).find_map(|(n, s)| {
-            // Bands hold for loads over a longer time; a short time is judged by what came to all in it.
-            let tops: f64 = self.owners(s).map(|(_, owner)| self.picture.top(owner)).sum();
-            let over = s.burst - self.picture.rise * tops;
-            let more = over > 0.0 && s.owners().count() < MOST_LINES;
-            Some((*n, more.then(|| self.refuge(s, over, Need::Relief))??))
-        });
+        let found =
+            self.slices.iter().filter(|(n, s)| hot(s) && !self.is_at_pin(**n, s)).find_map(|(n, s)| {
+                // Bands hold for loads over a longer time; a short time is judged by what came to all in it.
+                let tops: f64 = self.owners(s).map(|(_, owner)| self.picture.top(owner)).sum();
+                let over = s.burst - self.picture.rise * tops;
+                let more = over > 0.0 && s.owners().count() < MOST_LINES;
+                Some((*n, more.then(|| self.refuge(s, over, Need::Relief))??))
+            });
         let Some((n, to)) = found else { return false };
         self.reline(n, None, Some((to, WHOLE)), Haste::Urgent);
         self.slices.get_mut(&n).into_iter().for_each(|s| s.settled = self.now);
@@ -522,8 +626,7 @@
         let slice = &self.slices[&n];
         let home = self.owners(slice).next().map(|(_, s)| s.place);
         let around = self.servers.iter().cycle().skip(first).take(self.servers.len());
-        let warm = |s: &Server| self.is_fit(s) && !self.is_cold(s);
-        let apt = around.filter(|(id, s)| !slice.wanted.contains_key(id) && warm(s));
+        let apt = around.filter(|(id, s)| !slice.wanted.contains_key(id) && self.is_good(s));
         let burden = |s: &Server| (Some(s.place) == home, s.standing_by / s.power);
         let order = |a: (bool, f64), b: (bool, f64)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1));
         apt.min_by(|a, b| order(burden(a.1), burden(b.1))).map(|(id, _)| (*id, STANDING_BY))
@@ -616,11 +719,14 @@
         let is_heavy = |s: &Server| s.outside >= ROUNDS_OUTSIDE && idle(s) && s.level() > high;
         let mut heavy: Vec<_> = self.servers.iter().filter(|(_, s)| is_heavy(s)).collect();
         heavy.sort_by(|a, b| b.1.level().total_cmp(&a.1.level()));
+        // One that operators made small is heavy though nobody is light.
+        let (top, made_small) = heavy.first().map(|(_, s)| (s.level(), s.factor < 1.0))?;
+        heavy.truncate(if made_small { 1 } else { heavy.len() });
         let easy = |s: &Server| self.may_take(s, 0.0) && s.strain < EASED;
-        let is_light = |s: &Server| -s.outside >= ROUNDS_OUTSIDE && idle(s) && s.level() < low && easy(s);
+        let below = |s: &Server| -s.outside >= ROUNDS_OUTSIDE && s.level() < low;
+        let is_light = |s: &Server| idle(s) && (below(s) || (made_small && s.level() < high)) && easy(s);
         let light = self.servers.iter().filter(|(_, s)| is_light(s));
         let (to, dest) = light.max_by(|a, b| self.picture.room(a.1).total_cmp(&self.picture.room(b.1)))?;
-        let top = heavy.first().map(|(_, s)| s.level())?;
         for (from, source) in heavy {
             let damped = |moves: u32| OMEGA.powi(moves as i32) * source.level() / top > DELTA;
             let fits = |net: f64| {
@@ -668,8 +774,7 @@
         // New lines go before old ones leave: a table is at no moment empty (rule 1).
         let mut lines = slice.differences(!self.site.single_writer);
         lines.retain(|line| !halts && matters(line));
-        let line =
-            |(server, weight): &(ServerId, f64)| Step::Line { slice: n, server: *server, weight: *weight };
+        let line = |(server, weight): &(_, _)| Step::Line { slice: n, server: *server, weight: *weight };
         let mut orders: Vec<_> = lines.iter().map(line).collect();
         orders.extend(self.level_orders(n, slice.cut_held, cut));
         if !self.has_room(orders.len() as f64, haste) {
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -119,6 +119,8 @@
     pub(crate) fn sum_up(&self, band: f64, long: Span, counted: impl Fn(&Server) -> bool) -> Picture {
         let counted = || self.servers.values().filter(|s| counted(s));
         let power = counted().map(|s| s.power).sum::<f64>().max(0.01);
+        // What was seen of servers is no less for what operators count them for.
+        let able = counted().map(|s| s.able).sum::<f64>().max(0.01);
         let load: f64 = self.slices.values().map(|s| s.load).sum();
         let burst: f64 = self.slices.values().map(|s| s.burst).sum();
         let answered: f64 = counted().map(|s| self.rate(&s.answered, long, self.born)).sum();
@@ -126,7 +128,7 @@
         Picture {
             average,
             phi: band * average,
-            proven: average.min(answered / power),
+            proven: (load / able).min(answered / able),
             rise: burst / load.max(0.01),
             even: burst / self.servers.len().max(1) as f64,
         }
@@ -136,11 +138,26 @@
     pub(crate) fn free_slices(&self, id: ServerId, s: &Server) -> Vec<(SliceId, f64, u32)> {
         let owned = s.lines.iter().map(|n| (*n, &self.slices[n]));
         let free = |s: &Slice| s.mark.is_none() && s.sole_owner() == Some(id) && s.wanted == s.held;
-        let mut own: Vec<_> = owned.filter(|(_, s)| free(s)).map(|(n, s)| (n, s.load, s.moves)).collect();
+        let pinned = |n: SliceId| self.pins.at(n).is_some_and(|(to, _)| to == id);
+        let mut own: Vec<_> =
+            owned.filter(|(n, s)| free(s) && !pinned(*n)).map(|(n, s)| (n, s.load, s.moves)).collect();
         own.sort_by(|a, b| b.1.total_cmp(&a.1));
         own
     }
 
+    /// In its place, and warm.
+    pub(crate) fn is_good(&self, s: &Server) -> bool {
+        self.is_fit(s) && !self.is_cold(s)
+    }
+
+    pub(crate) fn many(&self, counted: impl Fn(&Server) -> bool) -> usize {
+        self.servers.values().filter(|s| counted(s)).count()
+    }
+
+    pub(crate) fn is_at_pin(&self, n: SliceId, slice: &Slice) -> bool {
+        self.pins.at(n).is_some_and(|(to, _)| slice.sole_owner() == Some(to))
+    }
+
     /// The share of what was let in that got no answer, of the op type that fares best.
     pub(crate) fn unanswered(&self, over: Span, enough: f64) -> f64 {
         let sums = self.fates.iter().map(|(came, lost)| (came.sum(self.now, over), lost.sum(self.now, over)));
--- a/src/news.rs
+++ b/src/news.rs
@@ -1,8 +1,10 @@
 //! Takes what a governor is told into its records, and decides nothing.
 
 use crate::interface::*;
-use crate::state::{Governor, Slice};
+use crate::pins::Pins;
+use crate::state::{Governor, Slice, Wished};
 use crate::time::{Moment, Span};
+use std::collections::BTreeSet;
 
 impl Governor {
     pub fn woken(&mut self, now: Moment, token: u64) {
@@ -27,6 +29,36 @@
         self.settle(now);
     }
 
+    /// All that operators wish now, the oldest first; what is not named any more has ended. One that stands
+    /// already goes on as it is.
+    pub fn wished(&mut self, now: Moment, wishes: &[(WishId, Wish)]) {
+        let mut former = std::mem::take(&mut self.wishes);
+        self.pins = Pins::default();
+        for (id, wish) in wishes {
+            if let Wish::Pin { first, last, server } = *wish {
+                self.pins.lay(first, last, (server, *id));
+            }
+            let same = former.remove(id).filter(|known| known.wish == *wish);
+            let new = || Wished { wish: *wish, heeded: Heeded::Absent, stood_back: None };
+            self.wishes.insert(*id, same.unwrap_or_else(new));
+        }
+        let outs = wishes.iter().filter_map(|(_, wish)| match wish {
+            Wish::Out { server } => Some(*server),
+            _ => None,
+        });
+        let outs: BTreeSet<_> = outs.collect();
+        for (id, s) in &mut self.servers {
+            (s.out, s.factor) = (s.out && outs.contains(id), 1.0);
+        }
+        (self.alarm, self.agenda.heed) = (true, true);
+        self.settle(now);
+    }
+
+    /// What has become of a wish.
+    pub fn heeded(&self, id: WishId) -> Option<Heeded> {
+        self.wishes.get(&id).map(|wished| wished.heeded)
+    }
+
     pub fn proxy_left(&mut self, now: Moment, proxy: ProxyId) {
         self.channel.part(proxy);
         self.parted_at = now;
--- /dev/null
+++ b/src/pins.rs
@@ -0,0 +1,49 @@
+//! Which server each slice is pinned to: ranges of slices that do not overlap, each under the newest wish.
+
+use crate::interface::{ServerId, SliceId, WishId};
+use std::collections::BTreeMap;
+
+type Pin = (ServerId, WishId);
+
+/// By the first slice of each range, its last one and where it belongs.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Pins(BTreeMap<SliceId, (SliceId, Pin)>);
+
+impl Pins {
+    /// Lays a range over what is there; of ranges that it covers in part, the rest stays.
+    pub fn lay(&mut self, first: SliceId, last: SliceId, pin: Pin) {
+        if first > last {
+            return;
+        }
+        let before = self.0.range(..first).next_back().map(|(from, (to, pin))| (*from, *to, *pin));
+        if let Some((from, to, under)) = before.filter(|(_, to, _)| *to >= first) {
+            self.0.insert(from, (first - 1, under));
+            if to > last {
+                self.0.insert(last + 1, (to, under));
+            }
+        }
+        let covered: Vec<_> =
+            self.0.range(first..=last).map(|(from, (to, pin))| (*from, *to, *pin)).collect();
+        for (from, to, under) in covered {
+            self.0.remove(&from);
+            if to > last {
+                self.0.insert(last + 1, (to, under));
+            }
+        }
+        self.0.insert(first, (last, pin));
+    }
+
+    pub fn at(&self, slice: SliceId) -> Option<Pin> {
+        let (_, (last, pin)) = self.0.range(..=slice).next_back()?;
+        (slice <= *last).then_some(*pin)
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Each range: its first slice, its last one, and where it belongs.
+    pub fn ranges(&self) -> impl Iterator<Item = (SliceId, SliceId, Pin)> + '_ {
+        self.0.iter().map(|(first, (last, pin))| (*first, *last, *pin))
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,10 @@
 
 use crate::chance::Chance;
 use crate::deployment::Deployment;
-use crate::interface::{Listing, Met, PlaceId, ProxyId, ServerId, SliceId, Standing, Step};
+use crate::interface::{
+    Heeded, Listing, Met, PlaceId, ProxyId, ServerId, SliceId, Standing, Step, Wish, WishId,
+};
+use crate::pins::Pins;
 use crate::ring::Ring;
 use crate::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
@@ -46,7 +49,12 @@
     /// As of the last survey, corrected by each change of a table.
     pub load: f64,
     pub press: f64,
+    /// What it can do, and what it counts for: that, times the factor that operators put on it.
+    pub able: f64,
     pub power: f64,
+    pub factor: f64,
+    /// Out of service by the operators' wish.
+    pub out: bool,
     pub seen: Lately,
     pub strain: f64,
 }
@@ -94,6 +102,17 @@
     pub(crate) delays: BTreeMap<(PlaceId, PlaceId), f64>,
     pub(crate) picture: Picture,
     pub(crate) token: u64,
+    /// What operators wish, in the order in which they said so, and the slices that they pin.
+    pub(crate) wishes: BTreeMap<WishId, Wished>,
+    pub(crate) pins: Pins,
+}
+
+/// A wish, and what became of it.
+pub struct Wished {
+    pub wish: Wish,
+    pub heeded: Heeded,
+    /// When it last had to stand back.
+    pub stood_back: Option<Moment>,
 }
 
 impl Governor {
@@ -128,6 +147,8 @@
             delays: BTreeMap::new(),
             picture: Picture::default(),
             token: 0,
+            wishes: BTreeMap::new(),
+            pins: Pins::default(),
         }
     }
 
@@ -331,7 +352,10 @@
             standing_by: 0.0,
             load: 0.0,
             press: 0.0,
+            able: 1.0,
             power: 1.0,
+            factor: 1.0,
+            out: false,
             seen: Lately::default(),
             strain: 0.0,
         }
@@ -386,6 +410,10 @@
         !self.listed && self.lines.is_empty() && now - self.tries.newest() > LONGEST
     }
 
+    pub fn is_ready(&self) -> bool {
+        self.listed && self.standing == Standing::Ready
+    }
+
     pub fn level(&self) -> f64 {
         self.load / self.power
     }
@@ -422,6 +450,8 @@
     /// The mark that its last change waits for.
     pub mark: Option<u16>,
     pub settled: Moment,
+    /// How often it was brought to the server that it is pinned to, and the wish that did so.
+    pub pulled: (WishId, u32),
     /// Since when its ops are halted for a change of owner (single-writer sites).
     pub halted: Option<Moment>,
 }
@@ -444,10 +474,20 @@
             cut_held: 0.0,
             mark: None,
             settled: now,
+            pulled: (0, 0),
             halted: None,
         }
     }
 
+    /// It is brought to its server by a wish; how often it was so far.
+    pub fn note_pull(&mut self, by: WishId) {
+        self.pulled = (by, (self.pulls(by) as u32).saturating_add(1));
+    }
+
+    pub fn pulls(&self, by: WishId) -> f64 {
+        f64::from(if self.pulled.0 == by { self.pulled.1 } else { 0 })
+    }
+
     /// Has less than half of the weight of the table's heaviest line: it is there for further tries.
     pub fn stands_by(&self, server: &ServerId) -> bool {
         let heaviest = self.wanted.values().fold(0.0, |most: f64, weight| most.max(*weight));
@@ -587,6 +627,7 @@
     pub spread: bool,
     pub gather: bool,
     pub stand_by: bool,
+    pub heed: bool,
     /// On it once a round.
     pub ration: bool,
     pub shift: bool,
@@ -596,7 +637,7 @@
     pub fn open(&mut self) {
         let (ration, shift) = (self.ration, self.shift);
         let (survey, judge, flee, spread, gather) = (true, true, true, true, true);
-        *self = Agenda { survey, judge, flee, spread, gather, stand_by: true, ration, shift };
+        *self = Agenda { survey, judge, flee, spread, gather, stand_by: true, heed: true, ration, shift };
     }
 }
 
--- /dev/null
+++ b/tests/wishes.rs
@@ -0,0 +1,309 @@
+//! What operators wish for a while, and the five rules, which come first.
+
+mod fleet;
+
+use fleet::{at, site, Fleet};
+use quickcheck::{Arbitrary, Gen};
+use whinwall::deployment::Deployment;
+use whinwall::interface::*;
+use Heeded::{Absent, InForce, Suspended, Waiting};
+
+const OUT_OF_0: [(WishId, Wish); 1] = [(1, Wish::Out { server: 0 })];
+
+/// Four even servers and twelve slices, the wishes told.
+fn told(wishes: &[(WishId, Wish)]) -> Fleet {
+    let mut fleet = Fleet::new(site(), 4, 12, 3);
+    fleet.advance(2000);
+    tell(&mut fleet, wishes);
+    fleet
+}
+
+fn tell(fleet: &mut Fleet, wishes: &[(WishId, Wish)]) {
+    fleet.governor.wished(at(fleet.now_ms), wishes);
+    fleet.reply();
+}
+
+fn owner(fleet: &Fleet, slice: SliceId) -> Vec<ServerId> {
+    fleet.store[&slice].iter().filter(|(_, weight)| **weight >= 1.0).map(|(s, _)| *s).collect()
+}
+
+fn named(fleet: &Fleet, server: ServerId) -> usize {
+    fleet.store.values().filter(|table| table.contains_key(&server)).count()
+}
+
+fn cold(fleet: &mut Fleet, server: ServerId) {
+    let now = fleet.now_ms;
+    fleet.nodes.get_mut(&server).unwrap().started_ms = now;
+    fleet.news(server);
+}
+
+fn restand(fleet: &mut Fleet, server: ServerId, standing: Standing) {
+    fleet.nodes.get_mut(&server).unwrap().standing = standing;
+    fleet.news(server);
+}
+
+/// Counts moves of a slice onto a server.
+fn pulls(fleet: &Fleet, slice: SliceId, server: ServerId) -> usize {
+    let whole = |step: &&Step| matches!(step, Step::Line { slice: n, server: s, weight } if (*n, *s) == (slice, server) && *weight >= 1.0);
+    fleet.log.iter().filter(whole).count()
+}
+
+#[test]
+fn out_of_service_goes_the_way_of_a_drain() {
+    let mut fleet = told(&OUT_OF_0);
+    let withdrawn = Step::Withdraw { server: 0, out: true };
+    assert!(fleet.log.contains(&withdrawn), "at once, as for a drain");
+    fleet.advance(fleet::GRACE_MS);
+    assert_eq!(named(&fleet, 0), 0);
+    assert_eq!(fleet.governor.heeded(1), Some(InForce));
+    tell(&mut fleet, &[]);
+    fleet.advance(500);
+    assert!(fleet.log.contains(&Step::Withdraw { server: 0, out: false }), "let in within a second");
+    fleet.rates.values_mut().for_each(|rate| *rate += 1.0);
+    fleet.advance(30_000);
+    assert!(named(&fleet, 0) > 0, "used again");
+}
+
+#[test]
+fn what_ends_while_its_server_drains_does_not_bring_it_back() {
+    let mut fleet = told(&OUT_OF_0);
+    restand(&mut fleet, 0, Standing::Draining);
+    fleet.advance(1000);
+    let before = fleet.log.len();
+    tell(&mut fleet, &[]);
+    fleet.advance(20_000);
+    assert_eq!(named(&fleet, 0), 0);
+    assert!(!fleet.log[before..].contains(&Step::Withdraw { server: 0, out: false }));
+}
+
+#[test]
+fn half_of_the_fleet_stays_and_the_older_wishes_hold() {
+    let outs = [0, 1, 2, 3].map(|server| (u64::from(server) + 1, Wish::Out { server }));
+    let mut fleet = told(&outs);
+    fleet.advance(4000);
+    let heeded = [1, 2, 3, 4].map(|id| fleet.governor.heeded(id).unwrap());
+    assert!(matches!(heeded, [InForce, InForce, Suspended(_), Suspended(_)]), "{heeded:?}");
+    // One that ends makes room for the next, but not at once for one that had to stand back before.
+    tell(&mut fleet, &outs[1..]);
+    fleet.advance(4000);
+    assert_eq!(fleet.governor.heeded(3), Some(InForce));
+    assert_eq!((named(&fleet, 1), named(&fleet, 2)), (0, 0));
+}
+
+#[test]
+fn a_server_out_of_service_comes_back_where_nobody_else_is_left() {
+    let mut fleet = Fleet::new(site(), 2, 6, 2);
+    fleet.advance(2000);
+    tell(&mut fleet, &OUT_OF_0);
+    fleet.advance(3000);
+    assert_eq!(fleet.governor.heeded(1), Some(InForce));
+    restand(&mut fleet, 1, Standing::Draining);
+    fleet.advance(3000);
+    assert!(matches!(fleet.governor.heeded(1), Some(Suspended(why)) if why.starts_with("rule 1")));
+    assert_eq!((named(&fleet, 0), named(&fleet, 1)), (6, 0));
+    // Back and away: it does not come into force before it has stood back for a while.
+    cold(&mut fleet, 1);
+    restand(&mut fleet, 1, Standing::Ready);
+    fleet.advance(5000);
+    assert!(matches!(fleet.governor.heeded(1), Some(Suspended(_))), "a cold server is no other one");
+    fleet.advance(20_000);
+    assert_eq!(fleet.governor.heeded(1), Some(InForce));
+}
+
+#[test]
+fn a_weight_shifts_the_load_and_its_end_shifts_it_back() {
+    let mut fleet = Fleet::new(site(), 4, 40, 3);
+    fleet.advance(2000);
+    tell(&mut fleet, &[(1, Wish::Weight { server: 0, factor: 0.25 })]);
+    fleet.advance(60_000);
+    assert_eq!(fleet.governor.heeded(1), Some(InForce));
+    let owned = |fleet: &Fleet| (0..40).filter(|n| owner(fleet, *n) == [0]).count();
+    let light = owned(&fleet);
+    assert!(light < 6, "{light} of 40 slices at a quarter of the weight");
+    tell(&mut fleet, &[]);
+    // It is light now, and filled as others become heavy.
+    for n in (0..40).filter(|n| owner(&fleet, *n) == [1]).collect::<Vec<_>>() {
+        fleet.rates.insert(n, 7.0);
+    }
+    fleet.advance(60_000);
+    assert!(owned(&fleet) > light + 1, "{} slices once it has ended", owned(&fleet));
+}
+
+#[test]
+fn a_weight_on_a_cold_server_does_not_raise_its_budget() {
+    // The rule checker of the fleet fails the test where too much goes to the cold server.
+    let mut fleet = Fleet::new(site(), 4, 40, 3);
+    fleet.advance(10_000);
+    tell(&mut fleet, &[(1, Wish::Weight { server: 0, factor: 10.0 })]);
+    cold(&mut fleet, 0);
+    fleet.advance(500);
+    assert!(matches!(fleet.governor.heeded(1), Some(Suspended(why)) if why.starts_with("rule 4")));
+    fleet.advance(8000);
+    assert!(matches!(fleet.governor.heeded(1), Some(Suspended(_))));
+    fleet.advance(3000);
+    assert_eq!(fleet.governor.heeded(1), Some(InForce));
+    // Neither does a weight that makes all others small raise that of the cold one.
+    tell(&mut fleet, &[1, 2, 3].map(|server| (u64::from(server), Wish::Weight { server, factor: 0.01 })));
+    cold(&mut fleet, 0);
+    fleet.advance(30_000);
+}
+
+#[test]
+fn pinned_slices_come_and_stay() {
+    let mut fleet = told(&[(7, Wish::Pin { first: 4, last: 6, server: 3 })]);
+    fleet.advance(4000);
+    assert_eq!([4, 5, 6].map(|n| owner(&fleet, n)), [vec![3], vec![3], vec![3]]);
+    assert_eq!(fleet.governor.heeded(7), Some(InForce));
+    // Hot or not, the ordinary path leaves them there.
+    fleet.rates.extend((4..=6).map(|n| (n, 12.0)));
+    fleet.advance(20_000);
+    assert_eq!([4, 5, 6].map(|n| owner(&fleet, n)), [vec![3], vec![3], vec![3]]);
+    tell(&mut fleet, &[]);
+    fleet.advance(40_000);
+    assert!((4..=6).any(|n| owner(&fleet, n) != [3]), "free again once the pin has ended");
+}
+
+#[test]
+fn the_newer_pin_counts_where_pins_overlap() {
+    let older = (1, Wish::Pin { first: 0, last: 9, server: 1 });
+    let newer = (2, Wish::Pin { first: 4, last: 5, server: 2 });
+    let mut fleet = told(&[older, newer]);
+    fleet.advance(8000);
+    assert_eq!([3, 4, 5, 6].map(|n| owner(&fleet, n)), [vec![1], vec![2], vec![2], vec![1]]);
+    tell(&mut fleet, &[older]);
+    fleet.advance(8000);
+    assert_eq!(owner(&fleet, 4), [1]);
+}
+
+#[test]
+fn a_pin_stands_back_for_a_drain_and_for_a_server_out_of_service() {
+    let mut fleet = told(&[(1, Wish::Pin { first: 0, last: 3, server: 2 }), (2, Wish::Out { server: 2 })]);
+    fleet.advance(5000);
+    assert_eq!((named(&fleet, 2), fleet.governor.heeded(2)), (0, Some(InForce)));
+    assert_eq!(fleet.governor.heeded(1), Some(Suspended("the server is out of service")));
+    tell(&mut fleet, &[(1, Wish::Pin { first: 0, last: 3, server: 2 })]);
+    fleet.advance(6000);
+    assert_eq!(fleet.governor.heeded(1), Some(InForce));
+    restand(&mut fleet, 2, Standing::Draining);
+    fleet.advance(fleet::GRACE_MS);
+    assert_eq!(named(&fleet, 2), 0);
+    assert_eq!(fleet.governor.heeded(1), Some(Suspended("rule 3: the server drains")));
+    restand(&mut fleet, 2, Standing::Gone);
+    assert_eq!(fleet.governor.heeded(1), Some(Absent));
+}
+
+#[test]
+fn a_pin_takes_what_the_cold_budget_leaves() {
+    let mut fleet = told(&[]);
+    cold(&mut fleet, 2);
+    tell(&mut fleet, &[(1, Wish::Pin { first: 0, last: 11, server: 2 })]);
+    fleet.advance(5000);
+    let there = |fleet: &Fleet| (0..12).filter(|n| owner(fleet, *n) == [2]).count();
+    assert!(there(&fleet) < 12 && !matches!(fleet.governor.heeded(1), Some(InForce)), "{}", there(&fleet));
+    fleet.advance(120_000);
+    assert_eq!(there(&fleet), 12);
+}
+
+/// Sick, back, sick, back: each return waits longer than the one before.
+#[test]
+fn a_pin_does_not_flap_with_its_server() {
+    let mut fleet = told(&[(1, Wish::Pin { first: 4, last: 4, server: 3 })]);
+    fleet.advance(3000);
+    for _ in 0..30 {
+        fleet.nodes.get_mut(&3).unwrap().answers = false;
+        fleet.advance(5000);
+        fleet.nodes.get_mut(&3).unwrap().answers = true;
+        fleet.advance(5000);
+    }
+    let pulls = pulls(&fleet, 4, 3);
+    assert!((2..=9).contains(&pulls), "brought there {pulls} times in 300 s");
+    fleet.advance(150_000);
+    assert_eq!(owner(&fleet, 4), [3], "and in the end it is there");
+}
+
+#[test]
+fn wishes_survive_a_slice_that_changes_hands_and_a_new_list() {
+    let wishes = [(1, Wish::Pin { first: 4, last: 4, server: 3 }), (2, Wish::Out { server: 1 })];
+    let mut fleet = told(&wishes);
+    fleet.advance(3000);
+    fleet.store.insert(4, [(1, 1.0)].into());
+    fleet.governor.slice_taken(at(fleet.now_ms), 4);
+    fleet.governor.slice_given(at(fleet.now_ms), 4, &[(1, 1.0)]);
+    fleet.advance(10_000);
+    assert_eq!((owner(&fleet, 4), named(&fleet, 1)), (vec![3], 0));
+    // It leaves and rejoins; the fresh start is cold and out of service still.
+    restand(&mut fleet, 1, Standing::Gone);
+    fleet.advance(2000);
+    cold(&mut fleet, 1);
+    restand(&mut fleet, 1, Standing::Ready);
+    fleet.advance(40_000);
+    assert_eq!((named(&fleet, 1), fleet.governor.heeded(2)), (0, Some(InForce)));
+}
+
+#[test]
+fn with_single_writers_wishes_take_the_staged_way() {
+    let site = Deployment { single_writer: true, ..site() };
+    let mut fleet = Fleet::new(site, 4, 12, 3);
+    fleet.advance(2000);
+    tell(&mut fleet, &[(1, Wish::Out { server: 0 }), (2, Wish::Pin { first: 1, last: 1, server: 2 })]);
+    fleet.advance(8000);
+    assert_eq!((named(&fleet, 0), owner(&fleet, 1)), (0, vec![2]));
+}
+
+#[test]
+fn what_waits_for_the_channel_says_so() {
+    let mut fleet = told(&[]);
+    fleet.lines_a_tick = 0.0;
+    for n in 0..12 {
+        fleet.rates.insert(n, 2.0);
+    }
+    fleet.advance(3000);
+    tell(&mut fleet, &[(1, Wish::Pin { first: 0, last: 11, server: 2 })]);
+    fleet.advance(12_000);
+    assert!(matches!(fleet.governor.heeded(1), Some(Waiting(_))), "{:?}", fleet.governor.heeded(1));
+    fleet.lines_a_tick = 150.0;
+    fleet.advance(60_000);
+    assert_eq!(fleet.governor.heeded(1), Some(InForce));
+}
+
+/// Wishes come and go while servers drain, vanish, return and fall silent: the checkers of the fleet look on.
+#[derive(Clone, Debug)]
+struct Day(Vec<(u8, u32)>);
+
+impl Arbitrary for Day {
+    fn arbitrary(gen: &mut Gen) -> Self {
+        Day((0..16).map(|_| (u8::arbitrary(gen), u32::arbitrary(gen))).collect())
+    }
+}
+
+#[test]
+fn the_rules_come_first_whatever_is_wished() {
+    fn holds(day: Day) -> bool {
+        let mut fleet = Fleet::new(site(), 8, 24, 3);
+        let mut wishes: Vec<(WishId, Wish)> = Vec::new();
+        for (at, (deed, n)) in day.0.into_iter().enumerate() {
+            let (server, slice) = (n % 8, n / 8 % 24);
+            match deed % 10 {
+                0 => wishes.push((at as u64, Wish::Out { server })),
+                1 => wishes.push((at as u64, Wish::Weight { server, factor: f64::from(n % 100) / 10.0 })),
+                2 | 3 => wishes.push((at as u64, Wish::Pin { first: slice, last: slice + n % 7, server })),
+                4 => wishes.truncate(wishes.len() / 2),
+                5 => restand(&mut fleet, server, Standing::Draining),
+                6 => {
+                    fleet.nodes.get_mut(&server).unwrap().answers = true;
+                    cold(&mut fleet, server);
+                    restand(&mut fleet, server, Standing::Ready);
+                }
+                7 => fleet.nodes.get_mut(&server).unwrap().answers = false,
+                8 => {
+                    fleet.introduce(u64::from(n));
+                }
+                _ => fleet.lines_a_tick = 60.0 + f64::from(n % 100),
+            }
+            tell(&mut fleet, &wishes);
+            fleet.advance(1500);
+        }
+        true
+    }
+    quickcheck::QuickCheck::new().tests(60).quickcheck(holds as fn(Day) -> bool);
+}
