--- /dev/null
+++ b/operators/src/file.rs
@@ -0,0 +1,151 @@
+//! What operators say in their file. Each part is off where it is not named.
+
+use crate::tree::{self, Element, Wrong};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use whinwall_overrides::book::FileOrder;
+use whinwall_overrides::{record, words, Bounds, Kind};
+
+/// A larger file is none that somebody wrote.
+pub const LARGEST: usize = 1 << 20;
+/// Overrides at the most, whatever the file says: each costs a little in every beat.
+const MOST: usize = 10_000;
+const VERSION: &str = "1";
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct OperatorsFile {
+    pub log: LogForm,
+    /// Where overrides are kept, so that they outlive the program.
+    pub store: Option<PathBuf>,
+    pub management: Option<Doors>,
+    pub bounds: Bounds,
+    pub overrides: Vec<FileOrder>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogForm {
+    #[default]
+    Text,
+    Json,
+}
+
+/// Where the management front is, and who may come in.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Doors {
+    /// A socket of the file system, for its owner alone.
+    Socket(PathBuf),
+    /// A loopback address, for whoever knows the token in the file.
+    Address { address: SocketAddr, token_file: PathBuf },
+}
+
+pub fn read(text: &str) -> Result<OperatorsFile, Wrong> {
+    let root = tree::read(text)?;
+    if root.name != "operators" {
+        return Err(root.wrong("the outermost element must be <operators>"));
+    }
+    root.has_only(&["version"], &["log", "store", "management", "overrides"])?;
+    root.must("version", |version| {
+        (version == VERSION).then_some(()).ok_or(format!("{version:?} is not {VERSION:?}"))
+    })?;
+    let (log, store) = (root.child("log")?, root.child("store")?);
+    let management = root.child("management")?.map(doors).transpose()?;
+    let (bounds, overrides) = root.child("overrides")?.map(overrides).transpose()?.unwrap_or_default();
+    Ok(OperatorsFile {
+        log: log.map(log_form).transpose()?.unwrap_or_default(),
+        store: store.map(folder).transpose()?,
+        management,
+        bounds,
+        overrides,
+    })
+}
+
+fn log_form(log: &Element) -> Result<LogForm, Wrong> {
+    log.has_only(&["form"], &[])?;
+    log.must("form", |form| match form {
+        "text" => Ok(LogForm::Text),
+        "json" => Ok(LogForm::Json),
+        _ => Err(format!("{form:?} is neither \"text\" nor \"json\"")),
+    })
+}
+
+fn path(text: &str) -> Result<PathBuf, String> {
+    let path = PathBuf::from(text);
+    path.is_absolute().then_some(path).ok_or(format!("{text:?} is no absolute path"))
+}
+
+fn folder(store: &Element) -> Result<PathBuf, Wrong> {
+    store.has_only(&["folder"], &[])?;
+    store.must("folder", path)
+}
+
+fn doors(front: &Element) -> Result<Doors, Wrong> {
+    front.has_only(&["socket", "address", "token-file"], &[])?;
+    let loopback = |text: &str| {
+        let address: SocketAddr = text.parse().map_err(|why| format!("{text:?} is no address: {why}"))?;
+        let near = address.ip().is_loopback();
+        near.then_some(address).ok_or(format!("{text:?} is no loopback address"))
+    };
+    match (front.given("socket"), front.given("address")) {
+        (Some(_), None) if front.given("token-file").is_some() => {
+            Err(front.wrong("a socket is for its owner alone and takes no \"token-file\""))
+        }
+        (Some(_), None) => Ok(Doors::Socket(front.must("socket", path)?)),
+        (None, Some(_)) => Ok(Doors::Address {
+            address: front.must("address", loopback)?,
+            token_file: front.must("token-file", path)?,
+        }),
+        _ => Err(front.wrong("it must have either \"socket\" or \"address\"")),
+    }
+}
+
+fn overrides(all: &Element) -> Result<(Bounds, Vec<FileOrder>), Wrong> {
+    all.has_only(&["longest", "most", "ended-kept"], &["weight", "out", "pin"])?;
+    let usual = Bounds::default();
+    let most = |text: &str| match text.parse() {
+        Ok(most) if (1..=MOST).contains(&most) => Ok(most),
+        _ => Err(format!("{text:?} is no whole number from 1 to {MOST}")),
+    };
+    let bounds = Bounds {
+        longest: all.maybe("longest", words::span)?.unwrap_or(usual.longest),
+        most: all.maybe("most", most)?.unwrap_or(usual.most),
+        ended_kept: all.maybe("ended-kept", words::span)?.unwrap_or(usual.ended_kept),
+    };
+    let (mut ids, mut orders) = (BTreeSet::new(), Vec::new());
+    for one in &all.children {
+        let order = order(one)?;
+        if !ids.insert(order.id.clone()) {
+            return Err(one.wrong(format!("id: {:?} is there twice", order.id)));
+        }
+        orders.push(order);
+    }
+    if orders.len() > bounds.most {
+        return Err(all.wrong(format!("{} overrides are more than the most, {}", orders.len(), bounds.most)));
+    }
+    Ok((bounds, orders))
+}
+
+fn order(one: &Element) -> Result<FileOrder, Wrong> {
+    let own: &[&str] = match one.name.as_str() {
+        "weight" => &["id", "server", "author", "reason", "until", "factor"],
+        "pin" => &["id", "server", "author", "reason", "until", "slices"],
+        _ => &["id", "server", "author", "reason", "until"],
+    };
+    one.has_only(own, &[])?;
+    let text = |name| one.must(name, |text| Ok(text.to_string()));
+    let server = text("server")?;
+    let kind = match one.name.as_str() {
+        "weight" => {
+            let number = |text: &str| text.parse().map_err(|_| format!("{text:?} is no number"));
+            Kind::Weight { server, factor: one.must("factor", number)? }
+        }
+        "pin" => {
+            let (first, last) = one.must("slices", words::slices)?;
+            Kind::Pin { first, last, server }
+        }
+        _ => Kind::Out { server },
+    };
+    let (id, author, reason) = (text("id")?, text("author")?, text("reason")?);
+    record::check(&id, &kind, &author, &reason).map_err(|(part, why)| one.wrong(format!("{part}: {why}")))?;
+    Ok(FileOrder { id, kind, author, reason, until: one.must("until", words::wall)? })
+}
