--- a/overrides/src/book.rs
+++ b/overrides/src/book.rs
@@ -298,18 +298,29 @@
         Ok(Proposal::New(Change { puts: vec![over], drops: Vec::new() }))
     }
 
-    /// A change that is on disk, or needs none, is made.
+    /// The change is made; `kept` says where it is on disk too.
     pub fn make(&mut self, change: Change) {
         for one in change.puts {
             // It may have expired while the disk was at work.
             let over = self.all.get(&one.number).is_some_and(|known| !known.stands());
             if !over {
+                self.to_note.insert(one.number);
                 self.take_in(one);
             }
         }
     }
 
-    /// What the disk lacks: ends that have come, and records that nobody needs.
+    /// A change that the disk refused is not made; but what was new in it may be there all the same, and must
+    /// not come up at the next start.
+    pub fn give_up(&mut self, change: &Change) {
+        for one in change.puts.iter().filter(|one| !self.all.contains_key(&one.number)) {
+            self.next = self.next.max(one.number.saturating_add(1));
+            self.to_drop.push(one.number);
+        }
+    }
+
+    /// What the disk lacks: changes that it was not asked for, ends that have come, and records that nobody
+    /// needs.
     pub fn unkept(&self) -> Change {
         let puts = self.to_note.iter().filter_map(|number| self.all.get(number)).cloned().collect();
         Change { puts, drops: self.to_drop.clone() }
@@ -317,7 +328,8 @@
 
     /// This is on disk now.
     pub fn kept(&mut self, change: &Change) {
-        for one in change.puts.iter().filter(|one| !one.stands()) {
+        // What has changed again meanwhile is still to be kept.
+        for one in change.puts.iter().filter(|one| self.all.get(&one.number) == Some(*one)) {
             self.to_note.remove(&one.number);
         }
         self.to_drop.retain(|number| !change.drops.contains(number));
