--- /dev/null
+++ b/management/src/wire.rs
@@ -0,0 +1,259 @@
+//! Requests and replies as JSON. Unknown keys are refused: a slip of the pen must not pass for a default.
+
+use crate::ask::{Reply, Request, Shown, Status};
+use serde::{Deserialize, Serialize};
+use whinwall::interface::Heeded;
+use whinwall::time::{Moment, Span};
+use whinwall_overrides::{words, Ask, Kept, Kind, Order, Origin, Refused};
+
+/// What sets an override; its id stands in the path.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Set {
+    pub kind: KindName,
+    pub server: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub factor: Option<f64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slices: Option<String>,
+    pub author: String,
+    pub reason: String,
+    #[serde(rename = "for")]
+    pub lasts: String,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum KindName {
+    Weight,
+    Out,
+    Pin,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Clear {
+    pub by: String,
+}
+
+/// An override as it is shown.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Item {
+    pub id: String,
+    pub kind: KindName,
+    pub server: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub factor: Option<f64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slices: Option<String>,
+    pub author: String,
+    pub reason: String,
+    pub origin: String,
+    pub set: String,
+    pub ends: String,
+    pub left_s: f64,
+    pub state: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cause: Option<String>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct List {
+    pub overrides: Vec<Item>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Outcome {
+    pub outcome: String,
+    /// "on disk", "nowhere", or why it is not on disk yet.
+    pub kept: String,
+    #[serde(rename = "override")]
+    pub item: Item,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    pub name: String,
+    pub version: String,
+    pub up_s: f64,
+    pub proxies: usize,
+    pub slices: usize,
+    pub servers: usize,
+    pub orders_open: bool,
+    pub failing: Vec<Failing>,
+    pub overrides_standing: usize,
+    pub overrides_listed: usize,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Failing {
+    pub what: String,
+    pub times: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Problem {
+    pub error: String,
+    /// The part of the request that is wrong.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub part: Option<String>,
+}
+
+impl Problem {
+    pub fn new(error: impl Into<String>) -> Self {
+        Problem { error: error.into(), part: None }
+    }
+
+    fn of(part: &str, why: String) -> Self {
+        Problem { error: format!("{part}: {why}"), part: Some(part.into()) }
+    }
+}
+
+impl Set {
+    pub fn order(self, id: &str) -> Result<Order, Problem> {
+        let server = self.server;
+        let needless = |part: &str| Err(Problem::of(part, "it has no meaning for this kind".into()));
+        let kind = match (self.kind, self.factor, self.slices) {
+            (KindName::Weight, Some(factor), None) => Kind::Weight { server, factor },
+            (KindName::Weight, None, _) => return Err(Problem::of("factor", "it is missing".into())),
+            (KindName::Pin, None, Some(slices)) => {
+                let (first, last) = words::slices(&slices).map_err(|why| Problem::of("slices", why))?;
+                Kind::Pin { first, last, server }
+            }
+            (KindName::Pin, _, None) => return Err(Problem::of("slices", "they are missing".into())),
+            (KindName::Out, None, None) => Kind::Out { server },
+            (KindName::Weight, _, Some(_)) | (KindName::Out, None, Some(_)) => return needless("slices"),
+            (KindName::Pin | KindName::Out, Some(_), _) => return needless("factor"),
+        };
+        let lasts = words::span(&self.lasts).map_err(|why| Problem::of("for", why))?;
+        Ok(Order { id: id.into(), kind, author: self.author, reason: self.reason, lasts })
+    }
+}
+
+pub fn decode_set(id: &str, body: &[u8]) -> Result<Request, Problem> {
+    let set: Set = serde_json::from_slice(body).map_err(|why| Problem::new(why.to_string()))?;
+    Ok(Request::Change(Ask::Set(set.order(id)?)))
+}
+
+pub fn decode_clear(id: &str, body: &[u8]) -> Result<Request, Problem> {
+    let clear: Clear = serde_json::from_slice(body).map_err(|why| Problem::new(why.to_string()))?;
+    let fits = !clear.by.trim().is_empty() && clear.by.len() <= 64 && !clear.by.chars().any(char::is_control);
+    fits.then_some(())
+        .ok_or_else(|| Problem::of("by", "it must have 1 to 64 bytes and no control characters".into()))?;
+    Ok(Request::Change(Ask::Clear { id: id.into(), by: clear.by }))
+}
+
+/// A moment of the governor's own clock by the wall's: both are there now.
+fn by_wall(at: Moment, now: Moment, wall: Moment) -> String {
+    words::write_wall(if at >= now { wall + (at - now) } else { wall - (now - at) })
+}
+
+impl Item {
+    pub fn of(shown: &Shown, now: Moment, wall: Moment) -> Self {
+        let one = &shown.one;
+        let (kind, factor, slices) = match &one.kind {
+            Kind::Weight { factor, .. } => (KindName::Weight, Some(*factor), None),
+            Kind::Out { .. } => (KindName::Out, None, None),
+            Kind::Pin { first, last, .. } => (KindName::Pin, None, Some(words::write_slices(*first, *last))),
+        };
+        let (state, cause) = match (&one.ended, shown.heeded) {
+            (Some((at, why)), _) => ("ended", Some(format!("{why} at {}", by_wall(*at, now, wall)))),
+            (None, None | Some(Heeded::Absent)) => ("absent", Some("its server is not in the list".into())),
+            (None, Some(Heeded::InForce)) => ("in force", None),
+            (None, Some(Heeded::Waiting(why))) => ("waiting", Some(why.into())),
+            (None, Some(Heeded::Suspended(why))) => ("suspended", Some(why.into())),
+        };
+        Item {
+            id: one.id.clone(),
+            kind,
+            server: one.kind.server().into(),
+            factor,
+            slices,
+            author: one.author.clone(),
+            reason: one.reason.clone(),
+            origin: if one.origin == Origin::File { "file" } else { "request" }.into(),
+            set: by_wall(one.set, now, wall),
+            ends: by_wall(one.ends, now, wall),
+            left_s: if one.stands() { (one.ends - now).seconds() } else { 0.0 },
+            state: state.into(),
+            cause,
+        }
+    }
+}
+
+fn kept_word(kept: Kept) -> String {
+    match kept {
+        Kept::OnDisk => "on disk".into(),
+        Kept::Nowhere => "nowhere".into(),
+        Kept::NotYet(why) => format!("not on disk yet: {why}"),
+    }
+}
+
+/// Status code and body.
+pub fn encode(reply: Reply, name: &str, wall: Moment) -> (u16, String) {
+    fn body(value: &impl Serialize) -> String {
+        serde_json::to_string(value).unwrap_or_default()
+    }
+    let outcome = |word: &str, kept, shown: &Shown, now| {
+        body(&Outcome { outcome: word.into(), kept: kept_word(kept), item: Item::of(shown, now, wall) })
+    };
+    match reply {
+        Reply::Set { shown, again: false, kept, now } => (201, outcome("set", kept, &shown, now)),
+        Reply::Set { shown, again: true, kept, now } => (200, outcome("set before", kept, &shown, now)),
+        Reply::Cleared { shown, again, kept, now } => {
+            (200, outcome(if again { "ended before" } else { "cleared" }, kept, &shown, now))
+        }
+        Reply::Listed { all, now } => {
+            let overrides = all.iter().map(|shown| Item::of(shown, now, wall)).collect();
+            (200, body(&List { overrides }))
+        }
+        Reply::Status(status) => (200, body(&State::of(&status, name))),
+        Reply::Refused(refused) => {
+            let (code, part) = match &refused {
+                Refused::Wrong { part, .. } => (400, Some(part.to_string())),
+                Refused::Taken { .. } => (409, None),
+                Refused::Full { .. } => (429, None),
+                Refused::Unknown { .. } => (404, None),
+            };
+            (code, body(&Problem { error: refused.to_string(), part }))
+        }
+        Reply::NotKept(why) => (507, body(&Problem::new(format!("not kept, nothing has changed: {why}")))),
+        Reply::Busy => (503, body(&Problem::new("too many wait already; nothing has changed"))),
+    }
+}
+
+impl State {
+    fn of(status: &Status, name: &str) -> Self {
+        let failing = |(what, times): &(&str, u32)| Failing { what: what.to_string(), times: *times };
+        State {
+            name: name.into(),
+            version: env!("CARGO_PKG_VERSION").into(),
+            up_s: status.up().seconds(),
+            proxies: status.proxies,
+            slices: status.slices,
+            servers: status.servers,
+            orders_open: status.orders_open,
+            failing: status.failing.iter().map(failing).collect(),
+            overrides_standing: status.standing,
+            overrides_listed: status.listed,
+        }
+    }
+}
+
+/// For who writes an order by hand.
+pub fn set_of(kind: &Kind, author: &str, reason: &str, lasts: Span) -> Set {
+    let (name, factor, slices) = match kind {
+        Kind::Weight { factor, .. } => (KindName::Weight, Some(*factor), None),
+        Kind::Out { .. } => (KindName::Out, None, None),
+        Kind::Pin { first, last, .. } => (KindName::Pin, None, Some(words::write_slices(*first, *last))),
+    };
+    Set {
+        kind: name,
+        server: kind.server().into(),
+        factor,
+        slices,
+        author: author.into(),
+        reason: reason.into(),
+        lasts: words::write_span(lasts),
+    }
+}
