--- a/keeper/tests/keeper.rs
+++ b/keeper/tests/keeper.rs
@@ -39,7 +39,8 @@
 
 #[test]
 fn a_file_that_is_no_store_is_set_aside_and_named() {
-    let spoil: [(&str, fn(&Path)); 4] = [
+    type Spoil = fn(&Path);
+    let spoil: [(&str, Spoil); 4] = [
         ("text", |path| std::fs::write(path, "no store at all, but long enough to be looked into").unwrap()),
         ("torn", |path| {
             let bytes = std::fs::read(path).unwrap();
