The governor takes overrides: operators' file, store and management front, logs on tracing

Need: overrides that reach the decisions of a running governor, kept over restarts, with nothing changed where no operators' file is named.

--- a/governor/src/program/clock.rs
+++ b/governor/src/program/clock.rs
@@ -1,7 +1,9 @@
 //! The wall's time at the start, and from then on a clock that never jumps.
 
+use rustix::time::{clock_gettime, ClockId};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use whinwall::time::{Moment, Span};
+use whinwall_overrides::Reading;
 
 pub struct Clock {
     wall: Moment,
@@ -10,14 +12,27 @@
 
 impl Clock {
     pub fn start() -> Self {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { wall: Moment::at_ns(wall.as_nanos() as u64), start: Instant::now() }
+        Clock { wall: Clock::wall(), start: Instant::now() }
     }
 
     pub fn now(&self) -> Moment {
         self.wall + Span::ns(self.start.elapsed().as_nanos() as u64)
     }
 
+    /// What the machine's clocks say; its own goes on in sleep and over steps of the wall's.
+    pub fn reading() -> Reading {
+        let boot = std::fs::read_to_string("/proc/sys/kernel/random/boot_id").unwrap_or_default();
+        let since = clock_gettime(ClockId::Boottime);
+        let since_boot = Duration::new(since.tv_sec.max(0) as u64, since.tv_nsec.max(0) as u32);
+        let since_boot = Span::ns(since_boot.as_nanos() as u64);
+        Reading { boot: boot.trim().into(), since_boot, wall: Clock::wall() }
+    }
+
+    pub fn wall() -> Moment {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Moment::at_ns(wall.as_nanos() as u64)
+    }
+
     pub fn until(&self, at: Moment) -> Duration {
         Duration::from_nanos((at - self.now()).as_ns())
     }
--- a/governor/src/program/configuration.rs
+++ b/governor/src/program/configuration.rs
@@ -2,13 +2,14 @@
 
 use crate::protocol::discovery::List;
 use crate::transport::{limits, Targets};
-use log::LevelFilter;
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::{SystemTime, UNIX_EPOCH};
+use tracing::level_filters::LevelFilter;
 use whinwall_briefing::Briefing;
+use whinwall_operators::{file, OperatorsFile};
 
 const LOG_LINES: u32 = 40;
 /// What a running program can't change.
@@ -23,6 +24,7 @@
     pub file: Option<PathBuf>,
     pub log_level: Option<String>,
     pub log_lines: Option<String>,
+    pub operators: Option<PathBuf>,
 }
 
 impl Surroundings {
@@ -35,12 +37,13 @@
             file: variable("PROXY_CONFIG").map(PathBuf::from),
             log_level: variable("WHINWALL_LOG"),
             log_lines: variable("WHINWALL_LOG_LINES"),
+            operators: variable("WHINWALL_OPERATORS").map(PathBuf::from),
         }
     }
 
     /// How much is logged: the least level, and lines a second at the most.
     pub fn logging(&self) -> Result<(LevelFilter, u32), String> {
-        let level = self.log_level.as_deref().map_or(Ok(LevelFilter::Info), str::parse);
+        let level = self.log_level.as_deref().map_or(Ok(LevelFilter::INFO), str::parse);
         let lines = self.log_lines.as_deref().map_or(Ok(LOG_LINES), str::parse);
         Ok((
             level.map_err(|_| "WHINWALL_LOG: no level (error, warn, info, debug)")?,
@@ -62,6 +65,8 @@
     pub line_bytes: usize,
     pub known: List,
     pub briefing: Briefing,
+    /// What the operators' file says, where there is one.
+    pub operators: Option<OperatorsFile>,
     /// Where all this is from, for reading it anew.
     around: Surroundings,
     file: Value,
@@ -134,8 +139,14 @@
             around.discovery = None;
         }
         let new = check(around, written)?;
-        let left = ONLY_AT_START.into_iter().filter(|key| new.file.get(key) != self.file.get(key)).collect();
-        (self.targets, self.around, self.file) = (new.targets, new.around, new.file);
+        let changed = |key: &&str| new.file.get(key) != self.file.get(key);
+        let mut left: Vec<_> = ONLY_AT_START.into_iter().filter(changed).collect();
+        let store = |file: &Option<OperatorsFile>| file.as_ref().and_then(|file| file.store.clone());
+        if store(&new.operators) != store(&self.operators) {
+            left.push("operators' file: <store>");
+        }
+        (self.targets, self.around, self.file, self.operators) =
+            (new.targets, new.around, new.file, new.operators);
         Ok(left)
     }
 }
@@ -146,6 +157,17 @@
     serde_json::from_slice(&text).map_err(|why| format!("PROXY_CONFIG: {}: {why}", path.display()))
 }
 
+/// Errors name the file and the place in it.
+pub fn operators(path: &Path) -> Result<OperatorsFile, String> {
+    let wrong = |why: &dyn std::fmt::Display| format!("{}: {why}", path.display());
+    let size = std::fs::metadata(path).map_err(|why| wrong(&why))?.len();
+    if size > file::LARGEST as u64 {
+        return Err(wrong(&format!("{size} bytes are too many")));
+    }
+    let text = std::fs::read_to_string(path).map_err(|why| wrong(&why))?;
+    file::read(&text).map_err(|why| wrong(&why))
+}
+
 fn check(around: Surroundings, written: Value) -> Result<Start, String> {
     let file: File = serde_path_to_error::deserialize(&written).map_err(|wrong| match wrong.path() {
         path if path.iter().next().is_none() => wrong.inner().to_string(),
@@ -177,6 +199,7 @@
         line_bytes: (file.limits.memory_mb * 1e6) as usize / limits::LINES_PART,
         known: file.known,
         briefing: file.settings,
+        operators: around.operators.as_deref().map(operators).transpose()?,
         around,
         file: written,
     })
--- a/governor/src/program/event_loop.rs
+++ b/governor/src/program/event_loop.rs
@@ -2,9 +2,12 @@
 
 use super::clock::Clock;
 use super::configuration::Start;
+use super::fronts::{self, Fronts};
+use super::logger::Form;
 use super::signals::{Signal, Signals};
 use crate::protocol::collector::{self, Reply};
 use crate::protocol::{discovery, relay, Malformed};
+use crate::routing::overrides::Wanted;
 use crate::routing::{Effect, Event, Reducer};
 use crate::transport::{calls, limits, listener, news, watch};
 use crate::transport::{Back, Broken, CallError, ConnectionId, FollowId, Inbox, Input};
@@ -19,7 +22,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::{self, Receiver, Sender};
+use tracing::{debug_span, Span};
 use whinwall::time::Moment;
+use whinwall_keeper::desk::Word;
+use whinwall_keeper::Job;
+use whinwall_management::server::Asked;
+use whinwall_overrides::{saved, Stamp, WallWatch};
 
 /// Wakes so often at least, whatever the reducer asks for.
 const LONGEST_SLEEP: Duration = Duration::from_secs(1);
@@ -28,19 +36,20 @@
 
 /// Serves until a signal ends it. A panic costs what the reducer remembered, as a restart would, and not the
 /// process: the relay and discovery know all that stands.
-pub async fn serve(mut start: Start, mut signals: Signals) -> Result<&'static str, String> {
+pub async fn serve(mut start: Start, mut signals: Signals, form: Form) -> Result<&'static str, String> {
     let listener = tokio::select! {
         biased;
         listener = bind(start.listen) => Rc::new(listener?),
         why = until_end(&mut signals) => return Ok(why),
     };
     let address = listener.local_addr().map_err(|why| format!("listen: {why}"))?;
-    log::info!("{} serves at {address}", start.name);
+    tracing::info!("{} serves at {address}", start.name);
+    let mut fronts = Fronts::open(&start.name, start.operators.as_ref(), form)?;
     loop {
-        let life = live(&mut start, listener.clone(), &mut signals);
+        let life = live(&mut start, listener.clone(), &mut signals, &mut fronts);
         match AssertUnwindSafe(life).catch_unwind().await {
             Ok(why) => return Ok(why),
-            Err(_) => log::error!("a panic; starting again from what relay and discovery know"),
+            Err(_) => tracing::error!("a panic; starting again from what relay and discovery know"),
         }
         sleep(limits::PAUSE).await;
     }
@@ -67,7 +76,12 @@
     }
 }
 
-async fn live(start: &mut Start, listener: Rc<TcpListener>, signals: &mut Signals) -> &'static str {
+async fn live(
+    start: &mut Start,
+    listener: Rc<TcpListener>,
+    signals: &mut Signals,
+    fronts: &mut Fronts,
+) -> &'static str {
     // Two inboxes, so that whoever floods our address delays neither relay nor discovery.
     let (inbox, mut arrived) = mpsc::channel(limits::INBOX);
     let (at_door, mut reports) = mpsc::channel(limits::INBOX);
@@ -75,12 +89,16 @@
     let bounds = listener::Bounds::new(start.connections, start.line_bytes);
     let _calls = Task::spawn(calls::serve(to_make, inbox.clone()));
     let _door = Task::spawn(listener::listen(listener, bounds, at_door));
-    let mut turn = Loop::new(start, inbox, calls);
+    let mut turn = Loop::new(start, inbox, calls, fronts);
     turn.apply(Event::Started);
+    turn.want(start);
+    turn.fronts.read_store();
     loop {
         turn.wake = None;
+        turn.watch_wall();
         turn.apply(Event::Quiet);
         turn.backs.clear();
+        turn.next();
         let wait = turn.wake.map_or(LONGEST_SLEEP, |at| turn.clock.until(at).min(LONGEST_SLEEP));
         tokio::select! {
             biased;
@@ -88,6 +106,8 @@
                 Signal::End(why) => return why,
                 Signal::ReadAnew => turn.read_anew(start),
             },
+            Some(word) = turn.fronts.words.recv() => turn.word(word),
+            Some(asked) = turn.fronts.asked.recv() => turn.asked(asked),
             Some(first) = arrived.recv() => turn.take(first),
             Some(first) = reports.recv() => turn.take(first),
             _ = sleep(wait) => {}
@@ -95,6 +115,7 @@
         for inbox in [&mut arrived, &mut reports] {
             turn.take_all(inbox);
         }
+        turn.take_asked();
     }
 }
 
@@ -119,8 +140,13 @@
     _task: Task,
 }
 
-struct Loop {
+struct Loop<'a> {
     clock: Clock,
+    wall: WallWatch,
+    fronts: &'a mut Fronts,
+    /// Of this turn: what comes in it, and the call that it leads to, stand in the log under its number.
+    span: Span,
+    turns: u64,
     reducer: Reducer,
     inbox: Inbox,
     calls: Sender<calls::Call>,
@@ -133,14 +159,30 @@
     backs: BTreeMap<ConnectionId, Sender<Back>>,
 }
 
-impl Loop {
-    fn new(start: &Start, inbox: Inbox, calls: Sender<calls::Call>) -> Self {
+impl<'a> Loop<'a> {
+    fn new(start: &Start, inbox: Inbox, calls: Sender<calls::Call>, fronts: &'a mut Fronts) -> Self {
         let clock = Clock::start();
         let reducer =
             Reducer::start(start.briefing.clone(), start.targets, start.seed, &start.known, clock.now());
         let discovery = awc::Client::builder().disable_timeout().finish();
         let (news, list, wake, backs) = (None, None, None, BTreeMap::new());
-        Loop { clock, reducer, inbox, calls, discovery, news, list, follows: 0, wake, backs }
+        let (wall, span, turns, follows) = (WallWatch::default(), Span::none(), 0, 0);
+        Loop {
+            clock,
+            wall,
+            fronts,
+            span,
+            turns,
+            reducer,
+            inbox,
+            calls,
+            discovery,
+            news,
+            list,
+            follows,
+            wake,
+            backs,
+        }
     }
 
     /// A file that can't be used, or is only half there, changes nothing.
@@ -148,13 +190,74 @@
         match start.read_anew() {
             Ok(left) => {
                 let targets = start.targets;
-                log::info!("SIGHUP: relay at {}, discovery at {}", targets.relay, targets.discovery);
+                tracing::info!("SIGHUP: relay at {}, discovery at {}", targets.relay, targets.discovery);
                 for key in left {
-                    log::warn!("configuration: {key} has changed, which only a new start takes over");
+                    tracing::warn!("configuration: {key} has changed, which only a new start takes over");
                 }
                 self.apply(Event::Configured(targets));
+                if let Err(wrong) = self.fronts.follow(&start.name, start.operators.as_ref()) {
+                    tracing::error!("{wrong}");
+                }
+                self.want(start);
             }
-            Err(wrong) => log::error!("configuration: {wrong}; all stays as it was"),
+            Err(wrong) => tracing::error!("configuration: {wrong}; all stays as it was"),
+        }
+    }
+
+    /// What the operators' file says of overrides, where there is one.
+    fn want(&mut self, start: &Start) {
+        if let Some(file) = &start.operators {
+            let (bounds, orders) = (file.bounds.clone(), file.overrides.clone());
+            let wanted = Wanted { bounds, orders, has_store: self.fronts.has_store() };
+            self.apply(Event::Wanted(wanted, Clock::reading()));
+        }
+    }
+
+    fn watch_wall(&mut self) {
+        let (now, wall) = (self.clock.now(), Clock::wall());
+        if self.wall.has_stepped(now, wall) {
+            tracing::warn!("the wall's clock was stepped");
+            self.apply(Event::WallStepped(wall));
+        }
+    }
+
+    /// A new turn: from here on all stands under its number.
+    fn next(&mut self) {
+        self.turns += 1;
+        self.span = debug_span!("turn", n = self.turns);
+    }
+
+    fn word(&mut self, word: Word) {
+        let event = match word {
+            Word::Opened(found) => {
+                if let Some(aside) = found.set_aside {
+                    tracing::error!("overrides: the store was spoilt and is begun anew: {aside}");
+                }
+                let (records, stamp) = (found.records, found.stamp);
+                Event::StoreRead { records, stamp, reading: Clock::reading() }
+            }
+            Word::NotOpened(why) => Event::StoreNotRead(why.to_string()),
+            Word::Done { serial, outcome } => {
+                Event::Kept { serial, outcome: outcome.map_err(|why| why.to_string()) }
+            }
+        };
+        self.apply(event);
+    }
+
+    fn asked(&mut self, (request, back): Asked) {
+        let ticket = self.fronts.ticket(back);
+        tracing::debug!("asked: {request:?}");
+        self.apply(Event::Asked { ticket, request });
+    }
+
+    /// Of words and requests no more than one turn's worth: neither can hold up the rest.
+    fn take_asked(&mut self) {
+        while let Ok(word) = self.fronts.words.try_recv() {
+            self.word(word);
+        }
+        for _ in 0..fronts::ROOM {
+            let Ok(asked) = self.fronts.asked.try_recv() else { return };
+            self.asked(asked);
         }
     }
 
@@ -181,7 +284,7 @@
         let unreadable = |wrong: Malformed| Broken::Unreadable(wrong.to_string());
         Some(match input {
             Input::Line { from, line, back, .. } => {
-                log::debug!("from {from}: {line}");
+                tracing::debug!("from {from}: {line}");
                 self.backs.insert(from, back);
                 match collector::decode(&line) {
                     Ok(message) => Event::Message { from, message },
@@ -195,7 +298,7 @@
             Input::List(_, Err(why)) => Event::ListLost(why),
             Input::News(_, Ok(line)) => match relay::decode_news(&line) {
                 Ok(news) => {
-                    log::debug!("news: {line}");
+                    tracing::debug!("news: {line}");
                     Event::News(news)
                 }
                 Err(wrong) => {
@@ -204,14 +307,14 @@
                 }
             },
             Input::Answer(outcome) => {
-                log::debug!("answer: {outcome:?}");
+                tracing::debug!("answer: {outcome:?}");
                 let unclear = |wrong| CallError::OutcomeUnknown(unreadable(wrong));
                 Event::Answer(outcome.and_then(|line| relay::decode_answer(&line).map_err(unclear)))
             }
             Input::List(_, Ok(line)) => match discovery::decode(&line) {
                 Ok(list) => {
                     let list = list?; // nothing but a sign of life
-                    log::debug!("list: version {}, {} entries", list.version, list.entries.len());
+                    tracing::debug!("list: version {}, {} entries", list.version, list.entries.len());
                     Event::List(list)
                 }
                 Err(wrong) => {
@@ -223,9 +326,15 @@
     }
 
     fn apply(&mut self, event: Event) {
-        for effect in self.reducer.apply(self.clock.now(), event) {
-            self.carry_out(effect);
-        }
+        let span = match &event {
+            Event::Message { from, .. } => debug_span!(parent: &self.span, "report", from),
+            _ => self.span.clone(),
+        };
+        span.in_scope(|| {
+            for effect in self.reducer.apply(self.clock.now(), event) {
+                self.carry_out(effect);
+            }
+        });
     }
 
     /// Whoever asks and does not read loses answers, then its connection, and costs us no time.
@@ -242,7 +351,7 @@
                 self.back(to, Back::End(last));
             }
             Effect::Call { relay, line, afresh } => {
-                log::debug!("call: {line}");
+                tracing::debug!("call: {line}");
                 // One is made at a time: there is room.
                 _ = self.calls.try_send(calls::Call { relay, line, afresh });
             }
@@ -255,8 +364,16 @@
                 let (client, inbox) = (self.discovery.clone(), self.inbox.clone());
                 self.list = self.follow(|id| Task::spawn(watch::follow(id, client, url, inbox)));
             }
+            Effect::Save { serial, puts, drops, line } => {
+                let stamp = Stamp { line: line.on_line(self.clock.now()), reading: Clock::reading() };
+                let job = Job { puts, drops, stamp: saved::write_stamp(&stamp) };
+                if !self.fronts.keep(serial, job) {
+                    self.apply(Event::Kept { serial, outcome: Err("the keeper is busy".into()) });
+                }
+            }
+            Effect::Reply { ticket, reply } => self.fronts.reply(ticket, reply),
             Effect::WakeAt(at) => self.wake = Some(at),
-            Effect::Note(text) => log::info!("{text}"),
+            Effect::Note(text) => tracing::info!("{text}"),
         }
     }
 }
--- a/governor/src/routing/mod.rs
+++ b/governor/src/routing/mod.rs
@@ -2,6 +2,7 @@
 
 mod names;
 mod outbox;
+pub mod overrides;
 mod reducer;
 mod snapshot;
 
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -3,6 +3,7 @@
 
 use super::names::Names;
 use super::outbox::Outbox;
+use super::overrides::{Overrides, Wanted};
 use super::snapshot::{Snapshot, Table};
 use crate::protocol::collector::{self, Message};
 use crate::protocol::discovery::{Entry, List};
@@ -16,6 +17,8 @@
 use whinwall::logic::Governor;
 use whinwall::time::{Moment, Span};
 use whinwall_briefing::Briefing;
+use whinwall_management::ask::{Reply, Request, Status};
+use whinwall_overrides::{Act, Reading, Refused, Ticket, Timeline};
 
 #[derive(Debug)]
 pub enum Event {
@@ -38,6 +41,26 @@
     Answer(Result<Answer, CallError>),
     List(List),
     ListLost(Broken),
+    /// What the operators' file says, at the start or read anew, and what the clocks say.
+    Wanted(Wanted, Reading),
+    /// At the management front.
+    Asked {
+        ticket: Ticket,
+        request: Request,
+    },
+    /// The overrides on disk were read, or can't be.
+    StoreRead {
+        records: Vec<(WishId, Vec<u8>)>,
+        stamp: Option<Vec<u8>>,
+        reading: Reading,
+    },
+    StoreNotRead(String),
+    Kept {
+        serial: u64,
+        outcome: Result<(), String>,
+    },
+    /// The wall's clock was stepped, and is there now.
+    WallStepped(Moment),
     /// All that had arrived is in, and so is the time.
     Quiet,
 }
@@ -68,6 +91,17 @@
         discovery: SocketAddr,
         since: u64,
     },
+    /// On disk, all of it or nothing, with a stamp by this line.
+    Save {
+        serial: u64,
+        puts: Vec<(WishId, Vec<u8>)>,
+        drops: Vec<WishId>,
+        line: Timeline,
+    },
+    Reply {
+        ticket: Ticket,
+        reply: Reply,
+    },
     WakeAt(Moment),
     Note(String),
 }
@@ -120,6 +154,9 @@
     /// What has failed since it last worked, and how often.
     failures: BTreeMap<Source, u32>,
     agenda: BTreeSet<(Moment, Due)>,
+    /// There where the operators' file is.
+    overrides: Option<Overrides>,
+    started: Moment,
     effects: Vec<Effect>,
 }
 
@@ -140,6 +177,8 @@
             outbox: Outbox::default(),
             failures: BTreeMap::new(),
             agenda: BTreeSet::new(),
+            overrides: None,
+            started: now,
             effects: Vec::new(),
         };
         let list = reducer.listings(known);
@@ -184,6 +223,8 @@
                 let listings = self.listings(&list);
                 self.list_version = list.version;
                 self.governor.listed(now, scope, &listings);
+                // A server may have come, or come back under another number.
+                self.with_overrides(now, |_| {});
             }
             Event::ListLost(why) => {
                 if matches!(why, Broken::Unreadable(_)) {
@@ -196,6 +237,20 @@
                     false => self.governor.list_failed(now),
                 }
             }
+            Event::Wanted(wanted, reading) => self.wanted(now, wanted, &reading),
+            Event::Asked { ticket, request } => self.asked(now, ticket, request),
+            Event::StoreRead { records, stamp, reading } => self.with_overrides(now, |overrides| {
+                overrides.clerk.restored(now, &reading, stamp.as_deref(), &records);
+            }),
+            Event::StoreNotRead(why) => {
+                self.with_overrides(now, |overrides| overrides.clerk.not_read(&why));
+            }
+            Event::Kept { serial, outcome } => {
+                self.with_overrides(now, |overrides| overrides.clerk.kept(now, serial, outcome));
+            }
+            Event::WallStepped(wall) => {
+                self.with_overrides(now, |overrides| overrides.clerk.wall_told(now, wall));
+            }
             Event::Quiet => self.quiet(now),
         }
         std::mem::take(&mut self.effects)
@@ -232,6 +287,71 @@
         }
     }
 
+    /// One that can't be changes nothing, as with the rest of the file.
+    fn wanted(&mut self, now: Moment, wanted: Wanted, reading: &Reading) {
+        self.overrides.get_or_insert_with(|| Overrides::start(now, reading, &wanted));
+        let mut refused = None;
+        self.with_overrides(now, |overrides| {
+            let said = overrides.clerk.file_said(now, reading.wall, wanted.bounds, wanted.orders);
+            refused = said.err();
+        });
+        if let Some(why) = refused {
+            self.note(format!("operators' file: {why}; the overrides stay as they were"));
+        }
+    }
+
+    fn asked(&mut self, now: Moment, ticket: Ticket, request: Request) {
+        let reply = match (request, &self.overrides) {
+            (Request::Change(ask), Some(_)) => {
+                return self.with_overrides(now, |overrides| overrides.clerk.ask(now, ticket, ask));
+            }
+            (Request::Change(_), None) => Reply::Refused(Refused::Full { most: 0 }),
+            (Request::List, overrides) => {
+                let list = |overrides: &Overrides| {
+                    let listed = overrides.clerk.book().listed();
+                    listed.map(|one| overrides.shown(&self.governor, one)).collect()
+                };
+                Reply::Listed { all: overrides.as_ref().map_or_else(Vec::new, list), now }
+            }
+            (Request::Status, overrides) => {
+                let book = overrides.as_ref().map(|overrides| overrides.clerk.book());
+                Reply::Status(Status {
+                    now,
+                    since: self.started,
+                    proxies: self.proxies.len(),
+                    slices: self.tables.len(),
+                    servers: self.names.len(),
+                    failing: self.failures.iter().map(|(source, many)| (source.name(), *many)).collect(),
+                    orders_open: !self.outbox.is_clear(),
+                    standing: book.map_or(0, |book| book.standing().count()),
+                    listed: book.map_or(0, |book| book.listed().count()),
+                })
+            }
+        };
+        self.effects.push(Effect::Reply { ticket, reply });
+    }
+
+    /// Whatever is done to the overrides, the decisions hear of it and what it asks for is asked for.
+    fn with_overrides(&mut self, now: Moment, work: impl FnOnce(&mut Overrides)) {
+        let Some(mut overrides) = self.overrides.take() else { return };
+        work(&mut overrides);
+        overrides.tell(now, &self.names, &mut self.governor);
+        for act in overrides.clerk.acts() {
+            self.effects.push(match act {
+                Act::Keep { serial, puts, drops, line } => Effect::Save { serial, puts, drops, line },
+                Act::Note(text) => Effect::Note(text),
+                Act::Answer { ticket, answer } => {
+                    let shown = |number| {
+                        let one = overrides.clerk.book().number(number)?;
+                        Some(overrides.shown(&self.governor, one))
+                    };
+                    Effect::Reply { ticket, reply: Reply::of(answer, now, shown) }
+                }
+            });
+        }
+        self.overrides = Some(overrides);
+    }
+
     /// A place that the settings do not name is like no other.
     fn place(&self, name: &str) -> PlaceId {
         self.known_place(name).unwrap_or(PlaceId::MAX)
@@ -460,6 +580,9 @@
                 Due::List => self.follow_list(),
             }
         }
+        if self.overrides.as_ref().and_then(Overrides::due).is_some_and(|at| at <= now) {
+            self.with_overrides(now, |overrides| overrides.clerk.tick(now));
+        }
         let (tables, again) = (self.snapshot.settled(now), self.snapshot.is_whole());
         self.given(now, tables, again);
         if self.outbox.is_clear() && self.snapshot.settles().is_none() && !self.in_doubt {
@@ -472,7 +595,9 @@
         let relay = self.targets.relay;
         self.effects.extend(call.map(|(line, afresh)| Effect::Call { relay, line, afresh }));
         let next = self.agenda.first().map(|(at, _)| *at).into_iter();
-        self.effects.extend(next.chain(self.snapshot.settles()).min().map(Effect::WakeAt));
+        let next = next.chain(self.snapshot.settles());
+        let next = next.chain(self.overrides.as_ref().and_then(Overrides::due));
+        self.effects.extend(next.min().map(Effect::WakeAt));
     }
 
     fn collect(&mut self, now: Moment) {
@@ -484,6 +609,7 @@
         if self.names.len() > self.governor.servers_known() {
             let needed = |server| self.governor.knows(server) || self.snapshot.mentions(server);
             self.names.keep(needed);
+            self.with_overrides(now, |_| {});
         }
     }
 
--- a/governor/src/transport/listener.rs
+++ b/governor/src/transport/listener.rs
@@ -52,7 +52,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(why) => {
-                log::warn!("a connection could not be taken: {why}");
+                tracing::warn!("a connection could not be taken: {why}");
                 actix_rt::time::sleep(limits::PAUSE).await;
                 continue;
             }
@@ -71,8 +71,8 @@
         actix_rt::spawn(async move {
             let served = serve(id, stream, &peers, &bounds, &inbox);
             tokio::select! {
-                why = served => log::debug!("connection {id} ended: {why}"),
-                _ = let_go => log::debug!("connection {id} was let go, others need its place"),
+                why = served => tracing::debug!("connection {id} ended: {why}"),
+                _ = let_go => tracing::debug!("connection {id} was let go, others need its place"),
             }
             peers.borrow_mut().remove(&id);
             _ = inbox.send(Input::Ended(id)).await;
--- a/overrides/src/lib.rs
+++ b/overrides/src/lib.rs
@@ -13,4 +13,4 @@
 pub use book::{Book, Bounds, Change, Proposal, Refused};
 pub use clerk::{Act, Answer, Ask, Clerk, Kept, Ticket};
 pub use record::{End, Kind, Order, Origin, Override};
-pub use timeline::{Reading, Stamp, Timeline};
+pub use timeline::{Reading, Stamp, Timeline, WallWatch};
--- a/overrides/src/timeline.rs
+++ b/overrides/src/timeline.rs
@@ -59,3 +59,29 @@
         }
     }
 }
+
+/// Notices a step of the wall's clock against one that never jumps.
+#[derive(Default)]
+pub struct WallWatch {
+    ahead: Option<i128>,
+}
+
+/// Less is drift, and a second is how exact an end has to be.
+const STEP: Span = Span::ms(250);
+
+impl WallWatch {
+    /// Whether the wall's clock is elsewhere than when this last said so.
+    pub fn has_stepped(&mut self, now: Moment, wall: Moment) -> bool {
+        let ns = |at: Moment| i128::from((at - Moment::default()).as_ns());
+        let ahead = ns(wall) - ns(now);
+        let Some(before) = self.ahead else {
+            self.ahead = Some(ahead);
+            return false;
+        };
+        let stepped = (ahead - before).unsigned_abs() > u128::from(STEP.as_ns());
+        if stepped {
+            self.ahead = Some(ahead);
+        }
+        stepped
+    }
+}
