--- a/overrides/src/clerk.rs
+++ b/overrides/src/clerk.rs
@@ -95,7 +95,8 @@
     cleared: Vec<(Ticket, WishId)>,
     flight: Option<Flight>,
     serial: u64,
-    file: Vec<FileOrder>,
+    /// What the operators' file said, once it was read.
+    file: Option<Vec<FileOrder>>,
     retry: Option<Moment>,
     stamp_due: Moment,
     refusing: bool,
@@ -114,7 +115,7 @@
             cleared: Vec::new(),
             flight: None,
             serial: 0,
-            file: Vec::new(),
+            file: None,
             retry: None,
             stamp_due: now,
             refusing: false,
@@ -192,9 +193,10 @@
         self.note(format!("the store is read: {standing} overrides stand, {} have ended", listed - standing));
         (self.store, self.changed, self.flight) = (Store::Open, true, None);
         self.book.wall_told(now, reading.wall);
-        let file = take(&mut self.file);
-        if let Err(refused) = self.file_said(now, reading.wall, self.book.bounds().clone(), file) {
-            self.note(format!("the operators' file: {refused}; none of its overrides stands"));
+        if let Some(file) = self.file.take() {
+            if let Err(refused) = self.file_said(now, reading.wall, self.book.bounds().clone(), file) {
+                self.note(format!("the operators' file: {refused}; none of its overrides stands"));
+            }
         }
         self.work(now);
     }
@@ -224,7 +226,7 @@
             Ok(change) => {
                 self.changed |= !change.is_empty();
                 self.book.make(change);
-                self.file = orders;
+                self.file = Some(orders);
                 self.work(now);
                 Ok(())
             }
