--- /dev/null
+++ b/governor/benches/turn.rs
@@ -0,0 +1,119 @@
+//! What a turn costs with overrides: a fleet of 2,000 servers and 12,000 slices, one beat (250 ms) a turn, with
+//! the reports of a beat in it or without.
+
+use divan::counter::ItemsCount;
+use divan::Bencher;
+use serde_json::json;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use whinwall::time::{Moment, Span};
+use whinwall_governor::protocol::relay::{decode_news, Answer};
+use whinwall_governor::protocol::{collector, discovery};
+use whinwall_governor::routing::overrides::Wanted;
+use whinwall_governor::routing::{Effect, Event, Reducer};
+use whinwall_governor::transport::Targets;
+use whinwall_management::ask::Request;
+use whinwall_overrides::{Ask, Bounds, Kind, Order, Reading};
+
+const SERVERS: u32 = 2000;
+const SLICES: u32 = 12_000;
+
+fn main() {
+    divan::main();
+}
+
+struct Fleet {
+    reducer: Reducer,
+    now: Moment,
+}
+
+impl Fleet {
+    fn new(overrides: u32) -> Self {
+        let example = include_str!("../../deploy/example.json");
+        let example: serde_json::Value = serde_json::from_str(example).unwrap();
+        let briefing = whinwall_briefing::read(&example["settings"]).unwrap();
+        let now = Moment::default() + Span::ms(1_800_000_000_000);
+        let here = |port| SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port);
+        let targets = Targets { discovery: here(8500), relay: here(6400) };
+        let reducer = Reducer::start(briefing, targets, 7, &discovery::List::default(), now);
+        let mut fleet = Fleet { reducer, now };
+        let reading = Reading { boot: String::new(), since_boot: Span::default(), wall: now };
+        let wanted =
+            Wanted { bounds: Bounds { most: 10_000, ..Bounds::default() }, orders: vec![], has_store: false };
+        fleet.tell(Event::Wanted(wanted, reading));
+        let entry = |n| json!({"id": format!("s-{n}"), "zone": "north", "state": "active"});
+        let list =
+            json!({"version": 1, "full": true, "servers": (0..SERVERS).map(entry).collect::<Vec<_>>()});
+        fleet.tell(Event::List(discovery::decode(&list.to_string()).unwrap().unwrap()));
+        let mut lines = vec!["OK".to_string()];
+        lines.extend((0..3).map(|proxy| format!("* SUBSCRIBE {proxy} north 21.5 1")));
+        for slice in 0..SLICES {
+            lines.push(format!("* GRANT {slice} 1"));
+            lines.push(format!("* ROW {slice} s-{} 1", slice % SERVERS));
+        }
+        lines.push("*".into());
+        lines.iter().for_each(|line| fleet.tell(Event::News(decode_news(line).unwrap())));
+        for n in 0..overrides {
+            let server = format!("s-{}", (n * 7) % SERVERS);
+            let kind = match n % 4 {
+                0 => Kind::Out { server },
+                1 => Kind::Weight { server, factor: 0.5 },
+                _ => Kind::Pin { first: n * 11, last: n * 11 + 5, server },
+            };
+            let (id, author, reason) = (format!("o{n}"), "bench".into(), "bench".into());
+            let order = Order { id, kind, author, reason, lasts: Span::ms(3_600_000) };
+            fleet.tell(Event::Asked { ticket: 0, request: Request::Change(Ask::Set(order)) });
+        }
+        // Until all that it has to order at first is out.
+        (0..200).for_each(|_| fleet.beat());
+        fleet
+    }
+
+    /// Each call is taken at once, its mark acked by all.
+    fn tell(&mut self, event: Event) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            for effect in self.reducer.apply(self.now, event) {
+                let Effect::Call { line, .. } = effect else { continue };
+                for order in line.split(';') {
+                    if let Some(mark) = order.strip_prefix("SYNC,").and_then(|rest| rest.split(',').next()) {
+                        let ack = |proxy| Event::News(decode_news(&format!("* ACK {proxy} {mark}")).unwrap());
+                        events.extend((0..3).map(ack));
+                    }
+                }
+                events.push(Event::Answer(Ok(Answer::Taken(line.split(';').count()))));
+            }
+        }
+    }
+
+    fn beat(&mut self) {
+        self.now = self.now + Span::ms(250);
+        self.tell(Event::Quiet);
+    }
+
+    fn report(&mut self) {
+        for n in 0..SERVERS / 4 {
+            let line = format!(
+                r#"{{"@type":"LOAD","az":"north","host":"s-{n}","n":9,"bad":0,"avg":41.7,"window":1000.0}}"#
+            );
+            let message = collector::decode(&line).unwrap();
+            self.tell(Event::Message { from: 1, message });
+        }
+    }
+}
+
+#[divan::bench(args = [0, 100, 1000], sample_count = 40, sample_size = 1)]
+fn a_beat(bencher: Bencher, overrides: u32) {
+    let mut fleet = Fleet::new(overrides);
+    bencher.bench_local(|| fleet.beat());
+}
+
+#[divan::bench(args = [0, 1000], sample_count = 40, sample_size = 1)]
+fn a_beat_with_reports(bencher: Bencher, overrides: u32) {
+    let mut fleet = Fleet::new(overrides);
+    let source = collector::decode(r#"{"@type":"SOURCE","az":"north"}"#).unwrap();
+    fleet.tell(Event::Message { from: 1, message: source });
+    bencher.counter(ItemsCount::new(SERVERS / 4)).bench_local(|| {
+        fleet.report();
+        fleet.beat();
+    });
+}
--- a/governor/tests/reducer.rs
+++ b/governor/tests/reducer.rs
@@ -7,8 +7,11 @@
 use whinwall::time::{Moment, Span};
 use whinwall_governor::protocol::relay::{decode_answer, decode_news, Answer};
 use whinwall_governor::protocol::{collector, discovery};
+use whinwall_governor::routing::overrides::Wanted;
 use whinwall_governor::routing::{Effect, Event, Reducer};
 use whinwall_governor::transport::{Broken, CallError, Targets};
+use whinwall_management::ask::{Reply, Request};
+use whinwall_overrides::{Ask, Bounds, Kind, Order, Reading};
 
 type Store = BTreeMap<u32, BTreeMap<String, f64>>;
 
@@ -25,6 +28,7 @@
     calls: Vec<String>,
     follows: Vec<Effect>,
     notes: Vec<String>,
+    replies: Vec<Reply>,
 }
 
 const RELAY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 6400);
@@ -56,6 +60,7 @@
             calls: Vec::new(),
             follows: Vec::new(),
             notes: Vec::new(),
+            replies: Vec::new(),
         };
         rig.tell(Event::Started);
         rig
@@ -83,6 +88,7 @@
                 }
                 Effect::WakeAt(at) => self.wake = Some(at),
                 Effect::Note(text) => self.notes.push(text),
+                Effect::Reply { reply, .. } => self.replies.push(reply),
                 other => self.follows.push(other),
             }
         }
@@ -370,6 +376,162 @@
     assert_eq!(known(&mut rig), 6, "those that went are forgotten");
 }
 
+impl Rig {
+    /// Overrides are switched on, and kept nowhere.
+    fn with_overrides(mut self) -> Self {
+        let wanted = Wanted { bounds: Bounds::default(), orders: Vec::new(), has_store: false };
+        let reading = Reading { boot: String::new(), since_boot: Span::default(), wall: self.now };
+        self.tell(Event::Wanted(wanted, reading));
+        self
+    }
+
+    fn set(&mut self, id: &str, kind: Kind, lasts_ms: u64) {
+        let (author, reason, lasts) = ("mb".into(), "disk".into(), Span::ms(lasts_ms));
+        let order = Order { id: id.into(), kind, author, reason, lasts };
+        self.tell(Event::Asked { ticket: 1, request: Request::Change(Ask::Set(order)) });
+        assert!(matches!(self.replies.pop(), Some(Reply::Set { .. })));
+        self.quiet();
+    }
+
+    fn out(&mut self, server: &str, lasts_ms: u64) {
+        self.set(server, Kind::Out { server: server.into() }, lasts_ms);
+    }
+
+    /// Those that are listed as standing, checked against the time.
+    fn standing_overrides(&mut self) -> Vec<String> {
+        self.tell(Event::Asked { ticket: 2, request: Request::List });
+        let Some(Reply::Listed { all, now }) = self.replies.pop() else { panic!("a list") };
+        let standing: Vec<_> = all.into_iter().filter(|shown| shown.one.stands()).collect();
+        assert!(standing.iter().all(|shown| shown.one.ends > now), "one stands after its end");
+        standing.into_iter().map(|shown| shown.one.id).collect()
+    }
+}
+
+#[test]
+fn an_override_ends_on_time_while_a_call_is_open() {
+    let mut rig = Rig::serving().with_overrides();
+    rig.out("s-1", 3000);
+    rig.pass(500);
+    assert!(rig.calls.join(" ").contains("OUT,s-1;") && !rig.owners().contains("s-1"));
+    // A call whose outcome stays unknown holds back all newer orders, and no end.
+    rig.drain("s-2");
+    let open = rig.open.take().expect("the drain's call");
+    for _ in 0..30 {
+        rig.now = rig.now + Span::ms(100);
+        rig.tell(UNKNOWN);
+        rig.quiet();
+        rig.open = None;
+    }
+    assert!(rig.standing_overrides().is_empty());
+    assert!(!rig.calls.join(" ").contains("IN,s-1"), "nothing newer before it: {open}");
+    rig.tell(UNKNOWN);
+    rig.quiet();
+    rig.pass(1000);
+    assert!(rig.calls.join(" ").contains("IN,s-1"), "and then at once");
+}
+
+#[test]
+fn an_override_follows_its_server_under_another_number() {
+    let mut rig = Rig::serving().with_overrides();
+    rig.out("s-1", 3_600_000);
+    rig.pass(1000);
+    // It leaves, is forgotten, and its name returns.
+    rig.servers.remove("s-1");
+    rig.list();
+    rig.pass(60_000);
+    rig.servers.insert("s-1".into(), "active");
+    rig.list();
+    rig.pass(60_000);
+    assert!(!rig.owners().contains("s-1"), "out of service still");
+    assert_eq!(rig.standing_overrides(), ["s-1"]);
+    // One for a server that nobody has heard of waits for it.
+    rig.out("s-77", 3_600_000);
+    rig.servers.insert("s-77".into(), "active");
+    rig.list();
+    rig.pass(60_000);
+    assert!(!rig.owners().contains("s-77"));
+}
+
+#[test]
+fn a_step_of_the_walls_clock_prolongs_nothing() {
+    let mut rig = Rig::serving().with_overrides();
+    rig.out("s-1", 10_000);
+    rig.tell(Event::WallStepped(rig.now - Span::ms(7_200_000)));
+    rig.pass(10_000);
+    assert!(rig.standing_overrides().is_empty());
+    rig.out("s-2", 10_000);
+    rig.tell(Event::WallStepped(rig.now + Span::ms(7_200_000)));
+    rig.pass(9000);
+    assert_eq!(rig.standing_overrides(), ["s-2"], "forwards it has its time");
+}
+
+#[test]
+fn a_thousand_that_end_in_the_same_second_end_in_one_turn() {
+    let mut rig = Rig::serving().with_overrides();
+    for n in 0..1000 {
+        let server = format!("s-{}", n % 6);
+        rig.set(&format!("p{n}"), Kind::Pin { first: n, last: n, server }, 60_000);
+    }
+    rig.pass(30_000);
+    assert_eq!(rig.standing_overrides().len(), 1000);
+    rig.pass(30_000);
+    assert!(rig.standing_overrides().is_empty());
+}
+
+/// Lists, drains, overrides and their ends, calls lost and news broken off, drawn: the store has no bare table
+/// and no unknown server (the rig looks on), nothing stands after its end, and in the end what drains has
+/// nothing.
+#[derive(Clone, Debug)]
+struct Operated(Vec<(u8, u8)>);
+
+impl Arbitrary for Operated {
+    fn arbitrary(gen: &mut Gen) -> Self {
+        Operated((0..30).map(|_| (u8::arbitrary(gen), u8::arbitrary(gen))).collect())
+    }
+}
+
+#[test]
+fn whatever_is_wished_the_rules_hold_and_ends_come() {
+    fn holds(days: Operated) -> bool {
+        let mut rig = Rig::serving().with_overrides();
+        for (n, (deed, figure)) in days.0.into_iter().enumerate() {
+            let (id, server) = (format!("o{n}"), format!("s-{}", figure % 6));
+            let lasts = 1000 + u64::from(figure) * 50;
+            let first = u32::from(figure % 12);
+            match deed % 8 {
+                0 => rig.set(&id, Kind::Out { server }, lasts),
+                1 => rig.set(&id, Kind::Weight { server, factor: f64::from(figure) / 20.0 + 0.05 }, lasts),
+                2 | 3 => rig.set(&id, Kind::Pin { first, last: first + 3, server }, lasts),
+                4 if rig.servers.values().filter(|state| **state == "leaving").count() < 2 => {
+                    rig.drain(&server)
+                }
+                5 => {
+                    rig.servers.insert(server, "active");
+                    rig.list();
+                }
+                6 => {
+                    rig.tell(Event::NewsLost(Broken::Closed));
+                    rig.pass(200);
+                    rig.renew();
+                }
+                _ if rig.open.take().is_some() => {
+                    rig.tell(UNKNOWN);
+                    rig.quiet();
+                }
+                _ => {}
+            }
+            rig.pass(700);
+            rig.standing_overrides();
+        }
+        rig.pass(20_000);
+        let gone: Vec<_> =
+            rig.servers.iter().filter(|(_, s)| **s == "leaving").map(|(n, _)| n.clone()).collect();
+        rig.standing_overrides().is_empty()
+            && gone.iter().all(|server| !rig.owners().contains(server.as_str()))
+    }
+    quickcheck::QuickCheck::new().tests(60).quickcheck(holds as fn(Operated) -> bool);
+}
+
 #[test]
 fn a_call_that_is_no_call_is_dropped_and_the_store_read_anew() {
     let mut rig = Rig::serving();
