--- a/management/src/wire.rs
+++ b/management/src/wire.rs
@@ -143,6 +143,15 @@
     Ok(Request::Change(Ask::Clear { id: id.into(), by: clear.by }))
 }
 
+/// A kind's name, and what only some kinds have.
+fn parts(kind: &Kind) -> (KindName, Option<f64>, Option<String>) {
+    match kind {
+        Kind::Weight { factor, .. } => (KindName::Weight, Some(*factor), None),
+        Kind::Out { .. } => (KindName::Out, None, None),
+        Kind::Pin { first, last, .. } => (KindName::Pin, None, Some(words::write_slices(*first, *last))),
+    }
+}
+
 /// A moment of the governor's own clock by the wall's: both are there now.
 fn by_wall(at: Moment, now: Moment, wall: Moment) -> String {
     words::write_wall(if at >= now { wall + (at - now) } else { wall - (now - at) })
@@ -151,11 +160,7 @@
 impl Item {
     pub fn of(shown: &Shown, now: Moment, wall: Moment) -> Self {
         let one = &shown.one;
-        let (kind, factor, slices) = match &one.kind {
-            Kind::Weight { factor, .. } => (KindName::Weight, Some(*factor), None),
-            Kind::Out { .. } => (KindName::Out, None, None),
-            Kind::Pin { first, last, .. } => (KindName::Pin, None, Some(words::write_slices(*first, *last))),
-        };
+        let (kind, factor, slices) = parts(&one.kind);
         let (state, cause) = match (&one.ended, shown.heeded) {
             (Some((at, why)), _) => ("ended", Some(format!("{why} at {}", by_wall(*at, now, wall)))),
             (None, None | Some(Heeded::Absent)) => ("absent", Some("its server is not in the list".into())),
@@ -242,11 +247,7 @@
 
 /// For who writes an order by hand.
 pub fn set_of(kind: &Kind, author: &str, reason: &str, lasts: Span) -> Set {
-    let (name, factor, slices) = match kind {
-        Kind::Weight { factor, .. } => (KindName::Weight, Some(*factor), None),
-        Kind::Out { .. } => (KindName::Out, None, None),
-        Kind::Pin { first, last, .. } => (KindName::Pin, None, Some(words::write_slices(*first, *last))),
-    };
+    let (name, factor, slices) = parts(kind);
     Set {
         kind: name,
         server: kind.server().into(),
