--- a/cli/tests/command.rs
+++ b/cli/tests/command.rs
@@ -55,6 +55,7 @@
                         let all = numbers.into_iter().filter_map(|number| shown(&clerk, number)).collect();
                         Reply::Listed { all, now }
                     }
+                    Request::Metrics => Reply::Metrics(String::new()),
                     Request::Status => Reply::Status(Status {
                         now,
                         since: start,
--- /dev/null
+++ b/cores/src/sums.rs
@@ -0,0 +1,88 @@
+//! One report of many: what the same place met at the same server, or what was asked of the same slice, in
+//! windows of the same length, told at the same time. In an ordinary second no two lines are alike; where a
+//! collector catches up, or several speak for one place, most are.
+
+use whinwall::interface::{Asked, Met, Report, Reported};
+use whinwall::time::{Moment, Span};
+
+/// The lines of one chunk, all told at one time.
+#[derive(Debug)]
+pub struct Sums {
+    at: Moment,
+    lines: Vec<Reported>,
+}
+
+impl Sums {
+    pub fn at(at: Moment) -> Self {
+        Sums { at, lines: Vec::new() }
+    }
+
+    pub fn add(&mut self, line: Reported) {
+        self.lines.push(line);
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.lines.is_empty()
+    }
+
+    /// The sums, in the order of what they are of. Nothing is lost by it: all that the decisions make of
+    /// reports is linear in them, but for the latest answer's time, which is kept.
+    pub fn summed(self) -> Vec<Report> {
+        let mut lines = self.lines;
+        // Stable: the latest of the alike stays the last of them.
+        lines.sort_by_key(key);
+        let mut reports: Vec<Report> = Vec::new();
+        for what in lines {
+            let same = reports.last_mut().filter(|last| key(&last.what) == key(&what));
+            match same.map(|last| (&mut last.lines, &mut last.what)) {
+                Some((lines, sum)) => {
+                    *lines += 1.0;
+                    add(sum, what);
+                }
+                None => reports.push(Report { at: self.at, lines: 1.0, what }),
+            }
+        }
+        reports
+    }
+}
+
+/// Kind, then server or slice, then place or op type, then the window.
+fn key(what: &Reported) -> (u8, u32, usize, Span) {
+    match what {
+        Reported::Met { server, met, .. } => (0, *server, met.place, met.covers),
+        Reported::Asked { slice, asked } => (1, *slice, asked.op_type, asked.covers),
+    }
+}
+
+fn add(sum: &mut Reported, more: Reported) {
+    match (sum, more) {
+        (Reported::Met { met, latest, .. }, Reported::Met { met: more, latest: newer, .. }) => {
+            let (answered, others) = (answered(met), answered(&more));
+            let busy = met.mean_latency.times(answered) + more.mean_latency.times(others);
+            let all = answered + others;
+            met.mean_latency = if all > 0.0 { busy.times(1.0 / all) } else { met.mean_latency };
+            *latest = if others > 0.0 { newer } else { *latest };
+            met.tries += more.tries;
+            met.aborted += more.aborted;
+        }
+        (Reported::Asked { asked, .. }, Reported::Asked { asked: more, .. }) => {
+            asked.came += more.came;
+            asked.aborted += more.aborted;
+        }
+        // Alike are only those of one kind.
+        _ => {}
+    }
+}
+
+fn answered(met: &Met) -> f64 {
+    (met.tries - met.aborted).max(0.0)
+}
+
+/// For who has one of them.
+pub fn met(server: u32, met: Met) -> Reported {
+    Reported::Met { server, met, latest: met.mean_latency }
+}
+
+pub fn asked(slice: u32, asked: Asked) -> Reported {
+    Reported::Asked { slice, asked }
+}
--- /dev/null
+++ b/governor/benches/cores.rs
@@ -0,0 +1,253 @@
+//! What a governor takes at 1, 2, 4 and 8 cores: collectors flood it over loopback, then send at a part of that
+//! rate, and signs of life on the same connections tell how late what came before them was applied. Bounded in
+//! lines and time; ends by itself. `WHINWALL_FORMER` names another build to measure in turn with this one, on one core.
+
+#[path = "../tests/stand_ins/mod.rs"]
+mod stand_ins;
+
+use hdrhistogram::Histogram;
+use stand_ins::managed::Managed;
+use stand_ins::{configuration, ConfigurationFile, Program, PATIENCE};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+const SERVERS: usize = 100;
+const SLICES: usize = 600;
+const COLLECTORS: usize = 3;
+const PLACES: [&str; 3] = ["north", "south", "west"];
+const RUNS: usize = 3;
+const FLOOD: usize = 3_000_000;
+/// Lines a second of the steady part, and for how long.
+const STEADY: f64 = 150_000.0;
+const STEADY_FOR: Duration = Duration::from_secs(2);
+const PING: &[u8] = b"{\"@type\":\"PING\"}\n";
+
+/// Lines as one period of a collector has them, a third of them of servers; many periods, one block each.
+fn blocks(place: &str) -> Vec<(Vec<u8>, usize)> {
+    let mut block = (Vec::new(), 0);
+    let mut blocks = Vec::new();
+    for n in 0..3 * SLICES {
+        let line = match n % 3 {
+            0 => format!(
+                "{{\"@type\":\"LOAD\",\"az\":\"{place}\",\"host\":\"s-{}\",\"n\":{},\"bad\":0,\"avg\":41.{},\"window\":1000.0,\"report\":{{\"inflight\":3}}}}\n",
+                n % SERVERS, 9 + n % 7, n % 10
+            ),
+            _ => format!(
+                "{{\"@type\":\"SHARD\",\"partition\":{},\"kind\":\"{}\",\"n\":{},\"bad\":0,\"window\":1000.0}}\n",
+                n % SLICES, ["lookup", "post"][n % 2], 3 + n % 5
+            ),
+        };
+        block.0.extend(line.bytes());
+        block.1 += 1;
+        if block.0.len() > 30_000 {
+            blocks.push(std::mem::take(&mut block));
+        }
+    }
+    blocks.push(block);
+    blocks
+}
+
+struct Collector {
+    stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Collector {
+    fn join(address: SocketAddr, place: &str) -> Self {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_nodelay(true).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let reader = BufReader::new(stream.try_clone().unwrap());
+        let mut collector = Collector { stream, reader };
+        collector
+            .stream
+            .write_all(format!("{{\"@type\":\"SOURCE\",\"az\":\"{place}\"}}\n").as_bytes())
+            .unwrap();
+        collector.ping();
+        collector
+    }
+
+    /// Returns once all that was said before was applied.
+    fn ping(&mut self) {
+        self.stream.write_all(PING).unwrap();
+        self.reader.read_line(&mut String::new()).unwrap();
+    }
+}
+
+/// Seconds of processor time that a process has used.
+fn cpu(pid: u32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap();
+    let fields: Vec<_> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
+    (fields[11].parse::<f64>().unwrap() + fields[12].parse::<f64>().unwrap()) / 100.0
+}
+
+struct Figures {
+    rate: f64,
+    cpu_us: f64,
+    own_cpu: f64,
+    memory_mb: f64,
+    lag: Histogram<u64>,
+}
+
+fn flood(collectors: &mut [Collector], lines: usize) -> (usize, Duration) {
+    let began = Instant::now();
+    let sent: usize = std::thread::scope(|scope| {
+        let floods: Vec<_> = collectors
+            .iter_mut()
+            .enumerate()
+            .map(|(n, collector)| {
+                let share = lines / COLLECTORS;
+                scope.spawn(move || {
+                    let (blocks, mut sent) = (blocks(PLACES[n % 3]), 0);
+                    for (bytes, many) in blocks.iter().cycle() {
+                        collector.stream.write_all(bytes).unwrap();
+                        sent += many;
+                        if sent >= share {
+                            break;
+                        }
+                    }
+                    collector.ping();
+                    sent
+                })
+            })
+            .collect();
+        floods.into_iter().map(|flood| flood.join().unwrap()).sum()
+    });
+    (sent, began.elapsed())
+}
+
+/// Open loop: blocks go out when they are due, however late the answers are, and lag counts from then.
+fn steady(collectors: &mut [Collector], rate: f64) -> Histogram<u64> {
+    let mut all = Histogram::new(3).unwrap();
+    std::thread::scope(|scope| {
+        let runs: Vec<_> = collectors
+            .iter_mut()
+            .enumerate()
+            .map(|(n, collector)| {
+                scope.spawn(move || {
+                    let blocks = blocks(PLACES[n % 3]);
+                    let (due, heard) = std::sync::mpsc::channel::<Instant>();
+                    let reader = &mut collector.reader;
+                    let listens = std::thread::scope(|inner| {
+                        let listens = inner.spawn(move || {
+                            let mut lag = Histogram::<u64>::new(3).unwrap();
+                            for due in heard {
+                                reader.read_line(&mut String::new()).unwrap();
+                                lag.record(due.elapsed().as_micros() as u64).unwrap();
+                            }
+                            lag
+                        });
+                        let (began, mut sent) = (Instant::now(), 0.0);
+                        for (bytes, many) in blocks.iter().cycle() {
+                            let at = began + Duration::from_secs_f64(sent / (rate / COLLECTORS as f64));
+                            if at - began > STEADY_FOR {
+                                break;
+                            }
+                            std::thread::sleep(at.saturating_duration_since(Instant::now()));
+                            collector.stream.write_all(bytes).unwrap();
+                            collector.stream.write_all(PING).unwrap();
+                            due.send(at).unwrap();
+                            sent += *many as f64;
+                        }
+                        drop(due);
+                        listens.join().unwrap()
+                    });
+                    listens
+                })
+            })
+            .collect();
+        runs.into_iter().for_each(|run| all.add(run.join().unwrap()).unwrap());
+    });
+    all
+}
+
+/// What is measured: so many cores, another build, or all threads of a build on one processor.
+#[derive(Clone, Copy, PartialEq)]
+enum Way<'a> {
+    Cores(usize),
+    Former(&'a str),
+    OnOneProcessor,
+}
+
+fn measure(way: Way) -> Figures {
+    let (cores, former) = match way {
+        Way::Cores(cores) => (cores, None),
+        Way::Former(path) => (1, Some(path)),
+        Way::OnOneProcessor => (2, None),
+    };
+    let mut managed = Managed::start(SERVERS, SLICES);
+    managed.program = None;
+    managed.operators(&format!("<cores most=\"{cores}\"/><overrides/>"));
+    let mut file = configuration();
+    file["distributor"]["address"] = serde_json::json!(managed.world.relay.to_string());
+    file["limits"]["cores"] = serde_json::json!(cores);
+    let file = ConfigurationFile::write(&file.to_string());
+    let (plain, _former_file) = managed.command();
+    let program = former.map_or(plain.get_program().to_owned(), Into::into);
+    let pinned = way == Way::OnOneProcessor;
+    let mut command = Command::new(if pinned { "taskset".into() } else { program.clone() });
+    if pinned {
+        command.args(["-c", "0"]).arg(program);
+    }
+    command
+        .env_clear()
+        .env("PROXY_CONFIG", &file.0)
+        .env("PROXY_DISCOVERY", managed.world.discovery.to_string());
+    if former.is_none() {
+        command.args(plain.get_args());
+    }
+    command.stderr(Stdio::piped()).stdin(Stdio::null());
+    managed.program = Some(Program::spawn(command, file));
+    managed.log("the relay's news stands");
+    let (address, pid) = (managed.program().address, managed.program().child.id());
+    let mut collectors: Vec<_> = PLACES.iter().map(|place| Collector::join(address, place)).collect();
+    flood(&mut collectors, FLOOD / 10);
+    let (before, own_before) = (cpu(pid), cpu(std::process::id()));
+    let (sent, took) = flood(&mut collectors, FLOOD);
+    let used = cpu(pid) - before;
+    let own_cpu = (cpu(std::process::id()) - own_before) / took.as_secs_f64();
+    let lag = steady(&mut collectors, STEADY);
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let resident = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap_or("0 kB");
+    let memory_mb = resident.trim().trim_end_matches(" kB").parse::<f64>().unwrap_or(0.0) / 1000.0;
+    let rate = sent as f64 / took.as_secs_f64();
+    Figures { rate, cpu_us: used / sent as f64 * 1e6, own_cpu, memory_mb, lag }
+}
+
+fn main() {
+    let former = std::env::var("WHINWALL_FORMER").ok();
+    println!("| cores | lines a second | CPU a line | memory at most | lag at {STEADY} lines a second: p50, p99, p99.9 | the generator's own cores |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    let ways = [1, 2, 4, 8].map(Way::Cores).into_iter().chain([Way::OnOneProcessor]);
+    let rows: Vec<Way> = former.iter().map(|path| Way::Former(path)).chain(ways).collect();
+    // In turn, so that what else the machine does falls on all alike; the median run by its rate is shown.
+    let mut runs: Vec<Vec<Figures>> = rows.iter().map(|_| Vec::new()).collect();
+    for _ in 0..RUNS {
+        for (row, runs) in rows.iter().zip(&mut runs) {
+            runs.push(measure(*row));
+        }
+    }
+    for (way, mut runs) in rows.iter().zip(runs) {
+        runs.sort_by(|a, b| a.rate.total_cmp(&b.rate));
+        let (least, most) = (runs[0].rate, runs[RUNS - 1].rate);
+        let run = &runs[RUNS / 2];
+        let ms = |quantile| run.lag.value_at_quantile(quantile) as f64 / 1000.0;
+        println!(
+            "| {} | {:.0} ({least:.0} to {most:.0}) | {:.2} us | {:.1} MB | {:.1}, {:.1}, {:.1} ms | {:.1} |",
+            match way {
+                Way::Cores(cores) => cores.to_string(),
+                Way::Former(_) => "1, former build".into(),
+                Way::OnOneProcessor => "2, all threads on one processor".into(),
+            },
+            run.rate,
+            run.cpu_us,
+            run.memory_mb,
+            ms(0.5),
+            ms(0.99),
+            ms(0.999),
+            run.own_cpu
+        );
+    }
+}
--- a/governor/src/program/clock.rs
+++ b/governor/src/program/clock.rs
@@ -5,6 +5,7 @@
 use whinwall::time::{Moment, Span};
 use whinwall_overrides::Reading;
 
+#[derive(Clone, Copy)]
 pub struct Clock {
     wall: Moment,
     start: Instant,
@@ -33,6 +34,11 @@
         Moment::at_ns(wall.as_nanos() as u64)
     }
 
+    /// The moment of this instant.
+    pub fn at(&self, instant: Instant) -> Moment {
+        self.wall + Span::ns(instant.saturating_duration_since(self.start).as_nanos() as u64)
+    }
+
     pub fn until(&self, at: Moment) -> Duration {
         Duration::from_nanos((at - self.now()).as_ns())
     }
--- a/governor/src/program/configuration.rs
+++ b/governor/src/program/configuration.rs
@@ -67,6 +67,8 @@
     pub briefing: Briefing,
     /// What the operators' file says, where there is one.
     pub operators: Option<OperatorsFile>,
+    /// Threads for the way of reports: one, or one that decides and readers beside it.
+    pub cores: usize,
     /// Where all this is from, for reading it anew.
     around: Surroundings,
     file: Value,
@@ -95,13 +97,14 @@
 #[derive(Deserialize)]
 #[serde(default)]
 struct Limits {
+    cores: Option<f64>,
     sockets: f64,
     memory_mb: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024.0, memory_mb: 192.0 }
+        Limits { cores: None, sockets: 1024.0, memory_mb: 192.0 }
     }
 }
 
@@ -145,6 +148,9 @@
         if store(&new.operators) != store(&self.operators) {
             left.push("operators' file: <store>");
         }
+        if new.cores != self.cores {
+            left.push("operators' file: <cores>");
+        }
         (self.targets, self.around, self.file, self.operators) =
             (new.targets, new.around, new.file, new.operators);
         Ok(left)
@@ -187,6 +193,10 @@
     if connections == 0 {
         return Err(format!("limits.sockets: {} are too few", file.limits.sockets));
     }
+    let operators = around.operators.as_deref().map(operators).transpose()?;
+    // More than the platform lends would only take turns.
+    let lent = file.limits.cores.map_or(usize::MAX, |cores| (cores as usize).max(1));
+    let cores = operators.as_ref().and_then(|file| file.cores).unwrap_or(1).min(lent);
     Ok(Start {
         name: either(&around.name, file.name, "name")?,
         listen: address(either(&around.listen, file.listen, "listen")?, "listen")?,
@@ -199,7 +209,8 @@
         line_bytes: (file.limits.memory_mb * 1e6) as usize / limits::LINES_PART,
         known: file.known,
         briefing: file.settings,
-        operators: around.operators.as_deref().map(operators).transpose()?,
+        operators,
+        cores,
         around,
         file: written,
     })
--- a/governor/src/program/event_loop.rs
+++ b/governor/src/program/event_loop.rs
@@ -4,8 +4,10 @@
 use super::configuration::Start;
 use super::fronts::{self, Fronts};
 use super::logger::Form;
+use super::meters::Meters;
+use super::readers::{self, Batch, Hand, Heard, Item, Pool};
 use super::signals::{Signal, Signals};
-use crate::protocol::collector::{self, Reply};
+use crate::protocol::collector;
 use crate::protocol::{discovery, relay, Malformed};
 use crate::routing::overrides::Wanted;
 use crate::routing::{Effect, Event, Reducer};
@@ -15,22 +17,28 @@
 use actix_rt::task::JoinHandle;
 use actix_rt::time::sleep;
 use futures_util::FutureExt;
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::{self, Receiver, Sender};
 use tracing::{debug_span, Span};
 use whinwall::time::Moment;
+use whinwall_cores::sequence::Due;
 use whinwall_keeper::desk::Word;
 use whinwall_keeper::Job;
+use whinwall_management::ask::{Reply, Request};
 use whinwall_management::server::Asked;
 use whinwall_overrides::{saved, Stamp, WallWatch};
 
 /// Wakes so often at least, whatever the reducer asks for.
 const LONGEST_SLEEP: Duration = Duration::from_secs(1);
+/// How often readers are looked at.
+const LOOK_EACH: Duration = Duration::from_millis(200);
 /// A former process may hold our address a moment longer.
 const BIND_ATTEMPTS: u32 = 50;
 
@@ -88,18 +96,41 @@
     let (calls, to_make) = mpsc::channel(1);
     let bounds = listener::Bounds::new(start.connections, start.line_bytes);
     let _calls = Task::spawn(calls::serve(to_make, inbox.clone()));
-    let _door = Task::spawn(listener::listen(listener, bounds, at_door));
-    let mut turn = Loop::new(start, inbox, calls, fronts);
+    let clock = Clock::start();
+    let pooled = (start.cores > 1).then(|| {
+        let meters = Arc::new(Meters::of(start.cores - 1));
+        let inbox = at_door.clone();
+        let started =
+            Pool::start(start.cores - 1, clock, bounds.clone(), inbox, meters.clone(), Arc::new(|_, _| {}));
+        started.map(|(pool, batches)| (Rc::new(RefCell::new(pool)), batches, meters))
+    });
+    let (pool, mut batches, _door) = match pooled {
+        Some(Ok((pool, batches, meters))) => {
+            tracing::info!("{} readers beside the one who decides", start.cores - 1);
+            let door = Task::spawn(listener::listen(listener, bounds, Hand(pool.clone())));
+            (Some((pool, meters)), batches, door)
+        }
+        other => {
+            if let Some(Err(why)) = other {
+                tracing::error!("readers can't be started ({why}); all is read on one core");
+            }
+            let here = listener::Here { bounds: bounds.clone(), inbox: at_door };
+            (None, mpsc::channel(1).1, Task::spawn(listener::listen(listener, bounds, here)))
+        }
+    };
+    let mut turn = Loop::new(start, clock, inbox, calls, fronts, pool);
     turn.apply(Event::Started);
     turn.want(start);
     turn.fronts.read_store();
     loop {
         turn.wake = None;
         turn.watch_wall();
+        turn.look_after();
         turn.apply(Event::Quiet);
         turn.backs.clear();
         turn.next();
-        let wait = turn.wake.map_or(LONGEST_SLEEP, |at| turn.clock.until(at).min(LONGEST_SLEEP));
+        let longest = if turn.pool.is_some() { LOOK_EACH } else { LONGEST_SLEEP };
+        let wait = turn.wake.map_or(longest, |at| turn.clock.until(at).min(longest));
         tokio::select! {
             biased;
             signal = signals.come() => match signal {
@@ -110,11 +141,16 @@
             Some(asked) = turn.fronts.asked.recv() => turn.asked(asked),
             Some(first) = arrived.recv() => turn.take(first),
             Some(first) = reports.recv() => turn.take(first),
+            Some(first) = batches.recv() => turn.batch(first),
             _ = sleep(wait) => {}
         }
         for inbox in [&mut arrived, &mut reports] {
             turn.take_all(inbox);
         }
+        for _ in 0..readers::BATCHES {
+            let Ok(batch) = batches.try_recv() else { break };
+            turn.batch(batch);
+        }
         turn.take_asked();
     }
 }
@@ -143,6 +179,9 @@
 struct Loop<'a> {
     clock: Clock,
     wall: WallWatch,
+    /// Who reads, where that is not this thread, and what is counted of it.
+    pool: Option<(Rc<RefCell<Pool>>, Arc<Meters>)>,
+    looked: Moment,
     fronts: &'a mut Fronts,
     /// Of this turn: what comes in it, and the call that it leads to, stand in the log under its number.
     span: Span,
@@ -160,8 +199,14 @@
 }
 
 impl<'a> Loop<'a> {
-    fn new(start: &Start, inbox: Inbox, calls: Sender<calls::Call>, fronts: &'a mut Fronts) -> Self {
-        let clock = Clock::start();
+    fn new(
+        start: &Start,
+        clock: Clock,
+        inbox: Inbox,
+        calls: Sender<calls::Call>,
+        fronts: &'a mut Fronts,
+        pool: Option<(Rc<RefCell<Pool>>, Arc<Meters>)>,
+    ) -> Self {
         let reducer =
             Reducer::start(start.briefing.clone(), start.targets, start.seed, &start.known, clock.now());
         let discovery = awc::Client::builder().disable_timeout().finish();
@@ -170,6 +215,8 @@
         Loop {
             clock,
             wall,
+            pool,
+            looked: clock.now(),
             fronts,
             span,
             turns,
@@ -247,6 +294,9 @@
     fn asked(&mut self, (request, back): Asked) {
         let ticket = self.fronts.ticket(back);
         tracing::debug!("asked: {request:?}");
+        if let (Request::Metrics, Some((_, meters))) = (&request, &self.pool) {
+            return self.fronts.reply(ticket, Reply::Metrics(meters.text()));
+        }
         self.apply(Event::Asked { ticket, request });
     }
 
@@ -291,7 +341,14 @@
                     Err(wrong) => Event::Wrong { from, wrong },
                 }
             }
-            Input::Ended(id) => Event::Ended(id),
+            Input::Ended(id, chunks) => {
+                if let Some((pool, _)) = &self.pool {
+                    let due = pool.borrow_mut().ends(self.clock.now(), id, chunks);
+                    self.due(id, due);
+                    return None;
+                }
+                Event::Ended(id)
+            }
             Input::News(id, _) if self.news.as_ref().is_none_or(|news| news.id != id) => return None,
             Input::List(id, _) if self.list.as_ref().is_none_or(|list| list.id != id) => return None,
             Input::News(_, Err(why)) => Event::NewsLost(why),
@@ -325,6 +382,60 @@
         })
     }
 
+    /// What has come of a chunk, and of others that waited for it.
+    fn batch(&mut self, batch: Batch) {
+        let Some((pool, _)) = &self.pool else { return };
+        let from = batch.told.from;
+        let due = pool.borrow_mut().come(self.clock.now(), batch);
+        self.due(from, due);
+    }
+
+    fn due(&mut self, from: ConnectionId, due: Due<Batch>) {
+        for batch in due.chunks {
+            tracing::debug!("chunk {} of {from}, by reader {}", batch.told.number, batch.core);
+            self.backs.insert(from, batch.back);
+            for item in batch.items {
+                self.apply(match item {
+                    Item::Reports(reports) => Event::Reports { from, reports },
+                    Item::Message(message) => Event::Message { from, message },
+                    Item::Wrong(wrong) => Event::Wrong { from, wrong },
+                    Item::Lost => {
+                        tracing::error!("a panic over what {from} said; it is let go");
+                        self.back(from, Back::End(None));
+                        Event::Ended(from)
+                    }
+                });
+            }
+            if let Some((_, meters)) = &self.pool {
+                meters.applied(batch.told.at.elapsed());
+            }
+        }
+        if due.ended {
+            self.apply(Event::Ended(from));
+        }
+    }
+
+    /// Readers are told of new names at once, and looked at now and then.
+    fn look_after(&mut self) {
+        let Some((pool, _)) = &self.pool else { return };
+        let published = pool.borrow().published();
+        if let Some(known) = self.reducer.known(Some(published)) {
+            pool.borrow().publish(known);
+        }
+        let now = self.clock.now();
+        if now - self.looked < whinwall::time::Span::ns(LOOK_EACH.as_nanos() as u64) {
+            return;
+        }
+        self.looked = now;
+        let heard = pool.borrow_mut().look(now);
+        for heard in heard {
+            match heard {
+                Heard::Note(text) => tracing::warn!("{text}"),
+                Heard::Lost(ids) => ids.into_iter().for_each(|id| self.apply(Event::Ended(id))),
+            }
+        }
+    }
+
     fn apply(&mut self, event: Event) {
         let span = match &event {
             Event::Message { from, .. } => debug_span!(parent: &self.span, "report", from),
@@ -344,10 +455,10 @@
 
     fn carry_out(&mut self, effect: Effect) {
         match effect {
-            Effect::Pong { to } => self.back(to, Back::Say(collector::encode(Reply::Pong))),
+            Effect::Pong { to } => self.back(to, Back::Say(collector::encode(collector::Reply::Pong))),
             Effect::Keep { to } => self.back(to, Back::Keep),
             Effect::LetGo { to, why } => {
-                let last = why.map(|why| collector::encode(Reply::Nack { why }));
+                let last = why.map(|why| collector::encode(collector::Reply::Nack { why }));
                 self.back(to, Back::End(last));
             }
             Effect::Call { relay, line, afresh } => {
--- /dev/null
+++ b/governor/src/program/meters.rs
@@ -0,0 +1,125 @@
+//! Figures of the readers, for whoever looks for the one that is behind and why: counted where the work is done,
+//! read at the management front, in the text form that Prometheus reads.
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
+use prometheus_client::registry::Registry;
+use std::time::{Duration, Instant};
+use whinwall_cores::watch::Found;
+use whinwall_cores::CoreId;
+
+type OfCore = [(&'static str, String); 1];
+
+fn of(core: CoreId) -> OfCore {
+    [("reader", core.to_string())]
+}
+
+/// What is counted of one reader.
+struct OfReader {
+    lines: Counter,
+    bytes: Counter,
+    chunks: Counter,
+    /// Microseconds of taking apart.
+    busy: Counter,
+    stalls: Counter,
+    deaths: Counter,
+    panics: Counter,
+    connections: Gauge,
+}
+
+pub struct Meters {
+    registry: Registry,
+    readers: Vec<OfReader>,
+    /// Chunks that wait for a reader, and batches that wait for an earlier one.
+    waiting: Gauge,
+    early: Gauge,
+    late: Gauge,
+    /// From the arrival of a chunk to its batch's turn.
+    lag: Histogram,
+}
+
+impl Meters {
+    pub fn of(readers: usize) -> Self {
+        let mut registry = Registry::with_prefix("whinwall");
+        let mut counters = |name: &str, help: &str| {
+            let family = Family::<OfCore, Counter>::default();
+            registry.register(name, help, family.clone());
+            family
+        };
+        let lines = counters("reader_lines", "Lines taken apart");
+        let bytes = counters("reader_bytes", "Bytes taken apart");
+        let chunks = counters("reader_chunks", "Chunks taken apart");
+        let busy = counters("reader_busy_microseconds", "Time spent taking chunks apart");
+        let stalls = counters("reader_stalls", "Times that it was replaced because it did not go on");
+        let deaths = counters("reader_deaths", "Times that it was replaced because its thread had ended");
+        let panics = counters("reader_panics", "Chunks lost by a fault of ours");
+        let connections = Family::<OfCore, Gauge>::default();
+        registry.register("reader_connections", "Connections that it reads", connections.clone());
+        let gauge = |registry: &mut Registry, name: &str, help: &str| {
+            let gauge = Gauge::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        };
+        let waiting = gauge(&mut registry, "chunks_waiting", "Chunks that wait for a reader");
+        let early = gauge(&mut registry, "batches_early", "Batches that wait for an earlier one");
+        let late = gauge(&mut registry, "batches_late", "Batches that came for nobody since the start");
+        let lag = Histogram::new(exponential_buckets(0.0001, 2.0, 16));
+        registry.register("report_lag_seconds", "From a report's arrival to the decisions", lag.clone());
+        let reader = |core| OfReader {
+            lines: lines.get_or_create(&of(core)).clone(),
+            bytes: bytes.get_or_create(&of(core)).clone(),
+            chunks: chunks.get_or_create(&of(core)).clone(),
+            busy: busy.get_or_create(&of(core)).clone(),
+            stalls: stalls.get_or_create(&of(core)).clone(),
+            deaths: deaths.get_or_create(&of(core)).clone(),
+            panics: panics.get_or_create(&of(core)).clone(),
+            connections: connections.get_or_create(&of(core)).clone(),
+        };
+        Meters { readers: (0..readers).map(reader).collect(), registry, waiting, early, late, lag }
+    }
+
+    pub fn carried(&self, core: CoreId, bytes: usize, lines: usize, began: Instant) {
+        if let Some(reader) = self.readers.get(core) {
+            reader.lines.inc_by(lines as u64);
+            reader.bytes.inc_by(bytes as u64);
+            reader.chunks.inc();
+            reader.busy.inc_by(began.elapsed().as_micros() as u64);
+        }
+    }
+
+    pub fn panicked(&self, core: CoreId) {
+        self.readers.get(core).map(|reader| reader.panics.inc());
+    }
+
+    pub fn stopped(&self, core: CoreId, found: Found) {
+        if let Some(reader) = self.readers.get(core) {
+            match found {
+                Found::Stalled => _ = reader.stalls.inc(),
+                Found::Dead => _ = reader.deaths.inc(),
+                Found::Again => {}
+            }
+        }
+    }
+
+    pub fn state(&self, waiting: usize, early: usize, late: u64, connections: impl Fn(CoreId) -> usize) {
+        self.waiting.set(waiting as i64);
+        self.early.set(early as i64);
+        self.late.set(late as i64);
+        for (core, reader) in self.readers.iter().enumerate() {
+            reader.connections.set(connections(core) as i64);
+        }
+    }
+
+    pub fn applied(&self, lag: Duration) {
+        self.lag.observe(lag.as_secs_f64());
+    }
+
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- a/governor/src/program/mod.rs
+++ b/governor/src/program/mod.rs
@@ -1,10 +1,12 @@
 //! Starts and ends the governor.
 
-mod clock;
+pub mod clock;
 pub mod configuration;
 mod event_loop;
 mod fronts;
 mod logger;
+pub mod meters;
+pub mod readers;
 mod signals;
 
 use clap::Parser;
--- a/governor/src/protocol/collector.rs
+++ b/governor/src/protocol/collector.rs
@@ -80,6 +80,58 @@
     serde_json::to_string(&reply).unwrap_or_default()
 }
 
+/// A report that is as it should be, in the words of its line.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Report<'a> {
+    Met { place: &'a str, server: &'a str, tries: f64, aborted: f64, mean_latency_ms: f64, covers_ms: f64 },
+    Asked { slice: u32, op_type: &'a str, came: f64, aborted: f64, covers_ms: f64 },
+}
+
+/// All that any report has, in one pass.
+#[derive(Deserialize)]
+struct Fields<'a> {
+    #[serde(rename = "@type", borrow)]
+    kind: &'a str,
+    #[serde(rename = "az", borrow, default)]
+    place: Option<&'a str>,
+    #[serde(rename = "host", borrow, default)]
+    server: Option<&'a str>,
+    #[serde(rename = "kind", borrow, default)]
+    op_type: Option<&'a str>,
+    #[serde(rename = "partition", default)]
+    slice: Option<u32>,
+    #[serde(rename = "n", default)]
+    many: Option<f64>,
+    #[serde(rename = "bad", default)]
+    aborted: Option<f64>,
+    #[serde(rename = "avg", default)]
+    mean_latency_ms: Option<f64>,
+    #[serde(rename = "window", default)]
+    covers_ms: Option<f64>,
+    #[serde(rename = "report", default)]
+    own: Option<Own>,
+}
+
+/// The way of nearly every line: where it is a report in order, and written as reports are, it is taken at once.
+/// All else is for `decode`, which says what is wrong.
+pub fn quick(line: &str) -> Option<Report<'_>> {
+    let fields: Fields = serde_json::from_str(line).ok()?;
+    let (many, aborted, covers_ms) = (fields.many?, fields.aborted?, fields.covers_ms?);
+    match fields.kind {
+        "LOAD" => {
+            let (place, server, mean_latency_ms) = (fields.place?, fields.server?, fields.mean_latency_ms?);
+            let sane = met_is_sane(many, aborted, mean_latency_ms, covers_ms, fields.own.as_ref());
+            sane.then_some(Report::Met { place, server, tries: many, aborted, mean_latency_ms, covers_ms })
+        }
+        "SHARD" => {
+            let (slice, op_type) = (fields.slice?, fields.op_type?);
+            let sane = asked_is_sane(many, aborted, covers_ms);
+            sane.then_some(Report::Asked { slice, op_type, came: many, aborted, covers_ms })
+        }
+        _ => None,
+    }
+}
+
 pub fn decode(line: &str) -> Result<Message, Wrong> {
     if !line.trim_start().starts_with('{') {
         return Err(Wrong::Unreadable(Malformed::new("no JSON object", line)));
@@ -89,20 +141,26 @@
         _ => Wrong::Unreadable(Malformed::new(why, line)),
     })?;
     let sane = match &message {
-        Message::Met(m) => {
-            is_sane(m.tries)
-                && (0.0..=m.tries).contains(&m.aborted)
-                && is_sane_ms(m.mean_latency_ms)
-                && covers(m.covers_ms)
-                && m.own.as_ref().is_none_or(|own| is_sane(own.in_flight.unwrap_or(0.0)))
-        }
-        // More may be aborted than came: what came before the report's time is aborted in it.
-        Message::Asked(a) => [a.came, a.aborted].into_iter().all(is_sane) && covers(a.covers_ms),
+        Message::Met(m) => met_is_sane(m.tries, m.aborted, m.mean_latency_ms, m.covers_ms, m.own.as_ref()),
+        Message::Asked(a) => asked_is_sane(a.came, a.aborted, a.covers_ms),
         _ => true,
     };
     sane.then_some(message).ok_or_else(|| Wrong::Spoilt(Malformed::new("an absurd figure", line)))
 }
 
+fn met_is_sane(tries: f64, aborted: f64, mean_latency_ms: f64, covers_ms: f64, own: Option<&Own>) -> bool {
+    is_sane(tries)
+        && (0.0..=tries).contains(&aborted)
+        && is_sane_ms(mean_latency_ms)
+        && covers(covers_ms)
+        && own.is_none_or(|own| is_sane(own.in_flight.unwrap_or(0.0)))
+}
+
+/// More may be aborted than came: what came before the report's time is aborted in it.
+fn asked_is_sane(came: f64, aborted: f64, covers_ms: f64) -> bool {
+    is_sane(came) && is_sane(aborted) && covers(covers_ms)
+}
+
 /// A report covers some time.
 fn covers(ms: f64) -> bool {
     ms > 0.0 && is_sane_ms(ms)
--- a/governor/src/protocol/mod.rs
+++ b/governor/src/protocol/mod.rs
@@ -18,6 +18,13 @@
     Unreadable(Malformed),
 }
 
+impl Wrong {
+    /// Bytes that are no text: nothing behind them can be told apart either.
+    pub fn no_text() -> Self {
+        Wrong::Unreadable(Malformed("a line is no text".into()))
+    }
+}
+
 impl Malformed {
     pub(crate) fn new(why: impl fmt::Display, line: &str) -> Self {
         let start: String = line.chars().take(80).collect();
--- /dev/null
+++ b/governor/src/routing/known.rs
@@ -0,0 +1,48 @@
+//! What a reader has to know to take reports apart: numbers for names, as they were when it was made. It may be
+//! behind: a number is never given to another, and a name that it lacks is left to the reducer.
+
+use crate::protocol::collector::Report;
+use std::collections::BTreeMap;
+use whinwall::interface::{Asked, Met, PlaceId, Reported, ServerId};
+use whinwall::time::Span;
+
+#[derive(Clone, Debug, Default)]
+pub struct Known {
+    pub places: Vec<String>,
+    pub op_types: Vec<String>,
+    pub servers: BTreeMap<String, ServerId>,
+    /// Which state of the names it is.
+    pub changes: u64,
+}
+
+fn span(ms: f64) -> Span {
+    Span::ms(1).times(ms)
+}
+
+impl Known {
+    /// Where the settings name no places, any will do.
+    pub fn place(&self, name: &str) -> Option<PlaceId> {
+        let any = self.places.is_empty().then_some(PlaceId::MAX);
+        self.places.iter().position(|known| known == name).or(any)
+    }
+
+    pub fn op_type(&self, name: &str) -> Option<usize> {
+        self.op_types.iter().position(|known| known == name)
+    }
+
+    /// The report in numbers; none where it names what is not known here.
+    pub fn numbered(&self, report: &Report) -> Option<Reported> {
+        match *report {
+            Report::Met { place, server, tries, aborted, mean_latency_ms, covers_ms } => {
+                let (place, server) = (self.place(place)?, *self.servers.get(server)?);
+                let (covers, mean_latency) = (span(covers_ms), span(mean_latency_ms));
+                let met = Met { place, covers, tries, aborted, mean_latency };
+                Some(Reported::Met { server, met, latest: mean_latency })
+            }
+            Report::Asked { slice, op_type, came, aborted, covers_ms } => {
+                let asked = Asked { op_type: self.op_type(op_type)?, covers: span(covers_ms), came, aborted };
+                Some(Reported::Asked { slice, asked })
+            }
+        }
+    }
+}
--- a/governor/src/routing/mod.rs
+++ b/governor/src/routing/mod.rs
@@ -1,5 +1,6 @@
 //! All state of the governor, behind one reducer without input, output or clock.
 
+pub mod known;
 mod names;
 mod outbox;
 pub mod overrides;
--- a/governor/src/routing/names.rs
+++ b/governor/src/routing/names.rs
@@ -3,12 +3,20 @@
 use std::collections::BTreeMap;
 use whinwall::interface::ServerId;
 
-#[derive(Default)]
 pub struct Names {
     numbers: BTreeMap<String, ServerId>,
     names: BTreeMap<ServerId, String>,
     /// No number is given twice: a server must not come back under another's.
     next: ServerId,
+    /// Grows with each change.
+    changes: u64,
+}
+
+impl Default for Names {
+    fn default() -> Self {
+        // Whoever knows of no change knows nothing yet.
+        Names { numbers: BTreeMap::new(), names: BTreeMap::new(), next: 0, changes: 1 }
+    }
 }
 
 impl Names {
@@ -19,6 +27,7 @@
         }
         let number = self.next;
         self.next += 1;
+        self.changes += 1;
         self.names.insert(number, name.to_string());
         self.numbers.insert(name.to_string(), number);
         number
@@ -37,8 +46,17 @@
         self.names.len()
     }
 
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    pub fn numbers(&self) -> &BTreeMap<String, ServerId> {
+        &self.numbers
+    }
+
     /// Forgets all others.
     pub fn keep(&mut self, needed: impl Fn(ServerId) -> bool) {
+        self.changes += 1;
         self.names.retain(|number, _| needed(*number));
         self.numbers.retain(|_, number| needed(*number));
     }
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -1,6 +1,7 @@
 //! `apply` takes one event after another, feeds the decisions with it, and asks for effects. Orders are made
 //! only once all that had arrived is in, and only while no call is open: then they rest on the newest view.
 
+use super::known::Known;
 use super::names::Names;
 use super::outbox::Outbox;
 use super::overrides::{Overrides, Wanted};
@@ -29,6 +30,11 @@
         from: ConnectionId,
         message: Message,
     },
+    /// Reports of one connection, taken apart by a reader.
+    Reports {
+        from: ConnectionId,
+        reports: Vec<Report>,
+    },
     /// What came at our address is no message.
     Wrong {
         from: ConnectionId,
@@ -208,6 +214,14 @@
                     self.effects.push(Effect::LetGo { to: from, why });
                 }
             },
+            Event::Reports { from, mut reports } if self.collectors.contains(&from) => {
+                reports.retain(|report| match report.what {
+                    Reported::Met { .. } => true,
+                    Reported::Asked { slice, .. } => self.tables.contains_key(&slice),
+                });
+                self.governor.reported(now, &reports);
+            }
+            Event::Reports { from, .. } => self.pass_over(from, "reports"),
             Event::Ended(from) => _ = self.collectors.remove(&from),
             Event::News(news) => self.news(now, news),
             Event::NewsLost(why) => {
@@ -256,6 +270,17 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// What readers have to know; none where it is as that of so many changes.
+    pub fn known(&self, than: Option<u64>) -> Option<Known> {
+        let changes = self.names.changes();
+        (than != Some(changes)).then(|| Known {
+            places: self.briefing.places.clone(),
+            op_types: self.briefing.op_types.clone(),
+            servers: self.names.numbers().clone(),
+            changes,
+        })
+    }
+
     fn after_pause(&mut self, now: Moment, due: Due) {
         self.agenda.insert((now + Span::ns(limits::PAUSE.as_nanos() as u64), due));
     }
@@ -313,6 +338,8 @@
                 };
                 Reply::Listed { all: overrides.as_ref().map_or_else(Vec::new, list), now }
             }
+            // The program has them; here nothing is counted.
+            (Request::Metrics, _) => Reply::Metrics(String::new()),
             (Request::Status, overrides) => {
                 let book = overrides.as_ref().map(|overrides| overrides.clerk.book());
                 Reply::Status(Status {
--- a/governor/src/transport/framing.rs
+++ b/governor/src/transport/framing.rs
@@ -3,37 +3,45 @@
 use super::limits;
 use actix_codec::{Decoder, Encoder};
 use bytes::{Buf, BufMut, BytesMut};
-use std::cell::Cell;
 use std::io::{Error, ErrorKind};
-use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 
 /// What lines without their end may take in memory, of all connections that share it. Where that is too much,
 /// whoever holds more than an even share goes: many strangers with long lines cost no collector its place.
 #[derive(Clone)]
 pub struct Unfinished {
-    held: Rc<Cell<usize>>,
+    held: Arc<AtomicUsize>,
     most: usize,
     share: usize,
 }
 
 impl Unfinished {
     pub fn new(most: usize, connections: usize) -> Self {
-        Unfinished { held: Rc::default(), most, share: most / connections.max(1) }
+        Unfinished { held: Arc::default(), most, share: most / connections.max(1) }
     }
 }
 
 /// The part of one connection.
-struct Held {
+pub struct Held {
     all: Unfinished,
     own: usize,
 }
 
 impl Held {
+    pub fn none(all: &Unfinished) -> Self {
+        Held { all: all.clone(), own: 0 }
+    }
+
     /// False where it is too much.
-    fn set(&mut self, own: usize) -> bool {
-        self.all.held.set(self.all.held.get() - self.own + own);
+    pub fn set(&mut self, own: usize) -> bool {
+        // Only ever added to and taken from: what others hold meanwhile is in the sum or not, and both will do.
+        let all = match own >= self.own {
+            true => self.all.held.fetch_add(own - self.own, Ordering::Relaxed) + (own - self.own),
+            false => self.all.held.fetch_sub(self.own - own, Ordering::Relaxed) - (self.own - own),
+        };
         self.own = own;
-        own <= self.all.share || self.all.held.get() <= self.all.most
+        own <= self.all.share || all <= self.all.most
     }
 }
 
@@ -66,7 +74,7 @@
     }
 
     pub fn within(limit: usize, all: &Unfinished) -> Self {
-        Lines { held: Some(Held { all: all.clone(), own: 0 }), ..Lines::new(limit) }
+        Lines { held: Some(Held::none(all)), ..Lines::new(limit) }
     }
 }
 
@@ -76,7 +84,7 @@
 
     fn decode(&mut self, bytes: &mut BytesMut) -> Result<Option<String>, Error> {
         let wrong = |why: &str| Err(Error::new(ErrorKind::InvalidData, why));
-        let end = bytes[self.searched..].iter().position(|byte| *byte == b'\n').map(|at| at + self.searched);
+        let end = memchr::memchr(b'\n', &bytes[self.searched..]).map(|at| at + self.searched);
         if end.unwrap_or(bytes.len()) > self.limit {
             return wrong("a line is too long");
         }
--- a/governor/src/transport/limits.rs
+++ b/governor/src/transport/limits.rs
@@ -33,6 +33,10 @@
 pub const BUFFER: usize = 64 << 10;
 /// A whole list of servers.
 pub const LIST: usize = 8 << 20;
+/// Whoever has joined is read in pieces of this size: some hundreds of lines, a fraction of a millisecond's work.
+pub const CHUNK: usize = 64 << 10;
+/// Chunks that wait for a reader, of all connections.
+pub const CHUNKS: usize = 256;
 /// What one peer may leave unread, in answers of a few bytes each.
 pub const UNREAD_ANSWERS: usize = 64;
 /// Lines that wait for the loop; readers stop there, and TCP holds the others back.
--- a/governor/src/transport/mod.rs
+++ b/governor/src/transport/mod.rs
@@ -37,14 +37,33 @@
         /// Its part of the memory for lines that wait; given back when it is dropped.
         _weight: OwnedSemaphorePermit,
     },
-    /// It will say nothing more.
-    Ended(ConnectionId),
+    /// It will say nothing more, and has said so many chunks.
+    Ended(ConnectionId, u64),
     /// What is followed says something, or is no more.
     News(FollowId, Result<String, Broken>),
     List(FollowId, Result<String, Broken>),
     Answer(Result<String, CallError>),
 }
 
+/// Which chunk of which connection, and when its last byte was read.
+#[derive(Clone, Copy, Debug)]
+pub struct Told {
+    pub from: ConnectionId,
+    pub number: u64,
+    pub at: std::time::Instant,
+    pub bytes: usize,
+}
+
+/// Whole lines of one connection, as many as had arrived.
+#[derive(Debug)]
+pub struct Chunk {
+    pub told: Told,
+    pub lines: bytes::Bytes,
+    pub back: mpsc::Sender<Back>,
+    /// Its part of the memory for lines that wait.
+    pub weight: OwnedSemaphorePermit,
+}
+
 /// What is to be done at one of the connections to our own address.
 #[derive(Debug)]
 pub enum Back {
--- a/management/src/ask.rs
+++ b/management/src/ask.rs
@@ -9,6 +9,7 @@
     Change(Ask),
     List,
     Status,
+    Metrics,
 }
 
 /// An override with what has become of it.
@@ -35,10 +36,25 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
-    Set { shown: Shown, again: bool, kept: Kept, now: Moment },
-    Cleared { shown: Shown, again: bool, kept: Kept, now: Moment },
-    Listed { all: Vec<Shown>, now: Moment },
+    Set {
+        shown: Shown,
+        again: bool,
+        kept: Kept,
+        now: Moment,
+    },
+    Cleared {
+        shown: Shown,
+        again: bool,
+        kept: Kept,
+        now: Moment,
+    },
+    Listed {
+        all: Vec<Shown>,
+        now: Moment,
+    },
     Status(Status),
+    /// In the text form that Prometheus reads.
+    Metrics(String),
     Refused(Refused),
     NotKept(String),
     Busy,
--- a/management/src/server.rs
+++ b/management/src/server.rs
@@ -168,7 +168,9 @@
             let (code, body) = answer.unwrap_or_else(|_| problem(500, "a fault of the governor's"));
             let code = StatusCode::from_u16(code).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
             let mut response = Response::build(code);
-            response.insert_header(("content-type", "application/json"));
+            let kind =
+                if body.starts_with('#') { "application/openmetrics-text" } else { "application/json" };
+            response.insert_header(("content-type", kind));
             Ok::<_, Infallible>(response.body(body))
         }
     };
@@ -220,6 +222,7 @@
         let request = match (&method, parts.as_slice()) {
             (&Method::GET, ["v1", "overrides"]) => Ok(Request::List),
             (&Method::GET, ["v1", "status"]) => Ok(Request::Status),
+            (&Method::GET, ["v1", "metrics"]) => Ok(Request::Metrics),
             (&Method::PUT, ["v1", "overrides", id]) => match body(request.take_payload()).await {
                 Ok(body) => wire::decode_set(id, &body),
                 Err(code) => return code,
@@ -230,11 +233,13 @@
             },
             (
                 _,
-                ["v1", "overrides" | "status"] | ["v1", "overrides", _] | ["v1", "overrides", _, "clear"],
+                ["v1", "overrides" | "status" | "metrics"]
+                | ["v1", "overrides", _]
+                | ["v1", "overrides", _, "clear"],
             ) => {
                 return problem(405, "this can't be done there");
             }
-            _ => return problem(404, "nothing is there; see /v1/overrides and /v1/status"),
+            _ => return problem(404, "nothing is there; see /v1/overrides, /v1/status and /v1/metrics"),
         };
         match request {
             Ok(request) => self.ask(request).await,
--- a/management/src/wire.rs
+++ b/management/src/wire.rs
@@ -212,6 +212,7 @@
             let overrides = all.iter().map(|shown| Item::of(shown, now, wall)).collect();
             (200, body(&List { overrides }))
         }
+        Reply::Metrics(text) => (200, text),
         Reply::Status(status) => (200, body(&State::of(&status, name))),
         Reply::Refused(refused) => {
             let (code, part) = match &refused {
--- a/management/tests/front.rs
+++ b/management/tests/front.rs
@@ -61,6 +61,7 @@
                     let order = Order { id: "p".into(), kind, author, reason, lasts: Span::ms(90_000) };
                     Reply::Listed { all: vec![shown(&order)], now }
                 }
+                Request::Metrics => Reply::Metrics("# EOF\n".into()),
                 Request::Status => Reply::Status(Status {
                     now,
                     since: now - Span::ms(5000),
--- a/operators/src/file.rs
+++ b/operators/src/file.rs
@@ -11,6 +11,8 @@
 pub const LARGEST: usize = 1 << 20;
 /// Overrides at the most, whatever the file says: each costs a little in every beat.
 const MOST: usize = 10_000;
+/// More readers than that would wait for the one who decides.
+const MOST_CORES: usize = 64;
 const VERSION: &str = "1";
 
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -19,6 +21,8 @@
     /// Where overrides are kept, so that they outlive the program.
     pub store: Option<PathBuf>,
     pub management: Option<Doors>,
+    /// How many cores it may use; one where nothing is said.
+    pub cores: Option<usize>,
     pub bounds: Bounds,
     pub overrides: Vec<FileOrder>,
 }
@@ -44,17 +48,19 @@
     if root.name != "operators" {
         return Err(root.wrong("the outermost element must be <operators>"));
     }
-    root.has_only(&["version"], &["log", "store", "management", "overrides"])?;
+    root.has_only(&["version"], &["log", "store", "management", "cores", "overrides"])?;
     root.must("version", |version| {
         (version == VERSION).then_some(()).ok_or(format!("{version:?} is not {VERSION:?}"))
     })?;
     let (log, store) = (root.child("log")?, root.child("store")?);
     let management = root.child("management")?.map(doors).transpose()?;
+    let cores = root.child("cores")?.map(cores).transpose()?;
     let (bounds, overrides) = root.child("overrides")?.map(overrides).transpose()?.unwrap_or_default();
     Ok(OperatorsFile {
         log: log.map(log_form).transpose()?.unwrap_or_default(),
         store: store.map(folder).transpose()?,
         management,
+        cores,
         bounds,
         overrides,
     })
@@ -99,16 +105,23 @@
     }
 }
 
+fn cores(cores: &Element) -> Result<usize, Wrong> {
+    cores.has_only(&["most"], &[])?;
+    cores.must("most", |text| whole(text, MOST_CORES))
+}
+
+/// A whole number from 1 on.
+fn whole(text: &str, most: usize) -> Result<usize, String> {
+    let number = text.parse().ok().filter(|number| (1..=most).contains(number));
+    number.ok_or_else(|| format!("{text:?} is no whole number from 1 to {most}"))
+}
+
 fn overrides(all: &Element) -> Result<(Bounds, Vec<FileOrder>), Wrong> {
     all.has_only(&["longest", "most", "ended-kept"], &["weight", "out", "pin"])?;
     let usual = Bounds::default();
-    let most = |text: &str| match text.parse() {
-        Ok(most) if (1..=MOST).contains(&most) => Ok(most),
-        _ => Err(format!("{text:?} is no whole number from 1 to {MOST}")),
-    };
     let bounds = Bounds {
         longest: all.maybe("longest", words::span)?.unwrap_or(usual.longest),
-        most: all.maybe("most", most)?.unwrap_or(usual.most),
+        most: all.maybe("most", |text| whole(text, MOST))?.unwrap_or(usual.most),
         ended_kept: all.maybe("ended-kept", words::span)?.unwrap_or(usual.ended_kept),
     };
     let (mut ids, mut orders) = (BTreeSet::new(), Vec::new());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -86,6 +86,30 @@
     pub aborted: f64,
 }
 
+/// One line of a report, or the sum of several that are alike, with the time at which it was told: what comes
+/// late to the decisions is late, and not fresh.
+#[derive(Clone, Copy, Debug)]
+pub struct Report {
+    pub at: Moment,
+    /// How many lines it is the sum of.
+    pub lines: f64,
+    pub what: Reported,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum Reported {
+    Met {
+        server: ServerId,
+        met: Met,
+        /// What the latest of its answers took on average, where it is a sum.
+        latest: Span,
+    },
+    Asked {
+        slice: SliceId,
+        asked: Asked,
+    },
+}
+
 /// A step of a reply. Steps take effect in order: a withdrawal never overtakes the line that replaces it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
--- a/src/news.rs
+++ b/src/news.rs
@@ -88,33 +88,61 @@
     }
 
     pub fn met(&mut self, now: Moment, server: ServerId, met: Met) {
+        let what = Reported::Met { server, met, latest: met.mean_latency };
+        self.reported(now, &[Report { at: now, lines: 1.0, what }]);
+    }
+
+    pub fn asked(&mut self, now: Moment, slice: SliceId, asked: Asked) {
+        self.reported(now, &[Report { at: now, lines: 1.0, what: Reported::Asked { slice, asked } }]);
+    }
+
+    /// Many reports at once, each with its own time.
+    pub fn reported(&mut self, now: Moment, reports: &[Report]) {
+        for Report { at, lines, what } in reports {
+            let covers = match what {
+                Reported::Met { server, met, latest } => {
+                    self.note_met(*at, *server, met, *latest);
+                    met.covers
+                }
+                Reported::Asked { slice, asked } => {
+                    self.note_asked(*at, *slice, asked);
+                    asked.covers
+                }
+            };
+            if covers > Span::default() {
+                self.covered.add(*at, covers.seconds() * lines);
+                self.reports.add(*at, *lines);
+            }
+        }
+        self.settle(now);
+    }
+
+    fn note_met(&mut self, at: Moment, server: ServerId, met: &Met, latest: Span) {
         if let Some(s) = self.servers.get_mut(&server) {
             let way = (met.place, s.place);
             // What the way adds is no fault of the server: else a slow link would look like a full site.
-            s.record(now, &met, self.delays.get(&way).copied().unwrap_or(0.0));
-            self.links.entry(way).or_default().record(now, &met);
+            s.record(at, met, latest, self.delays.get(&way).copied().unwrap_or(0.0));
+            self.links.entry(way).or_default().record(at, met);
         }
-        self.heard(now, met.covers);
     }
 
-    pub fn asked(&mut self, now: Moment, slice: SliceId, asked: Asked) {
+    fn note_asked(&mut self, at: Moment, slice: SliceId, asked: &Asked) {
         let cut = self.slices.get(&slice).map_or(0.0, |s| s.cut_held).max(self.cut_told.unwrap_or(0.0));
         let let_in = asked.came * self.level(cut, asked.op_type);
         let stands = self.slices.get(&slice).is_some_and(|s| self.has_stood(s));
         if let Some((came, aborted)) = self.fates.get_mut(asked.op_type) {
-            came.spread(now, asked.covers, let_in);
-            aborted.spread(now, asked.covers, asked.aborted);
+            came.spread(at, asked.covers, let_in);
+            aborted.spread(at, asked.covers, asked.aborted);
         }
         if let Some(s) = self.slices.get_mut(&slice) {
-            s.came.spread(now, asked.covers, let_in);
-            s.aborted.spread(now, asked.covers, asked.aborted);
+            s.came.spread(at, asked.covers, let_in);
+            s.aborted.spread(at, asked.covers, asked.aborted);
             for (server, part) in s.parts().filter(|_| stands) {
                 if let Some(owner) = self.servers.get_mut(&server) {
-                    owner.asked.spread(now, asked.covers, let_in * part);
+                    owner.asked.spread(at, asked.covers, let_in * part);
                 }
             }
         }
-        self.heard(now, asked.covers);
     }
 
     pub fn slice_given(&mut self, now: Moment, slice: SliceId, table: &[(ServerId, f64)]) {
@@ -131,12 +159,4 @@
         self.slices.remove(&slice);
         self.settle(now);
     }
-
-    fn heard(&mut self, now: Moment, covers: Span) {
-        if covers > Span::default() {
-            self.covered.add(now, covers.seconds());
-            self.reports.add(now, 1.0);
-        }
-        self.settle(now);
-    }
 }
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -18,8 +18,8 @@
         self.spread(now, Span::default(), amount);
     }
 
-    /// Adds what came evenly over the span that ends now; what lies before the ring's first bucket is laid
-    /// into it.
+    /// Adds what came evenly over the span that ends then; what lies before the ring's first bucket is laid
+    /// into it. What comes later than something newer is laid where it belongs.
     pub fn spread(&mut self, now: Moment, over: Span, amount: f64) {
         let at = now.count_of(self.bucket);
         let size = self.sums.len() as u64;
@@ -29,8 +29,10 @@
         }
         self.newest = self.newest.max(at);
         let pieces = over.as_ns().div_ceil(self.bucket.as_ns().max(1)).clamp(1, size.min(at + 1));
-        for back in 0..pieces {
-            self.sums[((self.newest - back) % size) as usize] += amount / pieces as f64;
+        // Of what is late, the oldest may lie in a lap that has been passed over.
+        let oldest = (self.newest + 1).saturating_sub(size);
+        for bucket in (0..pieces).map(|back| at - back).filter(|bucket| *bucket >= oldest) {
+            self.sums[(bucket % size) as usize] += amount / pieces as f64;
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -373,15 +373,15 @@
         self.listed = entry.standing != Standing::Gone;
     }
 
-    pub fn record(&mut self, now: Moment, met: &Met, delay: f64) {
+    pub fn record(&mut self, now: Moment, met: &Met, latest: Span, delay: f64) {
         let answered = (met.tries - met.aborted).max(0.0);
-        let took = (met.mean_latency.seconds() - delay).max(0.0);
+        let took = |mean: Span| (mean.seconds() - delay).max(0.0);
         self.tries.spread(now, met.covers, met.tries);
         self.aborted.spread(now, met.covers, met.aborted);
         self.answered.spread(now, met.covers, answered);
-        self.busy.spread(now, met.covers, answered * took);
+        self.busy.spread(now, met.covers, answered * took(met.mean_latency));
         if answered > 0.0 {
-            self.last_took = took;
+            self.last_took = took(latest);
         }
     }
 
