--- a/governor/tests/reducer.rs
+++ b/governor/tests/reducer.rs
@@ -4,6 +4,7 @@
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use whinwall::interface::{Asked, Met, Report, Reported};
 use whinwall::time::{Moment, Span};
 use whinwall_governor::protocol::relay::{decode_answer, decode_news, Answer};
 use whinwall_governor::protocol::{collector, discovery};
@@ -877,3 +878,90 @@
     assert!(collector::quick(line).is_some());
     quickcheck::QuickCheck::new().tests(20_000).quickcheck(holds as fn(Garbled) -> bool);
 }
+
+/// Reports of three places on all servers and slices, in chunks as readers make them; s-3 fails what it is asked.
+fn chunks() -> Vec<(u64, Vec<Report>)> {
+    let covers = Span::ms(1000);
+    let told = |what| Report { at: Moment::default(), lines: 1.0, what };
+    let met = |place, server: u32| {
+        let aborted = if server == 3 { 9.0 } else { 0.0 };
+        let mean_latency = Span::ms(40);
+        let met = Met { place, covers, tries: 9.0, aborted, mean_latency };
+        told(Reported::Met { server, met, latest: mean_latency })
+    };
+    let asked = |slice, op_type| {
+        told(Reported::Asked { slice, asked: Asked { op_type, covers, came: 9.0, aborted: 0.0 } })
+    };
+    let chunk = |from: u64| {
+        let met = (0..6).map(move |server| met(from as usize, server));
+        let asked = (0..12).flat_map(move |slice| (0..2).map(move |op_type| asked(slice, op_type)));
+        met.chain(asked).collect::<Vec<_>>()
+    };
+    (0..3)
+        .flat_map(|from| chunk(from).chunks(7).map(move |piece| (from, piece.to_vec())).collect::<Vec<_>>())
+        .collect()
+}
+
+fn joined(rig: &mut Rig) {
+    for (from, place) in ["north", "south", "west"].iter().enumerate() {
+        rig.says(from as u64, &format!("{{\"@type\":\"SOURCE\",\"az\":\"{place}\"}}"));
+    }
+}
+
+/// The order in which chunks of several connections count changes no table, and is the same each time it is
+/// played from its record.
+#[test]
+fn interleavings_of_chunks_lead_to_the_same_orders() {
+    fn played(orders: &[Vec<usize>]) -> Vec<String> {
+        let mut rig = Rig::serving();
+        joined(&mut rig);
+        let chunks = chunks();
+        for order in orders {
+            for at in order {
+                let (from, mut reports) = chunks[*at].clone();
+                reports.iter_mut().for_each(|report| report.at = rig.now);
+                rig.tell(Event::Reports { from, reports });
+            }
+            rig.quiet();
+            rig.pass(1000);
+        }
+        rig.calls
+    }
+    fn holds(seeds: Vec<u64>) -> bool {
+        let many = chunks().len();
+        let shuffled = |seed: u64| {
+            let mut chance = whinwall::chance::Chance::from_seed(seed);
+            let mut order: Vec<_> = (0..many).collect();
+            (1..many).for_each(|at| order.swap(at, (chance.draw() * (at + 1) as f64) as usize));
+            order
+        };
+        let record: Vec<Vec<_>> =
+            (0..8).map(|n| shuffled(seeds.get(n).copied().unwrap_or(n as u64))).collect();
+        let plain = vec![(0..many).collect::<Vec<_>>(); 8];
+        let (calls, again) = (played(&record), played(&record));
+        assert!(calls.join(" ").contains("OUT,s-3"), "the reports are acted on: {calls:?}");
+        calls == again && calls == played(&plain)
+    }
+    quickcheck::QuickCheck::new().tests(20).quickcheck(holds as fn(Vec<u64>) -> bool);
+}
+
+#[test]
+fn a_chunk_for_a_slice_that_changed_hands_or_from_who_is_gone_counts_for_nothing() {
+    let mut rig = Rig::serving();
+    joined(&mut rig);
+    rig.news("* GRANT 4 0");
+    let fails = |slice| {
+        let asked = Asked { op_type: 0, covers: Span::ms(1000), came: 1e6, aborted: 1e6 };
+        vec![Report { at: Moment::default(), lines: 1.0, what: Reported::Asked { slice, asked } }]
+    };
+    let before = rig.calls.len();
+    for _ in 0..5 {
+        rig.tell(Event::Reports { from: 0, reports: fails(4) });
+        rig.pass(1000);
+    }
+    assert!(!rig.calls[before..].join(" ").contains("LIMIT"), "nobody's ops cut no levels");
+    rig.tell(Event::Ended(1));
+    rig.follows.clear();
+    rig.tell(Event::Reports { from: 1, reports: fails(5) });
+    assert!(matches!(rig.follows[..], [Effect::LetGo { to: 1, .. }]));
+}
--- a/governor/tests/stand_ins/world.rs
+++ b/governor/tests/stand_ins/world.rs
@@ -115,6 +115,16 @@
         self.orders.kept.iter().any(|(_, order)| order == text)
     }
 
+    /// Waits until no slice names a server; how long that took.
+    pub fn is_left(&self, server: &str) -> Duration {
+        let began = Instant::now();
+        while self.named(server) > 0 {
+            assert!(began.elapsed() < PATIENCE, "{server} is still named");
+            thread::sleep(Duration::from_millis(10));
+        }
+        began.elapsed()
+    }
+
     /// How many slices name a server.
     pub fn named(&self, server: &str) -> usize {
         self.tables.lock().unwrap().values().filter(|table| table.contains_key(server)).count()
