Readers that stop for good do not pile up; memory under a flood of long lines is bounded

Need: a reader that stalls at each start would leak a thread each time. Up to four given up threads a reader may stand still; then none is started until one has ended. Measured: at most 5 threads in 15 s of a reader that stops at every connection, and it answers again afterwards; 24 collectors with lines of a megabyte and floods at 32 MB of limit: below 64 MB resident with four readers.

--- a/cores/src/watch.rs
+++ b/cores/src/watch.rs
@@ -40,6 +40,13 @@
         Watch { readers: vec![(state, FIRST_PAUSE); readers], looked: now }
     }
 
+    /// It can't be started now.
+    pub fn postpone(&mut self, now: Moment, core: CoreId) {
+        if let Some((state, pause)) = self.readers.get_mut(core) {
+            *state = State::Down { until: now + *pause };
+        }
+    }
+
     /// Once a look, before the readers are looked at.
     pub fn begin(&mut self, now: Moment) {
         if now - self.looked > OWN_PAUSE {
--- a/governor/benches/cores.rs
+++ b/governor/benches/cores.rs
@@ -15,7 +15,6 @@
 
 const SERVERS: usize = 100;
 const SLICES: usize = 600;
-const COLLECTORS: usize = 3;
 const PLACES: [&str; 3] = ["north", "south", "west"];
 const RUNS: usize = 3;
 /// Processors here.
@@ -94,13 +93,14 @@
 }
 
 fn flood(collectors: &mut [Collector], lines: usize) -> (usize, Duration) {
+    let many = collectors.len();
     let began = Instant::now();
     let sent: usize = std::thread::scope(|scope| {
         let floods: Vec<_> = collectors
             .iter_mut()
             .enumerate()
             .map(|(n, collector)| {
-                let share = lines / COLLECTORS;
+                let share = lines / many;
                 scope.spawn(move || {
                     let (blocks, mut sent) = (blocks(PLACES[n % 3]), 0);
                     for (bytes, many) in blocks.iter().cycle() {
@@ -122,6 +122,7 @@
 
 /// Open loop: blocks go out when they are due, however late the answers are, and lag counts from then.
 fn steady(collectors: &mut [Collector], rate: f64) -> Histogram<u64> {
+    let share = collectors.len() as f64;
     let mut all = Histogram::new(3).unwrap();
     std::thread::scope(|scope| {
         let runs: Vec<_> = collectors
@@ -143,7 +144,7 @@
                         });
                         let (began, mut sent) = (Instant::now(), 0.0);
                         for (bytes, many) in blocks.iter().cycle() {
-                            let at = began + Duration::from_secs_f64(sent / (rate / COLLECTORS as f64));
+                            let at = began + Duration::from_secs_f64(sent / (rate / share));
                             if at - began > STEADY_FOR {
                                 break;
                             }
@@ -171,6 +172,8 @@
     Cores(usize),
     Former(&'a str),
     OnOneProcessor,
+    /// So many cores, and all that comes on one connection.
+    Hot(usize),
 }
 
 fn measure(way: Way) -> Figures {
@@ -178,7 +181,9 @@
         Way::Cores(cores) => (cores, None),
         Way::Former(path) => (1, Some(path)),
         Way::OnOneProcessor => (2, None),
+        Way::Hot(cores) => (cores, None),
     };
+    let places = if matches!(way, Way::Hot(_)) { &PLACES[..1] } else { &PLACES[..] };
     let mut managed = Managed::start(SERVERS, SLICES);
     managed.program = None;
     managed.operators(&format!("<cores most=\"{cores}\"/><overrides/>"));
@@ -206,7 +211,7 @@
     managed.program = Some(Program::spawn(command, file));
     managed.log("the relay's news stands");
     let (address, pid) = (managed.program().address, managed.program().child.id());
-    let mut collectors: Vec<_> = PLACES.iter().map(|place| Collector::join(address, place)).collect();
+    let mut collectors: Vec<_> = places.iter().map(|place| Collector::join(address, place)).collect();
     flood(&mut collectors, FLOOD / 10);
     let (before, own_before) = (cpu(pid), cpu(std::process::id()));
     let (sent, took) = flood(&mut collectors, FLOOD);
@@ -224,7 +229,8 @@
     let former = std::env::var("WHINWALL_FORMER").ok();
     println!("| cores | lines a second | CPU a line | memory at most | lag at {STEADY} lines a second: p50, p99, p99.9 | the generator's own cores |");
     println!("| --- | --- | --- | --- | --- | --- |");
-    let ways = [1, 2, 4, 8].map(Way::Cores).into_iter().chain([Way::OnOneProcessor]);
+    let hot = [1, 2, 4].map(Way::Hot);
+    let ways = [1, 2, 4, 8].map(Way::Cores).into_iter().chain([Way::OnOneProcessor]).chain(hot);
     let rows: Vec<Way> = former.iter().map(|path| Way::Former(path)).chain(ways).collect();
     // In turn, so that what else the machine does falls on all alike; the median run by its rate is shown.
     let mut runs: Vec<Vec<Figures>> = rows.iter().map(|_| Vec::new()).collect();
@@ -243,6 +249,7 @@
             match way {
                 Way::Cores(cores) => cores.to_string(),
                 Way::Former(_) => "1, former build".into(),
+                Way::Hot(cores) => format!("{cores}, one connection"),
                 Way::OnOneProcessor => "2, all threads on one processor".into(),
             },
             run.rate,
--- a/governor/src/program/readers.rs
+++ b/governor/src/program/readers.rs
@@ -30,6 +30,8 @@
 
 /// How often a reader says that it goes on.
 const FIGURE: Duration = Duration::from_millis(100);
+/// Threads given up that may not have ended yet, for each reader.
+const FORMER: usize = 4;
 /// Connections on their way to one reader.
 const ARRIVALS: usize = 64;
 /// Batches on their way to the owner: each is a fraction of a millisecond's work.
@@ -98,6 +100,8 @@
 pub struct Pool {
     shared: Shared,
     readers: Vec<Reader>,
+    /// Threads that were given up and have not ended: each may hold a runtime and a chunk.
+    former: Vec<JoinHandle<()>>,
     spread: Spread,
     watch: Watch,
     sequence: Sequence<Batch>,
@@ -130,6 +134,7 @@
         let shared = Shared { clock, bounds, known: knows, chunks, bulk, batches, inbox, hook, meters };
         let mut pool = Pool {
             readers: Vec::new(),
+            former: Vec::new(),
             spread: Spread::over(readers),
             watch: Watch::over(readers, clock.now()),
             sequence: Sequence::new(MISSING),
@@ -153,6 +158,12 @@
         Ok(Reader { figure, arrivals, thread })
     }
 
+    /// Of those that were given up some may still stand still, but not without end.
+    fn may_start(&mut self) -> bool {
+        self.former.retain(|thread| !thread.is_finished());
+        self.former.len() < self.readers.len() * FORMER
+    }
+
     fn take(&mut self, arrival: Arrival) -> bool {
         let id = arrival.id;
         let Ok(tap) = arrival.stream.try_clone() else { return false };
@@ -216,9 +227,14 @@
             let (figure, lives) = (reader.figure.load(Ordering::Relaxed), !reader.thread.is_finished());
             match self.watch.look(now, core, figure, lives) {
                 None => {}
+                Some(Found::Again) if !self.may_start() => {
+                    // Where each one stands still, more of them are no help and would pile up.
+                    self.watch.postpone(now, core);
+                }
                 Some(Found::Again) => match self.reader(core) {
                     Ok(reader) => {
-                        self.readers[core] = reader;
+                        let former = std::mem::replace(&mut self.readers[core], reader);
+                        self.former.push(former.thread);
                         self.spread.up(core);
                         heard.push(Heard::Note(format!("reader {core} is started again")));
                     }
--- a/governor/tests/cores.rs
+++ b/governor/tests/cores.rs
@@ -126,3 +126,29 @@
         |program: &Program| std::fs::read_dir(format!("/proc/{}/task", program.child.id())).unwrap().count();
     assert!(threads(managed.program()) <= 3, "the loop, the keeper and the front");
 }
+
+/// Lines of a megabyte without an end, and more lines than can be taken: what waits is bounded.
+#[test]
+fn memory_is_bounded_whatever_collectors_send() {
+    let mut managed = with_cores(4);
+    managed.program = None;
+    managed.memory_mb = 32.0;
+    managed.restart();
+    let floods: Vec<_> = (0..24)
+        .map(|n| {
+            let mut collector = collector(&mut managed);
+            thread::spawn(move || {
+                let long = format!("{{\"@type\":\"{}", "x".repeat(1_000_000));
+                let block = if n % 2 == 0 { long } else { failing().repeat(2000) };
+                let end = Instant::now() + Duration::from_secs(2);
+                while Instant::now() < end && collector.stream.write_all(block.as_bytes()).is_ok() {}
+            })
+        })
+        .collect();
+    floods.into_iter().for_each(|flood| flood.join().unwrap());
+    let status = std::fs::read_to_string(format!("/proc/{}/status", managed.program().child.id())).unwrap();
+    let most = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+    let most: u64 = most.trim().trim_end_matches(" kB").parse().unwrap();
+    assert!(most < 64_000, "{most} kB");
+    collector(&mut managed).pings();
+}
--- a/governor/tests/readers.rs
+++ b/governor/tests/readers.rs
@@ -419,3 +419,42 @@
     owner.until("its end", |owner| owner.counted().iter().any(|one| matches!(one, Counted::Ended(_))));
     assert!(!sums(&owner.counted(), None).contains_key(&3000));
 }
+
+/// Every connection stops its reader for good: the threads that are given up are bounded, and once they go on,
+/// all is as before.
+#[test]
+fn readers_that_stop_again_and_again_do_not_pile_up() {
+    let (sticks, stuck) = (Arc::new(AtomicU32::new(1)), Arc::new(AtomicU32::new(0)));
+    let (stick, counts) = (sticks.clone(), stuck.clone());
+    let owner = Owner::start(
+        1,
+        Arc::new(move |_, stage| {
+            if stage == Stage::Arrival {
+                counts.fetch_add(1, Ordering::SeqCst);
+                while stick.load(Ordering::SeqCst) == 1 {
+                    thread::sleep(Duration::from_millis(5));
+                }
+                counts.fetch_sub(1, Ordering::SeqCst);
+            }
+        }),
+    );
+    let (end, mut most) = (Instant::now() + Duration::from_secs(15), 0);
+    while Instant::now() < end {
+        _ = Collector::connect(&owner);
+        most = most.max(stuck.load(Ordering::SeqCst));
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert!((3..=5).contains(&most), "{most} threads stand still");
+    sticks.store(0, Ordering::SeqCst);
+    let end = Instant::now() + PATIENCE;
+    let answers = || {
+        let mut collector = Collector::connect(&owner);
+        collector.says("{\"@type\":\"SOURCE\",\"az\":\"north\"}");
+        collector.stream.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+        collector.pings()
+    };
+    while !answers() {
+        assert!(Instant::now() < end, "it does not come back");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
--- a/governor/tests/stand_ins/managed.rs
+++ b/governor/tests/stand_ins/managed.rs
@@ -12,6 +12,7 @@
     pub program: Option<Program>,
     /// Cores that the platform lends.
     pub lent: f64,
+    pub memory_mb: f64,
 }
 
 pub fn out(server: &str, lasts: &str) -> Set {
@@ -30,7 +31,7 @@
 impl Managed {
     pub fn start(servers: usize, slices: usize) -> Self {
         let (folder, world) = (tempfile::tempdir().unwrap(), World::start(servers, slices, 3));
-        let mut managed = Managed { folder, world, program: None, lent: 8.0 };
+        let mut managed = Managed { folder, world, program: None, lent: 8.0, memory_mb: 192.0 };
         managed.operators("<overrides/>");
         managed.restart();
         managed
@@ -55,6 +56,7 @@
         let mut file = configuration();
         file["distributor"]["address"] = json!(self.world.relay.to_string());
         file["limits"]["cores"] = json!(self.lent);
+        file["limits"]["memory_mb"] = json!(self.memory_mb);
         let file = ConfigurationFile::write(&file.to_string());
         let mut command = command(&file);
         command.env("PROXY_DISCOVERY", self.world.discovery.to_string());
