--- /dev/null
+++ b/fleet/src/day.rs
@@ -0,0 +1,931 @@
+//! A day: what happens one after the other, in virtual time. The same sizes, troubles and seed make the same day.
+
+use crate::channel::{self, Channel, Store};
+use crate::policy::{self, Policy};
+use crate::proxy::{Obeyed, Proxy};
+use crate::rules::{Rules, Violation};
+use crate::server::{Job, Offer, Server, State};
+use crate::sizes::{Care, Sizes};
+use crate::trouble::{Trouble, What};
+use crate::{ProxyIx, ServerIx, SliceIx};
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use whinwall::chance::Chance;
+use whinwall::time::{Moment, Span};
+use whinwall_governor::protocol::collector::{Asked, Message, Met};
+use whinwall_governor::protocol::discovery;
+use whinwall_governor::protocol::relay::{decode_news, Answer};
+use whinwall_governor::routing::overrides::Wanted;
+use whinwall_governor::routing::{Effect, Event, Reducer};
+use whinwall_governor::transport::{Broken, CallError, Targets};
+use whinwall_management::ask::Request;
+use whinwall_overrides::{Ask, Bounds, Kind, Order, Reading};
+
+/// The wall's time at which a day begins.
+const MORNING: Span = Span::ms(1_800_000_000_000);
+const WAY: Span = Span::ms(1);
+const FAR_WAY: Span = Span::ms(4);
+const MUTE: Span = Span::ms(150);
+const AGAIN: Span = Span::ms(300);
+const COMEBACKS: u32 = 2;
+/// Before figures count: the fleet finds its feet.
+const SETTLING: Span = Span::ms(5000);
+
+/// What a day came to.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Outcome {
+    /// Payoff served within its target, of all that was asked for.
+    pub service: f64,
+    pub ops: u64,
+    pub acked: u64,
+    pub late: u64,
+    pub rejected: u64,
+    pub aborted: u64,
+    pub orders: u64,
+    pub most_lines: f64,
+    pub verdicts: u64,
+    pub violations: Vec<Violation>,
+    pub broken: BTreeMap<u8, usize>,
+}
+
+struct Op {
+    slice: SliceIx,
+    kind: usize,
+    key: u32,
+    proxy: ProxyIx,
+    came: Moment,
+    /// Of the newest try: its number, and where it went.
+    attempt: u32,
+    server: Option<ServerIx>,
+    /// Further tries and comebacks that it had.
+    tries: u8,
+    comebacks: u32,
+}
+
+enum Step {
+    Arrive,
+    Reaches {
+        server: ServerIx,
+        job: Job,
+    },
+    Done {
+        server: ServerIx,
+        life: u64,
+        job: Job,
+    },
+    Back {
+        server: ServerIx,
+        job: Job,
+        answer: Back,
+    },
+    GivenUp {
+        op: u64,
+        attempt: u32,
+    },
+    ComesAgain {
+        op: u64,
+    },
+    Report,
+    Watch,
+    Channel(usize),
+    To(usize, u64, Box<Event>),
+    Quiet(usize, u64),
+    Call(usize, u64, String),
+    Begins(usize),
+    Ends(usize),
+    /// The next server of a release, and what is done with it.
+    Release {
+        server: ServerIx,
+        to: ServerIx,
+        stage: u8,
+    },
+    Alive,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Back {
+    Acked,
+    Refused,
+    Failed,
+}
+
+struct Governor {
+    reducer: Option<Reducer>,
+    channel: Channel,
+    follows: bool,
+    /// Grows with each life; what was meant for an earlier one is lost.
+    life: u64,
+    quiet: Option<Moment>,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Seen {
+    tries: f64,
+    aborted: f64,
+    busy: f64,
+}
+
+pub struct Day {
+    sizes: Sizes,
+    policy: Policy,
+    now: Moment,
+    chance: Chance,
+    agenda: BTreeMap<(Moment, u64), Step>,
+    steps: u64,
+    servers: Vec<Server>,
+    names: BTreeMap<String, ServerIx>,
+    proxies: Vec<Proxy>,
+    governors: Vec<Governor>,
+    store: Store,
+    /// By server, as discovery lists it; its version.
+    listed: Vec<&'static str>,
+    version: u64,
+    drained: BTreeMap<ServerIx, Moment>,
+    ops: BTreeMap<u64, Op>,
+    next_op: u64,
+    /// By slice, how much comes for it.
+    heat: Vec<f64>,
+    burst: f64,
+    troubles: Vec<Trouble>,
+    relay_away: bool,
+    relay_mute: bool,
+    discovery_away: bool,
+    /// Until then a governor, the relay or the list could not be heard: what follows from that is no fault.
+    excused: Moment,
+    met: BTreeMap<(usize, ServerIx), Seen>,
+    asked: BTreeMap<(SliceIx, usize), (f64, f64)>,
+    out: BTreeMap<(ProxyIx, ServerIx), u32>,
+    rules: Rules,
+    outcome: Outcome,
+    payoff: (f64, f64),
+}
+
+pub fn play(sizes: &Sizes, policy: Policy, troubles: &[Trouble], seed: u64) -> Outcome {
+    let mut day = Day::new(sizes.clone(), policy, troubles.to_vec(), seed);
+    day.run();
+    day.outcome
+}
+
+fn server_name(at: ServerIx) -> String {
+    format!("s-{at}")
+}
+
+impl Day {
+    pub fn new(sizes: Sizes, policy: Policy, troubles: Vec<Trouble>, seed: u64) -> Self {
+        let now = Moment::default() + MORNING;
+        let mut chance = Chance::from_seed(seed);
+        let heat = (0..sizes.slices).map(|_| 0.3 + chance.draw() * chance.draw() * 3.0).collect();
+        let table = |slice: SliceIx| Arc::new(BTreeMap::from([(slice % sizes.servers, 1.0)]));
+        let store = Store((0..sizes.slices).map(|slice| (slice, table(slice))).collect());
+        let mut proxies = vec![Proxy::default(); sizes.proxies];
+        for proxy in &mut proxies {
+            proxy.joined = true;
+            proxy.reads(&store.0);
+        }
+        let governor =
+            |_| Governor { reducer: None, channel: Channel::new(), follows: false, life: 0, quiet: None };
+        Day {
+            now,
+            chance,
+            agenda: BTreeMap::new(),
+            steps: 0,
+            servers: (0..sizes.servers).map(|_| Server::new()).collect(),
+            names: (0..sizes.servers).map(|at| (server_name(at), at)).collect(),
+            proxies,
+            governors: (0..sizes.governors).map(governor).collect(),
+            store,
+            listed: vec!["active"; sizes.servers],
+            version: 1,
+            drained: BTreeMap::new(),
+            ops: BTreeMap::new(),
+            next_op: 0,
+            heat,
+            burst: 1.0,
+            troubles,
+            relay_away: false,
+            relay_mute: false,
+            discovery_away: false,
+            excused: now + SETTLING,
+            met: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            out: BTreeMap::new(),
+            rules: Rules::default(),
+            outcome: Outcome::default(),
+            payoff: (0.0, 0.0),
+            policy,
+            sizes,
+        }
+    }
+
+    fn after(&mut self, pause: Span, step: Step) {
+        self.steps += 1;
+        self.agenda.insert((self.now + pause, self.steps), step);
+    }
+
+    fn run(&mut self) {
+        let end = self.now + self.sizes.lasts;
+        if self.policy == Policy::Governed {
+            (0..self.governors.len()).for_each(|at| self.start(at));
+        }
+        self.after(WAY, Step::Arrive);
+        self.after(Span::ms(1000), Step::Report);
+        self.after(Span::ms(500), Step::Watch);
+        self.after(Span::ms(1000), Step::Alive);
+        for at in 0..self.troubles.len() {
+            let (begins, lasts) = (self.troubles[at].begins, self.troubles[at].lasts);
+            self.after(begins, Step::Begins(at));
+            self.after(begins + lasts, Step::Ends(at));
+        }
+        while let Some(((at, _), step)) = self.agenda.pop_first() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.step(step);
+        }
+        self.outcome.service = self.payoff.0 / self.payoff.1.max(1.0);
+        self.outcome.violations = std::mem::take(&mut self.rules.violations);
+        self.outcome.broken = std::mem::take(&mut self.rules.counts);
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Arrive => self.arrive(),
+            Step::Reaches { server, job } => self.reaches(server, job),
+            Step::Done { server, life, job } => self.done(server, life, job),
+            Step::Back { server, job, answer } => self.back(server, job, answer),
+            Step::GivenUp { op, attempt } => self.given_up(op, attempt),
+            Step::ComesAgain { op } => self.attempt(op, None),
+            Step::Report => self.report(),
+            Step::Watch => self.watch(),
+            Step::Channel(at) => self.channel(at),
+            Step::To(at, life, event) if self.governors[at].life == life => self.tell(at, *event),
+            Step::Quiet(at, life) if self.governors[at].life == life => {
+                if self.governors[at].quiet.is_some_and(|due| due <= self.now) {
+                    self.governors[at].quiet = None;
+                    self.tell(at, Event::Quiet);
+                }
+            }
+            Step::Call(at, life, line) if self.governors[at].life == life => self.call(at, &line),
+            Step::To(..) | Step::Quiet(..) | Step::Call(..) => {}
+            Step::Begins(at) => self.begins(at),
+            Step::Ends(at) => self.ends(at),
+            Step::Release { server, to, stage } => self.release(server, to, stage),
+            Step::Alive => {
+                self.after(Span::ms(1000), Step::Alive);
+                for at in 0..self.governors.len() {
+                    if self.governors[at].follows && !self.relay_away {
+                        self.news(at, "*");
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Ops.
+impl Day {
+    fn arrive(&mut self) {
+        let pause = -(1.0 - self.chance.draw()).ln() / (self.sizes.coming() * self.burst);
+        self.after(Span::ms(1000).times(pause), Step::Arrive);
+        let whole: f64 = self.heat.iter().sum();
+        let mut left = self.chance.draw() * whole;
+        let hit = self.heat.iter().position(|heat| {
+            left -= heat;
+            left < 0.0
+        });
+        let slice = hit.unwrap_or(0);
+        let mut left = self.chance.draw();
+        let hit = self.sizes.kinds.iter().position(|kind| {
+            left -= kind.share;
+            left < 0.0
+        });
+        let kind = hit.unwrap_or(0);
+        let key = slice as u32 * self.sizes.keys_a_slice
+            + (self.chance.draw() * f64::from(self.sizes.keys_a_slice)) as u32;
+        let proxy = (self.chance.draw() * self.proxies.len() as f64) as usize;
+        let op = self.next_op;
+        self.next_op += 1;
+        let (came, server) = (self.now, None);
+        self.ops.insert(op, Op { slice, kind, key, proxy, came, attempt: 0, server, tries: 0, comebacks: 0 });
+        if self.counts() {
+            self.outcome.ops += 1;
+            self.payoff.1 += self.sizes.kinds[kind].payoff;
+        }
+        self.attempt(op, None);
+    }
+
+    fn counts(&self) -> bool {
+        self.now - (Moment::default() + MORNING) > SETTLING
+    }
+
+    /// One try of an op, not at the server that it has just been refused by.
+    fn attempt(&mut self, id: u64, tried: Option<ServerIx>) {
+        let Some(op) = self.ops.get_mut(&id) else { return };
+        (op.attempt, op.server) = (op.attempt + 1, None);
+        let (slice, kind, key, proxy, attempt) = (op.slice, op.kind, op.key, op.proxy, op.attempt);
+        if tried.is_none() {
+            self.asked.entry((slice, kind)).or_default().0 += 1.0;
+        }
+        let tables = matches!(self.policy, Policy::Governed | Policy::HandsOff);
+        let lets_in =
+            tried.is_some() || !tables || self.proxies[proxy].lets_in(slice, kind, &mut self.chance);
+        let to = match tables {
+            true => self.proxies[proxy].pick(self.now, slice, tried, &mut self.chance),
+            false => {
+                let listed: Vec<_> = self.listed.iter().map(|state| *state == "active").collect();
+                let out = |server| self.out.get(&(proxy, server)).copied().unwrap_or(0);
+                policy::pick(self.policy, slice, &listed, &self.servers, &out, &mut self.chance)
+            }
+        };
+        let Some(server) = to.filter(|_| lets_in) else { return self.over(id, Back::Refused) };
+        if let Some(op) = self.ops.get_mut(&id) {
+            op.server = Some(server);
+        }
+        *self.out.entry((proxy, server)).or_default() += 1;
+        let far = proxy % self.sizes.places != server % self.sizes.places;
+        let way = if far { FAR_WAY } else { WAY };
+        self.after(way, Step::Reaches { server, job: Job { op: id, attempt, key } });
+        self.after(self.sizes.op_timeout, Step::GivenUp { op: id, attempt });
+    }
+
+    fn reaches(&mut self, server: ServerIx, job: Job) {
+        let told = self.drained.get(&server).copied();
+        if let Some(told) =
+            told.filter(|told| self.policy == Policy::Governed && self.now - *told > self.sizes.grace)
+        {
+            let proxy = self.ops.get(&job.op).map_or(0, |op| op.proxy);
+            if self.now > self.excused + self.sizes.grace && self.proxies[proxy].joined {
+                let late = (self.now - told).seconds();
+                let what =
+                    format!("proxy {proxy} sends to {} that drains for {late:.1} s", server_name(server));
+                self.rules.broken(3, self.now, what, &server_name(server));
+            }
+        }
+        let was_cold = self.servers[server].is_cold(self.now, &self.sizes);
+        let push = self.servers[server].push(self.now, &self.sizes);
+        match self.servers[server].offer(self.now, job, &self.sizes, &mut self.chance) {
+            Offer::Waits => {}
+            Offer::Runs(takes) => {
+                let life = self.servers[server].life;
+                self.after(takes, Step::Done { server, life, job });
+            }
+            Offer::Refused => self.answer(server, job, Back::Refused),
+            Offer::Failed => {
+                // Half of what fails has run before it did.
+                if self.chance.draw() < 0.5 {
+                    self.ran(job);
+                }
+                self.answer(server, job, Back::Failed);
+            }
+            Offer::Falls => {
+                if was_cold && self.policy == Policy::Governed && self.now > self.excused {
+                    let what =
+                        format!("{} is pushed over at {push:.1} times what it can do", server_name(server));
+                    self.rules.broken(4, self.now, what, &server_name(server));
+                }
+                self.answer(server, job, Back::Failed);
+                let back = self.sizes.restart;
+                self.agenda_restart(server, back);
+            }
+        }
+    }
+
+    /// A process that has fallen is started again by whoever looks after it.
+    fn agenda_restart(&mut self, server: ServerIx, pause: Span) {
+        self.after(pause, Step::Release { server, to: server, stage: 2 });
+    }
+
+    fn answer(&mut self, server: ServerIx, job: Job, answer: Back) {
+        if self.servers[server].state != State::Silent {
+            self.after(WAY, Step::Back { server, job, answer });
+        }
+    }
+
+    fn ran(&mut self, job: Job) {
+        let once = self.ops.get(&job.op).is_some_and(|op| self.sizes.kinds[op.kind].care == Care::OnceOnly);
+        // One that was given up runs all the same: who made it come again would have it run twice.
+        if once {
+            self.rules.ran(self.now, job.op);
+        }
+    }
+
+    fn done(&mut self, server: ServerIx, life: u64, job: Job) {
+        if self.servers[server].life != life || self.servers[server].state == State::Hung {
+            return;
+        }
+        self.ran(job);
+        self.answer(server, job, Back::Acked);
+        if let Some((next, takes)) = self.servers[server].done(self.now, &self.sizes, &mut self.chance) {
+            self.after(takes, Step::Done { server, life, job: next });
+        }
+    }
+
+    fn seen(&mut self, proxy: ProxyIx, server: ServerIx, took: Option<Span>) {
+        let seen = self.met.entry((proxy % self.sizes.places, server)).or_default();
+        seen.tries += 1.0;
+        match took {
+            Some(took) => seen.busy += took.seconds(),
+            None => seen.aborted += 1.0,
+        }
+        self.proxies[proxy].met(self.now, server, took.is_some());
+        let out = self.out.entry((proxy, server)).or_default();
+        *out = out.saturating_sub(1);
+    }
+
+    fn back(&mut self, server: ServerIx, job: Job, answer: Back) {
+        let current = |op: &&Op| op.attempt == job.attempt && op.server == Some(server);
+        let Some(op) = self.ops.get(&job.op).filter(current) else { return };
+        let (proxy, came, kind, slice, tries) = (op.proxy, op.came, op.kind, op.slice, op.tries);
+        let took = (answer == Back::Acked).then(|| self.now - came);
+        self.seen(proxy, server, took);
+        match answer {
+            Back::Acked => {
+                let OpKindView { payoff, target } = self.view(kind);
+                if self.counts() {
+                    self.outcome.acked += 1;
+                    match self.now - came <= target {
+                        true => self.payoff.0 += payoff,
+                        false => self.outcome.late += 1,
+                    }
+                }
+                self.ops.remove(&job.op);
+            }
+            // Proof that it did not run: another try, if the tables allow one.
+            Back::Refused if tries < self.proxies[proxy].tries(slice) => {
+                if let Some(op) = self.ops.get_mut(&job.op) {
+                    op.tries += 1;
+                }
+                self.attempt(job.op, Some(server));
+            }
+            other => self.over(job.op, other),
+        }
+    }
+
+    fn view(&self, kind: usize) -> OpKindView {
+        OpKindView { payoff: self.sizes.kinds[kind].payoff, target: self.sizes.kinds[kind].target }
+    }
+
+    fn given_up(&mut self, id: u64, attempt: u32) {
+        let Some(op) = self.ops.get(&id).filter(|op| op.attempt == attempt) else { return };
+        let (proxy, server) = (op.proxy, op.server);
+        server.into_iter().for_each(|server| self.seen(proxy, server, None));
+        self.over(id, Back::Failed);
+    }
+
+    /// Its client hears so at once, and comes again where it may.
+    fn over(&mut self, id: u64, how: Back) {
+        let Some(op) = self.ops.get_mut(&id) else { return };
+        let (slice, kind) = (op.slice, op.kind);
+        if how == Back::Failed || op.server.is_some() {
+            self.asked.entry((slice, kind)).or_default().1 += 1.0;
+        }
+        // An op that the module or a server refused did not run; after any other failure nobody knows.
+        let may = how == Back::Refused || self.sizes.kinds[kind].care == Care::Retryable;
+        if may && op.comebacks < COMEBACKS {
+            (op.comebacks, op.tries, op.attempt, op.server) = (op.comebacks + 1, 0, op.attempt + 1, None);
+            let pause = AGAIN.times(0.5 + self.chance.draw());
+            return self.after(pause, Step::ComesAgain { op: id });
+        }
+        self.ops.remove(&id);
+        if self.counts() {
+            match how {
+                Back::Refused => self.outcome.rejected += 1,
+                _ => self.outcome.aborted += 1,
+            }
+        }
+    }
+}
+
+struct OpKindView {
+    payoff: f64,
+    target: Span,
+}
+
+/// Governors, the relay, discovery and collectors.
+impl Day {
+    fn start(&mut self, at: usize) {
+        let settings = self.sizes.settings();
+        let briefing = whinwall_briefing::read(&settings).expect("our own settings");
+        let here = |port| SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port);
+        let targets = Targets { discovery: here(8500), relay: here(6400) };
+        let seed = (self.chance.draw() * 1e15) as u64;
+        let known = discovery::List::default();
+        let reducer = Reducer::start(briefing, targets, seed, &known, self.now);
+        let governor = &mut self.governors[at];
+        governor.life += 1;
+        (governor.reducer, governor.follows, governor.quiet) = (Some(reducer), false, None);
+        governor.channel.lost();
+        self.tell(at, Event::Started);
+        let wanted = Wanted { bounds: Bounds::default(), orders: Vec::new(), has_store: false };
+        let reading = Reading { boot: String::new(), since_boot: Span::default(), wall: self.now };
+        self.tell(at, Event::Wanted(wanted, reading));
+        for place in 0..self.sizes.places {
+            let message = Message::Source { place: self.sizes.place(place) };
+            self.tell(at, Event::Message { from: place as u64, message });
+        }
+    }
+
+    /// Events go in as they come, and `Quiet` once all of a moment are in.
+    fn tell(&mut self, at: usize, event: Event) {
+        let quiet = matches!(event, Event::Quiet);
+        let Some(reducer) = &mut self.governors[at].reducer else { return };
+        let effects = reducer.apply(self.now, event);
+        let life = self.governors[at].life;
+        for effect in effects {
+            match effect {
+                Effect::Call { line, .. } => self.after(WAY, Step::Call(at, life, line)),
+                Effect::FollowNews { .. } => self.follow_news(at),
+                Effect::FollowList { .. } => {
+                    let event = match self.discovery_away {
+                        true => Event::ListLost(Broken::Silent),
+                        false => Event::List(self.list()),
+                    };
+                    self.after(WAY, Step::To(at, life, Box::new(event)));
+                }
+                Effect::WakeAt(due) => self.quiet_at(at, due),
+                Effect::Note(text) if text.contains("is taken for sick") => self.outcome.verdicts += 1,
+                _ => {}
+            }
+        }
+        if !quiet {
+            self.quiet_at(at, self.now);
+        }
+    }
+
+    fn quiet_at(&mut self, at: usize, due: Moment) {
+        let governor = &mut self.governors[at];
+        if governor.quiet.is_none_or(|known| due < known) {
+            governor.quiet = Some(due);
+            let life = governor.life;
+            self.after(due - self.now, Step::Quiet(at, life));
+        }
+    }
+
+    fn news(&mut self, at: usize, line: &str) {
+        let event = Event::News(decode_news(line).expect("our own news"));
+        self.tell(at, event);
+    }
+
+    /// Slices are dealt out evenly.
+    fn is_of(&self, slice: SliceIx, at: usize) -> bool {
+        slice % self.governors.len() == at
+    }
+
+    fn follow_news(&mut self, at: usize) {
+        let life = self.governors[at].life;
+        if self.relay_away {
+            self.governors[at].follows = false;
+            let lost = Event::NewsLost(Broken::Unreachable("away".into()));
+            return self.after(WAY, Step::To(at, life, Box::new(lost)));
+        }
+        self.governors[at].follows = true;
+        let mut lines = vec!["OK".to_string()];
+        let joined = self.proxies.iter().enumerate().filter(|(_, proxy)| proxy.joined);
+        lines.extend(joined.map(|(n, _)| format!("* SUBSCRIBE {n} {} 1.0 1", self.sizes.place(n))));
+        for (slice, table) in self.store.0.iter().filter(|(slice, _)| self.is_of(**slice, at)) {
+            lines.push(format!("* GRANT {slice} 1"));
+            lines.extend(
+                table
+                    .iter()
+                    .map(|(server, weight)| format!("* ROW {slice} {} {weight}", server_name(*server))),
+            );
+        }
+        lines.push("*".into());
+        for line in lines {
+            let event = Event::News(decode_news(&line).expect("our own news"));
+            self.after(WAY, Step::To(at, life, Box::new(event)));
+        }
+    }
+
+    fn list(&self) -> discovery::List {
+        let entry = |at: ServerIx| {
+            let started =
+                self.servers[at].started.map_or(0, |at| (at - Moment::default()).as_ns() / 1_000_000);
+            serde_json::json!({"id": server_name(at), "zone": self.sizes.place(at), "state": self.listed[at], "started_ms": started})
+        };
+        let all: Vec<_> =
+            (0..self.servers.len()).filter(|at| self.listed[*at] != "left").map(entry).collect();
+        let list = serde_json::json!({"version": self.version, "full": true, "servers": all});
+        discovery::decode(&list.to_string()).ok().flatten().expect("our own list")
+    }
+
+    fn relist(&mut self, server: ServerIx, state: &'static str) {
+        self.listed[server] = state;
+        self.version += 1;
+        match state {
+            "leaving" => _ = self.drained.entry(server).or_insert(self.now),
+            _ => _ = self.drained.remove(&server),
+        }
+        self.tell_list();
+    }
+
+    fn tell_list(&mut self) {
+        if self.discovery_away {
+            return;
+        }
+        for at in 0..self.governors.len() {
+            let event = Event::List(self.list());
+            self.tell(at, event);
+        }
+    }
+
+    fn call(&mut self, at: usize, line: &str) {
+        let life = self.governors[at].life;
+        if self.relay_away {
+            let outcome = Err(CallError::NotSent(Broken::Unreachable("away".into())));
+            return self.after(WAY, Step::To(at, life, Box::new(Event::Answer(outcome))));
+        }
+        let kinds: Vec<_> = self.sizes.kinds.iter().map(|kind| kind.name).collect();
+        let Some((orders, mark)) = channel::read(line, &self.names, &kinds) else {
+            let outcome = Ok(Answer::Unusable("bad_request".into()));
+            return self.after(WAY, Step::To(at, life, Box::new(Event::Answer(outcome))));
+        };
+        let many = line.split(';').count();
+        self.outcome.orders += orders.len() as u64;
+        self.rules.ordered(self.now, line.trim_start_matches("APPLY ").split(';').map(String::from));
+        for order in &orders {
+            self.store.carry_out(order);
+            if let Obeyed::Line { slice, .. } = order {
+                if self.store.0[slice].is_empty() {
+                    self.rules.broken(
+                        1,
+                        self.now,
+                        format!("slice {slice} is left bare in the store"),
+                        &slice.to_string(),
+                    );
+                }
+            }
+        }
+        let joined: Vec<_> = (0..self.proxies.len()).filter(|at| self.proxies[*at].joined).collect();
+        let orders = Arc::new(orders);
+        let channel = &mut self.governors[at].channel;
+        let broken = channel.send(self.now, joined.into_iter(), &orders, mark, &self.sizes);
+        self.outcome.most_lines = self.outcome.most_lines.max(channel.lines());
+        let next = channel.next();
+        broken.into_iter().for_each(|what| self.rules.broken(5, self.now, what, ""));
+        next.into_iter().for_each(|due| self.after(due - self.now, Step::Channel(at)));
+        let (pause, outcome) = match self.relay_mute {
+            true => (MUTE, Err(CallError::OutcomeUnknown(Broken::Silent))),
+            false => (WAY, Ok(Answer::Taken(many))),
+        };
+        self.after(pause, Step::To(at, life, Box::new(Event::Answer(outcome))));
+    }
+
+    fn channel(&mut self, at: usize) {
+        while let Some(message) = self.governors[at].channel.arrives(self.now) {
+            let proxy = &mut self.proxies[message.proxy];
+            if !proxy.joined {
+                continue;
+            }
+            message.orders.iter().for_each(|order| proxy.obey(order));
+            if let (Some(mark), true) = (message.mark, self.governors[at].follows) {
+                self.news(at, &format!("* ACK {} {mark}", message.proxy));
+            }
+        }
+        if let Some(due) = self.governors[at].channel.next() {
+            self.after(due - self.now, Step::Channel(at));
+        }
+    }
+
+    /// What the collectors of each place have gathered in a second, a little late.
+    fn report(&mut self) {
+        self.after(Span::ms(1000), Step::Report);
+        let (met, asked) = (std::mem::take(&mut self.met), std::mem::take(&mut self.asked));
+        if self.policy != Policy::Governed {
+            return;
+        }
+        let covers_ms = 1000.0;
+        let mut messages = Vec::new();
+        for ((place, server), seen) in met {
+            let answered = (seen.tries - seen.aborted).max(1.0);
+            let met = Met {
+                place: self.sizes.place(place),
+                server: server_name(server),
+                tries: seen.tries,
+                aborted: seen.aborted,
+                mean_latency_ms: seen.busy * 1000.0 / answered,
+                covers_ms,
+            };
+            messages.push((None, place, Message::Met(met)));
+        }
+        for ((slice, kind), (came, aborted)) in asked {
+            let op_type = self.sizes.kinds[kind].name.to_string();
+            let asked = Asked { slice: slice as u32, op_type, came, aborted, covers_ms };
+            messages.push((Some(slice), slice % self.sizes.places, Message::Asked(asked)));
+        }
+        for at in 0..self.governors.len() {
+            let (life, lag) = (self.governors[at].life, Span::ms(50 + (self.chance.draw() * 200.0) as u64));
+            let mine: Vec<_> = messages
+                .iter()
+                .filter(|(slice, ..)| slice.is_none_or(|slice| self.is_of(slice, at)))
+                .cloned()
+                .collect();
+            for (_, place, message) in mine {
+                let event = Event::Message { from: place as u64, message };
+                self.after(lag, Step::To(at, life, Box::new(event)));
+            }
+        }
+    }
+}
+
+/// Troubles, and the look of the checkers.
+impl Day {
+    fn excuse(&mut self, after: Span) {
+        self.excused = self.excused.max(self.now + after);
+    }
+
+    fn begins(&mut self, at: usize) {
+        let Trouble { lasts, what, .. } = self.troubles[at].clone();
+        let aftermath = Span::ms(8000);
+        match what {
+            What::Crash { server } => {
+                self.servers[server].falls();
+                // The list says so as long as nobody is there.
+                self.relist(server, "left");
+            }
+            What::Hang { server } => self.servers[server].state = State::Hung,
+            What::Silence { server } => self.servers[server].state = State::Silent,
+            What::Slow { server, factor } => self.servers[server].slow = factor,
+            What::FastErrors { server, share } => self.servers[server].failing = share,
+            What::Drain { server } => self.relist(server, "leaving"),
+            What::Release { from, to } => self.release(from, to, 0),
+            What::WrongList { from, to } => {
+                self.excuse(lasts + aftermath);
+                (from..to).for_each(|server| self.listed[server] = "left");
+                self.version += 1;
+                self.tell_list();
+            }
+            What::HotSlice { slice, factor } => self.heat[slice] *= factor,
+            What::Burst { factor } => self.burst = factor,
+            What::PlaceCut { place } => {
+                self.excuse(lasts + aftermath);
+                for server in (place..self.servers.len()).step_by(self.sizes.places) {
+                    self.servers[server].state = State::Silent;
+                }
+                for proxy in (place..self.proxies.len()).step_by(self.sizes.places) {
+                    self.leaves(proxy);
+                }
+            }
+            What::RelayAway => {
+                self.excuse(lasts + aftermath);
+                self.relay_away = true;
+                for at in 0..self.governors.len() {
+                    self.governors[at].follows = false;
+                    self.tell(at, Event::NewsLost(Broken::Silent));
+                }
+            }
+            What::RelayMute => {
+                self.excuse(lasts + aftermath);
+                self.relay_mute = true;
+            }
+            What::DiscoveryAway => {
+                self.excuse(lasts + aftermath);
+                self.discovery_away = true;
+                (0..self.governors.len()).for_each(|at| self.tell(at, Event::ListLost(Broken::Silent)));
+            }
+            What::GovernorKilled { governor } => {
+                self.excuse(lasts + aftermath);
+                let governor = &mut self.governors[governor];
+                (governor.reducer, governor.follows) = (None, false);
+                governor.life += 1;
+                governor.channel.lost();
+            }
+            What::SlowChannel { part } => {
+                self.excuse(lasts + aftermath);
+                self.governors.iter_mut().for_each(|governor| governor.channel.slow = part);
+            }
+            What::ProxiesLeave { many } => (0..many).for_each(|proxy| self.leaves(proxy)),
+            What::OutOfService { server } => {
+                let kind = Kind::Out { server: server_name(server) };
+                let (id, author, reason) = (format!("t{at}"), "day".to_string(), "trouble".to_string());
+                for governor in 0..self.governors.len() {
+                    let (id, kind, author, reason) =
+                        (id.clone(), kind.clone(), author.clone(), reason.clone());
+                    let order = Order { id, kind, author, reason, lasts };
+                    self.tell(
+                        governor,
+                        Event::Asked { ticket: 0, request: Request::Change(Ask::Set(order)) },
+                    );
+                }
+            }
+        }
+    }
+
+    fn ends(&mut self, at: usize) {
+        match self.troubles[at].what.clone() {
+            What::Crash { server } => self.comes_back(server),
+            What::Hang { server } => {
+                let life = self.servers[server].life;
+                for (job, takes) in self.servers[server].wakes(self.now, &self.sizes, &mut self.chance) {
+                    self.after(takes, Step::Done { server, life, job });
+                }
+            }
+            What::Silence { server } if self.servers[server].state == State::Silent => {
+                self.servers[server].state = State::Up;
+            }
+            What::Silence { .. } => {}
+            What::Slow { server, .. } => self.servers[server].slow = 1.0,
+            What::FastErrors { server, .. } => self.servers[server].failing = 0.0,
+            What::Drain { server } => self.comes_back(server),
+            What::Release { .. } | What::OutOfService { .. } => {}
+            What::WrongList { from, to } => {
+                (from..to).for_each(|server| self.listed[server] = "active");
+                self.version += 1;
+                self.tell_list();
+            }
+            What::HotSlice { slice, factor } => self.heat[slice] /= factor,
+            What::Burst { .. } => self.burst = 1.0,
+            What::PlaceCut { place } => {
+                for server in (place..self.servers.len()).step_by(self.sizes.places) {
+                    if self.servers[server].state == State::Silent {
+                        self.servers[server].state = State::Up;
+                    }
+                }
+                (place..self.proxies.len()).step_by(self.sizes.places).for_each(|proxy| self.joins(proxy));
+            }
+            What::RelayAway => self.relay_away = false,
+            What::RelayMute => self.relay_mute = false,
+            What::DiscoveryAway => {
+                self.discovery_away = false;
+                self.tell_list();
+            }
+            What::GovernorKilled { governor } => self.start(governor),
+            What::SlowChannel { .. } => {
+                self.governors.iter_mut().for_each(|governor| governor.channel.slow = 1.0);
+            }
+            What::ProxiesLeave { many } => (0..many).for_each(|proxy| self.joins(proxy)),
+        }
+    }
+
+    fn comes_back(&mut self, server: ServerIx) {
+        self.servers[server].restart(self.now);
+        self.relist(server, "active");
+    }
+
+    /// Stage 0 drains, 1 ends the process, 2 starts it again; then the next server's turn.
+    fn release(&mut self, server: ServerIx, to: ServerIx, stage: u8) {
+        match stage {
+            0 => {
+                self.relist(server, "leaving");
+                self.after(Span::ms(4000), Step::Release { server, to, stage: 1 });
+            }
+            1 => {
+                self.servers[server].falls();
+                self.relist(server, "left");
+                self.after(self.sizes.restart, Step::Release { server, to, stage: 2 });
+                if server + 1 < to {
+                    self.after(Span::ms(500), Step::Release { server: server + 1, to, stage: 0 });
+                }
+            }
+            _ if self.servers[server].state == State::Down => self.comes_back(server),
+            _ => {}
+        }
+    }
+
+    fn leaves(&mut self, proxy: ProxyIx) {
+        if !std::mem::replace(&mut self.proxies[proxy].joined, false) {
+            return;
+        }
+        for at in 0..self.governors.len() {
+            self.governors[at].channel.left(proxy);
+            if self.governors[at].follows {
+                self.news(at, &format!("* CLOSED {proxy}"));
+            }
+        }
+    }
+
+    fn joins(&mut self, proxy: ProxyIx) {
+        if std::mem::replace(&mut self.proxies[proxy].joined, true) {
+            return;
+        }
+        self.proxies[proxy].reads(&self.store.0);
+        for at in 0..self.governors.len() {
+            if self.governors[at].follows {
+                self.news(at, &format!("* SUBSCRIBE {proxy} {} 1.0 0", self.sizes.place(proxy)));
+            }
+        }
+    }
+
+    fn watch(&mut self) {
+        self.after(Span::ms(500), Step::Watch);
+        let good = |server: &Server| {
+            server.state == State::Up
+                && !server.is_cold(self.now, &self.sizes)
+                && server.failing == 0.0
+                && server.slow < 2.0
+        };
+        let any =
+            self.servers.iter().zip(&self.listed).any(|(server, listed)| good(server) && *listed == "active");
+        if self.policy != Policy::Governed || !any || self.now < self.excused {
+            return self.rules.nobody_bare();
+        }
+        for (n, proxy) in self.proxies.iter().enumerate() {
+            for slice in 0..self.sizes.slices {
+                let is_bare = proxy.joined && proxy.is_bare(slice);
+                self.rules.bare(self.now, n, slice, is_bare, self.sizes.bare);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/proxy.rs
@@ -0,0 +1,112 @@
+//! A proxy does as its tables say: lets in what the levels let in, picks by weight, avoids a server that fails it
+//! again and again, and tries once more where it may.
+
+use crate::{ServerIx, SliceIx};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use whinwall::chance::Chance;
+use whinwall::time::{Moment, Span};
+
+/// An order as a proxy obeys it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Obeyed {
+    Line { slice: SliceIx, server: ServerIx, weight: f64 },
+    Withdraw { server: ServerIx, out: bool },
+    Level { slice: Option<SliceIx>, kinds: Vec<usize>, share: f64, tries: u8 },
+}
+
+pub type Table = BTreeMap<ServerIx, f64>;
+
+/// Failures in a row after which a server is avoided, and for how long.
+const FAILURES: u32 = 5;
+const AVOIDED: Span = Span::ms(3000);
+
+#[derive(Clone, Default)]
+pub struct Proxy {
+    pub joined: bool,
+    /// Shared until it changes: thousands of proxies hold the same.
+    tables: BTreeMap<SliceIx, Arc<Table>>,
+    shut: BTreeSet<ServerIx>,
+    /// By slice, or for all: by kind what is let in, and further tries.
+    levels: BTreeMap<(Option<SliceIx>, usize), f64>,
+    tries: BTreeMap<Option<SliceIx>, u8>,
+    failures: BTreeMap<ServerIx, (u32, Moment)>,
+}
+
+impl Proxy {
+    /// Reads the store, as it does when it joins.
+    pub fn reads(&mut self, tables: &BTreeMap<SliceIx, Arc<Table>>) {
+        self.tables = tables.clone();
+    }
+
+    pub fn given(&mut self, slice: SliceIx, table: &Arc<Table>) {
+        self.tables.insert(slice, table.clone());
+    }
+
+    pub fn obey(&mut self, order: &Obeyed) {
+        match order {
+            Obeyed::Line { slice, server, weight } => {
+                let table = Arc::make_mut(self.tables.entry(*slice).or_default());
+                match *weight > 0.0 {
+                    true => _ = table.insert(*server, *weight),
+                    false => _ = table.remove(server),
+                }
+            }
+            Obeyed::Withdraw { server, out: true } => _ = self.shut.insert(*server),
+            Obeyed::Withdraw { server, out: false } => _ = self.shut.remove(server),
+            Obeyed::Level { slice, kinds, share, tries } => {
+                kinds.iter().for_each(|kind| _ = self.levels.insert((*slice, *kind), *share));
+                self.tries.insert(*slice, *tries);
+            }
+        }
+    }
+
+    /// What of a table can be picked.
+    pub fn open(&self, slice: SliceIx) -> impl Iterator<Item = (ServerIx, f64)> + '_ {
+        let lines = self.tables.get(&slice).into_iter().flat_map(|table| table.iter());
+        lines.filter(|(server, _)| !self.shut.contains(server)).map(|(server, weight)| (*server, *weight))
+    }
+
+    pub fn is_bare(&self, slice: SliceIx) -> bool {
+        self.open(slice).next().is_none()
+    }
+
+    pub fn lets_in(&self, slice: SliceIx, kind: usize, chance: &mut Chance) -> bool {
+        let level = |at| self.levels.get(&(at, kind)).copied().unwrap_or(1.0);
+        chance.draw() < level(Some(slice)).min(level(None))
+    }
+
+    /// How often it tries again after proof that the first did not run.
+    pub fn tries(&self, slice: SliceIx) -> u8 {
+        let of = |at| self.tries.get(&at).copied().unwrap_or(1);
+        of(Some(slice)).min(of(None))
+    }
+
+    /// By weight; one that fails it only where there is no other, and one that it tried already never.
+    pub fn pick(
+        &self,
+        now: Moment,
+        slice: SliceIx,
+        tried: Option<ServerIx>,
+        chance: &mut Chance,
+    ) -> Option<ServerIx> {
+        let avoided = |server: &ServerIx| {
+            self.failures.get(server).is_some_and(|(many, until)| *many >= FAILURES && *until > now)
+        };
+        let open: Vec<_> = self.open(slice).filter(|(server, _)| Some(*server) != tried).collect();
+        let good: Vec<_> = open.iter().copied().filter(|(server, _)| !avoided(server)).collect();
+        let from = if good.is_empty() { open } else { good };
+        let whole: f64 = from.iter().map(|(_, weight)| weight).sum();
+        let mut left = chance.draw() * whole;
+        let hit = from.iter().find(|(_, weight)| {
+            left -= weight;
+            left < 0.0
+        });
+        hit.or(from.last()).map(|(server, _)| *server)
+    }
+
+    pub fn met(&mut self, now: Moment, server: ServerIx, well: bool) {
+        let (many, until) = self.failures.entry(server).or_insert((0, now));
+        (*many, *until) = if well { (0, now) } else { (*many + 1, now + AVOIDED) };
+    }
+}
--- /dev/null
+++ b/fleet/src/trouble.rs
@@ -0,0 +1,119 @@
+//! What can happen in a day, as data: one at a time, together, or drawn from a seed.
+
+use crate::sizes::Sizes;
+use crate::{ServerIx, SliceIx};
+use whinwall::chance::Chance;
+use whinwall::time::Span;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum What {
+    /// Its process ends, and is back, cold, when the trouble is over.
+    Crash {
+        server: ServerIx,
+    },
+    Hang {
+        server: ServerIx,
+    },
+    Silence {
+        server: ServerIx,
+    },
+    Slow {
+        server: ServerIx,
+        factor: f64,
+    },
+    FastErrors {
+        server: ServerIx,
+        share: f64,
+    },
+    /// Leaves by the list, and is back as a new process.
+    Drain {
+        server: ServerIx,
+    },
+    /// One server after the other drains, leaves and is back.
+    Release {
+        from: ServerIx,
+        to: ServerIx,
+    },
+    /// The list drops servers that are well.
+    WrongList {
+        from: ServerIx,
+        to: ServerIx,
+    },
+    HotSlice {
+        slice: SliceIx,
+        factor: f64,
+    },
+    Burst {
+        factor: f64,
+    },
+    /// Servers of a place fall silent, and its proxies lose the governor.
+    PlaceCut {
+        place: usize,
+    },
+    RelayAway,
+    /// Calls are carried out, and nothing is answered.
+    RelayMute,
+    DiscoveryAway,
+    GovernorKilled {
+        governor: usize,
+    },
+    SlowChannel {
+        part: f64,
+    },
+    ProxiesLeave {
+        many: usize,
+    },
+    /// An operator takes a server out of service for as long as the trouble lasts.
+    OutOfService {
+        server: ServerIx,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Trouble {
+    pub begins: Span,
+    pub lasts: Span,
+    pub what: What,
+}
+
+pub fn at(begins_ms: u64, lasts_ms: u64, what: What) -> Trouble {
+    Trouble { begins: Span::ms(begins_ms), lasts: Span::ms(lasts_ms), what }
+}
+
+/// So many troubles in the middle half of a day.
+pub fn drawn(seed: u64, many: usize, sizes: &Sizes) -> Vec<Trouble> {
+    let mut chance = Chance::from_seed(seed);
+    let mut below = |most: usize| (chance.draw() * most as f64) as usize;
+    let lasts = (sizes.lasts.as_ns() / 1_000_000) as usize;
+    let mut one = || {
+        let server = below(sizes.servers);
+        let what = match below(18) {
+            0 => What::Crash { server },
+            1 => What::Hang { server },
+            2 => What::Silence { server },
+            3 => What::Slow { server, factor: 2.0 + below(8) as f64 },
+            4 => What::FastErrors { server, share: 0.4 + 0.1 * below(6) as f64 },
+            5 => What::Drain { server },
+            6 => {
+                What::Release { from: server, to: (server + 1 + below(sizes.servers / 4)).min(sizes.servers) }
+            }
+            7 => What::WrongList {
+                from: server,
+                to: (server + 1 + below(sizes.servers / 2)).min(sizes.servers),
+            },
+            8 => What::HotSlice { slice: below(sizes.slices), factor: 5.0 + below(20) as f64 },
+            9 => What::Burst { factor: 1.2 + 0.1 * below(8) as f64 },
+            10 => What::PlaceCut { place: below(sizes.places) },
+            11 => What::RelayAway,
+            12 => What::RelayMute,
+            13 => What::DiscoveryAway,
+            14 => What::GovernorKilled { governor: below(sizes.governors) },
+            15 => What::SlowChannel { part: 0.05 + 0.1 * below(9) as f64 },
+            16 => What::ProxiesLeave { many: 1 + below(sizes.proxies / 2) },
+            _ => What::OutOfService { server },
+        };
+        let begins = lasts / 4 + below(lasts / 3);
+        at(begins as u64, (1000 + below(lasts / 4)) as u64, what)
+    };
+    (0..many).map(|_| one()).collect()
+}
