--- a/fleet/src/day.rs
+++ b/fleet/src/day.rs
@@ -157,6 +157,9 @@
     asked: BTreeMap<(SliceIx, usize), (f64, f64)>,
     out: BTreeMap<(ProxyIx, ServerIx), u32>,
     meddler: Option<Meddler>,
+    /// Whose time-line is kept.
+    about: Option<String>,
+    told: Vec<(Span, String)>,
     rules: Rules,
     outcome: Outcome,
     payoff: (f64, f64),
@@ -168,6 +171,20 @@
     day.outcome
 }
 
+/// A day, and the time-line of one server or slice: what befell it, what was said of it, ordered for it and
+/// decided about it, and what it did each second.
+pub fn play_told(
+    sizes: &Sizes,
+    troubles: &[Trouble],
+    seed: u64,
+    about: &str,
+) -> (Outcome, Vec<(Span, String)>) {
+    let mut day = Day::new(sizes.clone(), Policy::Governed, troubles.to_vec(), seed);
+    day.about = Some(about.to_string());
+    day.run();
+    (day.outcome, day.told)
+}
+
 /// What somebody makes of each order on its way to the proxies; the governors do not know of it.
 pub type Meddler = fn(&str) -> Vec<String>;
 
@@ -223,6 +240,8 @@
             asked: BTreeMap::new(),
             out: BTreeMap::new(),
             meddler: None,
+            about: None,
+            told: Vec::new(),
             rules: Rules::default(),
             outcome: Outcome::default(),
             payoff: (0.0, 0.0),
@@ -566,7 +585,10 @@
                     self.after(WAY, Step::To(at, life, Box::new(event)));
                 }
                 Effect::WakeAt(due) => self.quiet_at(at, due),
-                Effect::Note(text) if text.contains("is taken for sick") => self.outcome.verdicts += 1,
+                Effect::Note(text) => {
+                    self.outcome.verdicts += u64::from(text.contains("is taken for sick"));
+                    self.line(&text, || format!("governor {at}: {text}"));
+                }
                 _ => {}
             }
         }
@@ -575,6 +597,14 @@
         }
     }
 
+    /// Notes what names whom the time-line is about.
+    fn line(&mut self, names: &str, text: impl FnOnce() -> String) {
+        let Some(about) = &self.about else { return };
+        if names.split(|c: char| c.is_whitespace() || ",:".contains(c)).any(|word| word == about) {
+            self.told.push((self.now - (Moment::default() + MORNING), text()));
+        }
+    }
+
     fn quiet_at(&mut self, at: usize, due: Moment) {
         let governor = &mut self.governors[at];
         if governor.quiet.is_none_or(|known| due < known) {
@@ -633,6 +663,8 @@
     }
 
     fn relist(&mut self, server: ServerIx, state: &'static str) {
+        let name = server_name(server);
+        self.line(&name, || format!("the list: {name} is {state}"));
         self.listed[server] = state;
         self.version += 1;
         match state {
@@ -671,6 +703,10 @@
         };
         self.outcome.orders += orders.len() as u64;
         self.rules.ordered(self.now, line.trim_start_matches("APPLY ").split(';').map(String::from));
+        if self.about.is_some() {
+            let orders: Vec<_> = line.trim_start_matches("APPLY ").split(';').map(String::from).collect();
+            orders.iter().for_each(|order| self.line(order, || format!("order {order}")));
+        }
         for order in &orders {
             self.store.carry_out(order);
             if let Obeyed::Line { slice, .. } = order {
@@ -715,6 +751,41 @@
         }
     }
 
+    /// What the one whose time-line is kept did in this second.
+    fn line_of_second(
+        &mut self,
+        met: &BTreeMap<(usize, ServerIx), Seen>,
+        asked: &BTreeMap<(SliceIx, usize), (f64, f64)>,
+    ) {
+        let Some(about) = self.about.clone() else { return };
+        if let Some(server) = self.names.get(&about).copied() {
+            let all = met.iter().filter(|((_, at), _)| *at == server).map(|(_, seen)| *seen);
+            let sum = all.fold(Seen::default(), |sum, seen| Seen {
+                tries: sum.tries + seen.tries,
+                aborted: sum.aborted + seen.aborted,
+                busy: sum.busy + seen.busy,
+            });
+            let mean = sum.busy * 1000.0 / (sum.tries - sum.aborted).max(1.0);
+            let burden = self.servers[server].burden();
+            self.line(&about, || {
+                format!(
+                    "{} tries, {} aborted, {mean:.0} ms on average, {burden} in hand",
+                    sum.tries, sum.aborted
+                )
+            });
+        } else if let Ok(slice) = about.parse::<SliceIx>() {
+            let all = asked.iter().filter(|((at, _), _)| *at == slice).map(|(_, counts)| *counts);
+            let (came, aborted) = all.fold((0.0, 0.0), |sum, counts| (sum.0 + counts.0, sum.1 + counts.1));
+            let table = self.store.0.get(&slice).map(|table| {
+                let lines = table.iter().map(|(server, weight)| format!("{} {weight}", server_name(*server)));
+                lines.collect::<Vec<_>>().join(", ")
+            });
+            self.line(&about, || {
+                format!("{came} came, {aborted} aborted; table {}", table.unwrap_or_default())
+            });
+        }
+    }
+
     /// What the collectors of each place have gathered in a second, a little late.
     fn report(&mut self) {
         self.after(Span::ms(1000), Step::Report);
@@ -724,6 +795,7 @@
         }
         let covers_ms = 1000.0;
         let mut messages = Vec::new();
+        self.line_of_second(&met, &asked);
         for ((place, server), seen) in met {
             let answered = (seen.tries - seen.aborted).max(1.0);
             let met = Met {
@@ -764,6 +836,8 @@
 
     fn begins(&mut self, at: usize) {
         let Trouble { lasts, what, .. } = self.troubles[at].clone();
+        let about = self.about.clone().unwrap_or_default();
+        self.line(&about, || format!("trouble begins: {what:?}"));
         let aftermath = Span::ms(8000);
         match what {
             What::Crash { server } => {
@@ -840,6 +914,8 @@
     }
 
     fn ends(&mut self, at: usize) {
+        let (about, what) = (self.about.clone().unwrap_or_default(), self.troubles[at].what.clone());
+        self.line(&about, || format!("trouble ends: {what:?}"));
         match self.troubles[at].what.clone() {
             What::Crash { server } => self.comes_back(server),
             What::Hang { server } => {
--- /dev/null
+++ b/lab/src/experiment.rs
@@ -0,0 +1,365 @@
+//! What is played: a world, cases with their troubles, ways to decide, seeds, and what is varied. Read from XML by
+//! the same elements that know their place as the operators' file; written again by `search`.
+
+use std::fmt::Write;
+use whinwall::time::Span;
+use whinwall_fleet::policy::Policy;
+use whinwall_fleet::sizes::Sizes;
+use whinwall_fleet::trouble::{drawn, Trouble, What};
+use whinwall_operators::tree::{self, Element, Wrong};
+use whinwall_overrides::words;
+
+const VERSION: &str = "1";
+/// Plays at the most, all together: a slip of the pen must not take days.
+const MOST_PLAYS: usize = 100_000;
+
+#[derive(Clone, Debug)]
+pub struct Experiment {
+    pub name: String,
+    pub sizes: Sizes,
+    pub large: bool,
+    pub seeds: Vec<u64>,
+    pub ways: Vec<Policy>,
+    pub cases: Vec<Case>,
+    /// The figure that is varied, and its values; one value of nothing where nothing is.
+    pub varied: Option<Vary>,
+    pub values: Vec<f64>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Case {
+    pub name: String,
+    pub troubles: Troubles,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Troubles {
+    Given(Vec<Trouble>),
+    /// So many, drawn anew for each seed.
+    Drawn(usize),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Vary {
+    Load,
+    Proxies,
+    Pace,
+    Governors,
+}
+
+/// One play of the plan.
+#[derive(Clone, Debug)]
+pub struct Play {
+    pub case: String,
+    pub value: f64,
+    pub way: Policy,
+    pub seed: u64,
+    pub sizes: Sizes,
+    pub troubles: Vec<Trouble>,
+}
+
+pub const WAYS: [(&str, Policy); 5] = [
+    ("governed", Policy::Governed),
+    ("hands-off", Policy::HandsOff),
+    ("hashing", Policy::Hashing),
+    ("two-choices", Policy::TwoChoices),
+    ("least-loaded", Policy::LeastLoaded),
+];
+const VARIED: [(&str, Vary); 4] =
+    [("load", Vary::Load), ("proxies", Vary::Proxies), ("pace", Vary::Pace), ("governors", Vary::Governors)];
+
+fn named<T: Copy>(text: &str, of: &[(&str, T)]) -> Result<T, String> {
+    let found = of.iter().find(|(name, _)| *name == text).map(|(_, what)| *what);
+    let names: Vec<_> = of.iter().map(|(name, _)| *name).collect();
+    found.ok_or_else(|| format!("{text:?} is none of {}", names.join(", ")))
+}
+
+pub fn way_name(way: Policy) -> &'static str {
+    WAYS.iter().find(|(_, known)| *known == way).map_or("", |(name, _)| name)
+}
+
+fn number<T: std::str::FromStr>(text: &str) -> Result<T, String> {
+    text.parse().map_err(|_| format!("{text:?} is no such number"))
+}
+
+fn share(text: &str) -> Result<f64, String> {
+    let value: f64 = number(text)?;
+    (value > 0.0 && value < 1e6).then_some(value).ok_or_else(|| format!("{text:?} is not over 0"))
+}
+
+pub fn read(text: &str) -> Result<Experiment, Wrong> {
+    let root = tree::read(text)?;
+    if root.name != "experiment" {
+        return Err(root.wrong("the outermost element must be <experiment>"));
+    }
+    root.has_only(&["name", "version"], &["world", "seeds", "way", "case", "vary"])?;
+    root.must("version", |text| {
+        (text == VERSION).then_some(()).ok_or(format!("{text:?} is not {VERSION:?}"))
+    })?;
+    let letters = |text: &str| text.chars().all(|c| c.is_ascii_alphanumeric() || c == '-');
+    let name = root.must("name", |text| {
+        (!text.is_empty() && letters(text))
+            .then(|| text.to_string())
+            .ok_or("letters, digits and dashes only".into())
+    })?;
+    let (sizes, large) = root.child("world")?.map(world).transpose()?.unwrap_or((Sizes::small(), false));
+    let seeds = root.child("seeds")?.map(seeds).transpose()?.unwrap_or_else(|| (1..=5).collect());
+    let (varied, values) = match root.child("vary")? {
+        None => (None, vec![0.0]),
+        Some(vary) => {
+            vary.has_only(&["what", "values"], &[])?;
+            let values = |text: &str| text.split_whitespace().map(share).collect::<Result<Vec<_>, _>>();
+            let values = vary.must("values", values)?;
+            if values.is_empty() {
+                return Err(vary.wrong("values: there is none"));
+            }
+            (Some(vary.must("what", |text| named(text, &VARIED))?), values)
+        }
+    };
+    let of = |name: &'static str| root.children.iter().filter(move |child| child.name == name);
+    let mut ways = Vec::new();
+    for way in of("way") {
+        way.has_only(&["policy"], &[])?;
+        ways.push(way.must("policy", |text| named(text, &WAYS))?);
+    }
+    if ways.is_empty() {
+        ways.push(Policy::Governed);
+    }
+    let mut cases = Vec::new();
+    for element in of("case") {
+        let case = case(element, &sizes)?;
+        if cases.iter().any(|known: &Case| known.name == case.name) {
+            return Err(element.wrong(format!("name: {:?} is there twice", case.name)));
+        }
+        cases.push(case);
+    }
+    if cases.is_empty() {
+        cases.push(Case { name: "calm".into(), troubles: Troubles::Given(vec![]) });
+    }
+    let plays = cases.len() * ways.len() * seeds.len() * values.len();
+    if plays > MOST_PLAYS {
+        return Err(root.wrong(format!("{plays} plays are more than {MOST_PLAYS}")));
+    }
+    Ok(Experiment { name, sizes, large, seeds, ways, cases, varied, values })
+}
+
+fn world(world: &Element) -> Result<(Sizes, bool), Wrong> {
+    world.has_only(&["size", "governors", "load", "lasts", "servers", "slices", "proxies"], &[])?;
+    let large = world.must("size", |text| named(text, &[("small", false), ("large", true)]))?;
+    let mut sizes = if large { Sizes::large() } else { Sizes::small() };
+    sizes.governors = world.maybe("governors", number)?.unwrap_or(sizes.governors);
+    sizes.load = world.maybe("load", share)?.unwrap_or(sizes.load);
+    sizes.lasts = world.maybe("lasts", words::span)?.unwrap_or(sizes.lasts);
+    sizes.servers = world.maybe("servers", number)?.unwrap_or(sizes.servers);
+    sizes.slices = world.maybe("slices", number)?.unwrap_or(sizes.slices);
+    sizes.proxies = world.maybe("proxies", number)?.unwrap_or(sizes.proxies);
+    let few = [sizes.governors, sizes.servers, sizes.slices, sizes.proxies];
+    if few.contains(&0) || few.iter().any(|many| *many > 100_000) {
+        return Err(world.wrong("there must be some of each, and no more than 100,000"));
+    }
+    Ok((sizes, large))
+}
+
+fn seeds(seeds: &Element) -> Result<Vec<u64>, Wrong> {
+    seeds.has_only(&["from", "to"], &[])?;
+    let (from, to) = (seeds.must("from", number::<u64>)?, seeds.must("to", number::<u64>)?);
+    if to < from || to - from >= MOST_PLAYS as u64 {
+        return Err(seeds.wrong("they end before they begin, or are too many"));
+    }
+    Ok((from..=to).collect())
+}
+
+fn case(case: &Element, sizes: &Sizes) -> Result<Case, Wrong> {
+    case.has_only(&["name", "drawn"], &["trouble"])?;
+    let name = case.must("name", |text| Ok(text.to_string()))?;
+    if let Some(many) = case.maybe("drawn", number)? {
+        if !case.children.is_empty() {
+            return Err(case.wrong("its troubles are either drawn or given"));
+        }
+        return Ok(Case { name, troubles: Troubles::Drawn(many) });
+    }
+    let troubles: Result<_, _> = case.children.iter().map(|one| trouble(one, sizes)).collect();
+    Ok(Case { name, troubles: Troubles::Given(troubles?) })
+}
+
+/// The kinds of trouble, and what each takes beside its times.
+const KINDS: [(&str, &[&str]); 18] = [
+    ("crash", &["server"]),
+    ("hang", &["server"]),
+    ("silence", &["server"]),
+    ("slow", &["server", "factor"]),
+    ("fast-errors", &["server", "share"]),
+    ("drain", &["server"]),
+    ("release", &["from", "to"]),
+    ("wrong-list", &["from", "to"]),
+    ("hot-slice", &["slice", "factor"]),
+    ("burst", &["factor"]),
+    ("place-cut", &["place"]),
+    ("relay-away", &[]),
+    ("relay-mute", &[]),
+    ("discovery-away", &[]),
+    ("governor-killed", &["governor"]),
+    ("slow-channel", &["share"]),
+    ("proxies-leave", &["many"]),
+    ("out-of-service", &["server"]),
+];
+
+fn trouble(one: &Element, sizes: &Sizes) -> Result<Trouble, Wrong> {
+    let own = one.must("kind", |text| named(text, &KINDS))?;
+    one.has_only(&[&["kind", "begins", "lasts"], own].concat(), &[])?;
+    let below = |name, most: usize| {
+        one.must(name, |text| {
+            let at: usize = number(text)?;
+            (at < most).then_some(at).ok_or_else(|| format!("{at} is not below {most}"))
+        })
+    };
+    let server = || below("server", sizes.servers);
+    let range = || -> Result<(usize, usize), Wrong> {
+        let (from, to) = (below("from", sizes.servers)?, below("to", sizes.servers + 1)?);
+        if to <= from {
+            return Err(one.wrong("to: it ends before it begins"));
+        }
+        Ok((from, to))
+    };
+    let figure = |name| one.must(name, share);
+    let what = match one.given("kind").unwrap_or_default() {
+        "crash" => What::Crash { server: server()? },
+        "hang" => What::Hang { server: server()? },
+        "silence" => What::Silence { server: server()? },
+        "slow" => What::Slow { server: server()?, factor: figure("factor")? },
+        "fast-errors" => What::FastErrors { server: server()?, share: figure("share")? },
+        "drain" => What::Drain { server: server()? },
+        "release" => {
+            let (from, to) = range()?;
+            What::Release { from, to }
+        }
+        "wrong-list" => {
+            let (from, to) = range()?;
+            What::WrongList { from, to }
+        }
+        "hot-slice" => What::HotSlice { slice: below("slice", sizes.slices)?, factor: figure("factor")? },
+        "burst" => What::Burst { factor: figure("factor")? },
+        "place-cut" => What::PlaceCut { place: below("place", sizes.places)? },
+        "relay-away" => What::RelayAway,
+        "relay-mute" => What::RelayMute,
+        "discovery-away" => What::DiscoveryAway,
+        "governor-killed" => What::GovernorKilled { governor: below("governor", sizes.governors)? },
+        "slow-channel" => What::SlowChannel { part: figure("share")? },
+        "proxies-leave" => What::ProxiesLeave { many: below("many", sizes.proxies + 1)? },
+        _ => What::OutOfService { server: server()? },
+    };
+    Ok(Trouble { begins: one.must("begins", millis)?, lasts: one.must("lasts", millis)?, what })
+}
+
+/// A span in seconds with a fraction, as days need: `12.5s`, or as people write spans.
+fn millis(text: &str) -> Result<Span, String> {
+    let fraction = text.strip_suffix('s').and_then(|seconds| seconds.parse::<f64>().ok());
+    match fraction.filter(|seconds| (0.0..1e6).contains(seconds)) {
+        Some(seconds) => Ok(Span::ms((seconds * 1000.0).round() as u64)),
+        None => words::span(text),
+    }
+}
+
+fn write_trouble(text: &mut String, Trouble { begins, lasts, what }: &Trouble) {
+    let attributes = match what {
+        What::Crash { server } => format!("kind=\"crash\" server=\"{server}\""),
+        What::Hang { server } => format!("kind=\"hang\" server=\"{server}\""),
+        What::Silence { server } => format!("kind=\"silence\" server=\"{server}\""),
+        What::Slow { server, factor } => format!("kind=\"slow\" server=\"{server}\" factor=\"{factor}\""),
+        What::FastErrors { server, share } => {
+            format!("kind=\"fast-errors\" server=\"{server}\" share=\"{share}\"")
+        }
+        What::Drain { server } => format!("kind=\"drain\" server=\"{server}\""),
+        What::Release { from, to } => format!("kind=\"release\" from=\"{from}\" to=\"{to}\""),
+        What::WrongList { from, to } => format!("kind=\"wrong-list\" from=\"{from}\" to=\"{to}\""),
+        What::HotSlice { slice, factor } => {
+            format!("kind=\"hot-slice\" slice=\"{slice}\" factor=\"{factor}\"")
+        }
+        What::Burst { factor } => format!("kind=\"burst\" factor=\"{factor}\""),
+        What::PlaceCut { place } => format!("kind=\"place-cut\" place=\"{place}\""),
+        What::RelayAway => "kind=\"relay-away\"".into(),
+        What::RelayMute => "kind=\"relay-mute\"".into(),
+        What::DiscoveryAway => "kind=\"discovery-away\"".into(),
+        What::GovernorKilled { governor } => format!("kind=\"governor-killed\" governor=\"{governor}\""),
+        What::SlowChannel { part } => format!("kind=\"slow-channel\" share=\"{part}\""),
+        What::ProxiesLeave { many } => format!("kind=\"proxies-leave\" many=\"{many}\""),
+        What::OutOfService { server } => format!("kind=\"out-of-service\" server=\"{server}\""),
+    };
+    let (begins, lasts) = (begins.seconds(), lasts.seconds());
+    _ = writeln!(text, "    <trouble {attributes} begins=\"{begins}s\" lasts=\"{lasts}s\"/>");
+}
+
+impl Experiment {
+    /// All plays, each of which depends on nothing but itself.
+    pub fn plays(&self) -> Vec<Play> {
+        let mut plays = Vec::new();
+        for case in &self.cases {
+            for value in &self.values {
+                let sizes = self.with(*value);
+                for seed in &self.seeds {
+                    let troubles = match &case.troubles {
+                        Troubles::Given(troubles) => troubles.clone(),
+                        Troubles::Drawn(many) => drawn(*seed, *many, &sizes),
+                    };
+                    plays.extend(self.ways.iter().map(|way| Play {
+                        case: case.name.clone(),
+                        value: *value,
+                        way: *way,
+                        seed: *seed,
+                        sizes: sizes.clone(),
+                        troubles: troubles.clone(),
+                    }));
+                }
+            }
+        }
+        plays
+    }
+
+    fn with(&self, value: f64) -> Sizes {
+        let mut sizes = self.sizes.clone();
+        match self.varied {
+            None => {}
+            Some(Vary::Load) => sizes.load = value,
+            Some(Vary::Proxies) => sizes.proxies = (value as usize).max(1),
+            Some(Vary::Pace) => sizes.pace = value,
+            Some(Vary::Governors) => sizes.governors = (value as usize).max(1),
+        }
+        sizes
+    }
+
+    pub fn varied_name(&self) -> &'static str {
+        VARIED.iter().find(|(_, vary)| Some(*vary) == self.varied).map_or("", |(name, _)| name)
+    }
+
+    /// The file again, in one form: its hash names the experiment whatever its spaces.
+    pub fn write(&self) -> String {
+        let mut text = format!("<experiment name=\"{}\" version=\"{VERSION}\">\n", self.name);
+        let Sizes { governors, load, lasts, servers, slices, proxies, .. } = &self.sizes;
+        let (size, lasts) = (if self.large { "large" } else { "small" }, words::write_span(*lasts));
+        _ = writeln!(text, "  <world size=\"{size}\" governors=\"{governors}\" load=\"{load}\" lasts=\"{lasts}\" servers=\"{servers}\" slices=\"{slices}\" proxies=\"{proxies}\"/>");
+        let (from, to) = (self.seeds.first().unwrap_or(&0), self.seeds.last().unwrap_or(&0));
+        _ = writeln!(text, "  <seeds from=\"{from}\" to=\"{to}\"/>");
+        for way in &self.ways {
+            _ = writeln!(text, "  <way policy=\"{}\"/>", way_name(*way));
+        }
+        if self.varied.is_some() {
+            let values: Vec<_> = self.values.iter().map(f64::to_string).collect();
+            _ = writeln!(text, "  <vary what=\"{}\" values=\"{}\"/>", self.varied_name(), values.join(" "));
+        }
+        for Case { name, troubles } in &self.cases {
+            match troubles {
+                Troubles::Drawn(many) => _ = writeln!(text, "  <case name=\"{name}\" drawn=\"{many}\"/>"),
+                Troubles::Given(troubles) => {
+                    _ = writeln!(text, "  <case name=\"{name}\">");
+                    troubles.iter().for_each(|trouble| write_trouble(&mut text, trouble));
+                    text.push_str("  </case>\n");
+                }
+            }
+        }
+        text + "</experiment>\n"
+    }
+
+    pub fn hash(&self) -> u32 {
+        crc32fast::hash(self.write().as_bytes())
+    }
+}
--- /dev/null
+++ b/lab/src/search.rs
@@ -0,0 +1,69 @@
+//! The day that does worst, and the least that still shows it.
+
+use rayon::prelude::*;
+use whinwall::time::Span;
+use whinwall_fleet::day::{play, Outcome};
+use whinwall_fleet::policy::Policy;
+use whinwall_fleet::sizes::Sizes;
+use whinwall_fleet::trouble::{drawn, Trouble};
+
+/// How bad a day is: a broken rule is worse than any loss of service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Found {
+    pub seed: u64,
+    pub troubles: Vec<Trouble>,
+    pub badness: f64,
+    pub day: Outcome,
+}
+
+fn badness(day: &Outcome) -> f64 {
+    1.0 - day.service + 10.0 * f64::from(u8::from(!day.broken.is_empty()))
+}
+
+fn found(sizes: &Sizes, seed: u64, troubles: Vec<Trouble>) -> Found {
+    let day = play(sizes, Policy::Governed, &troubles, seed);
+    Found { seed, troubles, badness: badness(&day), day }
+}
+
+/// Of so many drawn days the worst; `played` is told of each.
+pub fn worst(sizes: &Sizes, many: usize, days: u64, from: u64, played: impl Fn() + Sync) -> Option<Found> {
+    let plays = (from..from + days).into_par_iter().map(|seed| {
+        let found = found(sizes, seed, drawn(seed, many, sizes));
+        played();
+        found
+    });
+    // The least seed of equals, whichever thread was first.
+    plays.max_by(|a, b| a.badness.total_cmp(&b.badness).then(b.seed.cmp(&a.seed)))
+}
+
+/// Takes away and shortens whatever can go with the day staying nearly as bad: a part of its badness over that of a
+/// calm day that must be left.
+pub fn shrink(sizes: &Sizes, found_first: &Found, keep: f64) -> Found {
+    let calm = found(sizes, found_first.seed, Vec::new()).badness;
+    let least = calm + (found_first.badness - calm) * keep;
+    let mut best = found_first.clone();
+    loop {
+        let tries = candidates(&best.troubles);
+        let smaller = tries.into_par_iter().map(|troubles| found(sizes, best.seed, troubles));
+        let smaller = smaller.find_first(|found| found.badness >= least);
+        match smaller {
+            Some(smaller) => best = smaller,
+            None => return best,
+        }
+    }
+}
+
+/// The next smaller sets: one trouble less, or one of them half as long.
+fn candidates(troubles: &[Trouble]) -> Vec<Vec<Trouble>> {
+    let without = (0..troubles.len()).map(|at| {
+        let mut fewer = troubles.to_vec();
+        fewer.remove(at);
+        fewer
+    });
+    let shorter = (0..troubles.len()).filter(|at| troubles[*at].lasts > Span::ms(500)).map(|at| {
+        let mut shorter = troubles.to_vec();
+        shorter[at].lasts = Span::ms(troubles[at].lasts.as_ns() / 2_000_000);
+        shorter
+    });
+    without.chain(shorter).collect()
+}
