--- a/fleet/src/day.rs
+++ b/fleet/src/day.rs
@@ -138,6 +138,9 @@
     proxies: Vec<Proxy>,
     governors: Vec<Governor>,
     store: Store,
+    /// By slice, whose it is.
+    holders: Vec<usize>,
+    garbled: f64,
     /// By server, as discovery lists it; its version.
     listed: Vec<&'static str>,
     version: u64,
@@ -224,6 +227,8 @@
             proxies,
             governors: (0..sizes.governors).map(governor).collect(),
             store,
+            holders: (0..sizes.slices).map(|slice| slice % sizes.governors).collect(),
+            garbled: 0.0,
             listed: vec!["active"; sizes.servers],
             version: 1,
             drained: BTreeMap::new(),
@@ -307,7 +312,11 @@
             Step::Alive => {
                 self.after(Span::ms(1000), Step::Alive);
                 for at in 0..self.governors.len() {
-                    if self.governors[at].follows && !self.relay_away {
+                    let garbled = self.garbled > 0.0 && self.chance.draw() < self.garbled;
+                    if garbled && self.governors[at].follows {
+                        self.governors[at].follows = false;
+                        self.tell(at, Event::NewsLost(Broken::Unreadable("garbled".into())));
+                    } else if self.governors[at].follows && !self.relay_away {
                         self.news(at, "*");
                     }
                 }
@@ -619,9 +628,26 @@
         self.tell(at, event);
     }
 
-    /// Slices are dealt out evenly.
     fn is_of(&self, slice: SliceIx, at: usize) -> bool {
-        slice % self.governors.len() == at
+        self.holders[slice] == at
+    }
+
+    /// A slice changes hands: who had it hears so, then who has it, with the table as the store has it.
+    fn hand_over(&mut self, slice: SliceIx, to: usize) {
+        let former = std::mem::replace(&mut self.holders[slice], to);
+        if self.relay_away || former == to {
+            return;
+        }
+        if self.governors[former].follows {
+            self.news(former, &format!("* GRANT {slice} 0"));
+        }
+        if self.governors[to].follows {
+            self.news(to, &format!("* GRANT {slice} 1"));
+            let table = self.store.0.get(&slice).cloned().unwrap_or_default();
+            for (server, weight) in &*table {
+                self.news(to, &format!("* ROW {slice} {} {weight}", server_name(*server)));
+            }
+        }
     }
 
     fn follow_news(&mut self, at: usize) {
@@ -728,9 +754,11 @@
         let next = channel.next();
         broken.into_iter().for_each(|what| self.rules.broken(5, self.now, what, ""));
         next.into_iter().for_each(|due| self.after(due - self.now, Step::Channel(at)));
-        let (pause, outcome) = match self.relay_mute {
-            true => (MUTE, Err(CallError::OutcomeUnknown(Broken::Silent))),
-            false => (WAY, Ok(Answer::Taken(many))),
+        let garbled = self.garbled > 0.0 && self.chance.draw() < self.garbled;
+        let (pause, outcome) = match () {
+            _ if self.relay_mute => (MUTE, Err(CallError::OutcomeUnknown(Broken::Silent))),
+            _ if garbled => (WAY, Err(CallError::OutcomeUnknown(Broken::Unreadable("garbled".into())))),
+            _ => (WAY, Ok(Answer::Taken(many))),
         };
         self.after(pause, Step::To(at, life, Box::new(Event::Answer(outcome))));
     }
@@ -897,6 +925,13 @@
                 self.governors.iter_mut().for_each(|governor| governor.channel.slow = part);
             }
             What::ProxiesLeave { many } => (0..many).for_each(|proxy| self.leaves(proxy)),
+            What::HandOver { from, to } => {
+                for slice in from..to {
+                    let next = (self.holders[slice] + 1) % self.governors.len();
+                    self.hand_over(slice, next);
+                }
+            }
+            What::Garbled { share } => self.garbled = share,
             What::OutOfService { server } => {
                 let kind = Kind::Out { server: server_name(server) };
                 let (id, author, reason) = (format!("t{at}"), "day".to_string(), "trouble".to_string());
@@ -958,6 +993,13 @@
                 self.governors.iter_mut().for_each(|governor| governor.channel.slow = 1.0);
             }
             What::ProxiesLeave { many } => (0..many).for_each(|proxy| self.joins(proxy)),
+            What::HandOver { from, to } => {
+                for slice in from..to {
+                    let former = (self.holders[slice] + self.governors.len() - 1) % self.governors.len();
+                    self.hand_over(slice, former);
+                }
+            }
+            What::Garbled { .. } => self.garbled = 0.0,
         }
     }
 
--- a/fleet/src/trouble.rs
+++ b/fleet/src/trouble.rs
@@ -63,6 +63,15 @@
     ProxiesLeave {
         many: usize,
     },
+    /// Slices change hands to the next governor, and back at the end.
+    HandOver {
+        from: SliceIx,
+        to: SliceIx,
+    },
+    /// Of the relay's answers and news such a part can't be read.
+    Garbled {
+        share: f64,
+    },
     /// An operator takes a server out of service for as long as the trouble lasts.
     OutOfService {
         server: ServerIx,
@@ -87,7 +96,7 @@
     let lasts = (sizes.lasts.as_ns() / 1_000_000) as usize;
     let mut one = || {
         let server = below(sizes.servers);
-        let what = match below(18) {
+        let what = match below(20) {
             0 => What::Crash { server },
             1 => What::Hang { server },
             2 => What::Silence { server },
@@ -109,6 +118,11 @@
             13 => What::DiscoveryAway,
             14 => What::GovernorKilled { governor: below(sizes.governors) },
             15 => What::SlowChannel { part: 0.05 + 0.1 * below(9) as f64 },
+            17 => {
+                let from = below(sizes.slices);
+                What::HandOver { from, to: (from + 1 + below(sizes.slices / 3)).min(sizes.slices) }
+            }
+            18 => What::Garbled { share: 0.05 + 0.1 * below(5) as f64 },
             16 => What::ProxiesLeave { many: 1 + below(sizes.proxies / 2) },
             _ => What::OutOfService { server },
         };
--- a/fleet/tests/days.rs
+++ b/fleet/tests/days.rs
@@ -65,6 +65,7 @@
         What::ProxiesLeave { many: 10 },
         What::OutOfService { server },
         What::Burst { factor: 1.5 },
+        What::Garbled { share: 0.4 },
     ];
     for what in of_others {
         let day = governed(&[at(12_000, 12_000, what.clone())], 3);
@@ -72,6 +73,20 @@
     }
 }
 
+/// Slices that change hands between governors, while servers drain and answers are garbled.
+#[test]
+fn slices_that_change_hands_lose_nothing() {
+    let sizes = Sizes { governors: 3, ..short() };
+    let troubles = [
+        at(8000, 6000, What::HandOver { from: 0, to: 30 }),
+        at(9000, 15_000, What::Drain { server: 3 }),
+        at(10_000, 10_000, What::Garbled { share: 0.3 }),
+        at(18_000, 3000, What::HandOver { from: 20, to: 60 }),
+    ];
+    let day = play(&sizes, Policy::Governed, &troubles, 4);
+    assert!(day.broken.is_empty() && day.service > 0.98, "{} {:?}", day.service, day.violations);
+}
+
 #[test]
 fn drawn_troubles_together_break_no_rule() {
     for seed in 0..8u64 {
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -183,7 +183,7 @@
 }
 
 /// The kinds of trouble, and what each takes beside its times.
-const KINDS: [(&str, &[&str]); 18] = [
+const KINDS: [(&str, &[&str]); 20] = [
     ("crash", &["server"]),
     ("hang", &["server"]),
     ("silence", &["server"]),
@@ -201,6 +201,8 @@
     ("governor-killed", &["governor"]),
     ("slow-channel", &["share"]),
     ("proxies-leave", &["many"]),
+    ("hand-over", &["from", "to"]),
+    ("garbled", &["share"]),
     ("out-of-service", &["server"]),
 ];
 
@@ -214,8 +216,8 @@
         })
     };
     let server = || below("server", sizes.servers);
-    let range = || -> Result<(usize, usize), Wrong> {
-        let (from, to) = (below("from", sizes.servers)?, below("to", sizes.servers + 1)?);
+    let range = |most: usize| -> Result<(usize, usize), Wrong> {
+        let (from, to) = (below("from", most)?, below("to", most + 1)?);
         if to <= from {
             return Err(one.wrong("to: it ends before it begins"));
         }
@@ -230,13 +232,18 @@
         "fast-errors" => What::FastErrors { server: server()?, share: figure("share")? },
         "drain" => What::Drain { server: server()? },
         "release" => {
-            let (from, to) = range()?;
+            let (from, to) = range(sizes.servers)?;
             What::Release { from, to }
         }
         "wrong-list" => {
-            let (from, to) = range()?;
+            let (from, to) = range(sizes.servers)?;
             What::WrongList { from, to }
         }
+        "hand-over" => {
+            let (from, to) = range(sizes.slices)?;
+            What::HandOver { from, to }
+        }
+        "garbled" => What::Garbled { share: figure("share")? },
         "hot-slice" => What::HotSlice { slice: below("slice", sizes.slices)?, factor: figure("factor")? },
         "burst" => What::Burst { factor: figure("factor")? },
         "place-cut" => What::PlaceCut { place: below("place", sizes.places)? },
@@ -283,6 +290,8 @@
         What::GovernorKilled { governor } => format!("kind=\"governor-killed\" governor=\"{governor}\""),
         What::SlowChannel { part } => format!("kind=\"slow-channel\" share=\"{part}\""),
         What::ProxiesLeave { many } => format!("kind=\"proxies-leave\" many=\"{many}\""),
+        What::HandOver { from, to } => format!("kind=\"hand-over\" from=\"{from}\" to=\"{to}\""),
+        What::Garbled { share } => format!("kind=\"garbled\" share=\"{share}\""),
         What::OutOfService { server } => format!("kind=\"out-of-service\" server=\"{server}\""),
     };
     let (begins, lasts) = (begins.seconds(), lasts.seconds());
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -1,5 +1,6 @@
 //! Tables as Markdown, charts as SVG.
 
+use crate::experiment::WAYS;
 use crate::figures::{groups, mean, Mean, Pair};
 use crate::results::Row;
 use plotters::prelude::*;
@@ -155,26 +156,21 @@
         .x_desc(below)
         .y_desc("service")
         .draw()?;
-    for (n, (way, points)) in series.into_iter().enumerate() {
-        let colour = COLOURS[n % COLOURS.len()];
-        // Side by side, so that intervals do not lie on each other.
-        let line = points.iter().map(|(at, mean)| (*at, mean.mean));
-        chart
-            .draw_series(LineSeries::new(line, &colour))?
-            .label(way)
-            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour));
+    for (way, points) in series {
+        // A way has its colour in each chart.
+        let place = WAYS.iter().position(|(name, _)| *name == way).unwrap_or(0);
+        let colour = COLOURS[place % COLOURS.len()];
         let bars = points.iter().map(|(at, mean)| {
             let within = finite(mean.within);
-            ErrorBar::new_vertical(
-                *at,
-                mean.mean - within,
-                mean.mean,
-                (mean.mean + within).min(1.02),
-                colour.filled(),
-                6,
-            )
+            let (low, high) = (mean.mean - within, (mean.mean + within).min(1.02));
+            ErrorBar::new_vertical(*at, low, mean.mean, high, colour.filled(), 6)
         });
-        chart.draw_series(bars)?;
+        chart.draw_series(bars)?.label(way).legend(move |(x, y)| Circle::new((x + 8, y), 4, colour.filled()));
+        // Between cases there is nothing that a line could lead over.
+        if !below.is_empty() {
+            let line = points.iter().map(|(at, mean)| (*at, mean.mean));
+            chart.draw_series(LineSeries::new(line, &colour))?;
+        }
     }
     chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
     area.present()?;
