The emulator's world on loopback sockets, played in real time to the real program

Need: what the emulator checks must hold for the program with its sockets, not for the reducer alone.

--- a/fleet/src/day.rs
+++ b/fleet/src/day.rs
@@ -32,6 +32,26 @@
 /// Before figures count: the fleet finds its feet.
 const SETTLING: Span = Span::ms(5000);
 
+/// Where a governor is a program of its own: what is said to it goes out as lines, on whatever ways there are.
+pub trait Wire {
+    fn news(&mut self, line: &str);
+    fn cut_news(&mut self);
+    fn list(&mut self, line: &str);
+    fn cut_list(&mut self);
+    fn report(&mut self, place: usize, line: &str);
+    /// To the call that is open; none where it gets no answer.
+    fn answer(&mut self, line: Option<&str>);
+}
+
+/// What such a program has said.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Heard {
+    /// It asks for the news, or for the list.
+    Watch,
+    List,
+    Call(String),
+}
+
 /// What a day came to.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Outcome {
@@ -90,6 +110,7 @@
     Watch,
     Channel(usize),
     To(usize, u64, Box<Event>),
+    News(usize, u64, String),
     Quiet(usize, u64),
     Call(usize, u64, String),
     Begins(usize),
@@ -112,6 +133,7 @@
 
 struct Governor {
     reducer: Option<Reducer>,
+    wire: Option<Box<dyn Wire>>,
     channel: Channel,
     follows: bool,
     /// Grows with each life; what was meant for an earlier one is lost.
@@ -215,8 +237,14 @@
             proxy.joined = true;
             proxy.reads(&store.0);
         }
-        let governor =
-            |_| Governor { reducer: None, channel: Channel::new(), follows: false, life: 0, quiet: None };
+        let governor = |_| Governor {
+            reducer: None,
+            wire: None,
+            channel: Channel::new(),
+            follows: false,
+            life: 0,
+            quiet: None,
+        };
         Day {
             now,
             chance,
@@ -261,9 +289,21 @@
     }
 
     fn run(&mut self) {
+        let end = self.begin();
+        while let Some(at) = self.due().filter(|at| *at <= end) {
+            self.now = at;
+            self.go_on();
+        }
+        self.end();
+    }
+
+    /// Sets all going; when the day ends.
+    fn begin(&mut self) -> Moment {
         let end = self.now + self.sizes.lasts;
         if self.policy == Policy::Governed {
-            (0..self.governors.len()).for_each(|at| self.start(at));
+            let here: Vec<_> =
+                (0..self.governors.len()).filter(|at| self.governors[*at].wire.is_none()).collect();
+            here.into_iter().for_each(|at| self.start(at));
         }
         self.after(WAY, Step::Arrive);
         self.after(Span::ms(1000), Step::Report);
@@ -274,13 +314,22 @@
             self.after(begins, Step::Begins(at));
             self.after(begins + lasts, Step::Ends(at));
         }
-        while let Some(((at, _), step)) = self.agenda.pop_first() {
-            if at > end {
-                break;
-            }
-            self.now = at;
+        end
+    }
+
+    /// When something is next to be done.
+    fn due(&self) -> Option<Moment> {
+        self.agenda.first_key_value().map(|((at, _), _)| *at)
+    }
+
+    /// Does the next step.
+    fn go_on(&mut self) {
+        if let Some((_, step)) = self.agenda.pop_first() {
             self.step(step);
         }
+    }
+
+    fn end(&mut self) {
         self.outcome.service = self.payoff.0 / self.payoff.1.max(1.0);
         self.outcome.violations = std::mem::take(&mut self.rules.violations);
         self.outcome.broken = std::mem::take(&mut self.rules.counts);
@@ -305,7 +354,8 @@
                 }
             }
             Step::Call(at, life, line) if self.governors[at].life == life => self.call(at, &line),
-            Step::To(..) | Step::Quiet(..) | Step::Call(..) => {}
+            Step::News(at, life, line) if self.governors[at].life == life => self.news(at, &line),
+            Step::News(..) | Step::To(..) | Step::Quiet(..) | Step::Call(..) => {}
             Step::Begins(at) => self.begins(at),
             Step::Ends(at) => self.ends(at),
             Step::Release { server, to, stage } => self.release(server, to, stage),
@@ -547,6 +597,70 @@
     }
 }
 
+/// An event in the words of the protocol.
+fn say(wire: &mut dyn Wire, event: Event) {
+    match event {
+        Event::Message { from, message: Message::Met(met) } => {
+            let Met { place, server, tries, aborted, mean_latency_ms, covers_ms } = met;
+            let line = serde_json::json!({"@type": "LOAD", "az": place, "host": server, "n": tries, "bad": aborted,
+                "avg": mean_latency_ms, "window": covers_ms});
+            wire.report(from as usize, &line.to_string());
+        }
+        Event::Message { from, message: Message::Asked(asked) } => {
+            let Asked { slice, op_type, came, aborted, covers_ms } = asked;
+            let line = serde_json::json!({"@type": "SHARD", "partition": slice, "kind": op_type, "n": came,
+                "bad": aborted, "window": covers_ms});
+            wire.report(from as usize, &line.to_string());
+        }
+        Event::Answer(Ok(Answer::Taken(many))) => wire.answer(Some(&format!("OK {many}"))),
+        Event::Answer(Ok(Answer::NotNow(why) | Answer::Unusable(why))) => {
+            wire.answer(Some(&format!("ERR {why}")))
+        }
+        Event::Answer(Err(_)) => wire.answer(None),
+        Event::NewsLost(_) => wire.cut_news(),
+        Event::ListLost(_) => wire.cut_list(),
+        _ => {}
+    }
+}
+
+/// For whoever plays a day in real time.
+impl Day {
+    pub fn seat(&mut self, at: usize, wire: Box<dyn Wire>) {
+        self.governors[at].wire = Some(wire);
+    }
+
+    pub fn begins_now(&mut self) -> Moment {
+        self.begin()
+    }
+
+    /// What is due by now is done; when the next is.
+    pub fn catch_up(&mut self, now: Moment) -> Option<Moment> {
+        while self.due().is_some_and(|at| at <= now) {
+            self.now = self.due().unwrap_or(now);
+            self.go_on();
+        }
+        self.now = now;
+        self.due()
+    }
+
+    pub fn heard(&mut self, at: usize, heard: Heard) {
+        match heard {
+            Heard::Watch => self.follow_news(at),
+            Heard::List if self.discovery_away => self.tell(at, Event::ListLost(Broken::Silent)),
+            Heard::List => {
+                let text = self.list_text();
+                self.governors[at].wire.iter_mut().for_each(|wire| wire.list(&text));
+            }
+            Heard::Call(line) => self.call(at, &line),
+        }
+    }
+
+    pub fn is_over(mut self) -> Outcome {
+        self.end();
+        self.outcome
+    }
+}
+
 struct OpKindView {
     payoff: f64,
     target: Span,
@@ -579,6 +693,15 @@
     /// Events go in as they come, and `Quiet` once all of a moment are in.
     fn tell(&mut self, at: usize, event: Event) {
         let quiet = matches!(event, Event::Quiet);
+        if let Some(wire) = &mut self.governors[at].wire {
+            let list = matches!(event, Event::List(_));
+            say(wire.as_mut(), event);
+            if list {
+                let text = self.list_text();
+                self.governors[at].wire.iter_mut().for_each(|wire| wire.list(&text));
+            }
+            return;
+        }
         let Some(reducer) = &mut self.governors[at].reducer else { return };
         let effects = reducer.apply(self.now, event);
         let life = self.governors[at].life;
@@ -624,6 +747,9 @@
     }
 
     fn news(&mut self, at: usize, line: &str) {
+        if let Some(wire) = &mut self.governors[at].wire {
+            return wire.news(line);
+        }
         let event = Event::News(decode_news(line).expect("our own news"));
         self.tell(at, event);
     }
@@ -671,12 +797,15 @@
         }
         lines.push("*".into());
         for line in lines {
-            let event = Event::News(decode_news(&line).expect("our own news"));
-            self.after(WAY, Step::To(at, life, Box::new(event)));
+            self.after(WAY, Step::News(at, life, line));
         }
     }
 
     fn list(&self) -> discovery::List {
+        discovery::decode(&self.list_text()).ok().flatten().expect("our own list")
+    }
+
+    fn list_text(&self) -> String {
         let entry = |at: ServerIx| {
             let started =
                 self.servers[at].started.map_or(0, |at| (at - Moment::default()).as_ns() / 1_000_000);
@@ -684,8 +813,7 @@
         };
         let all: Vec<_> =
             (0..self.servers.len()).filter(|at| self.listed[*at] != "left").map(entry).collect();
-        let list = serde_json::json!({"version": self.version, "full": true, "servers": all});
-        discovery::decode(&list.to_string()).ok().flatten().expect("our own list")
+        serde_json::json!({"version": self.version, "full": true, "servers": all}).to_string()
     }
 
     fn relist(&mut self, server: ServerIx, state: &'static str) {
@@ -913,6 +1041,7 @@
                 self.discovery_away = true;
                 (0..self.governors.len()).for_each(|at| self.tell(at, Event::ListLost(Broken::Silent)));
             }
+            What::GovernorKilled { governor } if self.governors[governor].wire.is_some() => {}
             What::GovernorKilled { governor } => {
                 self.excuse(lasts + aftermath);
                 let governor = &mut self.governors[governor];
@@ -988,7 +1117,10 @@
                 self.discovery_away = false;
                 self.tell_list();
             }
-            What::GovernorKilled { governor } => self.start(governor),
+            What::GovernorKilled { governor } if self.governors[governor].wire.is_none() => {
+                self.start(governor)
+            }
+            What::GovernorKilled { .. } => {}
             What::SlowChannel { .. } => {
                 self.governors.iter_mut().for_each(|governor| governor.channel.slow = 1.0);
             }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod channel;
 pub mod day;
+pub mod live;
 pub mod policy;
 pub mod proxy;
 pub mod rules;
--- /dev/null
+++ b/governor/tests/fleet.rs
@@ -0,0 +1,52 @@
+//! The program in the emulator's world, on loopback sockets and in real time: the checkers look on.
+
+mod stand_ins;
+
+use serde_json::json;
+use stand_ins::{command, configuration, ConfigurationFile, Program};
+use whinwall::time::Span;
+use whinwall_fleet::day::Outcome;
+use whinwall_fleet::live::Stages;
+use whinwall_fleet::sizes::Sizes;
+use whinwall_fleet::trouble::{at, Trouble, What};
+
+fn played(sizes: &Sizes, troubles: &[Trouble]) -> Outcome {
+    let stages = Stages::open(sizes.governors).unwrap();
+    let programs: Vec<_> = stages
+        .stages
+        .iter()
+        .map(|stage| {
+            let mut file = configuration();
+            file["distributor"]["address"] = json!(stage.found.relay.to_string());
+            file["discovery"] = json!(stage.found.discovery.to_string());
+            file["settings"] = sizes.settings();
+            let file = ConfigurationFile::write(&file.to_string());
+            Program::spawn(command(&file), file)
+        })
+        .collect();
+    let addresses: Vec<_> = programs.iter().map(|program| program.address).collect();
+    stages.play(sizes, troubles, 7, &addresses).unwrap()
+}
+
+#[test]
+fn a_day_with_drains_errors_and_a_silent_relay_keeps_the_rules() {
+    let sizes = Sizes { lasts: Span::ms(16_000), ..Sizes::small() };
+    let troubles = [
+        at(6000, 9000, What::Drain { server: 3 }),
+        at(7000, 6000, What::FastErrors { server: 5, share: 0.9 }),
+        at(9000, 1500, What::RelayMute),
+    ];
+    let day = played(&sizes, &troubles);
+    assert!(day.broken.is_empty(), "{:?}", day.violations);
+    assert!(day.orders > 60 && day.verdicts == 0 && day.service > 0.9, "{day:?}");
+}
+
+#[test]
+fn two_programs_share_a_fleet_and_hand_slices_over() {
+    let sizes = Sizes { lasts: Span::ms(14_000), governors: 2, ..Sizes::small() };
+    let troubles =
+        [at(6000, 4000, What::HandOver { from: 0, to: 20 }), at(7000, 6000, What::Crash { server: 2 })];
+    let day = played(&sizes, &troubles);
+    assert!(day.broken.is_empty(), "{:?}", day.violations);
+    assert!(day.orders > 60 && day.service > 0.9, "{day:?}");
+}
