Connection limits on the emulator; the lab plays against another build

Measured: servers that take ten of thirty proxies at a time break no rule and serve more than half at a fifth of the load (simulated); against itself a build differs by nothing.

--- a/fleet/src/day.rs
+++ b/fleet/src/day.rs
@@ -438,7 +438,7 @@
         *self.out.entry((proxy, server)).or_default() += 1;
         let far = proxy % self.sizes.places != server % self.sizes.places;
         let way = if far { FAR_WAY } else { WAY };
-        self.after(way, Step::Reaches { server, job: Job { op: id, attempt, key } });
+        self.after(way, Step::Reaches { server, job: Job { op: id, attempt, key, from: proxy } });
         self.after(self.sizes.op_timeout, Step::GivenUp { op: id, attempt });
     }
 
--- a/fleet/src/server.rs
+++ b/fleet/src/server.rs
@@ -1,6 +1,7 @@
 //! A server: cores, a queue, keys that it remembers, a cold start in which it falls over when it is pushed.
 
 use crate::sizes::Sizes;
+use crate::ProxyIx;
 use std::collections::{BTreeMap, VecDeque};
 use whinwall::chance::Chance;
 use whinwall::ring::Ring;
@@ -13,6 +14,8 @@
     /// Which of the op's tries.
     pub attempt: u32,
     pub key: u32,
+    /// Which proxy it came from.
+    pub from: ProxyIx,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -53,6 +56,8 @@
     queue: VecDeque<Job>,
     /// By key, when it was last met.
     keys: BTreeMap<u32, Moment>,
+    /// Proxies that hold a connection, and when each last used it.
+    connections: BTreeMap<ProxyIx, Moment>,
     came: Ring,
 }
 
@@ -68,6 +73,7 @@
             running: 0,
             queue: VecDeque::new(),
             keys: BTreeMap::new(),
+            connections: BTreeMap::new(),
             came: Ring::new(Span::ms(100), 12),
         }
     }
@@ -81,6 +87,7 @@
     pub fn falls(&mut self) {
         (self.state, self.running, self.life) = (State::Down, 0, self.life + 1);
         self.queue.clear();
+        self.connections.clear();
     }
 
     /// The part of its full speed that it has.
@@ -103,6 +110,9 @@
         if self.state == State::Down {
             return Offer::Refused;
         }
+        if !self.connects(now, job.from, sizes) {
+            return Offer::Refused;
+        }
         self.came.add(now, 1.0);
         if self.is_cold(now, sizes) && self.push(now, sizes) > sizes.fall_multiple {
             self.falls();
@@ -122,6 +132,19 @@
         Offer::Runs(self.takes(now, job.key, sizes, chance))
     }
 
+    /// One that is there already is used again; an idle one gives way to a new one, where all are used nobody does.
+    fn connects(&mut self, now: Moment, from: ProxyIx, sizes: &Sizes) -> bool {
+        let full = self.connections.len() >= sizes.connections && !self.connections.contains_key(&from);
+        if full {
+            self.connections.retain(|_, used| now - *used < sizes.idle);
+            if self.connections.len() >= sizes.connections {
+                return false;
+            }
+        }
+        self.connections.insert(from, now);
+        true
+    }
+
     fn takes(&mut self, now: Moment, key: u32, sizes: &Sizes, chance: &mut Chance) -> Span {
         let known = self.keys.insert(key, now).is_some_and(|met| now - met < sizes.remembered);
         let factor = if known { 1.0 } else { sizes.cold_factor };
--- a/fleet/src/sizes.rs
+++ b/fleet/src/sizes.rs
@@ -39,6 +39,9 @@
     pub remembered: Span,
     /// Ops that wait at a server; more are refused, which proves that they did not run.
     pub queue: usize,
+    /// Proxies that may hold a connection to one server, and after how long an unused one is closed.
+    pub connections: usize,
+    pub idle: Span,
     pub op_timeout: Span,
     pub kinds: Vec<OpKind>,
     pub cold_share: f64,
@@ -72,6 +75,8 @@
             keys_a_slice: 40,
             remembered: Span::ms(20_000),
             queue: 60,
+            connections: 1000,
+            idle: Span::ms(2000),
             op_timeout: Span::ms(2500),
             kinds: vec![
                 OpKind {
--- a/fleet/tests/days.rs
+++ b/fleet/tests/days.rs
@@ -87,6 +87,16 @@
     assert!(day.broken.is_empty() && day.service > 0.98, "{} {:?}", day.service, day.violations);
 }
 
+/// Servers that take a third of the proxies at a time: refusals are proof, further tries go elsewhere.
+#[test]
+fn servers_with_few_connections_are_lived_with() {
+    let few = Sizes { connections: 10, idle: Span::ms(200), load: 0.2, ..short() };
+    let day = play(&few, Policy::Governed, &[at(12_000, 12_000, What::Drain { server: 3 })], 4);
+    let plenty = play(&Sizes { connections: 1000, ..few }, Policy::Governed, &[], 4);
+    assert!(day.broken.is_empty(), "{:?}", day.violations);
+    assert!(day.service > 0.5 && day.service < plenty.service, "{} against {}", day.service, plenty.service);
+}
+
 #[test]
 fn drawn_troubles_together_break_no_rule() {
     for seed in 0..8u64 {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -53,6 +53,16 @@
     },
     /// Pairs the plays of two runs and says where a difference stands out of the spread
     Compare { first: PathBuf, second: PathBuf },
+    /// Plays an experiment with another build's whinwall-lab and with this one, and compares
+    Against {
+        experiment: PathBuf,
+        /// The other build's whinwall-lab: the first of the comparison
+        #[arg(long)]
+        other: PathBuf,
+        /// The folder for the rows of both
+        #[arg(long)]
+        out: PathBuf,
+    },
     /// Searches for the worst of drawn days, then for the least that still shows it
     Worst {
         experiment: PathBuf,
@@ -90,6 +100,7 @@
         Command::Run { experiment, out, commit } => run(&experiment, &out, &commit),
         Command::Report { experiment, results, out } => make_report(&experiment, &results, &out),
         Command::Compare { first, second } => compare(&first, &second),
+        Command::Against { experiment, other, out } => against(&experiment, &other, &out),
         Command::Worst { experiment, days, many, from, out } => worst(&experiment, days, many, from, &out),
         Command::Explain { experiment, case, seed, server, slice } => {
             let about = server.map(|at| format!("s-{at}")).or(slice.map(|at| at.to_string()));
@@ -179,6 +190,18 @@
     Ok(!pairs.iter().any(|pair| pair.stands_out() && pair.difference.mean < 0.0))
 }
 
+fn against(path: &Path, other: &Path, out: &Path) -> Result<bool, String> {
+    let (theirs, ours) = (out.join("other"), out.join("own"));
+    let played = std::process::Command::new(other).arg("run").arg(path).arg("--out").arg(&theirs).status();
+    let played = played.map_err(|why| format!("{}: {why}", other.display()))?;
+    // 1 says that a rule was broken; the rows are there.
+    if !matches!(played.code(), Some(0 | 1)) {
+        return Err(format!("{}: it ended with {played}", other.display()));
+    }
+    run(path, &ours, "unnamed")?;
+    compare(&theirs, &ours)
+}
+
 fn worst(path: &Path, days: u64, many: usize, from: u64, out: &Path) -> Result<bool, String> {
     let experiment = read(path)?;
     let bar = bar(days as usize);
--- a/lab/tests/lab.rs
+++ b/lab/tests/lab.rs
@@ -133,6 +133,11 @@
     assert!(std::fs::read_to_string(Path::new(&out).join("service.svg")).unwrap().contains("governed"));
     let same = lab(&["compare", &out, &out]);
     assert!(same.status.success() && said(&same).contains("within the spread"), "{}", said(&same));
+    // Another build, played from the same file: this one, for want of one.
+    let both = path(folder.path(), "both");
+    let against = lab(&["against", &file, "--other", env!("CARGO_BIN_EXE_whinwall-lab"), "--out", &both]);
+    assert!(against.status.success() && said(&against).contains("0.000 ± 0.000"), "{}", said(&against));
+    assert_eq!(lab(&["against", &file, "--other", "/nowhere", "--out", &both]).status.code(), Some(2));
 }
 
 #[test]
