Faults between sockets: a schedule language, lanes that depend on bytes alone, records that replay

Need: silent, cut, half-closed and garbled ways must be brought about at will, and again. Change: faults/ (whinwall-faults check, run, replay): rules read by winnow with line and column of an error, decisions of one direction without I/O or clock, a checksummed protobuf record by cause, a forwarder on loopback only. Measured: 300 random cuts of a stream into reads make the same faults, records and replays; each way to end a connection on sockets; a night replayed twice alike. Found by these tests: garbling went by what passed next instead of by place; a second swap lost the line that waited.

--- /dev/null
+++ b/faults/src/main.rs
@@ -0,0 +1,115 @@
+//! The `whinwall-faults` command.
+#![forbid(unsafe_code)]
+
+use clap::{Args, Parser, Subcommand};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use whinwall_faults::forward::{forward, Log, Source};
+use whinwall_faults::{record, schedule};
+
+/// Stands between two loopback sockets and delays, cuts, half-closes or garbles what passes
+#[derive(Parser)]
+#[command(
+    version,
+    after_help = "Ends with Ctrl-C, and writes its record then. Exit codes: 0 ended; 1 an address can't be had; 2 a file is faulty.\n\n\
+        Example:\n  whinwall-faults run relay.faults --listen 127.0.0.1:6401 --target 127.0.0.1:6400 --record night.wwf\n  \
+        whinwall-faults replay night.wwf --listen 127.0.0.1:6401 --target 127.0.0.1:6400"
+)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Checks a schedule
+    Check { schedule: PathBuf },
+    /// Injects what a schedule says
+    Run {
+        schedule: PathBuf,
+        #[command(flatten)]
+        ways: Ways,
+        /// Where to write what was injected
+        #[arg(long)]
+        record: Option<PathBuf>,
+    },
+    /// Injects what was recorded
+    Replay {
+        recorded: PathBuf,
+        #[command(flatten)]
+        ways: Ways,
+        /// Where to write what was injected this time
+        #[arg(long)]
+        record: Option<PathBuf>,
+    },
+}
+
+#[derive(Args)]
+struct Ways {
+    #[arg(long)]
+    listen: SocketAddr,
+    #[arg(long)]
+    target: SocketAddr,
+}
+
+fn main() -> ExitCode {
+    let faulty = |wrong: String| {
+        eprintln!("whinwall-faults: {wrong}");
+        ExitCode::from(2)
+    };
+    let read = |path: &Path| std::fs::read(path).map_err(|why| format!("{}: {why}", path.display()));
+    let scheduled = |path: &Path| {
+        let text = String::from_utf8(read(path)?).map_err(|why| format!("{}: {why}", path.display()))?;
+        schedule::read(&text).map_err(|why| format!("{}: {why}", path.display()))
+    };
+    let (source, ways, out) = match Arguments::parse().command {
+        Command::Check { schedule } => {
+            return match scheduled(&schedule) {
+                Ok(schedule) => {
+                    println!("{} rules, fine", schedule.rules.len());
+                    ExitCode::SUCCESS
+                }
+                Err(wrong) => faulty(wrong),
+            };
+        }
+        Command::Run { schedule, ways, record } => match scheduled(&schedule) {
+            Ok(schedule) => (Source::Schedule(Arc::new(schedule)), ways, record),
+            Err(wrong) => return faulty(wrong),
+        },
+        Command::Replay { recorded, ways, record } => {
+            let faults = read(&recorded).and_then(|bytes| {
+                record::read(&bytes).map_err(|why| format!("{}: {why}", recorded.display()))
+            });
+            match faults {
+                Ok(faults) => (Source::Replay(Arc::new(faults)), ways, record),
+                Err(wrong) => return faulty(wrong),
+            }
+        }
+    };
+    match serve(source, &ways, out.as_deref()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("whinwall-faults: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve(source: Source, ways: &Ways, out: Option<&Path>) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let log = Log::default();
+    runtime.block_on(async {
+        let listener = TcpListener::bind(ways.listen).await?;
+        println!("{} leads to {}", listener.local_addr()?, ways.target);
+        tokio::select! {
+            failed = forward(listener, ways.target, source, log.clone()) => failed,
+            ended = tokio::signal::ctrl_c() => ended,
+        }
+    })?;
+    let injected = log.lock().map(|log| log.clone()).unwrap_or_default();
+    println!("{} faults injected", injected.len());
+    out.map_or(Ok(()), |path| std::fs::write(path, record::write(&injected)))
+}
