--- a/faults/tests/faults.rs
+++ b/faults/tests/faults.rs
@@ -299,3 +299,15 @@
         assert!(heard.len() > 15_000, "{} of 20,000 bytes", heard.len());
     }
 }
+
+/// The five troubles that operators name ship as schedules.
+#[test]
+fn the_examples_are_good_schedules() {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("examples");
+    let files: Vec<_> = std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path()).collect();
+    assert_eq!(files.len(), 5);
+    for file in files {
+        let rules = read(&std::fs::read_to_string(&file).unwrap()).rules;
+        assert!(!rules.is_empty(), "{}", file.display());
+    }
+}
--- a/fleet/tests/days.rs
+++ b/fleet/tests/days.rs
@@ -175,3 +175,58 @@
         vec![order.to_string(); if order.starts_with("SYNC") { 1 } else { 1000 }]
     });
 }
+
+/// A server with one core, its service even between half and one and a half times its mean: Pollaczek and Khinchine
+/// say how long an op waits. With two cores, how much of the time they are busy.
+#[test]
+fn queues_agree_with_closed_forms() {
+    use std::collections::BTreeMap;
+    use whinwall::chance::Chance;
+    use whinwall::time::Moment;
+    use whinwall_fleet::server::{Job, Offer, Server};
+    let run = |cores: usize, load: f64| {
+        let sizes = Sizes { cores, queue: usize::MAX, cold_factor: 1.0, ..Sizes::small() };
+        let (mut server, mut chance) = (Server::new(), Chance::from_seed(11));
+        let (mut now, mut next) = (Moment::at_ns(1 << 60), Moment::at_ns(1 << 60));
+        let began = now;
+        let mut ends: BTreeMap<(Moment, u64), ()> = BTreeMap::new();
+        let mut came: BTreeMap<u64, Moment> = BTreeMap::new();
+        let (mut waited, mut served, mut busy) = (0.0, 0u64, 0.0);
+        for op in 0..200_000u64 {
+            let pause = -(1.0 - chance.draw()).ln() / (sizes.capacity() * load);
+            next = next + Span::ns((pause * 1e9) as u64);
+            while let Some(((at, _), ())) =
+                ends.first_key_value().filter(|((at, _), ())| *at <= next).map(|(k, ())| (*k, ()))
+            {
+                ends.pop_first();
+                now = at;
+                if let Some((job, takes)) = server.done(now, &sizes, &mut chance) {
+                    waited += (now - came.remove(&job.op).unwrap()).seconds();
+                    (served, busy) = (served + 1, busy + takes.seconds());
+                    ends.insert((now + takes, job.op), ());
+                }
+            }
+            now = next;
+            let job = Job { op, attempt: 1, key: 1, from: 0 };
+            match server.offer(now, job, &sizes, &mut chance) {
+                Offer::Runs(takes) => {
+                    (served, busy) = (served + 1, busy + takes.seconds());
+                    ends.insert((now + takes, op), ());
+                }
+                Offer::Waits => _ = came.insert(op, now),
+                other => panic!("{other:?}"),
+            }
+        }
+        (waited / served as f64, busy / (now - began).seconds() / cores as f64)
+    };
+    for load in [0.3, 0.6, 0.8] {
+        let (waits, used) = run(1, load);
+        let service = Sizes::small().service.seconds();
+        let square = service * service * (1.0 + 1.0 / 12.0);
+        let expected = load / service * square / (2.0 * (1.0 - load));
+        assert!((waits / expected - 1.0).abs() < 0.05, "at {load}: {waits} against {expected}");
+        assert!((used - load).abs() < 0.01, "{used} of the time at {load}");
+        let (less, used) = run(2, load);
+        assert!(less < waits && (used - load).abs() < 0.01, "two cores: {less}, {used}");
+    }
+}
--- a/governor/benches/turn.rs
+++ b/governor/benches/turn.rs
@@ -15,7 +15,8 @@
 use whinwall_overrides::{Ask, Bounds, Kind, Order, Reading};
 
 const SERVERS: u32 = 2000;
-const SLICES: u32 = 12_000;
+/// Slices a server.
+const SLICES: u32 = 6;
 
 fn main() {
     divan::main();
@@ -28,6 +29,10 @@
 
 impl Fleet {
     fn new(overrides: u32) -> Self {
+        Fleet::of(SERVERS, overrides)
+    }
+
+    fn of(servers: u32, overrides: u32) -> Self {
         let example = include_str!("../../deploy/example.json");
         let example: serde_json::Value = serde_json::from_str(example).unwrap();
         let briefing = whinwall_briefing::read(&example["settings"]).unwrap();
@@ -42,18 +47,18 @@
         fleet.tell(Event::Wanted(wanted, reading));
         let entry = |n| json!({"id": format!("s-{n}"), "zone": "north", "state": "active"});
         let list =
-            json!({"version": 1, "full": true, "servers": (0..SERVERS).map(entry).collect::<Vec<_>>()});
+            json!({"version": 1, "full": true, "servers": (0..servers).map(entry).collect::<Vec<_>>()});
         fleet.tell(Event::List(discovery::decode(&list.to_string()).unwrap().unwrap()));
         let mut lines = vec!["OK".to_string()];
         lines.extend((0..3).map(|proxy| format!("* SUBSCRIBE {proxy} north 21.5 1")));
-        for slice in 0..SLICES {
+        for slice in 0..servers * SLICES {
             lines.push(format!("* GRANT {slice} 1"));
-            lines.push(format!("* ROW {slice} s-{} 1", slice % SERVERS));
+            lines.push(format!("* ROW {slice} s-{} 1", slice % servers));
         }
         lines.push("*".into());
         lines.iter().for_each(|line| fleet.tell(Event::News(decode_news(line).unwrap())));
         for n in 0..overrides {
-            let server = format!("s-{}", (n * 7) % SERVERS);
+            let server = format!("s-{}", (n * 7) % servers);
             let kind = match n % 4 {
                 0 => Kind::Out { server },
                 1 => Kind::Weight { server, factor: 0.5 },
@@ -107,6 +112,13 @@
     bencher.bench_local(|| fleet.beat());
 }
 
+/// How the cost of a beat grows with the fleet.
+#[divan::bench(args = [125, 500, 2000], sample_count = 40, sample_size = 1)]
+fn a_beat_by_servers(bencher: Bencher, servers: u32) {
+    let mut fleet = Fleet::of(servers, 0);
+    bencher.bench_local(|| fleet.beat());
+}
+
 #[divan::bench(args = [0, 1000], sample_count = 40, sample_size = 1)]
 fn a_beat_with_reports(bencher: Bencher, overrides: u32) {
     let mut fleet = Fleet::new(overrides);
