--- a/governor/src/transport/listener.rs
+++ b/governor/src/transport/listener.rs
@@ -9,6 +9,7 @@
 use futures_util::{SinkExt, StreamExt};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -198,26 +199,20 @@
         tokio::select! {
             biased;
             Some(answer) = answers.recv() => {
-                let (line, ends) = match answer {
-                    Back::Say(line) => (Some(line), false),
-                    Back::End(line) => (line, true),
-                    Back::Keep => {
-                        has_joined = true;
-                        patience = Instant::now() + limits::QUIET_PEER;
-                        framed.codec_mut().allow(limits::LINE);
-                        peer.has_joined.store(true, Ordering::Relaxed);
-                        if let Some(bulk) = bulk {
-                            let talk = Talk { id, peer, bounds, back, answers };
-                            return in_bulk(framed, talk, bulk, chunks).await;
-                        }
-                        continue;
+                let Some((line, ends)) = last_word(answer) else {
+                    has_joined = true;
+                    patience = Instant::now() + limits::QUIET_PEER;
+                    framed.codec_mut().allow(limits::LINE);
+                    peer.has_joined.store(true, Ordering::Relaxed);
+                    if let Some(bulk) = bulk {
+                        let talk = Talk { id, peer, bounds, back, answers };
+                        return in_bulk(framed, talk, bulk, chunks).await;
                     }
+                    continue;
                 };
                 if let Some(line) = line {
-                    match timeout(limits::READS, framed.send(line)).await {
-                        Ok(Ok(())) => {}
-                        Ok(Err(why)) => return why.to_string(),
-                        Err(_) => return "it reads nothing".into(),
+                    if let Err(why) = read_in_time(framed.send(line)).await {
+                        return why;
                     }
                 }
                 if ends {
@@ -254,6 +249,23 @@
     }
 }
 
+/// What is to be said, and whether the connection ends with it; none where it may stay.
+fn last_word(back: Back) -> Option<(Option<String>, bool)> {
+    match back {
+        Back::Say(line) => Some((Some(line), false)),
+        Back::End(line) => Some((line, true)),
+        Back::Keep => None,
+    }
+}
+
+/// Whoever is told something reads it, or is let go.
+async fn read_in_time(said: impl Future<Output = std::io::Result<()>>) -> Result<(), String> {
+    match timeout(limits::READS, said).await {
+        Ok(said) => said.map_err(|why| why.to_string()),
+        Err(_) => Err("it reads nothing".into()),
+    }
+}
+
 struct Talk<'a> {
     id: ConnectionId,
     peer: &'a Peer,
@@ -291,18 +303,12 @@
         tokio::select! {
             biased;
             Some(answer) = answers.recv() => {
-                let (line, ends) = match answer {
-                    Back::Say(line) => (Some(line), false),
-                    Back::End(line) => (line, true),
-                    Back::Keep => continue,
-                };
+                let Some((line, ends)) = last_word(answer) else { continue };
                 if let Some(line) = line {
                     let line = line + "\n";
                     let said = tokio::io::AsyncWriteExt::write_all(io, line.as_bytes());
-                    match timeout(limits::READS, said).await {
-                        Ok(Ok(())) => {}
-                        Ok(Err(why)) => return why.to_string(),
-                        Err(_) => return "it reads nothing".into(),
+                    if let Err(why) = read_in_time(said).await {
+                        return why;
                     }
                 }
                 if ends {
