--- a/faults/src/decide.rs
+++ b/faults/src/decide.rs
@@ -1,6 +1,6 @@
-//! What becomes of the bytes of one direction of one connection: told of bytes and of the time, it says what is passed
-//! on, when, and what else is done. The same rules, seed, bytes and cause make the same faults; how the bytes were cut
-//! into reads does not matter, but for `after`.
+//! What becomes of the bytes of one direction of one connection: told of bytes and of the time, it says what
+//! is passed on, when, and what else is done. The same rules, seed, bytes and cause make the same faults; how
+//! the bytes were cut into reads does not matter, but for `after`.
 
 use crate::schedule::{Garble, Rule, Schedule, What, When};
 use crate::{Direction, Number};
@@ -132,7 +132,8 @@
         let mut acts = Vec::new();
         let mut rest = bytes;
         while !rest.is_empty() && !self.over {
-            // Up to the end of a line, or to where something is due: what is done never depends on how it was read.
+            // Up to the end of a line, or to where something is due: what is done never depends on how it was
+            // read.
             let line_end = rest.iter().position(|byte| *byte == b'\n').map_or(rest.len(), |at| at + 1);
             let due = self.next_offset().map_or(rest.len(), |at| (at - self.offset) as usize);
             if due == 0 {
--- a/faults/src/lib.rs
+++ b/faults/src/lib.rs
@@ -1,6 +1,6 @@
-//! Faults between two loopback sockets. `schedule` reads when what is done to whom, `decide` says what becomes of the
-//! bytes of one direction (no I/O, no clock), `record` keeps what was injected by its cause and has it injected again,
-//! `forward` carries bytes between the sockets.
+//! Faults between two loopback sockets. `schedule` reads when what is done to whom, `decide` says what
+//! becomes of the bytes of one direction (no I/O, no clock), `record` keeps what was injected by its cause
+//! and has it injected again, `forward` carries bytes between the sockets.
 #![forbid(unsafe_code)]
 
 pub mod decide;
--- a/faults/src/record.rs
+++ b/faults/src/record.rs
@@ -1,5 +1,6 @@
-//! What was injected, by its cause: which connection, which direction, after how many bytes. A file of protobuf messages,
-//! each behind its length, after a head with the version, and a checksum over all at the end.
+//! What was injected, by its cause: which connection, which direction, after how many bytes. A file of
+//! protobuf messages, each behind its length, after a head with the version, and a checksum over all at the
+//! end.
 
 use crate::decide::Injected;
 use crate::schedule::{Garble, What};
--- a/faults/src/schedule.rs
+++ b/faults/src/schedule.rs
@@ -10,8 +10,8 @@
 //! on start: refuse
 //! ```
 //!
-//! Without `conn` a rule is for all connections, without `up` or `down` for both directions. It holds once for each of
-//! them, or as often as it says, or `always`.
+//! Without `conn` a rule is for all connections, without `up` or `down` for both directions. It holds once
+//! for each of them, or as often as it says, or `always`.
 
 use crate::{Direction, Number};
 use std::fmt;
--- a/faults/tests/faults.rs
+++ b/faults/tests/faults.rs
@@ -1,5 +1,5 @@
-//! Schedules, lanes and records without sockets; then each kind of fault between two sockets, and a record that is
-//! replayed twice with the same result.
+//! Schedules, lanes and records without sockets; then each kind of fault between two sockets, and a record
+//! that is replayed twice with the same result.
 
 use quickcheck::{Arbitrary, Gen};
 use std::io::{Read, Write};
@@ -123,8 +123,8 @@
     (out.flatten().collect(), lane.injected)
 }
 
-/// However the bytes are cut into reads, what is done to them and what is recorded of it is the same; and so it is when
-/// the record is replayed.
+/// However the bytes are cut into reads, what is done to them and what is recorded of it is the same; and so
+/// it is when the record is replayed.
 #[test]
 fn faults_depend_on_bytes_and_not_on_reads_and_replays_are_the_same() {
     fn holds(cuts: Cuts, others: Cuts) -> bool {
--- a/fleet/src/day.rs
+++ b/fleet/src/day.rs
@@ -1,4 +1,5 @@
-//! A day: what happens one after the other, in virtual time. The same sizes, troubles and seed make the same day.
+//! A day: what happens one after the other, in virtual time. The same sizes, troubles and seed make the same
+//! day.
 
 use crate::channel::{self, Channel, Store};
 use crate::policy::{self, Policy};
@@ -32,7 +33,8 @@
 /// Before figures count: the fleet finds its feet.
 const SETTLING: Span = Span::ms(5000);
 
-/// Where a governor is a program of its own: what is said to it goes out as lines, on whatever ways there are.
+/// Where a governor is a program of its own: what is said to it goes out as lines, on whatever ways there
+/// are.
 pub trait Wire {
     fn news(&mut self, line: &str);
     fn cut_news(&mut self);
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -1,7 +1,7 @@
-//! An emulator of what a governor serves, in virtual time and the same for the same seed: clients whose ops come,
-//! proxies that do as their tables say, servers with cores, queues and keys they remember, a relay with a store and
-//! a channel, discovery, collectors. It drives the real reducer. `day` plays a day, `trouble` has what can happen in it,
-//! `rules` looks at what the proxies and servers really did.
+//! An emulator of what a governor serves, in virtual time and the same for the same seed: clients whose ops
+//! come, proxies that do as their tables say, servers with cores, queues and keys they remember, a relay with
+//! a store and a channel, discovery, collectors. It drives the real reducer. `day` plays a day, `trouble` has
+//! what can happen in it, `rules` looks at what the proxies and servers really did.
 #![forbid(unsafe_code)]
 
 pub mod channel;
--- a/fleet/src/live.rs
+++ b/fleet/src/live.rs
@@ -1,5 +1,5 @@
-//! The same world on loopback sockets and in real time, for governors that run as programs: a relay and a discovery
-//! for each, a collector for each place.
+//! The same world on loopback sockets and in real time, for governors that run as programs: a relay and a
+//! discovery for each, a collector for each place.
 
 use crate::day::{Day, Heard, Outcome, Wire};
 use crate::policy::Policy;
--- a/fleet/src/policy.rs
+++ b/fleet/src/policy.rs
@@ -1,4 +1,5 @@
-//! Who decides where an op goes: the real governors by their tables, or one of some plain ways to compare with.
+//! Who decides where an op goes: the real governors by their tables, or one of some plain ways to compare
+//! with.
 
 use crate::server::{Server, State};
 use crate::ServerIx;
--- a/fleet/src/proxy.rs
+++ b/fleet/src/proxy.rs
@@ -1,5 +1,5 @@
-//! A proxy does as its tables say: lets in what the levels let in, picks by weight, avoids a server that fails it
-//! again and again, and tries once more where it may.
+//! A proxy does as its tables say: lets in what the levels let in, picks by weight, avoids a server that
+//! fails it again and again, and tries once more where it may.
 
 use crate::{ServerIx, SliceIx};
 use std::collections::{BTreeMap, BTreeSet};
--- a/fleet/src/rules.rs
+++ b/fleet/src/rules.rs
@@ -1,5 +1,5 @@
-//! The five rules, checked on what proxies and servers really did. A violation says when, what, and which orders
-//! led to it.
+//! The five rules, checked on what proxies and servers really did. A violation says when, what, and which
+//! orders led to it.
 
 use std::collections::{BTreeMap, VecDeque};
 use whinwall::time::{Moment, Span};
--- a/fleet/src/server.rs
+++ b/fleet/src/server.rs
@@ -132,7 +132,8 @@
         Offer::Runs(self.takes(now, job.key, sizes, chance))
     }
 
-    /// One that is there already is used again; an idle one gives way to a new one, where all are used nobody does.
+    /// One that is there already is used again; an idle one gives way to a new one, where all are used nobody
+    /// does.
     fn connects(&mut self, now: Moment, from: ProxyIx, sizes: &Sizes) -> bool {
         let full = self.connections.len() >= sizes.connections && !self.connections.contains_key(&from);
         if full {
--- a/fleet/tests/days.rs
+++ b/fleet/tests/days.rs
@@ -1,5 +1,5 @@
-//! Days of the emulator: the same for the same seed, rules kept by the real governors whatever happens, and each
-//! checker speaks up where its rule is broken on purpose.
+//! Days of the emulator: the same for the same seed, rules kept by the real governors whatever happens, and
+//! each checker speaks up where its rule is broken on purpose.
 
 use whinwall::time::Span;
 use whinwall_fleet::day::{play, play_meddled, Outcome};
@@ -33,8 +33,8 @@
     assert_ne!(one, governed(&troubles, 6));
 }
 
-/// Each alone, in the middle of a day. What a server or a place does wrong costs less than with nobody who decides,
-/// and what befalls the governor costs next to nothing.
+/// Each alone, in the middle of a day. What a server or a place does wrong costs less than with nobody who
+/// decides, and what befalls the governor costs next to nothing.
 #[test]
 fn each_trouble_alone_breaks_no_rule_and_is_made_up_for() {
     let server = 3;
@@ -176,8 +176,8 @@
     });
 }
 
-/// A server with one core, its service even between half and one and a half times its mean: Pollaczek and Khinchine
-/// say how long an op waits. With two cores, how much of the time they are busy.
+/// A server with one core, its service even between half and one and a half times its mean: Pollaczek and
+/// Khinchine say how long an op waits. With two cores, how much of the time they are busy.
 #[test]
 fn queues_agree_with_closed_forms() {
     use std::collections::BTreeMap;
--- a/governor/benches/cores.rs
+++ b/governor/benches/cores.rs
@@ -1,6 +1,7 @@
-//! What a governor takes at 1, 2, 4 and 8 cores: collectors flood it over loopback, then send at a part of that
-//! rate, and signs of life on the same connections tell how late what came before them was applied. Bounded in
-//! lines and time; ends by itself. `WHINWALL_FORMER` names another build to measure in turn with this one, on one core.
+//! What a governor takes at 1, 2, 4 and 8 cores: collectors flood it over loopback, then send at a part of
+//! that rate, and signs of life on the same connections tell how late what came before them was applied.
+//! Bounded in lines and time; ends by itself. `WHINWALL_FORMER` names another build to measure in turn with
+//! this one, on one core.
 
 #[path = "../tests/stand_ins/mod.rs"]
 mod stand_ins;
--- a/governor/benches/turn.rs
+++ b/governor/benches/turn.rs
@@ -1,5 +1,5 @@
-//! What a turn costs with overrides: a fleet of 2,000 servers and 12,000 slices, one beat (250 ms) a turn, with
-//! the reports of a beat in it or without.
+//! What a turn costs with overrides: a fleet of 2,000 servers and 12,000 slices, one beat (250 ms) a turn,
+//! with the reports of a beat in it or without.
 
 use divan::counter::ItemsCount;
 use divan::Bencher;
--- a/governor/src/program/fronts.rs
+++ b/governor/src/program/fronts.rs
@@ -1,5 +1,5 @@
-//! What the operators' file switches on: the keeper of overrides and the management front, each on a thread of
-//! its own, and who waits for a reply of the governor's.
+//! What the operators' file switches on: the keeper of overrides and the management front, each on a thread
+//! of its own, and who waits for a reply of the governor's.
 
 use super::logger::Form;
 use std::collections::BTreeMap;
--- a/governor/src/program/logger.rs
+++ b/governor/src/program/logger.rs
@@ -1,5 +1,5 @@
-//! The log on standard error, as text or as JSON lines. It never waits for a reader and never writes more than
-//! so many lines of one kind a second.
+//! The log on standard error, as text or as JSON lines. It never waits for a reader and never writes more
+//! than so many lines of one kind a second.
 
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use serde_json::{Map, Value};
--- a/governor/src/program/meters.rs
+++ b/governor/src/program/meters.rs
@@ -1,5 +1,5 @@
-//! Figures of the readers, for whoever looks for the one that is behind and why: counted where the work is done,
-//! read at the management front, in the text form that Prometheus reads.
+//! Figures of the readers, for whoever looks for the one that is behind and why: counted where the work is
+//! done, read at the management front, in the text form that Prometheus reads.
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
--- a/governor/src/program/readers.rs
+++ b/governor/src/program/readers.rs
@@ -1,7 +1,7 @@
 //! Readers: threads that take connections to our address, read them, and take chunks of lines apart, each
 //! whichever chunk is next, whoever read it. What comes of a chunk is whole or not there. The owner, on the
-//! loop's thread, puts the chunks of each connection in order, looks after the readers, and ends what one that
-//! stopped has left.
+//! loop's thread, puts the chunks of each connection in order, looks after the readers, and ends what one
+//! that stopped has left.
 
 use super::clock::Clock;
 use super::meters::Meters;
@@ -215,8 +215,8 @@
         ids
     }
 
-    /// Looks after the readers: one that stopped is replaced, its connections end, and nobody waits for what it
-    /// had in hand.
+    /// Looks after the readers: one that stopped is replaced, its connections end, and nobody waits for what
+    /// it had in hand.
     pub fn look(&mut self, now: Moment) -> Vec<Heard> {
         let mut heard = Vec::new();
         self.watch.begin(now);
--- a/governor/src/protocol/collector.rs
+++ b/governor/src/protocol/collector.rs
@@ -115,8 +115,8 @@
     own: Option<Own>,
 }
 
-/// The way of nearly every line: where it is a report in order, and written as reports are, it is taken at once.
-/// All else is for `decode`, which says what is wrong.
+/// The way of nearly every line: where it is a report in order, and written as reports are, it is taken at
+/// once. All else is for `decode`, which says what is wrong.
 pub fn quick(line: &str) -> Option<Report<'_>> {
     let fields: Fields = serde_json::from_str(line).ok()?;
     let (many, aborted, covers_ms) = (fields.many?, fields.aborted?, fields.covers_ms?);
--- a/governor/src/routing/known.rs
+++ b/governor/src/routing/known.rs
@@ -1,5 +1,5 @@
-//! What a reader has to know to take reports apart: numbers for names, as they were when it was made. It may be
-//! behind: a number is never given to another, and a name that it lacks is left to the reducer.
+//! What a reader has to know to take reports apart: numbers for names, as they were when it was made. It may
+//! be behind: a number is never given to another, and a name that it lacks is left to the reducer.
 
 use crate::protocol::collector::Report;
 use std::collections::BTreeMap;
--- a/governor/src/routing/outbox.rs
+++ b/governor/src/routing/outbox.rs
@@ -124,7 +124,8 @@
     }
 
     /// So many orders were taken, and leave. The rest is said again, for the figure may be wrong, and an
-    /// order sets a state. One at which the relay stops twice is skipped and returned: it would stop there for ever.
+    /// order sets a state. One at which the relay stops twice is skipped and returned: it would stop there
+    /// for ever.
     pub fn taken(&mut self, many: usize) -> Option<String> {
         (self.state, self.failures) = (State::Idle, 0);
         let call = self.calls.front_mut()?;
--- a/governor/src/transport/framing.rs
+++ b/governor/src/transport/framing.rs
@@ -35,7 +35,8 @@
 
     /// False where it is too much.
     pub fn set(&mut self, own: usize) -> bool {
-        // Only ever added to and taken from: what others hold meanwhile is in the sum or not, and both will do.
+        // Only ever added to and taken from: what others hold meanwhile is in the sum or not, and both will
+        // do.
         let all = match own >= self.own {
             true => self.all.held.fetch_add(own - self.own, Ordering::Relaxed) + (own - self.own),
             false => self.all.held.fetch_sub(self.own - own, Ordering::Relaxed) - (self.own - own),
--- a/governor/src/transport/limits.rs
+++ b/governor/src/transport/limits.rs
@@ -33,7 +33,8 @@
 pub const BUFFER: usize = 64 << 10;
 /// A whole list of servers.
 pub const LIST: usize = 8 << 20;
-/// Whoever has joined is read in pieces of this size: some hundreds of lines, a fraction of a millisecond's work.
+/// Whoever has joined is read in pieces of this size: some hundreds of lines, a fraction of a millisecond's
+/// work.
 pub const CHUNK: usize = 64 << 10;
 /// Chunks that wait for a reader, of all connections.
 pub const CHUNKS: usize = 256;
--- a/governor/src/transport/listener.rs
+++ b/governor/src/transport/listener.rs
@@ -1,5 +1,5 @@
-//! Our own address: bounded connections, each read in a task of its own: line by line, and once it has joined,
-//! where there are readers, in chunks of whole lines on one of them.
+//! Our own address: bounded connections, each read in a task of its own: line by line, and once it has
+//! joined, where there are readers, in chunks of whole lines on one of them.
 
 use super::framing::{Held, Lines, Unfinished};
 use super::{limits, Back, Chunk, ConnectionId, Inbox, Input, Told};
@@ -274,8 +274,8 @@
     answers: mpsc::Receiver<Back>,
 }
 
-/// Whoever has joined says much: whole lines go on in chunks, as many as have arrived, to whichever reader has
-/// time. Only what lacks its end stays here.
+/// Whoever has joined says much: whole lines go on in chunks, as many as have arrived, to whichever reader
+/// has time. Only what lacks its end stays here.
 async fn in_bulk(framed: Framed<TcpStream, Lines>, talk: Talk<'_>, bulk: Bulk, chunks: &mut u64) -> String {
     let Talk { id, peer, bounds, back, mut answers } = talk;
     let mut parts = framed.into_parts();
--- a/governor/tests/faults.rs
+++ b/governor/tests/faults.rs
@@ -1,5 +1,5 @@
-//! Every fault at every way to the program, through the tool of `faults/`: it recovers by itself, and how long that
-//! took from a drain's news to the last order is a table that the test prints.
+//! Every fault at every way to the program, through the tool of `faults/`: it recovers by itself, and how
+//! long that took from a drain's news to the last order is a table that the test prints.
 
 mod stand_ins;
 
@@ -71,8 +71,8 @@
     ("on conn 1 start: refuse", "on conn 1 start: refuse"),
 ];
 
-/// Silence is noticed after three seconds at the most, and the news or the list is then asked for again; the rest is
-/// for a busy machine.
+/// Silence is noticed after three seconds at the most, and the news or the list is then asked for again; the
+/// rest is for a busy machine.
 const RECOVERED: Duration = Duration::from_secs(9);
 
 /// How long it took from the news of a drain until the server was left, with these faults on the ways.
--- a/governor/tests/overrides.rs
+++ b/governor/tests/overrides.rs
@@ -1,5 +1,5 @@
-//! Overrides through the program as it is started: set at its management front, seen in the orders that come to
-//! the relay, ended on time, kept over kills.
+//! Overrides through the program as it is started: set at its management front, seen in the orders that come
+//! to the relay, ended on time, kept over kills.
 
 mod stand_ins;
 
--- a/governor/tests/readers.rs
+++ b/governor/tests/readers.rs
@@ -1,5 +1,5 @@
-//! Readers on loopback sockets with an owner that notes what counts: stalls and panics at each stage, order, many
-//! connections, the same sums over any number of them.
+//! Readers on loopback sockets with an owner that notes what counts: stalls and panics at each stage, order,
+//! many connections, the same sums over any number of them.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -268,8 +268,8 @@
     }
 }
 
-/// Of two readers the first stops at this stage, once. Everybody else goes on meanwhile; what it had in hand is
-/// there whole or not at all; it is replaced, and says nothing fresh when it goes on.
+/// Of two readers the first stops at this stage, once. Everybody else goes on meanwhile; what it had in hand
+/// is there whole or not at all; it is replaced, and says nothing fresh when it goes on.
 #[test]
 fn a_reader_that_stalls_at_any_stage_holds_up_nobody_else() {
     for stage in [Stage::Arrival, Stage::Taken, Stage::Halfway, Stage::Done] {
@@ -420,8 +420,8 @@
     assert!(!sums(&owner.counted(), None).contains_key(&3000));
 }
 
-/// Every connection stops its reader for good: the threads that are given up are bounded, and once they go on,
-/// all is as before.
+/// Every connection stops its reader for good: the threads that are given up are bounded, and once they go
+/// on, all is as before.
 #[test]
 fn readers_that_stop_again_and_again_do_not_pile_up() {
     let (sticks, stuck) = (Arc::new(AtomicU32::new(1)), Arc::new(AtomicU32::new(0)));
--- a/governor/tests/reducer.rs
+++ b/governor/tests/reducer.rs
@@ -479,9 +479,9 @@
     assert!(rig.standing_overrides().is_empty());
 }
 
-/// Lists, drains, overrides and their ends, calls lost and news broken off, drawn: the store has no bare table
-/// and no unknown server (the rig looks on), nothing stands after its end, and in the end what drains has
-/// nothing.
+/// Lists, drains, overrides and their ends, calls lost and news broken off, drawn: the store has no bare
+/// table and no unknown server (the rig looks on), nothing stands after its end, and in the end what drains
+/// has nothing.
 #[derive(Clone, Debug)]
 struct Operated(Vec<(u8, u8)>);
 
@@ -879,7 +879,8 @@
     quickcheck::QuickCheck::new().tests(20_000).quickcheck(holds as fn(Garbled) -> bool);
 }
 
-/// Reports of three places on all servers and slices, in chunks as readers make them; s-3 fails what it is asked.
+/// Reports of three places on all servers and slices, in chunks as readers make them; s-3 fails what it is
+/// asked.
 fn chunks() -> Vec<(u64, Vec<Report>)> {
     let covers = Span::ms(1000);
     let told = |what| Report { at: Moment::default(), lines: 1.0, what };
--- a/keeper/tests/keeper.rs
+++ b/keeper/tests/keeper.rs
@@ -141,8 +141,8 @@
     Keeper::with(folder.into(), Box::new(move |_| Builder::new().create_with_backend(disk.clone())))
 }
 
-/// The disk gives out at every possible write, the last one of all being the first that is no trouble: what was
-/// refused is not there, what was acknowledged is, and when there is room again all goes on.
+/// The disk gives out at every possible write, the last one of all being the first that is no trouble: what
+/// was refused is not there, what was acknowledged is, and when there is room again all goes on.
 #[test]
 fn a_full_disk_refuses_and_changes_nothing() {
     let folder = tempfile::tempdir().unwrap();
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -1,5 +1,5 @@
-//! What is played: a world, cases with their troubles, ways to decide, seeds, and what is varied. Read from XML by
-//! the same elements that know their place as the operators' file; written again by `search`.
+//! What is played: a world, cases with their troubles, ways to decide, seeds, and what is varied. Read from
+//! XML by the same elements that know their place as the operators' file; written again by `search`.
 
 use std::fmt::Write;
 use whinwall::time::Span;
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,6 +1,6 @@
-//! Experiments on the emulator. `experiment` is the file that says what is played, `results` the rows of what came
-//! of it, as Parquet, `figures` means, intervals and pairs, `report` tables and charts, `search` the worst day and
-//! the least that still shows it.
+//! Experiments on the emulator. `experiment` is the file that says what is played, `results` the rows of what
+//! came of it, as Parquet, `figures` means, intervals and pairs, `report` tables and charts, `search` the
+//! worst day and the least that still shows it.
 #![forbid(unsafe_code)]
 
 pub mod experiment;
--- a/lab/src/results.rs
+++ b/lab/src/results.rs
@@ -1,5 +1,5 @@
-//! Rows of results in a folder, as Parquet: one file for each batch of plays, written whole or not at all, so that a
-//! run that was broken off goes on where it was.
+//! Rows of results in a folder, as Parquet: one file for each batch of plays, written whole or not at all, so
+//! that a run that was broken off goes on where it was.
 
 use parquet::data_type::{ByteArray, ByteArrayType, DoubleType, Int64Type};
 use parquet::file::properties::WriterProperties;
--- a/lab/src/search.rs
+++ b/lab/src/search.rs
@@ -36,8 +36,8 @@
     plays.max_by(|a, b| a.badness.total_cmp(&b.badness).then(b.seed.cmp(&a.seed)))
 }
 
-/// Takes away and shortens whatever can go with the day staying nearly as bad: a part of its badness over that of a
-/// calm day that must be left.
+/// Takes away and shortens whatever can go with the day staying nearly as bad: a part of its badness over
+/// that of a calm day that must be left.
 pub fn shrink(sizes: &Sizes, found_first: &Found, keep: f64) -> Found {
     let calm = found(sizes, found_first.seed, Vec::new()).badness;
     let least = calm + (found_first.badness - calm) * keep;
--- a/lab/tests/lab.rs
+++ b/lab/tests/lab.rs
@@ -1,4 +1,5 @@
-//! Experiments from their file to their table, runs that are broken off, pairs, the worst day and its time-line.
+//! Experiments from their file to their table, runs that are broken off, pairs, the worst day and its
+//! time-line.
 
 use std::path::Path;
 use std::process::{Command, Output};
--- a/management/src/server.rs
+++ b/management/src/server.rs
@@ -91,8 +91,8 @@
         .ok_or_else(|| format!("{}: a token has {SHORTEST_TOKEN} to {LONGEST_TOKEN} bytes", file.display()))
 }
 
-/// Listens when it returns. The governor is asked through `governor`, which must be bounded: what finds no room
-/// there is told to come again.
+/// Listens when it returns. The governor is asked through `governor`, which must be bounded: what finds no
+/// room there is told to come again.
 pub fn start(doors: Doors, name: String, governor: mpsc::Sender<Asked>) -> io::Result<Serving> {
     let (end, ended) = oneshot::channel();
     let (started, has_started) = std::sync::mpsc::channel();
--- a/overrides/src/words.rs
+++ b/overrides/src/words.rs
@@ -1,4 +1,5 @@
-//! How people write spans, ranges of slices and points in time, in files, on the command line and in requests.
+//! How people write spans, ranges of slices and points in time, in files, on the command line and in
+//! requests.
 
 use std::fmt::Write;
 use time::format_description::well_known::Rfc3339;
--- a/tests/wishes.rs
+++ b/tests/wishes.rs
@@ -152,8 +152,8 @@
     assert_eq!(fleet.governor.heeded(1), Some(InForce));
 }
 
-/// 120 ops a second on four servers: a fresh one may be sent 0.55 * 3 * 0.2 * 30, and a fifth more where it is
-/// there already, that is 11.9 of the 30 that it has.
+/// 120 ops a second on four servers: a fresh one may be sent 0.55 * 3 * 0.2 * 30, and a fifth more where it
+/// is there already, that is 11.9 of the 30 that it has.
 #[test]
 fn a_weight_that_makes_all_others_small_does_not_raise_a_cold_ones_budget() {
     let mut fleet = Fleet::new(site(), 4, 40, 3);
