A test of the fault tool takes a reset that its write is told of for what it is

Cause: a reset is reported once, by the next call; where it came before the test's write, the write had it and the read saw an ordinary end.

--- a/faults/tests/faults.rs
+++ b/faults/tests/faults.rs
@@ -202,14 +202,15 @@
     /// Says this, ends its side where it should, and hears all that comes.
     fn says(&self, text: &[u8], ends: bool) -> (Vec<u8>, std::io::Result<()>) {
         let mut stream = self.connect();
-        _ = stream.write_all(text);
+        // A reset is told once, by whatever is done next: by this, where it came before.
+        let said = stream.write_all(text);
         if ends {
             _ = stream.shutdown(Shutdown::Write);
         }
         let (mut heard, mut buffer) = (Vec::new(), [0; 4096]);
         loop {
             match stream.read(&mut buffer) {
-                Ok(0) => return (heard, Ok(())),
+                Ok(0) => return (heard, said),
                 Ok(many) => heard.extend(&buffer[..many]),
                 Err(why) => return (heard, Err(why)),
             }
