--- a/fleet/src/day.rs
+++ b/fleet/src/day.rs
@@ -6,7 +6,7 @@
 use crate::proxy::{Obeyed, Proxy};
 use crate::rules::{Rules, Violation};
 use crate::server::{Job, Offer, Server, State};
-use crate::sizes::{Care, Sizes};
+use crate::sizes::{Care, OpKind, Sizes};
 use crate::trouble::{Trouble, What};
 use crate::{ProxyIx, ServerIx, SliceIx};
 use std::collections::BTreeMap;
@@ -536,7 +536,7 @@
         self.seen(proxy, server, took);
         match answer {
             Back::Acked => {
-                let OpKindView { payoff, target } = self.view(kind);
+                let OpKind { payoff, target, .. } = self.sizes.kinds[kind];
                 if self.counts(came) {
                     self.outcome.acked += 1;
                     match self.now - came <= target {
@@ -564,10 +564,6 @@
         }
     }
 
-    fn view(&self, kind: usize) -> OpKindView {
-        OpKindView { payoff: self.sizes.kinds[kind].payoff, target: self.sizes.kinds[kind].target }
-    }
-
     fn given_up(&mut self, id: u64, attempt: u32) {
         let Some(op) = self.ops.get(&id).filter(|op| op.attempt == attempt) else { return };
         let (proxy, server) = (op.proxy, op.server);
@@ -663,11 +659,6 @@
     }
 }
 
-struct OpKindView {
-    payoff: f64,
-    target: Span,
-}
-
 /// Governors, the relay, discovery and collectors.
 impl Day {
     fn start(&mut self, at: usize) {
--- a/governor/src/routing/known.rs
+++ b/governor/src/routing/known.rs
@@ -15,17 +15,18 @@
     pub changes: u64,
 }
 
-fn span(ms: f64) -> Span {
+/// A time as reports give it.
+pub fn span(ms: f64) -> Span {
     Span::ms(1).times(ms)
 }
 
-impl Known {
-    /// Where the settings name no places, any will do.
-    pub fn place(&self, name: &str) -> Option<PlaceId> {
-        let any = self.places.is_empty().then_some(PlaceId::MAX);
-        self.places.iter().position(|known| known == name).or(any)
-    }
+/// Where the settings name no places, any will do.
+pub fn place(places: &[String], name: &str) -> Option<PlaceId> {
+    let any = places.is_empty().then_some(PlaceId::MAX);
+    places.iter().position(|known| known == name).or(any)
+}
 
+impl Known {
     pub fn op_type(&self, name: &str) -> Option<usize> {
         self.op_types.iter().position(|known| known == name)
     }
@@ -34,7 +35,7 @@
     pub fn numbered(&self, report: &Report) -> Option<Reported> {
         match *report {
             Report::Met { place, server, tries, aborted, mean_latency_ms, covers_ms } => {
-                let (place, server) = (self.place(place)?, *self.servers.get(server)?);
+                let (place, server) = (self::place(&self.places, place)?, *self.servers.get(server)?);
                 let (covers, mean_latency) = (span(covers_ms), span(mean_latency_ms));
                 let met = Met { place, covers, tries, aborted, mean_latency };
                 Some(Reported::Met { server, met, latest: mean_latency })
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -1,7 +1,7 @@
 //! `apply` takes one event after another, feeds the decisions with it, and asks for effects. Orders are made
 //! only once all that had arrived is in, and only while no call is open: then they rest on the newest view.
 
-use super::known::Known;
+use super::known::{self, span, Known};
 use super::names::Names;
 use super::outbox::Outbox;
 use super::overrides::{Overrides, Wanted};
@@ -386,9 +386,7 @@
 
     /// Where the settings name none, any will do.
     fn known_place(&self, name: &str) -> Option<PlaceId> {
-        let places = &self.briefing.places;
-        let any = places.is_empty().then_some(PlaceId::MAX);
-        places.iter().position(|known| known == name).or(any)
+        known::place(&self.briefing.places, name)
     }
 
     fn listings(&mut self, list: &List) -> Vec<Listing> {
@@ -414,7 +412,6 @@
     }
 
     fn message(&mut self, now: Moment, from: ConnectionId, message: Message) {
-        let span = |ms: f64| Span::ms(1).times(ms);
         let joined = self.collectors.contains(&from);
         match message {
             Message::Ping => self.effects.push(Effect::Pong { to: from }),
--- a/src/pins.rs
+++ b/src/pins.rs
@@ -38,10 +38,6 @@
         (slice <= *last).then_some(*pin)
     }
 
-    pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
-
     /// Each range: its first slice, its last one, and where it belongs.
     pub fn ranges(&self) -> impl Iterator<Item = (SliceId, SliceId, Pin)> + '_ {
         self.0.iter().map(|(first, (last, pin))| (*first, *last, *pin))
