Withdrawals go out by age: what joiners missed no longer starves what nobody heard

Four of five governors were killed at 16.27; n4 held all slices from 18.54. Each had all ~75 withdrawn servers put back among those to be withdrawn (proxy_joined), and withdraw took the lowest number first: every message began at the front again and ended, for lack of room, before the end. Servers with high numbers waited until nobody joined any more, and no table was changed meanwhile.

At fault: to_shut, a set by number (src/state.rs), and the re-insertion in proxy_joined (src/news.rs).

Change: to_shut knows since when each is due, and the oldest goes first. What joiners missed waits a quarter of the grace (new in the deployment: drainGraceNs), so that one repeat serves all who join meanwhile. Read with it and mended: a slice given with a line for a server that is withdrawn already had nobody told; proxies that joined while no table named it would have sent there. Two tests, both seen to fail without the change. level_orders moved to measures.rs.

--- a/briefing/src/lib.rs
+++ b/briefing/src/lib.rs
@@ -97,6 +97,8 @@
     warm_after: Span,
     #[serde(rename = "fallMultiple", deserialize_with = "figure")]
     fall_multiple: f64,
+    #[serde(rename = "drainGraceNs", default, deserialize_with = "span")]
+    drain_grace: Span,
 }
 
 fn span<'de, D: Deserializer<'de>>(raw: D) -> Result<Span, D::Error> {
@@ -127,6 +129,7 @@
             cold_share: rules.cold_share,
             warm_after: rules.warm_after,
             fall_multiple: rules.fall_multiple,
+            drain_grace: rules.drain_grace,
             message_head: fleet.message_head,
             pace: fleet.pace,
             queue_cap: fleet.queue_cap,
--- a/fleet/src/sizes.rs
+++ b/fleet/src/sizes.rs
@@ -149,7 +149,8 @@
                 "reloadSpanNs": ns(self.message_window)
             },
             "obligations": {
-                "coldFrom": self.cold_share, "warmAfterNs": ns(self.warm_after), "fallMultiple": self.fall_multiple
+                "coldFrom": self.cold_share, "warmAfterNs": ns(self.warm_after), "fallMultiple": self.fall_multiple,
+                "drainGraceNs": ns(self.grace)
             },
             "membershipMode": "push",
             "weights": "rough",
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -30,6 +30,8 @@
     pub cold_share: f64,
     pub warm_after: Span,
     pub fall_multiple: f64,
+    /// Proxies may go on sending for so long to a server that drains or is gone.
+    pub drain_grace: Span,
     /// Lines that a message costs besides its own.
     pub message_head: f64,
     /// Lines a second that the channel sends when all is well.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -42,6 +42,8 @@
 const DOUBT_SHARE: f64 = 0.4;
 // Cold servers: the part of what would push one over that we allow ourselves.
 const COLD_SAFETY: f64 = 0.55;
+/// So much of the grace a withdrawal waits that is said again to proxies that joined: for others that join.
+pub(crate) const TOLD_AGAIN: f64 = 0.25;
 // Spreading looks at a shorter time than rounds do: a key in demand may be gone in ten seconds.
 const SPREAD_OVER: Span = Span::ms(3000);
 const MOST_LINES: usize = 4;
@@ -263,6 +265,11 @@
         }
     }
 
+    /// Further tries are cut with the first step of a cut.
+    pub(crate) fn tries(&self, cut: f64) -> u8 {
+        u8::from(cut == 0.0)
+    }
+
     fn follow_list(&mut self) -> bool {
         if self.due.list.is_none_or(|at| at > self.now) {
             return false;
@@ -273,12 +280,16 @@
     }
 
     /// One line a server shuts it out of all tables, and who stands by takes over, long before each table is
-    /// written anew (rule 3). Lifting waits a round for whoever joins late, and never fills the channel;
+    /// written anew (rule 3); the oldest first, or what joining proxies have to hear again would starve what
+    /// nobody heard. Lifting waits a round for whoever joins late, and never fills the channel;
     /// until then a server is not used.
     fn withdraw(&mut self) -> bool {
         let lifts = self.due.lift.is_none_or(|at| at <= self.now) && self.has_room(1.0, Haste::Calm);
-        let step = match (self.to_shut.first(), self.to_lift.first()) {
-            (Some(id), _) if self.has_room(1.0, Haste::Urgent) => Step::Withdraw { server: *id, out: true },
+        let due = self.to_shut.iter().filter(|(_, at)| **at <= self.now).min_by_key(|(_, at)| **at);
+        let step = match (due, self.to_lift.first()) {
+            (Some((id, _)), _) if self.has_room(1.0, Haste::Urgent) => {
+                Step::Withdraw { server: *id, out: true }
+            }
             (_, Some(id)) if lifts => Step::Withdraw { server: *id, out: false },
             _ => return false,
         };
@@ -296,7 +307,7 @@
         if told || !self.has_room(many as f64, Haste::Urgent) {
             return false;
         }
-        let tries = u8::from(self.cut == 0.0);
+        let tries = self.tries(self.cut);
         let share = |at| self.level(self.cut, at);
         let order = |at| Step::Level { slice: None, op_types: 1u64 << at, share: share(at), tries };
         let orders: Vec<_> = (0..many).map(order).collect();
@@ -432,7 +443,7 @@
             _ if !out && !good => Suspended("rule 1: no other warm server is well"),
             _ if !out && again => Suspended("rule 1: it stood back a moment ago"),
             _ if !out => Suspended("rule 1: over half of the servers would be missing"),
-            _ if self.to_shut.contains(&id) => Waiting("rule 5: its withdrawal waits for room"),
+            _ if self.to_shut.contains_key(&id) => Waiting("rule 5: its withdrawal waits for room"),
             _ if leaves() => Waiting("its slices leave"),
             _ => InForce,
         };
@@ -793,18 +804,6 @@
         true
     }
 
-    /// Tries are cut with the first step of a cut; one order serves where all op types are let in alike.
-    fn level_orders(&self, n: SliceId, held: f64, cut: f64) -> Vec<Step> {
-        let (many, tries) = (self.site.op_types.len(), u8::from(cut == 0.0));
-        let order = |op_types, share| Step::Level { slice: Some(n), op_types, share, tries };
-        let share = |at| self.level(cut, at);
-        let changed = |at: &usize| (cut == 0.0) != (held == 0.0) || share(*at) != self.level(held, *at);
-        if (0..many).all(|at| changed(&at) && share(at) == share(0)) {
-            return vec![order(0, share(0))];
-        }
-        (0..many).filter(changed).map(|at| order(1 << at, share(at))).collect()
-    }
-
     /// Where a slice has one writer, each stage of a change of owner waits for the one before: acks of all
     /// who are joined, the time that those who parted may go on, and the life of a write.
     fn may_send(&self, s: &Slice) -> bool {
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -1,6 +1,6 @@
 //! What a governor works out from its records: sums, rates and means, no decisions.
 
-use crate::interface::{PlaceId, ServerId, SliceId};
+use crate::interface::{PlaceId, ServerId, SliceId, Step};
 use crate::ring::Ring;
 use crate::state::{Governor, Lately, Picture, Server, Slice};
 use crate::time::{Moment, Span};
@@ -172,6 +172,18 @@
         figures.get(figures.len() / 2).copied().unwrap_or(0.0)
     }
 
+    /// The orders from one cut of a slice to another; one serves where all op types are let in alike.
+    pub(crate) fn level_orders(&self, n: SliceId, held: f64, cut: f64) -> Vec<Step> {
+        let (many, tries) = (self.site.op_types.len(), self.tries(cut));
+        let order = |op_types, share| Step::Level { slice: Some(n), op_types, share, tries };
+        let share = |at| self.level(cut, at);
+        let changed = |at: &usize| tries != self.tries(held) || share(*at) != self.level(held, *at);
+        if (0..many).all(|at| changed(&at) && share(at) == share(0)) {
+            return vec![order(0, share(0))];
+        }
+        (0..many).filter(changed).map(|at| order(1 << at, share(at))).collect()
+    }
+
     /// A table's owners, as far as they are known.
     pub(crate) fn owners<'a>(&'a self, slice: &'a Slice) -> impl Iterator<Item = (ServerId, &'a Server)> {
         slice.owners().filter_map(|id| Some((id, self.servers.get(&id)?)))
--- a/src/news.rs
+++ b/src/news.rs
@@ -1,6 +1,7 @@
 //! Takes what a governor is told into its records, and decides nothing.
 
 use crate::interface::*;
+use crate::logic::TOLD_AGAIN;
 use crate::pins::Pins;
 use crate::state::{Governor, Slice, Wished};
 use crate::time::{Moment, Span};
@@ -18,13 +19,16 @@
     pub fn proxy_joined(&mut self, now: Moment, proxy: ProxyId, bare: bool) {
         self.channel.proxies.insert(proxy);
         let first = self.known.insert(proxy);
+        let mut missed = Vec::new();
         for (id, s) in &self.servers {
             if s.shut && !s.lines.is_empty() {
-                self.to_shut.insert(*id);
+                missed.push(*id);
             } else if !s.shut && !bare && (first || s.was_shut) {
                 self.to_lift.insert(*id);
             }
         }
+        let again = now + self.site.drain_grace.times(TOLD_AGAIN);
+        missed.into_iter().for_each(|id| self.withdraw_from(id, again));
         self.due.lift = self.due.lift.or(Some(now + self.site.report_period));
         self.settle(now);
     }
@@ -149,6 +153,11 @@
         self.slice_taken(now, slice);
         self.slices.insert(slice, Slice::new(table, now));
         self.retable(slice, |_| {});
+        // Proxies that joined while no table of ours named it did not hear that it is withdrawn.
+        let named = table.iter().map(|(id, _)| *id);
+        let is_shut = |id: &ServerId| self.servers.get(id).is_some_and(|s| s.shut);
+        let shut = named.filter(|id| is_shut(id) && !self.to_lift.contains(id));
+        shut.collect::<Vec<_>>().into_iter().for_each(|id| self.withdraw_from(id, now));
         self.alarm = true;
         self.settle(now);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -80,8 +80,9 @@
     /// Proxies that have joined since the start, and when one was last lost.
     pub(crate) known: BTreeSet<ProxyId>,
     pub(crate) parted_at: Moment,
-    /// Servers still to be withdrawn from all tables, and those whose withdrawals are to be lifted.
-    pub(crate) to_shut: BTreeSet<ServerId>,
+    /// Servers still to be withdrawn from all tables, and from when on; and those whose withdrawals are to be
+    /// lifted.
+    pub(crate) to_shut: BTreeMap<ServerId, Moment>,
     pub(crate) to_lift: BTreeSet<ServerId>,
     /// Slices whose table or level differs from what the proxies were told: urgent ones first, then by age.
     pub(crate) untold: BTreeSet<(Haste, Moment, SliceId)>,
@@ -134,7 +135,7 @@
             list_fresh: false,
             known: BTreeSet::new(),
             parted_at: now,
-            to_shut: BTreeSet::new(),
+            to_shut: BTreeMap::new(),
             to_lift: BTreeSet::new(),
             untold: BTreeSet::new(),
             cut: 0.0,
@@ -164,7 +165,7 @@
     /// forgotten, or the map would grow for ever.
     pub(crate) fn forget_gone(&mut self) {
         let (now, shut, lift) = (self.now, &self.to_shut, &self.to_lift);
-        self.servers.retain(|id, s| s.shut || shut.contains(id) || lift.contains(id) || !s.is_past(now));
+        self.servers.retain(|id, s| s.shut || shut.contains_key(id) || lift.contains(id) || !s.is_past(now));
     }
 
     /// Changes a slice's table, and what its servers carry with it.
@@ -251,10 +252,16 @@
             self.to_shut.remove(&id);
             self.to_lift.insert(id);
         } else if !still {
-            self.to_shut.insert(id);
+            self.withdraw_from(id, self.now);
         }
     }
 
+    /// Of two reasons to withdraw it the earlier one counts.
+    pub(crate) fn withdraw_from(&mut self, id: ServerId, at: Moment) {
+        let due = self.to_shut.entry(id).or_insert(at);
+        *due = at.min(*due);
+    }
+
     pub(crate) fn note_withdrawal(&mut self, step: &Step) {
         let Step::Withdraw { server, out } = step else { return };
         self.to_shut.remove(server);
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -310,3 +310,52 @@
     let (one, other) = (marks(0x8c1f30d27a5be964), marks(0x8c1f30d27a5b7777));
     assert!(!one.is_empty() && one.iter().all(|mark| !other.contains(mark)), "{one:?} {other:?}");
 }
+
+/// Twenty of thirty servers drain and are withdrawn; then one more drains, the last by number, while proxies
+/// join in each reply and have to hear of the twenty again (seen on `herd+mass`, seed 112).
+#[test]
+fn proxies_that_join_do_not_starve_a_withdrawal_that_nobody_heard() {
+    let mut governor = plain(Deployment { queue_cap: 300.0, pace: 3000.0, message_cap: 0, ..site() }, 30);
+    let mut proxies = 1;
+    let mut replies = |governor: &mut Governor, times: std::ops::Range<u64>, joins: bool| {
+        let mut first = None;
+        for now in times.step_by(100) {
+            if joins {
+                governor.proxy_joined(at(now), proxies, false);
+                proxies += 1;
+            }
+            governor.woken(at(now), now);
+            for step in governor.collect(at(now)) {
+                let last = matches!(step, Step::Withdraw { server: 29, out: true });
+                first = first.or(last.then_some(now));
+                if let Step::Mark { number } = step {
+                    (0..proxies).for_each(|proxy| governor.applied(at(now), proxy, number));
+                }
+            }
+        }
+        first
+    };
+    replies(&mut governor, 1000..2000, true);
+    let drain =
+        |ids: std::ops::Range<u32>| -> Vec<_> { ids.map(|s| listing(s, Standing::Draining, 0)).collect() };
+    governor.listed(at(2000), ListScope::Changes, &drain(0..20));
+    replies(&mut governor, 2000..3000, false);
+    governor.listed(at(3000), ListScope::Changes, &drain(29..30));
+    let told = replies(&mut governor, 3000..5500, true);
+    assert!(told.is_some_and(|at| at < 4000), "{told:?}");
+}
+
+/// A server drains and is left by all of ours; a proxy joins, and only then comes a slice that names it.
+#[test]
+fn a_slice_given_with_a_line_for_a_withdrawn_server_has_it_withdrawn_anew() {
+    let mut governor = plain(site(), 6);
+    let well = |_, _, _| (0.0, 100);
+    hear(&mut governor, 1..5, 1, 6, &well);
+    governor.listed(at(5000), ListScope::Changes, &[listing(0, Standing::Draining, 0)]);
+    let out = |s: &Step| *s == Step::Withdraw { server: 0, out: true };
+    assert!(hear(&mut governor, 5..12, 1, 6, &well).iter().any(out));
+    governor.proxy_joined(at(12_000), 1, false);
+    assert!(!governor.collect(at(12_000)).iter().any(out), "no table names it");
+    governor.slice_given(at(12_500), 40, &[(0, 1.0), (1, 0.01)]);
+    assert!(governor.collect(at(12_500)).iter().any(out));
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -26,6 +26,7 @@
         cold_share: 0.2,
         warm_after: Span::ms(10_000),
         fall_multiple: 3.0,
+        drain_grace: Span::ms(GRACE_MS),
         message_head: 8.0,
         pace: 1500.0,
         queue_cap: 300.0,
