What servers can do is judged by warm ones: new servers take slices while they warm up

Cause: what a cold server may take is a part of `proven`, what a unit of power was seen to answer; sum_up (src/measures.rs) took it over all servers in their place, and cold ones that nobody asks answer nothing. So it fell from 0.44 to 0.15, and with it the allowance, below one slice: nobody may take, nothing is answered, less is proven. Harmless where few are new. Change: `proven` counts warm servers only, while there is one.

Also: a proxy that comes back hears only of what it missed (withdrawals and lifts later than what it last acked; all of them if it comes bare). Repeats for joiners took up to 60% of the channel (65 and 32 withdrawals each 0.66 s).

--- a/src/measures.rs
+++ b/src/measures.rs
@@ -119,16 +119,20 @@
     pub(crate) fn sum_up(&self, band: f64, long: Span, counted: impl Fn(&Server) -> bool) -> Picture {
         let counted = || self.servers.values().filter(|s| counted(s));
         let power = counted().map(|s| s.power).sum::<f64>().max(0.01);
-        // What was seen of servers is no less for what operators count them for.
-        let able = counted().map(|s| s.able).sum::<f64>().max(0.01);
         let load: f64 = self.slices.values().map(|s| s.load).sum();
         let burst: f64 = self.slices.values().map(|s| s.burst).sum();
-        let answered: f64 = counted().map(|s| self.rate(&s.answered, long, self.born)).sum();
+        // What was seen of servers is no less for what operators count them for, nor for cold ones beside them
+        // that are sent little.
+        let some_warm = counted().any(|s| !self.is_cold(s));
+        let sure = || counted().filter(|s| !some_warm || !self.is_cold(s));
+        let able = sure().map(|s| s.able).sum::<f64>().max(0.01);
+        let carried: f64 = sure().map(|s| s.load).sum();
+        let answered: f64 = sure().map(|s| self.rate(&s.answered, long, self.born)).sum();
         let average = load / power;
         Picture {
             average,
             phi: band * average,
-            proven: (load / able).min(answered / able),
+            proven: carried.min(answered) / able,
             rise: burst / load.max(0.01),
             even: burst / self.servers.len().max(1) as f64,
         }
--- a/src/news.rs
+++ b/src/news.rs
@@ -15,15 +15,18 @@
         self.settle(now);
     }
 
-    /// A proxy holds what a former life of ours withdrew, and misses what is ordered while it is away.
+    /// A proxy holds what a former life of ours withdrew, and misses what is ordered while it is away. What it
+    /// applied before it left it still holds, unless it comes bare.
     pub fn proxy_joined(&mut self, now: Moment, proxy: ProxyId, bare: bool) {
         self.channel.proxies.insert(proxy);
-        let first = self.known.insert(proxy);
+        let applied = self.known.get(&proxy).copied();
+        self.known.insert(proxy, if bare { Moment::default() } else { applied.unwrap_or_default() });
         let mut missed = Vec::new();
         for (id, s) in &self.servers {
-            if s.shut && !s.lines.is_empty() {
+            let lacks = applied.is_none_or(|at| at < s.turned);
+            if s.shut && !s.lines.is_empty() && (bare || lacks) {
                 missed.push(*id);
-            } else if !s.shut && !bare && (first || s.was_shut) {
+            } else if !s.shut && !bare && (applied.is_none() || (s.was_shut && lacks)) {
                 self.to_lift.insert(*id);
             }
         }
@@ -70,7 +73,8 @@
     }
 
     pub fn applied(&mut self, now: Moment, proxy: ProxyId, mark: u16) {
-        self.channel.acked(now, proxy, mark);
+        let at = self.channel.acked(now, proxy, mark);
+        at.zip(self.known.get_mut(&proxy)).into_iter().for_each(|(at, known)| *known = at.max(*known));
         self.settle(now);
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -38,9 +38,10 @@
     pub cut_at: Moment,
     /// Rounds in a row above the band, or below it where negative.
     pub outside: i32,
-    /// Withdrawn by us from all tables; and whether it ever was.
+    /// Withdrawn by us from all tables; whether it ever was; and when proxies were last told of either.
     pub shut: bool,
     pub was_shut: bool,
+    pub turned: Moment,
     /// Gave or took a slice in this round.
     pub used: bool,
     /// Slices that have, or are to have, a line on it; and the number of those for which it only stands by.
@@ -77,8 +78,9 @@
     pub(crate) alarm: bool,
     /// The list is more than what a former life remembered.
     pub(crate) list_fresh: bool,
-    /// Proxies that have joined since the start, and when one was last lost.
-    pub(crate) known: BTreeSet<ProxyId>,
+    /// Proxies that have joined since the start, and up to when each has applied what was ordered; and when
+    /// one was last lost.
+    pub(crate) known: BTreeMap<ProxyId, Moment>,
     pub(crate) parted_at: Moment,
     /// Servers still to be withdrawn from all tables, and from when on; and those whose withdrawals are to be
     /// lifted.
@@ -133,7 +135,7 @@
             agenda: Agenda::default(),
             alarm: false,
             list_fresh: false,
-            known: BTreeSet::new(),
+            known: BTreeMap::new(),
             parted_at: now,
             to_shut: BTreeMap::new(),
             to_lift: BTreeSet::new(),
@@ -277,6 +279,7 @@
     pub(crate) fn note_withdrawal(&mut self, step: &Step) {
         let Step::Withdraw { server, out } = step else { return };
         self.to_shut.remove(server);
+        self.servers.get_mut(server).into_iter().for_each(|s| s.turned = self.now);
         if !out {
             self.to_lift.remove(server);
             self.due.lift = self.due.lift.filter(|_| !self.to_lift.is_empty());
@@ -366,6 +369,7 @@
             outside: 0,
             shut: false,
             was_shut: false,
+            turned: Moment::default(),
             used: false,
             lines: BTreeSet::new(),
             standing_by: 0.0,
@@ -596,14 +600,15 @@
         }
     }
 
-    /// It has applied all that was sent up to this mark: an ack that was lost on its way is made up for by
-    /// the next one.
-    pub fn acked(&mut self, now: Moment, proxy: ProxyId, mark: u16) {
+    /// It has applied all that was sent up to this mark, and so up to when: an ack that was lost on its way is
+    /// made up for by the next one.
+    pub fn acked(&mut self, now: Moment, proxy: ProxyId, mark: u16) -> Option<Moment> {
         self.heard = now;
-        let Some(at) = self.marks.get(&mark).map(|sent| sent.at) else { return };
+        let at = self.marks.get(&mark)?.at;
         let before = self.marks.values_mut().filter(|sent| sent.at <= at);
         before.for_each(|sent| _ = sent.waiting.remove(&proxy));
         self.last_through = self.last_through.max(at);
+        Some(at)
     }
 
     /// Messages leave in order, so an ack shows that all ordered before have left. Of the rest, the lines not
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -361,3 +361,72 @@
     governor.slice_given(at(12_500), 40, &[(0, 1.0), (1, 0.01)]);
     assert!(governor.collect(at(12_500)).iter().any(out));
 }
+
+/// Six warm servers carry all, and twelve new ones stand by unused (`join+mass`): what the six were seen to
+/// answer is what a server can do, and a slice that must leave goes to one that is cold and has room.
+#[test]
+fn cold_servers_that_nobody_asks_do_not_prove_that_servers_can_do_little() {
+    let mut governor = plain(site(), 6);
+    let mut steps = Vec::new();
+    for second in 1..20 {
+        let now = at(second * 1000);
+        for s in 0..6 {
+            let (covers, mean_latency) = (Span::ms(1000), Span::ms(100));
+            governor.met(now, s, Met { place: 0, covers, tries: 20.0, aborted: 0.0, mean_latency });
+            governor.asked(now, s, Asked { op_type: 0, covers, came: 2.0, aborted: 0.0 });
+        }
+        if second == 10 {
+            let new: Vec<_> = (6..18).map(|s| listing(s, Standing::Ready, 10_000)).collect();
+            governor.listed(now, ListScope::Changes, &new);
+        }
+        if second == 17 {
+            governor.listed(now, ListScope::Changes, &[listing(0, Standing::Draining, 0)]);
+        }
+        governor.woken(now, second);
+        for step in governor.collect(now) {
+            if let Step::Mark { number } = step {
+                governor.applied(now, 0, number);
+            }
+            steps.extend((second >= 17).then_some(step));
+        }
+    }
+    let went = |s: &Step| match s {
+        Step::Line { slice: 0, server, weight } if *weight >= 1.0 => Some(*server),
+        _ => None,
+    };
+    let went = steps.iter().find_map(went);
+    assert!(went.is_some_and(|server| server >= 6), "{went:?}");
+}
+
+/// What a proxy applied before it left it still holds; of what it missed it has to hear.
+#[test]
+fn a_proxy_that_comes_back_hears_only_what_it_missed() {
+    for missed in [false, true] {
+        let mut governor = plain(site(), 6);
+        let out = |s: &Step| *s == Step::Withdraw { server: 0, out: true };
+        // Slices enough that some still name the server when the proxy is back.
+        (50..450).for_each(|n| governor.slice_given(at(0), n, &[(0, 1.0)]));
+        governor.proxy_joined(at(0), 1, true);
+        governor.collect(at(0));
+        (0..200).for_each(|mark| (0..2).for_each(|proxy| governor.applied(at(500), proxy, mark)));
+        governor.listed(at(5000), ListScope::Changes, &[listing(0, Standing::Draining, 0)]);
+        let reply = governor.collect(at(5000));
+        assert!(reply.iter().any(out), "{reply:?}");
+        let Some(Step::Mark { number }) = reply.last() else { panic!("no mark: {reply:?}") };
+        governor.applied(at(5300), 0, *number);
+        if !missed {
+            governor.applied(at(5300), 1, *number);
+        }
+        governor.proxy_left(at(5400), 1);
+        governor.proxy_joined(at(5600), 1, false);
+        let told = (5600..7000).step_by(100).any(|now| {
+            governor.woken(at(now), now);
+            let reply = governor.collect(at(now));
+            if let Some(Step::Mark { number }) = reply.last() {
+                (0..2).for_each(|proxy| governor.applied(at(now), proxy, *number));
+            }
+            reply.iter().any(out)
+        });
+        assert_eq!(told, missed);
+    }
+}
