Bands are those of whole servers where several governors share them; room minds a cold budget

Cause: five governors have about one slice a server each. AvgL of a governor is that of its own slices, and so is phi: a slice of 1.35 times the average "overfills" the fifth of a server that one governor sees. Harmless with one governor, five times over with five. Change: phi is 0.35 of AvgL times the root of how much more all governors carry (slices of the deployment over own ones; new from the settings): deviations of governors that do not know of each other add up by their squares. With one governor, or one in charge of all, nothing changes.

Also: priority of a light server on the ordinary path minds what it may still be sent while cold; it was the emptiest and newest, whose allowance no slice fits, and the round ended there.

--- a/briefing/src/lib.rs
+++ b/briefing/src/lib.rs
@@ -69,6 +69,8 @@
     report_period: Span,
     #[serde(rename = "levelKind", default)]
     level_kind: String,
+    #[serde(rename = "partitionsN", default)]
+    slices: u32,
     #[serde(rename = "singleWriter", default)]
     single_writer: bool,
     #[serde(rename = "tenureNs", default, deserialize_with = "span")]
@@ -123,6 +125,7 @@
             list_pushed: self.list_mode == ListMode::Push,
             sizes_known: matches!(self.sizes.as_str(), "nominal" | "rough"),
             levels_followed: fleet.level_kind == "fraction",
+            slices: fleet.slices,
             single_writer: fleet.single_writer,
             tenure: fleet.tenure,
             write_life: fleet.write_life,
--- a/fleet/src/sizes.rs
+++ b/fleet/src/sizes.rs
@@ -143,7 +143,7 @@
         serde_json::json!({
             "classes": self.kinds.iter().map(kind).collect::<Vec<_>>(),
             "familyInfo": {
-                "periodNs": 1_000_000_000u64, "levelKind": "fraction", "singleWriter": false,
+                "periodNs": 1_000_000_000u64, "levelKind": "fraction", "singleWriter": false, "partitionsN": self.slices,
                 "tenureNs": 4_000_000_000u64, "writeLifeNs": 20_000_000u64, "fixedCost": self.head,
                 "pushRate": self.pace, "queueCap": self.queue_cap, "updateCap": self.message_cap,
                 "reloadSpanNs": ns(self.message_window)
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -22,6 +22,8 @@
     pub sizes_known: bool,
     /// A share of an op type can be let in.
     pub levels_followed: bool,
+    /// Slices of all governors together; 0 where that is not known.
+    pub slices: u32,
     /// A slice has one owner at a time, and its table one line.
     pub single_writer: bool,
     /// How long a proxy still sends writes once its stream broke, and how long a write stays in hand.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -183,7 +183,7 @@
     /// What a cold server may be sent now: of what would push it over, a safe part. What the fleet answers,
     /// level by level, is the only sure sign of what servers can do; what is asked may be far more (overload,
     /// repeats).
-    fn allowance(&self, s: &Server) -> f64 {
+    pub(crate) fn allowance(&self, s: &Server) -> f64 {
         if !self.is_cold(s) {
             return f64::INFINITY;
         }
@@ -739,7 +739,7 @@
         let below = |s: &Server| -s.outside >= ROUNDS_OUTSIDE && s.level() < low;
         let is_light = |s: &Server| idle(s) && (below(s) || (made_small && s.level() < high)) && easy(s);
         let light = self.servers.iter().filter(|(_, s)| is_light(s));
-        let (to, dest) = light.max_by(|a, b| self.picture.room(a.1).total_cmp(&self.picture.room(b.1)))?;
+        let (to, dest) = light.max_by(|a, b| self.room(a.1).total_cmp(&self.room(b.1)))?;
         for (from, source) in heavy {
             let damped = |moves: u32| OMEGA.powi(moves as i32) * source.level() / top > DELTA;
             let fits = |net: f64| {
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// How much more all governors carry than this one, as far as slices tell.
+    pub(crate) fn whole(&self) -> f64 {
+        (f64::from(self.site.slices) / self.slices.len().max(1) as f64).max(1.0)
+    }
+
     /// AvgL and what goes with it, over the servers that are counted.
     pub(crate) fn sum_up(&self, band: f64, long: Span, counted: impl Fn(&Server) -> bool) -> Picture {
         let counted = || self.servers.values().filter(|s| counted(s));
@@ -131,7 +136,7 @@
         let average = load / power;
         Picture {
             average,
-            phi: band * average,
+            phi: band * average * self.whole().sqrt(),
             proven: carried.min(answered) / able,
             rise: burst / load.max(0.01),
             even: burst / self.servers.len().max(1) as f64,
@@ -154,6 +159,11 @@
         self.is_fit(s) && !self.is_cold(s)
     }
 
+    /// What it may still get, inside the band and, where it is cold, of what it is allowed.
+    pub(crate) fn room(&self, s: &Server) -> f64 {
+        self.picture.room(s).min(self.allowance(s) - s.press)
+    }
+
     pub(crate) fn many(&self, counted: impl Fn(&Server) -> bool) -> usize {
         self.servers.values().filter(|s| counted(s)).count()
     }
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -430,3 +430,31 @@
         assert_eq!(told, missed);
     }
 }
+
+/// Of five governors each has one slice a server (the fleet days): one slice of twice the others' load overfills
+/// the part of a server that one governor sees, and no server.
+#[test]
+fn bands_are_those_of_whole_servers_where_others_fill_them_too() {
+    for (slices, spreads) in [(0, true), (6, true), (30, false)] {
+        let mut governor = plain(Deployment { slices, ..site() }, 6);
+        let mut whole_lines = 0;
+        for second in 1..12 {
+            let now = at(second * 1000);
+            for s in 0..6 {
+                let (covers, came) = (Span::ms(1000), if s == 0 { 4.0 } else { 2.0 });
+                let mean_latency = Span::ms(100);
+                governor.met(now, s, Met { place: 0, covers, tries: came, aborted: 0.0, mean_latency });
+                governor.asked(now, s, Asked { op_type: 0, covers, came, aborted: 0.0 });
+            }
+            governor.woken(now, second);
+            for step in governor.collect(now) {
+                if let Step::Mark { number } = step {
+                    governor.applied(now, 0, number);
+                }
+                let whole = matches!(step, Step::Line { slice: 0, weight, .. } if weight >= 1.0);
+                whole_lines += u32::from(whole);
+            }
+        }
+        assert_eq!(whole_lines > 0, spreads, "{slices} slices in all");
+    }
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -20,6 +20,7 @@
         gone_is_advice: false,
         sizes_known: false,
         levels_followed: true,
+        slices: 0,
         single_writer: false,
         tenure: Span::ms(1000),
         write_life: Span::ms(50),
