All descriptors but 64 are for connections; a test with 1,024 governors, servers, 300 places

Need: the operators' lists may hold over a thousand of either, and each place has a collector. Seen by the new test with 512 descriptors and 300 collectors: "Broken pipe" at the 225th, as half of the descriptors were kept back for a second hand on each connection that only readers (several cores) have. Without them there is none, so none is kept back.

The program with 1,024 peers, 1,024 known and listed servers and 300 collectors stays under 32 MB with at most two threads.

--- a/governor/src/program/configuration.rs
+++ b/governor/src/program/configuration.rs
@@ -189,14 +189,16 @@
         value.parse::<SocketAddr>().map_err(|why| format!("{name}: {value:?} is no address: {why}"))
     };
     let clock = || SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_nanos() as u64);
-    let connections = (file.limits.sockets as usize).saturating_sub(limits::RESERVED) / 2;
-    if connections == 0 {
-        return Err(format!("limits.sockets: {} are too few", file.limits.sockets));
-    }
     let operators = around.operators.as_deref().map(operators).transpose()?;
     // More than the platform lends would only take turns.
     let lent = file.limits.cores.map_or(usize::MAX, |cores| (cores as usize).max(1));
     let cores = operators.as_ref().and_then(|file| file.cores).unwrap_or(1).min(lent);
+    // Beside readers the one who decides has a second hand on each connection.
+    let hands = if cores > 1 { 2 } else { 1 };
+    let connections = (file.limits.sockets as usize).saturating_sub(limits::RESERVED) / hands;
+    if connections == 0 {
+        return Err(format!("limits.sockets: {} are too few", file.limits.sockets));
+    }
     Ok(Start {
         name: either(&around.name, file.name, "name")?,
         listen: address(either(&around.listen, file.listen, "listen")?, "listen")?,
--- /dev/null
+++ b/governor/tests/size.rs
@@ -0,0 +1,122 @@
+//! As large as the operators' lists may get: 1,024 governors and 1,024 servers, hundreds of places.
+
+mod stand_ins;
+
+use serde_json::{json, Value};
+use stand_ins::*;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+use whinwall::time::{Moment, Span};
+use whinwall_governor::protocol::discovery;
+use whinwall_governor::protocol::relay::{decode_news, Answer};
+use whinwall_governor::routing::{Effect, Event, Reducer};
+use whinwall_governor::transport::Targets;
+
+const MANY: usize = 1024;
+const PLACES: usize = 300;
+
+fn place(n: usize) -> String {
+    format!("p{}", n % PLACES)
+}
+
+fn list(version: u64, states: impl Iterator<Item = (usize, &'static str)>) -> Value {
+    let entry =
+        |(n, state)| json!({"id": format!("s-{n}"), "addr": "127.0.0.9:1", "zone": place(n), "state": state});
+    json!({"version": version, "full": version == 1, "servers": states.map(entry).collect::<Vec<_>>()})
+}
+
+/// Kilobytes resident, and threads.
+fn used(program: &Program) -> (usize, usize) {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", program.child.id())).unwrap();
+    let figure = |key: &str| {
+        let line = status.lines().find_map(|line| line.strip_prefix(key)).unwrap();
+        line.split_whitespace().next().unwrap().parse().unwrap()
+    };
+    (figure("VmRSS:"), figure("Threads:"))
+}
+
+/// All of them known at the start, listed, and each place with a collector; within the smallest limits.
+#[test]
+fn the_program_serves_a_thousand_of_everything_within_the_smallest_limit() {
+    let (mut relay, mut discovery) = (Relay::start(), Discovery::start());
+    let program = Program::start_with(&relay, &discovery, |file| {
+        file["limits"] = json!({"cores": 1.0, "memory_mb": 32, "sockets": 512});
+        file["peers"] = (0..MANY).map(|n| json!(format!("127.1.{}.{}:7946", n / 256, n % 256))).collect();
+        file["known"] = list(1, (0..MANY).map(|n| (n, "active")));
+        file["settings"]["zones"] = (0..PLACES).map(place).collect();
+        file["settings"]["peersTotal"] = json!(MANY);
+    });
+    let watch = discovery.watch(1);
+    let say = |list: Value| watch.say.send(format!("{list}\n")).unwrap();
+    say(list(1, (0..MANY).map(|n| (n, "active"))));
+    let mut collectors: Vec<_> = (0..PLACES).map(|_| program.connect()).collect();
+    for (n, collector) in collectors.iter_mut().enumerate() {
+        collector.says(&json!({"@type": "SOURCE", "az": place(n)}).to_string());
+        collector.pings();
+    }
+    let _news = relay.introduce_fleet(MANY, 2 * MANY, 3);
+    relay.answer_until("SYNC").carried_out();
+    say(list(2, [(MANY - 1, "leaving")].into_iter()));
+    relay.answer_until(&format!("OUT,s-{};", MANY - 1)).carried_out();
+    collectors.iter_mut().for_each(Peer::pings);
+    let (kilobytes, threads) = used(&program);
+    assert!(kilobytes < 32 << 10 && threads <= 2, "{kilobytes} kB, {threads} threads");
+}
+
+/// A fleet in the reducer: half of it drains at once. The longest turn that this leads to.
+fn longest_turn(servers: usize) -> Duration {
+    let mut file = configuration();
+    file["settings"]["zones"] = (0..PLACES).map(place).collect();
+    file["settings"]["familyInfo"]["queueCap"] = json!(1e9);
+    file["settings"]["familyInfo"]["pushRate"] = json!(1e9);
+    let briefing = whinwall_briefing::read(&file["settings"]).unwrap();
+    let mut now = Moment::default() + Span::ms(1_800_000_000_000);
+    let here = |port| SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port);
+    let targets = Targets { discovery: here(8500), relay: here(6400) };
+    let mut reducer = Reducer::start(briefing, targets, 7, &discovery::List::default(), now);
+    let listed = |list: Value| Event::List(discovery::decode(&list.to_string()).unwrap().unwrap());
+    let news = |line: String| Event::News(decode_news(&line).unwrap());
+    let mut longest = Duration::ZERO;
+    let mut tell = |now: Moment, events: Vec<Event>| {
+        let mut events: Vec<_> = events.into_iter().rev().collect();
+        let began = Instant::now();
+        while let Some(event) = events.pop() {
+            for effect in reducer.apply(now, event) {
+                let Effect::Call { line, .. } = effect else { continue };
+                let mark = line.split(';').find_map(|order| order.strip_prefix("SYNC,")?.split(',').next());
+                let acks = mark
+                    .into_iter()
+                    .flat_map(|mark| (0..3).map(move |proxy| format!("* ACK {proxy} {mark} 1")));
+                events.extend(acks.map(news));
+                events.push(Event::Answer(Ok(Answer::Taken(line.split(';').count()))));
+            }
+        }
+        longest = longest.max(began.elapsed());
+    };
+    tell(now, vec![listed(list(1, (0..servers).map(|n| (n, "active"))))]);
+    let mut stands = vec!["OK".to_string()];
+    stands.extend((0..3).map(|proxy| format!("* SUBSCRIBE {proxy} p0 21.5 1")));
+    for slice in 0..servers * 6 {
+        stands.extend([format!("* GRANT {slice} 1"), format!("* ROW {slice} s-{} 1", slice % servers)]);
+    }
+    stands.push("*".into());
+    tell(now, stands.into_iter().map(news).collect());
+    for turn in 0..24 {
+        now = now + Span::ms(250);
+        if turn == 12 {
+            tell(now, vec![listed(list(2, (0..servers / 2).map(|n| (n, "leaving"))))]);
+        }
+        tell(now, vec![Event::Quiet]);
+    }
+    longest
+}
+
+/// Each slice that must leave looks at each server: four times as many of all cost up to sixteen times as much,
+/// and no more.
+#[test]
+fn a_turn_grows_as_slices_times_servers_and_no_faster() {
+    let turn = |servers| (0..3).map(|_| longest_turn(servers)).min().unwrap();
+    let (small, large) = (turn(256), turn(MANY));
+    println!("half of the servers leave: {small:?} a turn with 256 servers, {large:?} with {MANY}");
+    assert!(large < small * 24, "{large:?} against {small:?}");
+}
