A late line of a slice that the news has just given us counts, whatever was ordered meanwhile

Cause: while what stands is being told, a table that differs is passed over where orders for its slice are open or were made (in_motion), for after a break such a table may be older than the orders. A slice that this very news was the first to give us has no such past. Change: those are not in motion until all has been told.

--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -153,6 +153,9 @@
     /// Slices with orders that were open, or made, since the news was last asked for: of these a snapshot may
     /// show what was before or what comes after.
     in_motion: BTreeSet<SliceId>,
+    /// Slices that the news which is being told was the first to give us: a line that it adds to them later is
+    /// a late piece, whatever was ordered meanwhile.
+    first_given: BTreeSet<SliceId>,
     /// A call was dropped, or crossed with a slice that changed hands: no orders are made until the store was
     /// read anew, or can't be read.
     in_doubt: bool,
@@ -179,6 +182,7 @@
             tables: BTreeMap::new(),
             snapshot: Snapshot::default(),
             in_motion: BTreeSet::new(),
+            first_given: BTreeSet::new(),
             in_doubt: false,
             outbox: Outbox::default(),
             failures: BTreeMap::new(),
@@ -456,6 +460,7 @@
             News::Begins => {
                 self.found(Source::News);
                 self.snapshot = Snapshot::beginning();
+                self.first_given.clear();
             }
             News::Alive => {}
             News::Joined { proxy, bare } => {
@@ -465,7 +470,10 @@
             }
             News::Left { proxy } => self.left(now, proxy),
             News::Acked { proxy, mark } => self.governor.applied(now, proxy, mark),
-            News::Granted { slice } => self.snapshot.granted(now, slice),
+            News::Granted { slice } => {
+                self.first_given.extend((!self.tables.contains_key(&slice)).then_some(slice));
+                self.snapshot.granted(now, slice);
+            }
             News::Line { slice, server, weight } => {
                 let line = (self.names.number(&server), weight);
                 self.snapshot.line(now, slice, self.tables.get(&slice), line);
@@ -509,6 +517,7 @@
         let (tables, again) = (self.snapshot.rest(), self.snapshot.is_whole());
         self.given(now, tables, again);
         let Some(named) = self.snapshot.ended() else { return };
+        self.first_given.clear();
         self.in_doubt = false;
         let gone: Vec<_> = self.proxies.difference(&named.proxies).copied().collect();
         gone.into_iter().for_each(|proxy| self.left(now, proxy));
@@ -629,7 +638,8 @@
     fn collect(&mut self, now: Moment) {
         let steps = self.governor.collect(now);
         let orders: Vec<_> = steps.into_iter().filter_map(|step| self.order(now, step)).collect();
-        self.in_motion.extend(orders.iter().filter_map(Order::slice));
+        let moved = orders.iter().filter_map(Order::slice);
+        self.in_motion.extend(moved.filter(|slice| !self.first_given.contains(slice)));
         self.outbox.put(&orders);
         // Only now: an order may be the last that a server is named in.
         if self.names.len() > self.governor.servers_known() {
