--- a/governor/src/transport/listener.rs
+++ b/governor/src/transport/listener.rs
@@ -101,7 +101,8 @@
 
 type Peers = Rc<RefCell<BTreeMap<ConnectionId, (Arc<Peer>, oneshot::Sender<()>)>>>;
 
-/// Takes connections for ever. Where there are too many, one that has not joined goes, else the one that has
+/// Takes connections for ever, half of them at the most from those who have not joined. Where there are too many,
+/// one that has not joined goes, else the one that has
 /// been silent longest: hundreds of strangers must not cost a collector its place.
 pub async fn listen(listener: Rc<TcpListener>, bounds: Bounds, readers: impl Readers) {
     let peers = Peers::default();
@@ -118,8 +119,10 @@
         let ((hold, let_go), (over, is_over)) = (oneshot::channel(), oneshot::channel());
         let peer = Arc::new(Peer::new());
         peers.borrow_mut().insert(id, (peer.clone(), hold));
-        if peers.borrow().len() > bounds.connections {
-            let order = |peer: &Peer| (peer.has_joined.load(Ordering::Relaxed), peer.heard_at());
+        let has_joined = |peer: &Peer| peer.has_joined.load(Ordering::Relaxed);
+        let strangers = peers.borrow().values().filter(|(peer, _)| !has_joined(peer)).count();
+        if peers.borrow().len() > bounds.connections || strangers > bounds.connections.div_ceil(2) {
+            let order = |peer: &Peer| (has_joined(peer), peer.heard_at());
             let silent = peers.borrow().iter().min_by_key(|(_, (peer, _))| order(peer)).map(|(id, _)| *id);
             silent.and_then(|id| peers.borrow_mut().remove(&id));
         }
