The emulator's herd: most governors killed in a release; copies of a call said again are counted

A withdrawal of one governor counted for the slices of all, a killed governor excused every rule, and proxies had streams to all or to none. Now a withdrawal holds for the slices of who ordered it, the third checker counts from when the governor whose slice it is knew, was there, had the slice and the proxy, and there is a trouble Herd (governors killed at once, their slices taken over, proxies that come back one by one, slices given back only then), alone and among the drawn ones.

Cause: a call that was carried out twice lay in the channel twice, and the first ack of each proxy took both copies off (Channel::acked), and where all had acked the first before it was said again, nothing of the second was counted. Change: copies are counted a proxy, an ack takes one (a later mark's ack all); an ack of the mark proves the call carried out, and it is not said again; after 3 s without any ack what was not acked twice was sent once.

--- a/fleet/src/day.rs
+++ b/fleet/src/day.rs
@@ -30,6 +30,13 @@
 const MUTE: Span = Span::ms(150);
 const AGAIN: Span = Span::ms(300);
 const COMEBACKS: u32 = 2;
+/// Until another governor is given the slices of one that was killed, and until one that is back has its own;
+/// within which time proxies come over to it.
+const TAKEN_OVER: Span = Span::ms(1500);
+const GIVEN_BACK: Span = Span::ms(2000);
+const COME_OVER: Span = Span::ms(4000);
+/// The rules' time begins no sooner than so long after a governor's start.
+const STARTING: Span = Span::ms(1000);
 /// Before figures count: the fleet finds its feet.
 const SETTLING: Span = Span::ms(5000);
 
@@ -124,6 +131,12 @@
         stage: u8,
     },
     Alive,
+    TakeOver(usize),
+    GiveBack(usize),
+    ComesOver {
+        governor: usize,
+        proxy: ProxyIx,
+    },
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -141,6 +154,9 @@
     /// Grows with each life; what was meant for an earlier one is lost.
     life: u64,
     quiet: Option<Moment>,
+    born: Moment,
+    /// Since when it knows which servers drain.
+    told: BTreeMap<ServerIx, Moment>,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -164,11 +180,11 @@
     store: Store,
     /// By slice, whose it is.
     holders: Vec<usize>,
+    given: Vec<Moment>,
     garbled: f64,
     /// By server, as discovery lists it; its version.
     listed: Vec<&'static str>,
     version: u64,
-    drained: BTreeMap<ServerIx, Moment>,
     ops: BTreeMap<u64, Op>,
     next_op: u64,
     /// By slice, how much comes for it.
@@ -246,6 +262,8 @@
             follows: false,
             life: 0,
             quiet: None,
+            born: now,
+            told: BTreeMap::new(),
         };
         Day {
             now,
@@ -258,10 +276,10 @@
             governors: (0..sizes.governors).map(governor).collect(),
             store,
             holders: (0..sizes.slices).map(|slice| slice % sizes.governors).collect(),
+            given: vec![now; sizes.slices],
             garbled: 0.0,
             listed: vec!["active"; sizes.servers],
             version: 1,
-            drained: BTreeMap::new(),
             ops: BTreeMap::new(),
             next_op: 0,
             heat,
@@ -361,6 +379,15 @@
             Step::Begins(at) => self.begins(at),
             Step::Ends(at) => self.ends(at),
             Step::Release { server, to, stage } => self.release(server, to, stage),
+            Step::TakeOver(from) => {
+                let heir = (0..self.governors.len()).find(|at| self.governors[*at].reducer.is_some());
+                self.hand_all(|_, holder| heir.filter(|_| holder == from));
+            }
+            Step::GiveBack(to) => {
+                let many = self.governors.len();
+                self.hand_all(|slice, _| (slice % many == to).then_some(to));
+            }
+            Step::ComesOver { governor, proxy } => self.comes_over(governor, proxy),
             Step::Alive => {
                 self.after(Span::ms(1000), Step::Alive);
                 for at in 0..self.governors.len() {
@@ -425,8 +452,9 @@
         let tables = matches!(self.policy, Policy::Governed | Policy::HandsOff);
         let lets_in =
             tried.is_some() || !tables || self.proxies[proxy].lets_in(slice, kind, &mut self.chance);
+        let of = (slice, self.holders[slice]);
         let to = match tables {
-            true => self.proxies[proxy].pick(self.now, slice, tried, &mut self.chance),
+            true => self.proxies[proxy].pick(self.now, of, tried, &mut self.chance),
             false => {
                 let listed: Vec<_> = self.listed.iter().map(|state| *state == "active").collect();
                 let out = |server| self.out.get(&(proxy, server)).copied().unwrap_or(0);
@@ -445,18 +473,7 @@
     }
 
     fn reaches(&mut self, server: ServerIx, job: Job) {
-        let told = self.drained.get(&server).copied();
-        if let Some(told) =
-            told.filter(|told| self.policy == Policy::Governed && self.now - *told > self.sizes.grace)
-        {
-            let proxy = self.ops.get(&job.op).map_or(0, |op| op.proxy);
-            if self.now > self.excused + self.sizes.grace && self.proxies[proxy].joined {
-                let late = (self.now - told).seconds();
-                let what =
-                    format!("proxy {proxy} sends to {} that drains for {late:.1} s", server_name(server));
-                self.rules.broken(3, self.now, what, &server_name(server));
-            }
-        }
+        self.drains(server, job.op);
         let was_cold = self.servers[server].is_cold(self.now, &self.sizes);
         let push = self.servers[server].push(self.now, &self.sizes);
         match self.servers[server].offer(self.now, job, &self.sizes, &mut self.chance) {
@@ -486,6 +503,24 @@
         }
     }
 
+    /// Rule 3: counted from when the governor whose slice it is knew, was there, had the slice and the proxy.
+    fn drains(&mut self, server: ServerIx, op: u64) {
+        let Some((slice, proxy)) = self.ops.get(&op).map(|op| (op.slice, op.proxy)) else { return };
+        let of = self.holders[slice];
+        let governor = &self.governors[of];
+        let Some(told) = governor.told.get(&server) else { return };
+        let joined = self.proxies[proxy].since.get(&of).copied().unwrap_or_default();
+        let since = [*told, governor.born + STARTING, self.given[slice], joined].into_iter().max();
+        let late = since.map_or(Span::default(), |since| self.now - since);
+        let binds = self.policy == Policy::Governed && self.now > self.excused + self.sizes.grace;
+        if binds && late > self.sizes.grace && self.proxies[proxy].has_stream(of) {
+            let (name, late) = (server_name(server), late.seconds());
+            let what =
+                format!("proxy {proxy} sends to {name} that drains for {late:.1} s, slice {slice} of {of}");
+            self.rules.broken(3, self.now, what, &name);
+        }
+    }
+
     /// A process that has fallen is started again by whoever looks after it.
     fn agenda_restart(&mut self, server: ServerIx, pause: Span) {
         self.after(pause, Step::Release { server, to: server, stage: 2 });
@@ -672,6 +707,7 @@
         let governor = &mut self.governors[at];
         governor.life += 1;
         (governor.reducer, governor.follows, governor.quiet) = (Some(reducer), false, None);
+        (governor.born, governor.told) = (self.now, BTreeMap::new());
         governor.channel.lost();
         self.tell(at, Event::Started);
         let wanted = Wanted { bounds: Bounds::default(), orders: Vec::new(), has_store: false };
@@ -705,7 +741,10 @@
                 Effect::FollowList { .. } => {
                     let event = match self.discovery_away {
                         true => Event::ListLost(Broken::Silent),
-                        false => Event::List(self.list()),
+                        false => {
+                            self.knows(at);
+                            Event::List(self.list())
+                        }
                     };
                     self.after(WAY, Step::To(at, life, Box::new(event)));
                 }
@@ -757,6 +796,7 @@
         if self.relay_away || former == to {
             return;
         }
+        self.given[slice] = self.now;
         if self.governors[former].follows {
             self.news(former, &format!("* GRANT {slice} 0"));
         }
@@ -778,7 +818,7 @@
         }
         self.governors[at].follows = true;
         let mut lines = vec!["OK".to_string()];
-        let joined = self.proxies.iter().enumerate().filter(|(_, proxy)| proxy.joined);
+        let joined = self.proxies.iter().enumerate().filter(|(_, proxy)| proxy.has_stream(at));
         lines.extend(joined.map(|(n, _)| format!("* SUBSCRIBE {n} {} 1.0 1", self.sizes.place(n))));
         for (slice, table) in self.store.0.iter().filter(|(slice, _)| self.is_of(**slice, at)) {
             lines.push(format!("* GRANT {slice} 1"));
@@ -814,10 +854,6 @@
         self.line(&name, || format!("the list: {name} is {state}"));
         self.listed[server] = state;
         self.version += 1;
-        match state {
-            "leaving" => _ = self.drained.entry(server).or_insert(self.now),
-            _ => _ = self.drained.remove(&server),
-        }
         self.tell_list();
     }
 
@@ -826,11 +862,49 @@
             return;
         }
         for at in 0..self.governors.len() {
+            self.knows(at);
             let event = Event::List(self.list());
             self.tell(at, event);
         }
     }
 
+    /// It is told the list as it is now.
+    fn knows(&mut self, at: usize) {
+        let told = &mut self.governors[at].told;
+        told.retain(|server, _| self.listed[*server] == "leaving");
+        let leaving = self.listed.iter().enumerate().filter(|(_, state)| **state == "leaving");
+        leaving.for_each(|(server, _)| _ = told.entry(server).or_insert(self.now));
+    }
+
+    fn hand_all(&mut self, to: impl Fn(SliceIx, usize) -> Option<usize>) {
+        for slice in 0..self.sizes.slices {
+            let to = to(slice, self.holders[slice]).filter(|to| self.governors[*to].reducer.is_some());
+            to.into_iter().for_each(|to| self.hand_over(slice, to));
+        }
+    }
+
+    /// Of the first so many governors, those that a day can end and start.
+    fn mortal(&self, many: usize) -> Vec<usize> {
+        (0..many).filter(|at| self.governors[*at].wire.is_none()).collect()
+    }
+
+    fn is_killed(&mut self, at: usize) {
+        let governor = &mut self.governors[at];
+        (governor.reducer, governor.follows) = (None, false);
+        governor.life += 1;
+        governor.channel.lost();
+    }
+
+    /// A stream to a governor comes up; the proxy holds what it held.
+    fn comes_over(&mut self, at: usize, proxy: ProxyIx) {
+        self.proxies[proxy].away.remove(&at);
+        self.proxies[proxy].since.insert(at, self.now);
+        self.proxies[proxy].reads(&self.store.0);
+        if self.proxies[proxy].joined && self.governors[at].follows {
+            self.news(at, &format!("* SUBSCRIBE {proxy} {} 1.0 0", self.sizes.place(proxy)));
+        }
+    }
+
     fn call(&mut self, at: usize, line: &str) {
         let life = self.governors[at].life;
         if self.relay_away {
@@ -867,7 +941,7 @@
                 }
             }
         }
-        let joined: Vec<_> = (0..self.proxies.len()).filter(|at| self.proxies[*at].joined).collect();
+        let joined: Vec<_> = (0..self.proxies.len()).filter(|n| self.proxies[*n].has_stream(at)).collect();
         let orders = Arc::new(orders);
         let channel = &mut self.governors[at].channel;
         let broken = channel.send(self.now, joined.into_iter(), &orders, mark, &self.sizes);
@@ -887,10 +961,10 @@
     fn channel(&mut self, at: usize) {
         while let Some(message) = self.governors[at].channel.arrives(self.now) {
             let proxy = &mut self.proxies[message.proxy];
-            if !proxy.joined {
+            if !proxy.has_stream(at) {
                 continue;
             }
-            message.orders.iter().for_each(|order| proxy.obey(order));
+            message.orders.iter().for_each(|order| proxy.obey(at, order));
             if let (Some(mark), true) = (message.mark, self.governors[at].follows) {
                 self.news(at, &format!("* ACK {} {mark}", message.proxy));
             }
@@ -1037,10 +1111,14 @@
             What::GovernorKilled { governor } if self.governors[governor].wire.is_some() => {}
             What::GovernorKilled { governor } => {
                 self.excuse(lasts + aftermath);
-                let governor = &mut self.governors[governor];
-                (governor.reducer, governor.follows) = (None, false);
-                governor.life += 1;
-                governor.channel.lost();
+                self.is_killed(governor);
+            }
+            What::Herd { governors } => {
+                for at in self.mortal(governors) {
+                    self.is_killed(at);
+                    self.proxies.iter_mut().for_each(|proxy| _ = proxy.away.insert(at));
+                    self.after(TAKEN_OVER, Step::TakeOver(at));
+                }
             }
             What::SlowChannel { part } => {
                 self.excuse(lasts + aftermath);
@@ -1114,6 +1192,16 @@
                 self.start(governor)
             }
             What::GovernorKilled { .. } => {}
+            What::Herd { governors } => {
+                for governor in self.mortal(governors) {
+                    self.start(governor);
+                    self.after(GIVEN_BACK, Step::GiveBack(governor));
+                    for proxy in 0..self.proxies.len() {
+                        let pause = COME_OVER.times(self.chance.draw() * self.chance.draw());
+                        self.after(pause, Step::ComesOver { governor, proxy });
+                    }
+                }
+            }
             What::SlowChannel { .. } => {
                 self.governors.iter_mut().for_each(|governor| governor.channel.slow = 1.0);
             }
@@ -1171,7 +1259,8 @@
         }
         self.proxies[proxy].reads(&self.store.0);
         for at in 0..self.governors.len() {
-            if self.governors[at].follows {
+            self.proxies[proxy].since.insert(at, self.now);
+            if self.governors[at].follows && self.proxies[proxy].has_stream(at) {
                 self.news(at, &format!("* SUBSCRIBE {proxy} {} 1.0 0", self.sizes.place(proxy)));
             }
         }
@@ -1192,7 +1281,9 @@
         }
         for (n, proxy) in self.proxies.iter().enumerate() {
             for slice in 0..self.sizes.slices {
-                let is_bare = proxy.joined && proxy.is_bare(slice);
+                let of = self.holders[slice];
+                let there = self.governors[of].reducer.is_some() && proxy.has_stream(of);
+                let is_bare = there && proxy.is_bare(slice, of);
                 self.rules.bare(self.now, n, slice, is_bare, self.sizes.bare);
             }
         }
--- a/fleet/src/proxy.rs
+++ b/fleet/src/proxy.rs
@@ -24,9 +24,13 @@
 #[derive(Clone, Default)]
 pub struct Proxy {
     pub joined: bool,
+    /// Governors that it has no stream to though it is joined, and when the streams that it has came up.
+    pub away: BTreeSet<usize>,
+    pub since: BTreeMap<usize, Moment>,
     /// Shared until it changes: thousands of proxies hold the same.
     tables: BTreeMap<SliceIx, Arc<Table>>,
-    shut: BTreeSet<ServerIx>,
+    /// Whose slices go to whom no more: a withdrawal holds for the slices of who ordered it.
+    shut: BTreeSet<(usize, ServerIx)>,
     /// By slice, or for all: by kind what is let in, and further tries.
     levels: BTreeMap<(Option<SliceIx>, usize), f64>,
     tries: BTreeMap<Option<SliceIx>, u8>,
@@ -43,7 +47,11 @@
         self.tables.insert(slice, table.clone());
     }
 
-    pub fn obey(&mut self, order: &Obeyed) {
+    pub fn has_stream(&self, governor: usize) -> bool {
+        self.joined && !self.away.contains(&governor)
+    }
+
+    pub fn obey(&mut self, governor: usize, order: &Obeyed) {
         match order {
             Obeyed::Line { slice, server, weight } => {
                 let table = Arc::make_mut(self.tables.entry(*slice).or_default());
@@ -52,8 +60,8 @@
                     false => _ = table.remove(server),
                 }
             }
-            Obeyed::Withdraw { server, out: true } => _ = self.shut.insert(*server),
-            Obeyed::Withdraw { server, out: false } => _ = self.shut.remove(server),
+            Obeyed::Withdraw { server, out: true } => _ = self.shut.insert((governor, *server)),
+            Obeyed::Withdraw { server, out: false } => _ = self.shut.remove(&(governor, *server)),
             Obeyed::Level { slice, kinds, share, tries } => {
                 kinds.iter().for_each(|kind| _ = self.levels.insert((*slice, *kind), *share));
                 self.tries.insert(*slice, *tries);
@@ -61,14 +69,16 @@
         }
     }
 
-    /// What of a table can be picked.
-    pub fn open(&self, slice: SliceIx) -> impl Iterator<Item = (ServerIx, f64)> + '_ {
+    /// What of a table can be picked, by the withdrawals of the governor whose slice it is.
+    pub fn open(&self, slice: SliceIx, of: usize) -> impl Iterator<Item = (ServerIx, f64)> + '_ {
         let lines = self.tables.get(&slice).into_iter().flat_map(|table| table.iter());
-        lines.filter(|(server, _)| !self.shut.contains(server)).map(|(server, weight)| (*server, *weight))
+        lines
+            .filter(move |(server, _)| !self.shut.contains(&(of, **server)))
+            .map(|(server, weight)| (*server, *weight))
     }
 
-    pub fn is_bare(&self, slice: SliceIx) -> bool {
-        self.open(slice).next().is_none()
+    pub fn is_bare(&self, slice: SliceIx, of: usize) -> bool {
+        self.open(slice, of).next().is_none()
     }
 
     pub fn lets_in(&self, slice: SliceIx, kind: usize, chance: &mut Chance) -> bool {
@@ -86,14 +96,14 @@
     pub fn pick(
         &self,
         now: Moment,
-        slice: SliceIx,
+        (slice, of): (SliceIx, usize),
         tried: Option<ServerIx>,
         chance: &mut Chance,
     ) -> Option<ServerIx> {
         let avoided = |server: &ServerIx| {
             self.failures.get(server).is_some_and(|(many, until)| *many >= FAILURES && *until > now)
         };
-        let open: Vec<_> = self.open(slice).filter(|(server, _)| Some(*server) != tried).collect();
+        let open: Vec<_> = self.open(slice, of).filter(|(server, _)| Some(*server) != tried).collect();
         let good: Vec<_> = open.iter().copied().filter(|(server, _)| !avoided(server)).collect();
         let from = if good.is_empty() { open } else { good };
         let whole: f64 = from.iter().map(|(_, weight)| weight).sum();
--- a/fleet/src/trouble.rs
+++ b/fleet/src/trouble.rs
@@ -57,6 +57,11 @@
     GovernorKilled {
         governor: usize,
     },
+    /// So many governors are killed at once. Another has their slices after a while; when they are back, proxies
+    /// come over one by one, and their slices only then.
+    Herd {
+        governors: usize,
+    },
     SlowChannel {
         part: f64,
     },
@@ -96,7 +101,7 @@
     let lasts = (sizes.lasts.as_ns() / 1_000_000) as usize;
     let mut one = || {
         let server = below(sizes.servers);
-        let what = match below(20) {
+        let what = match below(21) {
             0 => What::Crash { server },
             1 => What::Hang { server },
             2 => What::Silence { server },
@@ -123,6 +128,7 @@
                 What::HandOver { from, to: (from + 1 + below(sizes.slices / 3)).min(sizes.slices) }
             }
             18 => What::Garbled { share: 0.05 + 0.1 * below(5) as f64 },
+            19 if sizes.governors > 1 => What::Herd { governors: 1 + below(sizes.governors - 1) },
             16 => What::ProxiesLeave { many: 1 + below(sizes.proxies / 2) },
             _ => What::OutOfService { server },
         };
--- a/fleet/tests/days.rs
+++ b/fleet/tests/days.rs
@@ -87,6 +87,43 @@
     assert!(day.broken.is_empty() && day.service > 0.98, "{} {:?}", day.service, day.violations);
 }
 
+/// The shape of the operators' fleet days: most governors are killed at once while servers are released one after
+/// the other, and proxies come back before slices do.
+fn herd(seed: u64) -> (Sizes, Vec<Trouble>) {
+    let sizes = Sizes {
+        governors: 5,
+        servers: 60,
+        slices: 300,
+        proxies: 90,
+        lasts: Span::ms(40_000),
+        load: 0.25,
+        pace: 9000.0,
+        queue_cap: 13_500.0,
+        grace: Span::ms(2400),
+        ..Sizes::small()
+    };
+    let release = |first: usize, begins: u64| {
+        (first..first + 9).map(move |server| at(begins, 12_000, What::Drain { server }))
+    };
+    let mut troubles = vec![at(12_000 + seed * 300, 3000, What::Herd { governors: 4 })];
+    troubles.extend(release(0, 11_000).chain(release(10, 14_000)).chain(release(25, 17_500)));
+    troubles.extend(release(50, 18_800));
+    // They come back one by one, from 17 s on.
+    troubles.extend((1..40).map(|n| at(14_000, 3000 + n as u64 * 100, What::ProxiesLeave { many: n * 2 })));
+    troubles.push(at(16_000, 8000, What::Garbled { share: 0.1 }));
+    (sizes, troubles)
+}
+
+#[test]
+fn most_governors_killed_in_a_release_break_no_rule() {
+    for seed in [1, 5, 7] {
+        let (sizes, troubles) = herd(seed);
+        let day = play(&sizes, Policy::Governed, &troubles, seed);
+        assert!(day.broken.is_empty(), "seed {seed}: {:?} {:?}", day.broken, day.violations.first());
+        assert!(day.ops > 0 && day.service > 0.5, "{}", day.service);
+    }
+}
+
 /// Servers that take a third of the proxies at a time: refusals are proof, further tries go elsewhere.
 #[test]
 fn servers_with_few_connections_are_lived_with() {
--- a/governor/src/routing/outbox.rs
+++ b/governor/src/routing/outbox.rs
@@ -12,6 +12,8 @@
     failures: u32,
     /// The last attempt at the call that is now the first may have been carried out.
     unclear: bool,
+    /// A proxy has acked the mark of what is open: all of it was carried out.
+    proven: bool,
     /// The relay has stopped once at the order that is now the first.
     refused: bool,
     /// Slices that have changed hands since the call now being made was sent.
@@ -43,7 +45,7 @@
     /// One reply is one call, unless it is too large. Of the pieces the last alone has the mark, and asks all
     /// proxies to answer: some may have got an earlier piece only. Comes only while nothing is open.
     pub fn put(&mut self, orders: &[Order]) {
-        (self.calls, self.refused, self.unclear) = (VecDeque::new(), false, false);
+        (self.calls, self.refused, self.unclear, self.proven) = (VecDeque::new(), false, false, false);
         let (mut call, mut bytes) = (Vec::new(), 0);
         for order in orders {
             let text = order.encode(!self.calls.is_empty());
@@ -107,6 +109,18 @@
         self.mark().filter(|_| self.unclear && self.state == State::Idle)
     }
 
+    /// An ack proves that the call was carried out, whatever became of its answer: it need not be said again.
+    pub fn acked(&mut self, mark: u16) {
+        self.proven |= self.mark() == Some(mark);
+    }
+
+    pub fn forget_proven(&mut self) {
+        if self.proven && self.unclear {
+            self.put(&[]);
+            (self.state, self.failures) = (State::Idle, 0);
+        }
+    }
+
     pub fn hold(&mut self) {
         self.state = State::Held;
     }
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -469,7 +469,10 @@
                 self.governor.proxy_joined(now, proxy, bare);
             }
             News::Left { proxy } => self.left(now, proxy),
-            News::Acked { proxy, mark } => self.governor.applied(now, proxy, mark),
+            News::Acked { proxy, mark } => {
+                self.outbox.acked(mark);
+                self.governor.applied(now, proxy, mark);
+            }
             News::Granted { slice } => {
                 self.first_given.extend((!self.tables.contains_key(&slice)).then_some(slice));
                 self.snapshot.granted(now, slice);
@@ -576,6 +579,7 @@
 
     /// What may have been carried out is said again only where the channel has room for both (rule 5).
     fn weigh_again(&mut self, now: Moment) {
+        self.outbox.forget_proven();
         let Some(mark) = self.outbox.unclear() else { return };
         if self.governor.may_order_again(now, mark) {
             self.governor.ordered_again(now, mark);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -321,8 +321,7 @@
         true
     }
 
-    /// Slices wait for all acks, or for so long: some proxies may be gone. Lines wait on until they are
-    /// acked.
+    /// Slices wait for all acks, or for so long: some proxies may be gone. Lines wait on until they are acked.
     fn close_marks(&mut self) -> bool {
         let late = |m: &Sent| !m.slices.is_empty() && self.now - m.at >= ACK_WAIT;
         let open = self.channel.open_mark;
@@ -337,6 +336,7 @@
             return false;
         }
         self.due.beat = self.now + BEAT;
+        _ = (self.now - self.channel.heard > NO_ACKS).then(|| self.channel.drop_copies());
         self.agenda.open();
         true
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -602,15 +602,47 @@
 
 /// One message to each of the proxies, of which some have not acked yet.
 pub struct Sent {
-    pub waiting: BTreeSet<ProxyId>,
+    /// How often it may still be on its way to each.
+    pub waiting: BTreeMap<ProxyId, u32>,
+    /// The sum of these, and how often it was ordered.
+    copies: u32,
+    times: u32,
     pub lines_each: f64,
-    /// How often it was ordered.
-    pub times: f64,
     pub at: Moment,
     /// The slices that wait for it.
     pub slices: Vec<SliceId>,
 }
 
+impl Sent {
+    /// Sent once more to all who listen.
+    fn again(&mut self, proxies: &BTreeSet<ProxyId>) {
+        proxies.iter().for_each(|proxy| *self.waiting.entry(*proxy).or_default() += 1);
+        (self.copies, self.times) = (self.copies + proxies.len() as u32, self.times + 1);
+    }
+
+    /// Whoever has acked it gets no other copy, and the others get one.
+    fn once(&mut self) {
+        let times = std::mem::replace(&mut self.times, 1);
+        self.waiting.retain(|_, left| *left >= times);
+        self.waiting.values_mut().for_each(|left| *left = 1);
+        self.copies = self.waiting.len() as u32;
+    }
+
+    /// So many copies have arrived there, or will not.
+    fn arrived(&mut self, proxy: ProxyId, most: u32) {
+        let Some(left) = self.waiting.get_mut(&proxy) else { return };
+        let less = most.min(*left);
+        (*left, self.copies) = (*left - less, self.copies - less);
+        if *left == 0 {
+            self.waiting.remove(&proxy);
+        }
+    }
+
+    fn lines(&self) -> f64 {
+        self.lines_each * f64::from(self.copies)
+    }
+}
+
 /// The way to the proxies: who listens, and what may still be under way.
 pub struct Channel {
     pub proxies: BTreeSet<ProxyId>,
@@ -644,24 +676,24 @@
     /// What it had not acked travels no more.
     pub fn part(&mut self, proxy: ProxyId) {
         self.proxies.remove(&proxy);
-        self.marks.values_mut().for_each(|m| _ = m.waiting.remove(&proxy));
+        self.marks.values_mut().for_each(|m| m.arrived(proxy, u32::MAX));
     }
 
     pub fn repeat(&mut self, now: Moment, mark: u16) {
         if let Some(sent) = self.marks.get_mut(&mark) {
-            sent.times += 1.0;
+            sent.again(&self.proxies);
             self.heard = now;
             self.messages.add(now, 1.0);
         }
     }
 
     /// It has applied all that was sent up to this mark, and so up to when: an ack that was lost on its way is
-    /// made up for by the next one.
+    /// made up for by the next one. Of a message that was ordered again only one copy has come so far.
     pub fn acked(&mut self, now: Moment, proxy: ProxyId, mark: u16) -> Option<Moment> {
         self.heard = now;
         let at = self.marks.get(&mark)?.at;
-        let before = self.marks.values_mut().filter(|sent| sent.at <= at);
-        before.for_each(|sent| _ = sent.waiting.remove(&proxy));
+        let before = self.marks.iter_mut().filter(|(_, sent)| sent.at <= at);
+        before.for_each(|(n, sent)| sent.arrived(proxy, if *n == mark { 1 } else { u32::MAX }));
         self.last_through = self.last_through.max(at);
         Some(at)
     }
@@ -670,12 +702,17 @@
     /// yet acked are no fewer than those that wait, however slowly the channel runs.
     pub fn lines_waiting(&self) -> f64 {
         let behind = self.marks.values().filter(|m| m.at >= self.last_through);
-        behind.map(|m| m.lines_each * m.times * m.waiting.len() as f64).sum()
+        behind.map(Sent::lines).sum()
+    }
+
+    /// Nothing has come for so long that no further copy is on its way: only one attempt was carried out.
+    pub fn drop_copies(&mut self) {
+        self.marks.values_mut().filter(|sent| sent.times > 1).for_each(Sent::once);
     }
 
-    /// What the message with this mark costs, said once, at those who have not acked it.
+    /// What the message with this mark costs, said once to all.
     pub fn lines_of(&self, mark: u16) -> f64 {
-        self.marks.get(&mark).map_or(0.0, |sent| sent.lines_each * sent.waiting.len() as f64)
+        self.marks.get(&mark).map_or(0.0, |sent| sent.lines_each * self.proxies.len() as f64)
     }
 
     /// The same of the message that is being made.
@@ -689,8 +726,9 @@
             self.last_mark = self.last_mark.wrapping_add(1);
             self.messages.add(now, 1.0);
             (self.written, self.heard) = (now, now);
-            let waiting = self.proxies.clone();
-            let sent = Sent { waiting, lines_each: head, times: 1.0, at: now, slices: Vec::new() };
+            let (waiting, slices) = (BTreeMap::new(), Vec::new());
+            let mut sent = Sent { waiting, copies: 0, times: 0, lines_each: head, at: now, slices };
+            sent.again(&self.proxies);
             self.marks.insert(self.last_mark, sent);
             self.last_mark
         });
