--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -183,7 +183,7 @@
 }
 
 /// The kinds of trouble, and what each takes beside its times.
-const KINDS: [(&str, &[&str]); 20] = [
+const KINDS: [(&str, &[&str]); 21] = [
     ("crash", &["server"]),
     ("hang", &["server"]),
     ("silence", &["server"]),
@@ -199,6 +199,7 @@
     ("relay-mute", &[]),
     ("discovery-away", &[]),
     ("governor-killed", &["governor"]),
+    ("herd", &["governors"]),
     ("slow-channel", &["share"]),
     ("proxies-leave", &["many"]),
     ("hand-over", &["from", "to"]),
@@ -251,6 +252,7 @@
         "relay-mute" => What::RelayMute,
         "discovery-away" => What::DiscoveryAway,
         "governor-killed" => What::GovernorKilled { governor: below("governor", sizes.governors)? },
+        "herd" => What::Herd { governors: below("governors", sizes.governors)? },
         "slow-channel" => What::SlowChannel { part: figure("share")? },
         "proxies-leave" => What::ProxiesLeave { many: below("many", sizes.proxies + 1)? },
         _ => What::OutOfService { server: server()? },
@@ -288,6 +290,7 @@
         What::RelayMute => "kind=\"relay-mute\"".into(),
         What::DiscoveryAway => "kind=\"discovery-away\"".into(),
         What::GovernorKilled { governor } => format!("kind=\"governor-killed\" governor=\"{governor}\""),
+        What::Herd { governors } => format!("kind=\"herd\" governors=\"{governors}\""),
         What::SlowChannel { part } => format!("kind=\"slow-channel\" share=\"{part}\""),
         What::ProxiesLeave { many } => format!("kind=\"proxies-leave\" many=\"{many}\""),
         What::HandOver { from, to } => format!("kind=\"hand-over\" from=\"{from}\" to=\"{to}\""),
