Cold servers are one governor's alone by a draw, not a fifth of a budget to each

At fault: `allowance` and `proven` gave each governor its own fifth of a cold server's budget: 1 op/s at the start where a slice brings 2.6 to 3.3, and 3.8 after 8 s; and `Server::power` had each count on a fifth as well, so that a new server with a single slice was inside the band.

Changed: a cold server belongs to one governor, drawn from its name's hash and its start, which all know alike; that one has the whole budget and counts its whole power, the others nothing until it is warm (`part`). `me` and `peersTotal` are read from the settings. The sum of what all allow is what it was (rule 4).

Test: a_cold_server_is_the_whole_of_one_governor, seen to fail without it ("[]": nothing went to a new server).

--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -210,8 +210,10 @@
 }
 
 fn listing(entry: &Value, place: impl Fn(&str) -> PlaceId) -> Option<Listing> {
+    let server = ServerId::try_from(entry.get(0)?.as_u64()?).ok()?;
     Some(Listing {
-        server: ServerId::try_from(entry.get(0)?.as_u64()?).ok()?,
+        server,
+        lot: u64::from(server),
         place: place(entry.get(1)?.as_str()?),
         machine: entry.get(2)?.as_str()?.to_string(),
         standing: match entry.get(4)?.as_str()? {
--- a/briefing/src/lib.rs
+++ b/briefing/src/lib.rs
@@ -45,6 +45,14 @@
     sizes: String,
     #[serde(rename = "zones", default)]
     places: Vec<String>,
+    #[serde(rename = "peersTotal", default = "alone")]
+    governors: u32,
+    #[serde(rename = "me", default)]
+    number: u32,
+}
+
+fn alone() -> u32 {
+    1
 }
 
 #[derive(Deserialize)]
@@ -125,6 +133,8 @@
             list_pushed: self.list_mode == ListMode::Push,
             sizes_known: matches!(self.sizes.as_str(), "nominal" | "rough"),
             levels_followed: fleet.level_kind == "fraction",
+            governors: self.governors,
+            number: self.number,
             slices: fleet.slices,
             single_writer: fleet.single_writer,
             tenure: fleet.tenure,
--- a/fleet/src/day.rs
+++ b/fleet/src/day.rs
@@ -697,7 +697,7 @@
 /// Governors, the relay, discovery and collectors.
 impl Day {
     fn start(&mut self, at: usize) {
-        let settings = self.sizes.settings();
+        let settings = self.sizes.settings(at);
         let briefing = whinwall_briefing::read(&settings).expect("our own settings");
         let here = |port| SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port);
         let targets = Targets { discovery: here(8500), relay: here(6400) };
--- a/fleet/src/sizes.rs
+++ b/fleet/src/sizes.rs
@@ -136,8 +136,8 @@
         format!("p{}", n % self.places)
     }
 
-    /// What a governor is told of all this, in the words of its configuration.
-    pub fn settings(&self) -> serde_json::Value {
+    /// What the governor of this number is told of all this, in the words of its configuration.
+    pub fn settings(&self, number: usize) -> serde_json::Value {
         let ns = |span: Span| span.as_ns();
         let kind = |kind: &OpKind| serde_json::json!({"name": kind.name, "value": kind.payoff, "targetNs": ns(kind.target)});
         serde_json::json!({
@@ -152,6 +152,8 @@
                 "coldFrom": self.cold_share, "warmAfterNs": ns(self.warm_after), "fallMultiple": self.fall_multiple,
                 "drainGraceNs": ns(self.grace)
             },
+            "me": number,
+            "peersTotal": self.governors,
             "membershipMode": "push",
             "weights": "rough",
             "zones": (0..self.places).map(|n| self.place(n)).collect::<Vec<_>>()
--- a/governor/src/routing/known.rs
+++ b/governor/src/routing/known.rs
@@ -20,6 +20,12 @@
     Span::ms(1).times(ms)
 }
 
+/// FNV-1a, as published by Fowler, Noll and Vo: the same at every governor and in every build.
+pub fn lot(name: &str) -> u64 {
+    name.bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |lot, byte| (lot ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
 /// Where the settings name no places, any will do.
 pub fn place(places: &[String], name: &str) -> Option<PlaceId> {
     let any = places.is_empty().then_some(PlaceId::MAX);
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -401,6 +401,7 @@
             standing: entry.state.into(),
             size: entry.size,
             started: (entry.started_ms > 0).then(|| Moment::default() + Span::ms(entry.started_ms)),
+            lot: known::lot(&entry.server),
         };
         list.entries.iter().map(listing).collect()
     }
--- a/governor/tests/fleet.rs
+++ b/governor/tests/fleet.rs
@@ -15,11 +15,12 @@
     let programs: Vec<_> = stages
         .stages
         .iter()
-        .map(|stage| {
+        .enumerate()
+        .map(|(number, stage)| {
             let mut file = configuration();
             file["distributor"]["address"] = json!(stage.found.relay.to_string());
             file["discovery"] = json!(stage.found.discovery.to_string());
-            file["settings"] = sizes.settings();
+            file["settings"] = sizes.settings(number);
             let file = ConfigurationFile::write(&file.to_string());
             Program::spawn(command(&file), file)
         })
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -22,6 +22,9 @@
     pub sizes_known: bool,
     /// A share of an op type can be let in.
     pub levels_followed: bool,
+    /// Governors of this deployment, and which of them this is, from 0 on.
+    pub governors: u32,
+    pub number: u32,
     /// Slices of all governors together; 0 where that is not known.
     pub slices: u32,
     /// A slice has one owner at a time, and its table one line.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -25,6 +25,9 @@
     pub standing: Standing,
     pub size: f64,
     pub started: Option<Moment>,
+    /// Stands for the server at all governors alike, whatever its id is here: draws that they make about it
+    /// fall alike.
+    pub lot: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -151,9 +151,8 @@
             (self.agenda.survey, self.agenda.heed, self.agenda.flee) = (true, true, true);
         }
         self.settle(now);
-        if let Some(number) = self.channel.open_mark.take() {
-            self.steps.push(Step::Mark { number });
-        }
+        let mark = self.channel.open_mark.take();
+        self.steps.extend(mark.map(|number| Step::Mark { number }));
         self.replying = false;
         take(&mut self.steps)
     }
@@ -180,14 +179,23 @@
         there && !s.shut && !s.out && s.standing != Standing::Draining && !self.is_sick(s)
     }
 
-    /// What a cold server may be sent now: of what would push it over, a safe part. What the fleet answers,
-    /// level by level, is the only sure sign of what servers can do; what is asked may be far more (overload,
-    /// repeats).
+    /// What a cold server may be sent now: of what would push it over, a safe part. What the fleet answers is
+    /// the only sure sign of what servers can do; what is asked may be far more (overload, repeats).
     pub(crate) fn allowance(&self, s: &Server) -> f64 {
         if !self.is_cold(s) {
             return f64::INFINITY;
         }
-        s.able * self.picture.proven * self.site.fall_multiple * self.warmth(s) * COLD_SAFETY
+        s.able * self.picture.proven * self.part(s) * self.site.fall_multiple * self.warmth(s) * COLD_SAFETY
+    }
+
+    /// How much more of a server is ours than our part. A cold one is one governor's alone, by a draw that
+    /// falls alike at all: a part of its budget for each would be less than most slices need.
+    fn part(&self, s: &Server) -> f64 {
+        match s.drawn(self.site.governors) {
+            _ if !self.is_cold(s) => 1.0,
+            drawn if drawn == self.site.number => self.whole(),
+            _ => 0.0,
+        }
     }
 
     /// Its table is with all proxies, long enough to have shown in reports.
@@ -200,8 +208,7 @@
         self.is_fit(s) && !(fresh && s.used) && s.press + load <= self.allowance(s)
     }
 
-    /// The live server with most room under AvgL+phi, else the least loaded; a bad one only where there is no
-    /// good.
+    /// Most room under AvgL+phi, else the least loaded; a bad server only where there is no good one.
     fn refuge(&self, slice: &Slice, load: f64, need: Need) -> Option<ServerId> {
         let owns = |id: &ServerId| slice.wanted.contains_key(id) && !slice.stands_by(id);
         let first = |ranks: &Ranks, keep: &dyn Fn(&Server) -> bool| {
@@ -232,9 +239,8 @@
         self.servers.get_mut(&to).into_iter().for_each(|s| s.used = true);
     }
 
-    /// Room for so many more lines to each proxy, under both caps (rule 5). A first message always has room,
-    /// and further ones come so far apart that heads do not fill the channel: a message for each few lines
-    /// that find room would.
+    /// Room for so many more lines to each proxy, under both caps (rule 5). A first message always has room;
+    /// others come so far apart that heads do not fill the channel, as one for each few lines would.
     fn has_room(&self, lines: f64, haste: Haste) -> bool {
         let all = self.channel.proxies.len() as f64;
         let (waiting, fresh) = (self.channel.lines_waiting(), self.channel.open_mark.is_none());
@@ -321,7 +327,7 @@
         true
     }
 
-    /// Slices wait for all acks, or for so long: some proxies may be gone. Lines wait on until they are acked.
+    /// Slices wait for all acks, or so long: some proxies may be gone. Lines wait on until they are acked.
     fn close_marks(&mut self) -> bool {
         let late = |m: &Sent| !m.slices.is_empty() && self.now - m.at >= ACK_WAIT;
         let open = self.channel.open_mark;
@@ -353,12 +359,13 @@
         // mu: size times speed, speed from the time an answer takes against the like's. Its root only: a full
         // server looks slow too, and taken at its word it would throw out the slices whose keys it has warm.
         let slownesses = self.slownesses(LOAD_OVER + self.behind, ENOUGH, |s| self.is_fit(s));
-        for (s, slowness) in self.servers.values_mut().zip(slownesses) {
+        let parts: Vec<_> = self.servers.values().map(|s| self.part(s).max(1.0)).collect();
+        for ((s, slowness), part) in self.servers.values_mut().zip(slownesses).zip(parts) {
             s.able = s.size.clamp(0.01, 1e6) * (1.0 / slowness).sqrt().clamp(0.5, 1.3);
-            s.power = s.able * s.factor;
+            s.power = s.able * s.factor * part;
         }
         self.see_slices(LOAD_OVER, SPREAD_OVER, REPEATED);
-        self.picture = self.sum_up(BAND, LOAD_OVER, |s| self.is_fit(s));
+        self.picture = self.sum_up(BAND, LOAD_OVER, |s| self.is_fit(s) && self.part(s) > 0.0);
         self.rank_all();
         true
     }
@@ -371,12 +378,11 @@
         let usual = self.usual(|s| self.is_fit(s), |s| s.seen.failed_share());
         let cause = |s: &Server| {
             // Where most tries fail everywhere, the fleet is overfull, and flights would finish it.
-            if usual < FAILING_SHARE && self.is_silent(s) {
-                return Some("answers nothing");
-            }
+            let silent = usual < FAILING_SHARE && self.is_silent(s);
             // A full server turns work away too, but then the others do as well, or its answers are late.
             let failing = s.seen.aborted >= ENOUGH && s.seen.failed_share() >= FAILING_SHARE + 2.0 * usual;
-            (failing && s.seen.answered > 0.0 && s.strain < EASED).then_some("fails quickly")
+            let quick = failing && s.seen.answered > 0.0 && s.strain < EASED;
+            silent.then_some("answers nothing").or(quick.then_some("fails quickly"))
         };
         let there = |s: &Server| !self.is_lost(s) && !self.is_sick(s);
         let watched = self.servers.iter().filter(|(_, s)| there(s) && !s.lines.is_empty());
@@ -396,9 +402,8 @@
         true
     }
 
-    /// Nothing comes back from it, though much is asked or all of the newest tries failed. One that answered
-    /// late before it fell silent is more likely full, its answers given up on. It is cut down first and gets
-    /// longer, for fleeing from it would fill the others with cold keys.
+    /// Nothing comes back, though much is asked or all of the newest tries failed. One that was late before
+    /// is more likely full: it is cut first and gets longer, or flights from it fill others with cold keys.
     fn is_silent(&self, s: &Server) -> bool {
         let over = JUDGED_OVER + self.behind;
         let full = s.last_took > STRAINED * self.target() && s.answered.sum(self.now, over.times(2.0)) > 0.0;
@@ -509,19 +514,17 @@
         }
     }
 
-    /// Slices leave what is gone or draining (rule 3), sick, or cold and sent too much (rule 4), heaviest
-    /// first; and one without a line gets one (rule 1).
+    /// Slices leave, heaviest first, what is gone or draining (rule 3), sick, or cold and sent too much (rule
+    /// 4); and one without a line gets one (rule 1).
     fn flee(&mut self) -> bool {
         if !take(&mut self.agenda.flee) {
             return false;
         }
         let bad = |s: &Server| self.is_lost(s) || self.is_sick(s);
-        let mut due: Vec<(f64, SliceId, Option<ServerId>)> = Vec::new();
-        for (id, s) in self.servers.iter().filter(|(_, s)| s.shut || bad(s) || self.is_cold(s)) {
-            due.extend(s.lines.iter().map(|n| (self.slices[n].load, *n, Some(*id))));
-        }
-        let bare = self.slices.iter().filter(|(_, s)| s.wanted.is_empty());
-        due.extend(bare.map(|(n, s)| (s.load, *n, None)));
+        let left = self.servers.iter().filter(|(_, s)| s.shut || bad(s) || self.is_cold(s));
+        let left = left.flat_map(|(id, s)| s.lines.iter().map(|n| (*n, Some(*id))));
+        let bare = self.slices.iter().filter(|(_, s)| s.wanted.is_empty()).map(|(n, _)| (*n, None));
+        let mut due: Vec<_> = left.chain(bare).map(|(n, from)| (self.slices[&n].load, n, from)).collect();
         due.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (_, n, from) in due {
             self.flee_with(n, from);
@@ -586,14 +589,14 @@
             return false;
         }
         let hot = |s: &Slice| s.mark.is_none() && s.is_told() && s.burst > self.picture.even * 0.5;
-        let found =
-            self.slices.iter().filter(|(n, s)| hot(s) && !self.is_at_pin(**n, s)).find_map(|(n, s)| {
-                // Bands hold for loads over a longer time; a short time is judged by what came to all in it.
-                let tops: f64 = self.owners(s).map(|(_, owner)| self.picture.top(owner)).sum();
-                let over = s.burst - self.picture.rise * tops;
-                let more = over > 0.0 && s.owners().count() < MOST_LINES;
-                Some((*n, more.then(|| self.refuge(s, over, Need::Relief))??))
-            });
+        let mut hot = self.slices.iter().filter(|(n, s)| hot(s) && !self.is_at_pin(**n, s));
+        let found = hot.find_map(|(n, s)| {
+            // Bands hold for loads over a longer time; a short time is judged by what came to all in it.
+            let tops: f64 = self.owners(s).map(|(_, owner)| self.picture.top(owner)).sum();
+            let over = s.burst - self.picture.rise * tops;
+            let more = over > 0.0 && s.owners().count() < MOST_LINES;
+            Some((*n, more.then(|| self.refuge(s, over, Need::Relief))??))
+        });
         let Some((n, to)) = found else { return false };
         self.reshape(n, None, Some((to, WHOLE)), Haste::Urgent);
         self.agenda.spread = true;
@@ -659,9 +662,8 @@
         true
     }
 
-    /// Levels follow what servers can do: a queue that makes all answers late serves nobody. The op type with
-    /// the least payoff is cut first, and further tries before any. Where the usual server is late, one cut
-    /// holds for all; else each slice follows its least cut owner.
+    /// A queue that makes all answers late serves nobody. Further tries are cut first, then the op type with
+    /// the least payoff; for all where the usual server is late, else by each slice's least cut owner.
     fn ration(&mut self) -> bool {
         if !take(&mut self.agenda.ration) {
             return false;
@@ -763,9 +765,8 @@
         None
     }
 
-    /// Sends one slice's difference, urgent ones first, as long as there is room, and no more of it than
-    /// matters now: a table without a line to pick gets one, an owner is replaced; levels and who stands by
-    /// can wait.
+    /// Sends one slice's difference, urgent ones first, while there is room, and no more of it than matters
+    /// now: a table without a line gets one, an owner is replaced; levels and who stands by can wait.
     fn dispatch(&mut self) -> bool {
         let next = self.untold.iter().find(|(.., n)| self.may_send(&self.slices[n]));
         let Some(&(haste, _, n)) = next else { return false };
--- a/src/state.rs
+++ b/src/state.rs
@@ -23,6 +23,8 @@
     pub standing: Standing,
     pub size: f64,
     pub started: Option<Moment>,
+    /// Stands for it at all governors alike.
+    pub lot: u64,
     pub listed: bool,
     pub tries: Ring,
     pub aborted: Ring,
@@ -410,6 +412,7 @@
             standing: Standing::Gone,
             size: 1.0,
             started: None,
+            lot: 0,
             listed: false,
             tries: ring(),
             aborted: ring(),
@@ -442,7 +445,7 @@
     /// Takes over what the list says.
     pub fn relist(&mut self, entry: &Listing) {
         self.place = entry.place;
-        self.started = entry.started;
+        (self.started, self.lot) = (entry.started, entry.lot);
         // One that drained and then left the list has gone for good, whatever else a dropped line may mean.
         let left = self.standing == Standing::Draining && entry.standing == Standing::Gone;
         self.standing = if left { Standing::Draining } else { entry.standing };
@@ -492,6 +495,14 @@
         self.listed && self.standing == Standing::Ready
     }
 
+    /// One of so many, drawn by what all governors know of this start of it alike.
+    pub fn drawn(&self, of: u32) -> u32 {
+        let start = (self.started.unwrap_or_default() - Moment::default()).as_ns();
+        // Seeds that are near each other have near first numbers: they are parted by the golden ratio first.
+        let seed = (self.lot ^ start).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+        (Chance::from_seed(seed).draw() * f64::from(of)) as u32
+    }
+
     pub fn level(&self) -> f64 {
         self.load / self.power
     }
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -409,6 +409,39 @@
     assert!(went.is_some_and(|server| server >= 6), "{went:?}");
 }
 
+/// Five governors that know nothing of each other, each with two slices a server, and new servers of which a
+/// fifth of a budget would not do for one slice (`join+vast`): each new one is used by one of them, and at once.
+#[test]
+fn a_cold_server_is_the_whole_of_one_governor() {
+    let went = |number| {
+        let mut governor = plain(Deployment { governors: 5, number, slices: 60, ..site() }, 6);
+        (6..12).for_each(|n| governor.slice_given(at(0), n, &[(n - 6, 1.0)]));
+        let mut steps = Vec::new();
+        for second in 1..12 {
+            let now = at(second * 1000);
+            report(&mut governor, now, |_| (2.0, 1.0));
+            let asked = Asked { op_type: 0, covers: Span::ms(1000), came: 1.0, aborted: 0.0 };
+            (6..12).for_each(|n| governor.asked(now, n, asked));
+            if second == 10 {
+                let new: Vec<_> = (6..18).map(|s| listing(s, Standing::Ready, 10_000)).collect();
+                governor.listed(now, ListScope::Changes, &new);
+            }
+            if second == 11 {
+                governor.listed(now, ListScope::Changes, &[listing(0, Standing::Draining, 0)]);
+            }
+            steps = acked_reply(&mut governor, now);
+        }
+        let went = |s: Step| match s {
+            Step::Line { slice: 0 | 6, server, weight } if weight >= 1.0 && server >= 6 => Some(server),
+            _ => None,
+        };
+        steps.into_iter().filter_map(went).collect::<Vec<_>>()
+    };
+    let all: Vec<_> = (0..5).flat_map(went).collect();
+    assert!(all.len() >= 4, "{all:?}");
+    assert_eq!(all.iter().collect::<std::collections::BTreeSet<_>>().len(), all.len(), "{all:?}");
+}
+
 /// What a proxy applied before it left it still holds; of what it missed it has to hear.
 #[test]
 fn a_proxy_that_comes_back_hears_only_what_it_missed() {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -20,6 +20,8 @@
         gone_is_advice: false,
         sizes_known: false,
         levels_followed: true,
+        governors: 1,
+        number: 0,
         slices: 0,
         single_writer: false,
         tenure: Span::ms(1000),
@@ -42,7 +44,8 @@
 
 pub fn listing(server: ServerId, standing: Standing, started_ms: u64) -> Listing {
     let started = (started_ms > 0).then(|| at(started_ms));
-    Listing { server, place: server as usize % 3, machine: "m".into(), standing, size: 1.0, started }
+    let (place, lot) = (server as usize % 3, u64::from(server));
+    Listing { server, place, machine: "m".into(), standing, size: 1.0, started, lot }
 }
 
 #[derive(Clone, PartialEq, Debug)]
