A server that is one governor's alone has the band of a whole one

At fault: `Picture::band`. phi is widened by the root of how many governors fill a server, as their deviations add up. Nobody else fills a cold server of ours: there is nothing to add. The band of a server is now that of the part which is ours (`Server::part`).

Test seen to fail without it (two slices taken instead of three or more).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -362,7 +362,7 @@
         let parts: Vec<_> = self.servers.values().map(|s| self.part(s).max(1.0)).collect();
         for ((s, slowness), part) in self.servers.values_mut().zip(slownesses).zip(parts) {
             s.able = s.size.clamp(0.01, 1e6) * (1.0 / slowness).sqrt().clamp(0.5, 1.3);
-            s.power = s.able * s.factor * part;
+            (s.part, s.power) = (part, s.able * s.factor * part);
         }
         self.see_slices(LOAD_OVER, SPREAD_OVER, REPEATED);
         self.picture = self.sum_up(BAND, LOAD_OVER, |s| self.is_fit(s) && self.part(s) > 0.0);
@@ -654,8 +654,8 @@
         }
         self.due.round = self.now + ROUND;
         (self.agenda.shift, self.agenda.ration) = (true, self.site.levels_followed);
-        let (low, high) = self.picture.band();
         for s in self.servers.values_mut() {
+            let (low, high) = self.picture.band(s);
             let side = i32::from(s.level() > high) - i32::from(s.level() < low);
             (s.used, s.outside) = (false, if side * s.outside > 0 { s.outside + side } else { side });
         }
@@ -729,25 +729,25 @@
     }
 
     fn find_shift(&self) -> Option<Vec<(SliceId, ServerId, ServerId)>> {
-        let (low, high) = self.picture.band();
+        let (low, high) = (|s: &Server| self.picture.band(s).0, |s: &Server| self.picture.band(s).1);
         let idle = |s: &Server| self.is_fit(s) && !s.used;
-        let is_heavy = |s: &Server| s.outside >= ROUNDS_OUTSIDE && idle(s) && s.level() > high;
+        let is_heavy = |s: &Server| s.outside >= ROUNDS_OUTSIDE && idle(s) && s.level() > high(s);
         let mut heavy: Vec<_> = self.servers.iter().filter(|(_, s)| is_heavy(s)).collect();
         heavy.sort_by(|a, b| b.1.level().total_cmp(&a.1.level()));
         // One that operators made small is heavy though nobody is light.
         let (top, made_small) = heavy.first().map(|(_, s)| (s.level(), s.factor < 1.0))?;
         heavy.truncate(if made_small { 1 } else { heavy.len() });
         let easy = |s: &Server| self.may_take(s, 0.0) && s.strain < EASED;
-        let below = |s: &Server| -s.outside >= ROUNDS_OUTSIDE && s.level() < low;
-        let is_light = |s: &Server| idle(s) && (below(s) || (made_small && s.level() < high)) && easy(s);
+        let below = |s: &Server| -s.outside >= ROUNDS_OUTSIDE && s.level() < low(s);
+        let is_light = |s: &Server| idle(s) && (below(s) || (made_small && s.level() < high(s))) && easy(s);
         let light = self.servers.iter().filter(|(_, s)| is_light(s));
         let (to, dest) = light.max_by(|a, b| self.room(a.1).total_cmp(&self.room(b.1)))?;
         for (from, source) in heavy {
             let damped = |moves: u32| OMEGA.powi(moves as i32) * source.level() / top > DELTA;
             let fits = |net: f64| {
                 net > 0.0
-                    && source.level() - net / source.power >= low
-                    && dest.level() + net / dest.power <= high
+                    && source.level() - net / source.power >= low(source)
+                    && dest.level() + net / dest.power <= high(dest)
                     && self.may_take(dest, net)
             };
             let mine = self.free_slices(*from, source);
--- a/src/state.rs
+++ b/src/state.rs
@@ -56,6 +56,8 @@
     pub able: f64,
     pub power: f64,
     pub factor: f64,
+    /// How much more of it is ours than our part.
+    pub part: f64,
     /// Out of service by the operators' wish.
     pub out: bool,
     pub seen: Lately,
@@ -436,6 +438,7 @@
             able: 1.0,
             power: 1.0,
             factor: 1.0,
+            part: 1.0,
             out: false,
             seen: Lately::default(),
             strain: 0.0,
@@ -798,13 +801,15 @@
 }
 
 impl Picture {
-    pub fn band(&self) -> (f64, f64) {
-        (self.average - self.phi, self.average + self.phi)
+    /// The deviations of other governors' parts count less, the more of it is ours.
+    pub fn band(&self, s: &Server) -> (f64, f64) {
+        let phi = self.phi / s.part.sqrt();
+        (self.average - phi, self.average + phi)
     }
 
     /// What this server may carry inside the band.
     pub fn top(&self, s: &Server) -> f64 {
-        s.power * (self.average + self.phi)
+        s.power * self.band(s).1
     }
 
     pub fn room(&self, s: &Server) -> f64 {
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -442,6 +442,31 @@
     assert_eq!(all.iter().collect::<std::collections::BTreeSet<_>>().len(), all.len(), "{all:?}");
 }
 
+/// A new server that is ours alone is filled as a whole one is: with the wide band of servers that others fill
+/// too, it was no longer light with its second slice (`join+vast`: warm ones had ten times as much).
+#[test]
+fn a_server_that_is_ours_alone_has_the_band_of_a_whole_one() {
+    let taken = |number| {
+        let mut governor = plain(Deployment { governors: 5, number, slices: 55, ..site() }, 6);
+        (6..11).for_each(|n| governor.slice_given(at(0), n, &[(0, 1.0)]));
+        let mut taken = 0;
+        for second in 1..15 {
+            let now = at(second * 1000);
+            report(&mut governor, now, |s| (if s == 0 { 6.0 } else { 1.0 }, 1.0));
+            let asked = Asked { op_type: 0, covers: Span::ms(1000), came: 1.0, aborted: 0.0 };
+            (6..11).for_each(|n| governor.asked(now, n, asked));
+            if second == 5 {
+                governor.listed(now, ListScope::Changes, &[listing(6, Standing::Ready, 5000)]);
+            }
+            let whole = |s: &&Step| matches!(s, Step::Line { server: 6, weight, .. } if *weight >= 1.0);
+            taken += acked_reply(&mut governor, now).iter().filter(whole).count();
+        }
+        taken
+    };
+    let most = (0..5).map(taken).max();
+    assert!(most >= Some(3), "{most:?}");
+}
+
 /// What a proxy applied before it left it still holds; of what it missed it has to hear.
 #[test]
 fn a_proxy_that_comes_back_hears_only_what_it_missed() {
