--- a/fleet/src/day.rs
+++ b/fleet/src/day.rs
@@ -7,9 +7,9 @@
 use crate::rules::{Rules, Violation};
 use crate::server::{Job, Offer, Server, State};
 use crate::sizes::{Care, OpKind, Sizes};
-use crate::trouble::{Trouble, What};
+use crate::trouble::{Odd, Trouble, What};
 use crate::{ProxyIx, ServerIx, SliceIx};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use whinwall::chance::Chance;
@@ -35,6 +35,8 @@
 const TAKEN_OVER: Span = Span::ms(1500);
 const GIVEN_BACK: Span = Span::ms(2000);
 const COME_OVER: Span = Span::ms(4000);
+/// Of servers that are replaced, half drain so much after the others.
+const SECOND_WAVE: Span = Span::ms(3000);
 /// The rules' time begins no sooner than so long after a governor's start.
 const STARTING: Span = Span::ms(1000);
 /// Before figures count: the fleet finds its feet.
@@ -119,6 +121,8 @@
     Watch,
     Channel(usize),
     To(usize, u64, Box<Event>),
+    /// The list, to a governor of this life.
+    Told(usize, u64, Box<discovery::List>),
     News(usize, u64, String),
     Quiet(usize, u64),
     Call(usize, u64, String),
@@ -185,6 +189,9 @@
     /// By server, as discovery lists it; its version.
     listed: Vec<&'static str>,
     version: u64,
+    /// How the list is told now, and what was told last.
+    odd: Option<Odd>,
+    list_before: Option<discovery::List>,
     ops: BTreeMap<u64, Op>,
     next_op: u64,
     /// By slice, how much comes for it.
@@ -278,6 +285,8 @@
             holders: (0..sizes.slices).map(|slice| slice % sizes.governors).collect(),
             given: vec![now; sizes.slices],
             garbled: 0.0,
+            odd: None,
+            list_before: None,
             listed: vec!["active"; sizes.servers],
             version: 1,
             ops: BTreeMap::new(),
@@ -367,6 +376,7 @@
             Step::Watch => self.watch(),
             Step::Channel(at) => self.channel(at),
             Step::To(at, life, event) if self.governors[at].life == life => self.tell(at, *event),
+            Step::Told(at, life, list) if self.governors[at].life == life => self.is_told(at, *list),
             Step::Quiet(at, life) if self.governors[at].life == life => {
                 if self.governors[at].quiet.is_some_and(|due| due <= self.now) {
                     self.governors[at].quiet = None;
@@ -375,7 +385,7 @@
             }
             Step::Call(at, life, line) if self.governors[at].life == life => self.call(at, &line),
             Step::News(at, life, line) if self.governors[at].life == life => self.news(at, &line),
-            Step::News(..) | Step::To(..) | Step::Quiet(..) | Step::Call(..) => {}
+            Step::News(..) | Step::To(..) | Step::Told(..) | Step::Quiet(..) | Step::Call(..) => {}
             Step::Begins(at) => self.begins(at),
             Step::Ends(at) => self.ends(at),
             Step::Release { server, to, stage } => self.release(server, to, stage),
@@ -738,16 +748,10 @@
             match effect {
                 Effect::Call { line, .. } => self.after(WAY, Step::Call(at, life, line)),
                 Effect::FollowNews { .. } => self.follow_news(at),
-                Effect::FollowList { .. } => {
-                    let event = match self.discovery_away {
-                        true => Event::ListLost(Broken::Silent),
-                        false => {
-                            self.knows(at);
-                            Event::List(self.list())
-                        }
-                    };
-                    self.after(WAY, Step::To(at, life, Box::new(event)));
-                }
+                Effect::FollowList { .. } => match self.discovery_away {
+                    true => self.after(WAY, Step::To(at, life, Box::new(Event::ListLost(Broken::Silent)))),
+                    false => self.after(WAY, Step::Told(at, life, Box::new(self.list()))),
+                },
                 Effect::WakeAt(due) => self.quiet_at(at, due),
                 Effect::Note(text) => {
                     self.outcome.verdicts += u64::from(text.contains("is taken for sick"));
@@ -861,19 +865,43 @@
         if self.discovery_away {
             return;
         }
-        for at in 0..self.governors.len() {
-            self.knows(at);
-            let event = Event::List(self.list());
-            self.tell(at, event);
+        let list = self.list();
+        let before = self.list_before.replace(list.clone()).unwrap_or_else(|| list.clone());
+        let (lists, late) = match self.odd {
+            None => (vec![list], Span::default()),
+            Some(Odd::Late(by)) => (vec![list], by),
+            Some(Odd::Again) => (vec![list.clone(), list.clone(), list], Span::default()),
+            Some(Odd::Back) => (vec![list.clone(), before, list], Span::default()),
+            Some(Odd::Lossy(each)) => {
+                let mut lossy = list.clone();
+                let mut at = self.version as usize;
+                lossy.entries.retain(|_| {
+                    at += 1;
+                    at % each != 0
+                });
+                (vec![lossy, list], Span::default())
+            }
+        };
+        for (at, list) in (0..self.governors.len()).flat_map(|at| lists.iter().map(move |list| (at, list))) {
+            match late == Span::default() {
+                true => self.is_told(at, list.clone()),
+                false => {
+                    let life = self.governors[at].life;
+                    self.after(late, Step::Told(at, life, Box::new(list.clone())));
+                }
+            }
         }
     }
 
-    /// It is told the list as it is now.
-    fn knows(&mut self, at: usize) {
+    /// From when on it knows that servers drain: what it is told counts, not what is so.
+    fn is_told(&mut self, at: usize, list: discovery::List) {
+        let leaving = list.entries.iter().filter(|entry| entry.state == discovery::State::Draining);
+        let leaving: BTreeSet<_> =
+            leaving.filter_map(|entry| self.names.get(&entry.server).copied()).collect();
         let told = &mut self.governors[at].told;
-        told.retain(|server, _| self.listed[*server] == "leaving");
-        let leaving = self.listed.iter().enumerate().filter(|(_, state)| **state == "leaving");
-        leaving.for_each(|(server, _)| _ = told.entry(server).or_insert(self.now));
+        told.retain(|server, _| leaving.contains(server));
+        leaving.into_iter().for_each(|server| _ = told.entry(server).or_insert(self.now));
+        self.tell(at, Event::List(list));
     }
 
     fn hand_all(&mut self, to: impl Fn(SliceIx, usize) -> Option<usize>) {
@@ -1074,6 +1102,21 @@
             What::FastErrors { server, share } => self.servers[server].failing = share,
             What::Drain { server } => self.relist(server, "leaving"),
             What::Release { from, to } => self.release(from, to, 0),
+            What::Replaced { from, to } => {
+                for server in from..to {
+                    let wave = SECOND_WAVE.times(((server - from) % 2) as f64);
+                    self.after(wave, Step::Release { server, to: server + 1, stage: 0 });
+                }
+            }
+            What::PlaceLost { place } => {
+                for server in self.place_servers(place) {
+                    self.servers[server].falls();
+                    self.listed[server] = "left";
+                }
+                self.version += 1;
+                self.tell_list();
+            }
+            What::OddList { how } => self.odd = Some(how),
             What::WrongList { from, to } => {
                 self.excuse(lasts + aftermath);
                 (from..to).for_each(|server| self.listed[server] = "left");
@@ -1084,7 +1127,7 @@
             What::Burst { factor } => self.burst = factor,
             What::PlaceCut { place } => {
                 self.excuse(lasts + aftermath);
-                for server in (place..self.servers.len()).step_by(self.sizes.places) {
+                for server in self.place_servers(place) {
                     self.servers[server].state = State::Silent;
                 }
                 for proxy in (place..self.proxies.len()).step_by(self.sizes.places) {
@@ -1166,7 +1209,15 @@
             What::Slow { server, .. } => self.servers[server].slow = 1.0,
             What::FastErrors { server, .. } => self.servers[server].failing = 0.0,
             What::Drain { server } => self.comes_back(server),
-            What::Release { .. } | What::OutOfService { .. } => {}
+            What::Release { .. } | What::Replaced { .. } | What::OutOfService { .. } => {}
+            What::PlaceLost { place } => {
+                for server in self.place_servers(place) {
+                    if self.servers[server].state == State::Down {
+                        self.comes_back(server);
+                    }
+                }
+            }
+            What::OddList { .. } => self.odd = None,
             What::WrongList { from, to } => {
                 (from..to).for_each(|server| self.listed[server] = "active");
                 self.version += 1;
@@ -1175,7 +1226,7 @@
             What::HotSlice { slice, factor } => self.heat[slice] /= factor,
             What::Burst { .. } => self.burst = 1.0,
             What::PlaceCut { place } => {
-                for server in (place..self.servers.len()).step_by(self.sizes.places) {
+                for server in self.place_servers(place) {
                     if self.servers[server].state == State::Silent {
                         self.servers[server].state = State::Up;
                     }
@@ -1216,6 +1267,10 @@
         }
     }
 
+    fn place_servers(&self, place: usize) -> impl Iterator<Item = ServerIx> + use<> {
+        (place..self.servers.len()).step_by(self.sizes.places)
+    }
+
     fn comes_back(&mut self, server: ServerIx) {
         self.servers[server].restart(self.now);
         self.relist(server, "active");
--- a/fleet/src/trouble.rs
+++ b/fleet/src/trouble.rs
@@ -34,6 +34,19 @@
         from: ServerIx,
         to: ServerIx,
     },
+    /// These drain in two waves a few seconds apart, and are back as new processes.
+    Replaced {
+        from: ServerIx,
+        to: ServerIx,
+    },
+    /// All servers of a place end at once, and are back, cold, when the trouble is over.
+    PlaceLost {
+        place: usize,
+    },
+    /// What discovery has to tell is told, but not as it should be.
+    OddList {
+        how: Odd,
+    },
     /// The list drops servers that are well.
     WrongList {
         from: ServerIx,
@@ -83,6 +96,19 @@
     },
 }
 
+/// How a list may be told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Odd {
+    /// Each change so much later.
+    Late(Span),
+    /// Each change three times over.
+    Again,
+    /// After each change the list that was told before it, then the new one again.
+    Back,
+    /// Without every so manyth server, and whole with the next sign of life.
+    Lossy(usize),
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Trouble {
     pub begins: Span,
@@ -101,7 +127,7 @@
     let lasts = (sizes.lasts.as_ns() / 1_000_000) as usize;
     let mut one = || {
         let server = below(sizes.servers);
-        let what = match below(21) {
+        let what = match below(26) {
             0 => What::Crash { server },
             1 => What::Hang { server },
             2 => What::Silence { server },
@@ -129,6 +155,13 @@
             }
             18 => What::Garbled { share: 0.05 + 0.1 * below(5) as f64 },
             19 if sizes.governors > 1 => What::Herd { governors: 1 + below(sizes.governors - 1) },
+            20 => What::PlaceLost { place: below(sizes.places) },
+            21 | 22 => {
+                let to = server + 1 + below(sizes.servers / 2);
+                What::Replaced { from: server, to: to.min(sizes.servers) }
+            }
+            23 => What::OddList { how: Odd::Late(Span::ms(200 + 200 * below(10) as u64)) },
+            24 => What::OddList { how: [Odd::Again, Odd::Back, Odd::Lossy(2 + below(5))][below(3)] },
             16 => What::ProxiesLeave { many: 1 + below(sizes.proxies / 2) },
             _ => What::OutOfService { server },
         };
--- a/fleet/tests/days.rs
+++ b/fleet/tests/days.rs
@@ -5,7 +5,7 @@
 use whinwall_fleet::day::{play, play_meddled, Outcome};
 use whinwall_fleet::policy::Policy;
 use whinwall_fleet::sizes::Sizes;
-use whinwall_fleet::trouble::{at, drawn, Trouble, What};
+use whinwall_fleet::trouble::{at, drawn, Odd, Trouble, What};
 
 fn short() -> Sizes {
     Sizes { lasts: Span::ms(40_000), ..Sizes::small() }
@@ -124,6 +124,31 @@
     }
 }
 
+/// The shapes of the operators' large days, for governors that know nothing of each other: a release while the list
+/// is told oddly; a place that is lost and back cold; six servers in ten replaced within seconds, some of them bad.
+#[test]
+fn large_days_of_several_governors_break_no_rule() {
+    let sizes = Sizes { governors: 5, servers: 40, slices: 200, proxies: 60, load: 0.25, ..short() };
+    let release = at(12_000, 12_000, What::Release { from: 0, to: 20 });
+    let odd = |how| vec![release.clone(), at(10_000, 16_000, What::OddList { how })];
+    let place = at(12_000, 5000, What::PlaceLost { place: 1 });
+    let bad = at(11_000, 15_000, What::FastErrors { server: 30, share: 0.8 });
+    let slow = at(11_000, 15_000, What::Slow { server: 31, factor: 6.0 });
+    let days = [
+        odd(Odd::Late(Span::ms(1500))),
+        odd(Odd::Again),
+        odd(Odd::Back),
+        odd(Odd::Lossy(3)),
+        vec![place, slow.clone()],
+        vec![at(12_000, 10_000, What::Replaced { from: 0, to: 24 }), bad, slow],
+    ];
+    for (seed, troubles) in (1..).zip(&days) {
+        let day = play(&sizes, Policy::Governed, troubles, seed);
+        assert!(day.broken.is_empty(), "{troubles:?}: {:?} {:?}", day.broken, day.violations.first());
+        assert!(day.service > 0.85, "{troubles:?}: {}", day.service);
+    }
+}
+
 /// Servers that take a third of the proxies at a time: refusals are proof, further tries go elsewhere.
 #[test]
 fn servers_with_few_connections_are_lived_with() {
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -5,7 +5,7 @@
 use whinwall::time::Span;
 use whinwall_fleet::policy::Policy;
 use whinwall_fleet::sizes::Sizes;
-use whinwall_fleet::trouble::{drawn, Trouble, What};
+use whinwall_fleet::trouble::{drawn, Odd, Trouble, What};
 use whinwall_operators::tree::{self, Element, Wrong};
 use whinwall_overrides::words;
 
@@ -183,7 +183,7 @@
 }
 
 /// The kinds of trouble, and what each takes beside its times.
-const KINDS: [(&str, &[&str]); 21] = [
+const KINDS: [(&str, &[&str]); 27] = [
     ("crash", &["server"]),
     ("hang", &["server"]),
     ("silence", &["server"]),
@@ -191,7 +191,13 @@
     ("fast-errors", &["server", "share"]),
     ("drain", &["server"]),
     ("release", &["from", "to"]),
+    ("replaced", &["from", "to"]),
+    ("place-lost", &["place"]),
     ("wrong-list", &["from", "to"]),
+    ("list-late", &["by"]),
+    ("list-again", &[]),
+    ("list-back", &[]),
+    ("list-lossy", &["each"]),
     ("hot-slice", &["slice", "factor"]),
     ("burst", &["factor"]),
     ("place-cut", &["place"]),
@@ -236,6 +242,21 @@
             let (from, to) = range(sizes.servers)?;
             What::Release { from, to }
         }
+        "replaced" => {
+            let (from, to) = range(sizes.servers)?;
+            What::Replaced { from, to }
+        }
+        "place-lost" => What::PlaceLost { place: below("place", sizes.places)? },
+        "list-late" => What::OddList { how: Odd::Late(one.must("by", millis)?) },
+        "list-again" => What::OddList { how: Odd::Again },
+        "list-back" => What::OddList { how: Odd::Back },
+        "list-lossy" => {
+            let each = below("each", sizes.servers)?;
+            if each < 2 {
+                return Err(one.wrong("each: a list without any server tells nothing; 2 or more"));
+            }
+            What::OddList { how: Odd::Lossy(each) }
+        }
         "wrong-list" => {
             let (from, to) = range(sizes.servers)?;
             What::WrongList { from, to }
@@ -280,6 +301,14 @@
         }
         What::Drain { server } => format!("kind=\"drain\" server=\"{server}\""),
         What::Release { from, to } => format!("kind=\"release\" from=\"{from}\" to=\"{to}\""),
+        What::Replaced { from, to } => format!("kind=\"replaced\" from=\"{from}\" to=\"{to}\""),
+        What::PlaceLost { place } => format!("kind=\"place-lost\" place=\"{place}\""),
+        What::OddList { how } => match how {
+            Odd::Late(by) => format!("kind=\"list-late\" by=\"{}s\"", by.seconds()),
+            Odd::Again => "kind=\"list-again\"".into(),
+            Odd::Back => "kind=\"list-back\"".into(),
+            Odd::Lossy(each) => format!("kind=\"list-lossy\" each=\"{each}\""),
+        },
         What::WrongList { from, to } => format!("kind=\"wrong-list\" from=\"{from}\" to=\"{to}\""),
         What::HotSlice { slice, factor } => {
             format!("kind=\"hot-slice\" slice=\"{slice}\" factor=\"{factor}\"")
