Servers heard of after proxies joined are let in where a former life may have withdrawn them

Followed: s-22 has `OUT` five times at 13.84 s, by each governor, and `IN` four times at 15.49 s. The fifth governor, back at 20.25 s, never says it. Its news stood with "21 servers known": the 19 others came with the list a moment later.

At fault: `proxy_joined` marks for lifting what is known when a proxy joins; `listed` and `retable`, which take in servers later, marked nothing. Both go through `Governor::server` now: who is new to us, did not start in this life, and may be withdrawn at somebody who joined before, is let in with the others a round later.

Tests: a_server_heard_of_late_is_let_in_..., what_a_former_life_withdrew_for_a_wrong_list_...; both seen to fail without.

--- a/fleet/tests/days.rs
+++ b/fleet/tests/days.rs
@@ -149,6 +149,19 @@
     }
 }
 
+/// Found by a search over 1,000 drawn days: the governor that is killed had withdrawn what the list dropped, and
+/// hears of those servers anew only after the proxies have joined it.
+#[test]
+fn what_a_former_life_withdrew_for_a_wrong_list_is_let_in_again() {
+    let sizes = Sizes { governors: 5, servers: 40, slices: 200, proxies: 60, load: 0.3, ..short() };
+    let troubles = [
+        at(14_003, 6251, What::GovernorKilled { governor: 1 }),
+        at(13_835, 1650, What::WrongList { from: 21, to: 40 }),
+    ];
+    let day = play(&sizes, Policy::Governed, &troubles, 443);
+    assert!(day.broken.is_empty(), "{:?} {:?}", day.broken, day.violations.first());
+}
+
 /// Servers that take a third of the proxies at a time: refusals are proof, further tries go elsewhere.
 #[test]
 fn servers_with_few_connections_are_lived_with() {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -124,13 +124,7 @@
         }
         self.list_fresh |= scope != ListScope::Remembered;
         for entry in list {
-            let server = self.servers.entry(entry.server).or_insert_with(Server::unlisted);
-            if server.started != entry.started && entry.standing != Standing::Gone {
-                // A restarted process has shed what ailed it, and what was met at it before says nothing now.
-                server.sick_until = None;
-                server.forget();
-            }
-            server.relist(entry);
+            self.server(entry.server, entry.started).relist(entry);
         }
         self.alarm = true;
         self.settle(now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -176,15 +176,25 @@
         self.servers.retain(|id, s| s.shut || shut.contains_key(id) || lift.contains(id) || !s.is_past(now));
     }
 
+    /// One that we hear of for the first time, and that did not start in this life of ours, may stand withdrawn by a
+    /// former life at proxies that joined before we heard of it.
+    pub(crate) fn server(&mut self, id: ServerId, started: Option<Moment>) -> &mut Server {
+        let of_old = !self.known.is_empty() && started.is_none_or(|at| at < self.born);
+        if of_old && !self.servers.contains_key(&id) {
+            self.to_lift.insert(id);
+            self.due.lift = self.due.lift.or(Some(self.now + self.site.report_period));
+        }
+        self.servers.entry(id).or_insert_with(Server::unlisted)
+    }
+
     /// Changes a slice's table, and what its servers carry with it.
     pub(crate) fn retable(&mut self, n: SliceId, change: impl FnOnce(&mut Slice)) {
         self.weigh(n, -1.0);
         if let Some(slice) = self.slices.get_mut(&n) {
             change(slice);
             // A server that only the store knows still has its lines counted.
-            for id in slice.wanted.keys() {
-                self.servers.entry(*id).or_insert_with(Server::unlisted);
-            }
+            let named: Vec<_> = slice.wanted.keys().copied().collect();
+            named.into_iter().for_each(|id| _ = self.server(id, None));
         }
         self.weigh(n, 1.0);
     }
@@ -447,6 +457,11 @@
 
     /// Takes over what the list says.
     pub fn relist(&mut self, entry: &Listing) {
+        if self.started != entry.started && entry.standing != Standing::Gone {
+            // A restarted process has shed what ailed it, and what was met at it before says nothing now.
+            self.sick_until = None;
+            self.forget();
+        }
         self.place = entry.place;
         (self.started, self.lot) = (entry.started, entry.lot);
         // One that drained and then left the list has gone for good, whatever else a dropped line may mean.
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -467,6 +467,26 @@
     assert!(most >= Some(3), "{most:?}");
 }
 
+/// A former life may have withdrawn a server of which this one hears, by list or store, only after proxies have
+/// joined (the emulator's seed 443 of 1,000 large days: rule 1, for it was never let in again).
+#[test]
+fn a_server_heard_of_late_is_let_in_where_a_former_life_may_have_withdrawn_it() {
+    for (by_store, started, lifted) in [(false, 0, true), (false, 6000, false), (true, 0, true)] {
+        let mut governor = Governor::start(site(), 1, at(5000));
+        governor.proxy_joined(at(5000), 0, false);
+        match by_store {
+            true => governor.slice_given(at(5100), 0, &[(3, 1.0)]),
+            false => {
+                governor.listed(at(5100), ListScope::Whole, &[listing(3, Standing::Ready, started)]);
+            }
+        }
+        let let_in = |step: &Step| *step == Step::Withdraw { server: 3, out: false };
+        let told =
+            (5200..8000).step_by(100).any(|now| acked_reply(&mut governor, at(now)).iter().any(let_in));
+        assert_eq!(told, lifted, "by store {by_store}, started {started}");
+    }
+}
+
 /// What a proxy applied before it left it still holds; of what it missed it has to hear.
 #[test]
 fn a_proxy_that_comes_back_hears_only_what_it_missed() {
