--- a/src/logic.rs
+++ b/src/logic.rs
@@ -353,10 +353,10 @@
         // mu: size times speed, speed from the time an answer takes against the like's. Its root only: a full
         // server looks slow too, and taken at its word it would throw out the slices whose keys it has warm.
         let slownesses = self.slownesses(LOAD_OVER + self.behind, ENOUGH, |s| self.is_fit(s));
-        let parts: Vec<_> = self.servers.values().map(|s| self.part(s).max(1.0)).collect();
+        let parts: Vec<_> = self.servers.values().map(|s| self.part(s)).collect();
         for ((s, slowness), part) in self.servers.values_mut().zip(slownesses).zip(parts) {
             s.able = s.size.clamp(0.01, 1e6) * (1.0 / slowness).sqrt().clamp(0.5, 1.3);
-            (s.part, s.power) = (part, s.able * s.factor * part);
+            (s.part, s.power) = (part, s.able * s.factor * part.max(1.0));
         }
         self.see_slices(LOAD_OVER, SPREAD_OVER, REPEATED);
         self.picture = self.sum_up(BAND, LOAD_OVER, |s| self.is_fit(s) && self.part(s) > 0.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -56,7 +56,7 @@
     pub able: f64,
     pub power: f64,
     pub factor: f64,
-    /// How much more of it is ours than our part.
+    /// How much more of it is ours than our part; 0 where it is another governor's alone.
     pub part: f64,
     /// Out of service by the operators' wish.
     pub out: bool,
@@ -217,9 +217,9 @@
         touched.into_iter().for_each(|id| self.rank(id));
     }
 
-    /// Puts a server where its figures have it now.
+    /// Puts a server where its figures have it now; one that nothing may go to is not looked at for each slice.
     fn rank(&mut self, id: ServerId) {
-        let Some(s) = self.servers.get(&id) else { return };
+        let Some(s) = self.servers.get(&id).filter(|s| s.part > 0.0 && self.is_fit(s)) else { return };
         let (room, level, standing_by) = (self.picture.room(s), s.level(), s.standing_by / s.power);
         let lot = self.chance.draw();
         self.ranks.by_room.put(id, -room, lot);
@@ -818,7 +818,7 @@
 impl Picture {
     /// The deviations of other governors' parts count less, the more of it is ours.
     pub fn band(&self, s: &Server) -> (f64, f64) {
-        let phi = self.phi / s.part.sqrt();
+        let phi = self.phi / s.part.max(1.0).sqrt();
         (self.average - phi, self.average + phi)
     }
 
