An absurd start in a list overflows no more; odd lists bring back no server that leaves

For the large fleet's bad input: lists doubled, empty, reversed, lower in version, of unknown places, with starts at the end of time. Seen by the new test without the change: "attempt to multiply with overflow" at Span::ms, a panic that costs the reducer its memory in a debug build, and in a release build a start at some arbitrary time. Times saturate now.

--- a/governor/benches/scale.rs
+++ b/governor/benches/scale.rs
@@ -108,8 +108,9 @@
     let mut rig = Rig { reducer, now, pace, proxies, free: now, acks, turns, lines: 0.0, untold, told: now };
     rig.turn(vec![list(1, true, (0..servers).map(|n| (n, "active", 0)))]);
     let joins = |proxy: usize| format!("* SUBSCRIBE {proxy} north 1.0 1");
-    let given =
-        |slice: usize| [format!("* GRANT {slice} 1"), format!("* ROW {slice} s-{} 1", slice / GOVERNORS % servers)];
+    let given = |slice: usize| {
+        [format!("* GRANT {slice} 1"), format!("* ROW {slice} s-{} 1", slice / GOVERNORS % servers)]
+    };
     let own = |slice: &usize| day != "joined" || slice % GOVERNORS == 0;
     let ours: Vec<_> = (0..slices).filter(|slice| slice % GOVERNORS == 0).collect();
     // On the day on which four others die their proxies come later.
--- a/governor/tests/reducer.rs
+++ b/governor/tests/reducer.rs
@@ -248,6 +248,41 @@
     assert!(!rig.owners().contains("s-2"));
 }
 
+/// Lists doubled, out of order, lower in version, empty, of places that nobody knows, with absurd starts: one that leaves
+/// gets nothing again until it is listed as active.
+#[test]
+fn odd_lists_bring_no_server_back_that_leaves() {
+    let mut rig = Rig::serving();
+    rig.drain("s-2");
+    rig.pass(1000);
+    let entry = |id: &str, state: &str, zone: &str, started: u64| json!({"id": id, "zone": zone, "state": state, "started_ms": started});
+    let (leaves, far) = (entry("s-2", "leaving", "north", 0), entry("s-1", "active", "north", u64::MAX));
+    let others = |zone: &str| [0, 1, 3, 4, 5].map(|n| entry(&format!("s-{n}"), "active", zone, 0));
+    let whole = |zone: &str| [vec![leaves.clone()], others(zone).to_vec()].concat();
+    let twice = [others("north").to_vec(), whole("south")].concat();
+    let odd = [
+        json!({"version": 42, "full": false, "servers": [leaves, leaves, leaves]}),
+        json!({"version": 7, "full": false, "servers": [leaves]}),
+        json!({"version": 43, "full": false, "servers": []}),
+        json!({"version": 44, "full": true, "servers": whole("nowhere")}),
+        json!({"version": 45, "full": true, "servers": whole("north").into_iter().rev().collect::<Vec<_>>()}),
+        json!({"version": 46, "full": false, "servers": [far, leaves]}),
+        json!({"version": 46, "full": true, "servers": twice}),
+    ];
+    let before = rig.calls.len();
+    for list in odd {
+        rig.tell(Event::List(discovery::decode(&list.to_string()).unwrap().unwrap()));
+        rig.pass(700);
+    }
+    let again =
+        |call: &String| call.contains("IN,s-2") || call.contains(",s-2,1") || call.contains(",s-2,0.");
+    assert!(!rig.calls[before..].iter().any(again), "{:?}", &rig.calls[before..]);
+    let back = json!({"version": 50, "full": false, "servers": [entry("s-2", "active", "north", 0)]});
+    rig.tell(Event::List(discovery::decode(&back.to_string()).unwrap().unwrap()));
+    rig.pass(3000);
+    assert!(rig.calls[before..].iter().any(|call| call.contains("IN,s-2")));
+}
+
 #[test]
 fn an_open_call_is_said_again_before_anything_newer() {
     let mut rig = Rig::serving();
--- a/src/time.rs
+++ b/src/time.rs
@@ -25,7 +25,8 @@
     }
 
     pub const fn ms(ms: u64) -> Self {
-        Span(ms * 1_000_000)
+        // Times that others state may be absurd.
+        Span(ms.saturating_mul(1_000_000))
     }
 
     pub const fn as_ns(self) -> u64 {
