--- a/fleet/src/day.rs
+++ b/fleet/src/day.rs
@@ -877,7 +877,7 @@
                 let mut at = self.version as usize;
                 lossy.entries.retain(|_| {
                     at += 1;
-                    at % each != 0
+                    !at.is_multiple_of(each)
                 });
                 (vec![lossy, list], Span::default())
             }
