--- a/governor/benches/scale.rs
+++ b/governor/benches/scale.rs
@@ -111,8 +111,7 @@
     let given = |slice: usize| {
         [format!("* GRANT {slice} 1"), format!("* ROW {slice} s-{} 1", slice / GOVERNORS % servers)]
     };
-    let own = |slice: &usize| day != "joined" || slice % GOVERNORS == 0;
-    let ours: Vec<_> = (0..slices).filter(|slice| slice % GOVERNORS == 0).collect();
+    let (ours, others): (Vec<_>, Vec<_>) = (0..slices).partition(|slice| slice.is_multiple_of(GOVERNORS));
     // On the day on which four others die their proxies come later.
     rig.proxies = if day == "joined" { proxies / GOVERNORS } else { proxies };
     let stands = std::iter::once("OK".to_string()).chain((0..rig.proxies).map(joins));
@@ -122,8 +121,7 @@
         let message = Message::Source { place: place.into() };
         rig.turn(vec![Event::Message { from: *from, message }]);
     }
-    let mut held: Vec<_> = (0..slices).filter(own).collect();
-    held.retain(|slice| slice % GOVERNORS == 0);
+    let mut held = ours;
     let began = rig.now;
     let mut drained = began;
     for tick in 0..600u64 {
@@ -166,9 +164,8 @@
                 }
                 "joined" => {
                     events.extend(news((rig.proxies..proxies).map(joins)));
-                    let rest: Vec<_> = (0..slices).filter(|slice| slice % GOVERNORS != 0).collect();
-                    events.extend(news(rest.iter().copied().flat_map(given)));
-                    held = (0..slices).collect();
+                    events.extend(news(others.iter().copied().flat_map(given)));
+                    held.extend(&others);
                     rig.proxies = proxies;
                 }
                 _ => {}
