Whoever holds all slices has all cold servers, and no number among several means no draw

Seen on reading the draw again: a governor that is left alone with all slices used only its own fifth of the cold servers until they were warm, and where slices are not shared out at all (`partitionsN` 0) each governor lost what it may send to four fifths of them, while its own part of the rest is a part still.

Changed: nothing is drawn where all slices are ours or slices are not counted; a governor that is not told its number among several has no lot. The test of the draw has a governor with all slices (seen to fail without).

--- a/briefing/src/lib.rs
+++ b/briefing/src/lib.rs
@@ -47,8 +47,8 @@
     places: Vec<String>,
     #[serde(rename = "peersTotal", default = "alone")]
     governors: u32,
-    #[serde(rename = "me", default)]
-    number: u32,
+    #[serde(rename = "me")]
+    number: Option<u32>,
 }
 
 fn alone() -> u32 {
@@ -134,7 +134,8 @@
             sizes_known: matches!(self.sizes.as_str(), "nominal" | "rough"),
             levels_followed: fleet.level_kind == "fraction",
             governors: self.governors,
-            number: self.number,
+            // One that is not told its number among several has no lot in what they share out by draws.
+            number: self.number.unwrap_or(if self.governors > 1 { u32::MAX } else { 0 }),
             slices: fleet.slices,
             single_writer: fleet.single_writer,
             tenure: fleet.tenure,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -183,12 +183,14 @@
     }
 
     /// How much more of a server is ours than our part. A cold one is one governor's alone, by a draw that
-    /// falls alike at all: a part of its budget for each would be less than most slices need.
+    /// falls alike at all: a part of its budget for each would be less than most slices need. Where nobody else
+    /// holds slices, or slices are not what is shared out, there is nothing to draw.
     fn part(&self, s: &Server) -> f64 {
-        match s.drawn(self.site.governors) {
-            _ if !self.is_cold(s) => 1.0,
-            drawn if drawn == self.site.number => self.whole(),
-            _ => 0.0,
+        let (whole, drawn) = (self.whole(), s.drawn(self.site.governors));
+        match drawn == self.site.number {
+            _ if whole == 1.0 || !self.is_cold(s) => 1.0,
+            true => whole,
+            false => 0.0,
         }
     }
 
--- a/tests/cases.rs
+++ b/tests/cases.rs
@@ -413,8 +413,8 @@
 /// fifth of a budget would not do for one slice (`join+vast`): each new one is used by one of them, and at once.
 #[test]
 fn a_cold_server_is_the_whole_of_one_governor() {
-    let went = |number| {
-        let mut governor = plain(Deployment { governors: 5, number, slices: 60, ..site() }, 6);
+    let went = |number, slices, begins: u64| {
+        let mut governor = plain(Deployment { governors: 5, number, slices, ..site() }, 6);
         (6..12).for_each(|n| governor.slice_given(at(0), n, &[(n - 6, 1.0)]));
         let mut steps = Vec::new();
         for second in 1..12 {
@@ -422,8 +422,8 @@
             report(&mut governor, now, |_| (2.0, 1.0));
             let asked = Asked { op_type: 0, covers: Span::ms(1000), came: 1.0, aborted: 0.0 };
             (6..12).for_each(|n| governor.asked(now, n, asked));
-            if second == 10 {
-                let new: Vec<_> = (6..18).map(|s| listing(s, Standing::Ready, 10_000)).collect();
+            if second == begins {
+                let new: Vec<_> = (6..18).map(|s| listing(s, Standing::Ready, begins * 1000)).collect();
                 governor.listed(now, ListScope::Changes, &new);
             }
             if second == 11 {
@@ -437,9 +437,11 @@
         };
         steps.into_iter().filter_map(went).collect::<Vec<_>>()
     };
-    let all: Vec<_> = (0..5).flat_map(went).collect();
+    let all: Vec<_> = (0..5).flat_map(|number| went(number, 60, 10)).collect();
     assert!(all.len() >= 4, "{all:?}");
     assert_eq!(all.iter().collect::<std::collections::BTreeSet<_>>().len(), all.len(), "{all:?}");
+    // Whoever has all slices, as when the others were killed, is alone, whatever its number.
+    assert!((0..6).all(|number| !went(number, 12, 8).is_empty()));
 }
 
 /// A new server that is ours alone is filled as a whole one is: with the wide band of servers that others fill
