--- a/fleet/src/trouble.rs
+++ b/fleet/src/trouble.rs
@@ -105,7 +105,7 @@
     Again,
     /// After each change the list that was told before it, then the new one again.
     Back,
-    /// Without every so manyth server, and whole with the next sign of life.
+    /// Each change without every so manyth server, then whole.
     Lossy(usize),
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -361,7 +361,7 @@
             (s.part, s.power) = (part, s.able * s.factor * part.max(1.0));
         }
         self.see_slices(LOAD_OVER, SPREAD_OVER, REPEATED);
-        self.picture = self.sum_up(BAND, LOAD_OVER, |s| self.is_fit(s) && self.part(s) > 0.0);
+        self.picture = self.sum_up(BAND, LOAD_OVER, |s| self.is_fit(s) && s.part > 0.0);
         self.rank_all();
         true
     }
