Rules 2 and 5 where acks, answers or a slice's former governor are late

Found by reading along the crossings and proved by the reducer's event sequence; each test fails without its mend: - repeats_of_unknown_outcome_keep_the_message_cap: '11 messages within the window, of 11 in all'. Each attempt whose answer is lost may have been carried out, but may_order_again (logic.rs) asked for room in the channel only, and said a small call four times a second. - answers_that_are_short_keep_the_message_cap: the same for the rest of an answer that is short (outbox.rs, taken: the rest went unweighed). - a_single_writer_changes_hands_only_once_all_have_acked: 'the fourth has acked nothing: ... SET,2,s-4,1': close_marks let a stage pass after five seconds without acks, as it may where several write. There all are now asked again (a mark alone asks all: outbox.rs, adapter). - a_single_writer_given_to_us_keeps_its_owner_for_the_tenure: may_send counted the tenure from who parted from us, not from the grant: a proxy joined to the former governor alone writes on for that long. Ruled out: the message cap of new orders (has_room keeps one spare).

--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -79,7 +79,10 @@
         for (id, input) in inputs {
             let mut output = self.instance(now, id, input);
             if let Some(governor) = self.governors.get_mut(&id) {
-                output.extend(governor.collect(now).into_iter().map(encode));
+                let steps = governor.collect(now);
+                // A mark by itself reaches nobody, unless all are asked.
+                let all = !steps.iter().any(Step::reaches_proxies);
+                output.extend(steps.into_iter().map(|step| encode(step, all)));
             }
             if !output.is_empty() {
                 replies.push(json!({"governorId": id, "output": output}));
@@ -227,14 +230,14 @@
     })
 }
 
-fn encode(step: Step) -> Value {
+fn encode(step: Step, all: bool) -> Value {
     match step {
         Step::Line { slice, server, weight } => json!(["setWeight", server, slice, weight]),
         Step::Withdraw { server, out } => json!(["takeOut", out, server]),
         Step::Level { slice, op_types, share, tries } => {
             json!(["ration", share, tries, op_types, slice.map_or(EVERY_TABLE, u64::from)])
         }
-        Step::Mark { number } => json!(["barrier", number, false]),
+        Step::Mark { number } => json!(["barrier", number, all]),
         Step::FollowList => json!(["keepInformed", true]),
         Step::Wake { token, after } => json!(["wakeAt", token, after.as_ns()]),
         Step::Sick { server, cause } => json!(["sayLog", format!("server {server} taken for sick: {cause}")]),
--- a/governor/src/routing/outbox.rs
+++ b/governor/src/routing/outbox.rs
@@ -10,7 +10,7 @@
     state: State,
     /// Failures in a row.
     failures: u32,
-    /// The last attempt at the call that is now the first may have been carried out.
+    /// The last attempt at the call that is now the first may have been carried out, or was in part.
     unclear: bool,
     /// A proxy has acked the mark of what is open: all of it was carried out.
     proven: bool,
@@ -43,12 +43,13 @@
     }
 
     /// One reply is one call, unless it is too large. Of the pieces the last alone has the mark, and asks all
-    /// proxies to answer: some may have got an earlier piece only. Comes only while nothing is open.
+    /// proxies to answer: some may have got an earlier piece only, and a mark by itself reaches none. Comes only
+    /// while nothing is open.
     pub fn put(&mut self, orders: &[Order]) {
         (self.calls, self.refused, self.unclear, self.proven) = (VecDeque::new(), false, false, false);
         let (mut call, mut bytes) = (Vec::new(), 0);
         for order in orders {
-            let text = order.encode(!self.calls.is_empty());
+            let text = order.encode(!self.calls.is_empty() || call.is_empty());
             if bytes + text.len() + 1 > relay::CALL_LIMIT {
                 self.calls.push_back(std::mem::take(&mut call));
                 bytes = 0;
@@ -159,6 +160,8 @@
         let skips = many == 0 && self.refused && !call.is_empty();
         let skipped = skips.then(|| call.remove(0));
         self.refused = !skips && !call.is_empty();
+        // What stood has gone out as a message of its own: the rest is weighed like a repeat.
+        self.unclear = many > 0 && !call.is_empty();
         self.forget_crossed();
         skipped.map(|order| order.text)
     }
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -548,11 +548,11 @@
         match outcome {
             Ok(Answer::Taken(many)) => {
                 self.found(Source::Calls);
-                let refused = many < sent;
+                let refused = many == 0 && sent > 0;
                 if let Some(order) = self.outbox.taken(many) {
                     self.note(format!("an order can't be used and is skipped: {order}"));
                 }
-                // The rest is one more message to the proxies.
+                // Should the figure be wrong, they have one message more.
                 let mark = self.outbox.mark().filter(|_| refused);
                 mark.into_iter().for_each(|mark| self.governor.ordered_again(now, mark));
             }
--- a/governor/tests/reducer.rs
+++ b/governor/tests/reducer.rs
@@ -1,207 +1,22 @@
-//! The reducer without sockets, against a store that carries out calls or loses them.
+//! The reducer's answers to one event after another, without sockets.
+
+mod stand_ins;
 
 use quickcheck::{Arbitrary, Gen};
 use serde_json::json;
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use stand_ins::rig::*;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use whinwall::interface::{Asked, Met, Report, Reported};
 use whinwall::time::{Moment, Span};
 use whinwall_governor::protocol::relay::{decode_answer, decode_news, Answer};
 use whinwall_governor::protocol::{collector, discovery};
 use whinwall_governor::routing::overrides::Wanted;
-use whinwall_governor::routing::{Effect, Event, Reducer};
+use whinwall_governor::routing::{Effect, Event};
 use whinwall_governor::transport::{Broken, CallError, Targets};
 use whinwall_management::ask::{Reply, Request};
 use whinwall_overrides::{Ask, Bounds, Kind, Order, Reading};
 
-type Store = BTreeMap<u32, BTreeMap<String, f64>>;
-
-struct Rig {
-    reducer: Reducer,
-    now: Moment,
-    wake: Option<Moment>,
-    store: Store,
-    servers: BTreeMap<String, &'static str>,
-    proxies: u32,
-    /// The call that waits for its answer, and all that were made.
-    open: Option<String>,
-    relay: Option<SocketAddr>,
-    calls: Vec<String>,
-    follows: Vec<Effect>,
-    notes: Vec<String>,
-    replies: Vec<Reply>,
-}
-
-const RELAY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 6400);
-const DISCOVERY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8500);
-const UNKNOWN: Event = Event::Answer(Err(CallError::OutcomeUnknown(Broken::Silent)));
-
-impl Rig {
-    /// Six servers, twelve slices, four proxies; nothing of it told yet.
-    fn new() -> Self {
-        Rig::with(12, |_| {})
-    }
-
-    fn with(slices: u32, change: impl Fn(&mut serde_json::Value)) -> Self {
-        let example = include_str!("../../deploy/example.json");
-        let mut example: serde_json::Value = serde_json::from_str(example).unwrap();
-        change(&mut example["settings"]);
-        let briefing = whinwall_briefing::read(&example["settings"]).unwrap();
-        let now = Moment::default() + Span::ms(1_800_000_000_000);
-        let targets = Targets { discovery: DISCOVERY, relay: RELAY };
-        let mut rig = Rig {
-            reducer: Reducer::start(briefing, targets, 7, &discovery::List::default(), now),
-            now,
-            wake: None,
-            store: (0..slices).map(|n| (n, BTreeMap::from([(format!("s-{}", n % 6), 1.0)]))).collect(),
-            servers: (0..6).map(|n| (format!("s-{n}"), "active")).collect(),
-            proxies: 4,
-            open: None,
-            relay: None,
-            calls: Vec::new(),
-            follows: Vec::new(),
-            notes: Vec::new(),
-            replies: Vec::new(),
-        };
-        rig.tell(Event::Started);
-        rig
-    }
-
-    /// One that serves: list and news told, the first orders out.
-    fn serving() -> Self {
-        Rig::new().set_going()
-    }
-
-    fn set_going(mut self) -> Self {
-        self.list();
-        self.standing(&[]);
-        self.pass(2000);
-        self
-    }
-
-    fn tell(&mut self, event: Event) {
-        for effect in self.reducer.apply(self.now, event) {
-            match effect {
-                Effect::Call { relay, line, .. } => {
-                    self.relay = Some(relay);
-                    assert_eq!(self.open.replace(line.clone()), None, "two calls at a time");
-                    self.calls.push(line);
-                }
-                Effect::WakeAt(at) => self.wake = Some(at),
-                Effect::Note(text) => self.notes.push(text),
-                Effect::Reply { reply, .. } => self.replies.push(reply),
-                other => self.follows.push(other),
-            }
-        }
-    }
-
-    fn quiet(&mut self) {
-        self.wake = None;
-        self.tell(Event::Quiet);
-    }
-
-    fn news(&mut self, line: &str) {
-        self.tell(Event::News(decode_news(line).unwrap()));
-    }
-
-    fn says(&mut self, from: u64, line: &str) {
-        self.tell(match collector::decode(line) {
-            Ok(message) => Event::Message { from, message },
-            Err(wrong) => Event::Wrong { from, wrong },
-        });
-    }
-
-    fn list(&mut self) {
-        let entry = |(id, state)| json!({"id": id, "zone": "north", "state": state});
-        let entries: Vec<_> = self.servers.iter().map(entry).collect();
-        let list = json!({"version": 41, "full": true, "servers": entries});
-        self.tell(Event::List(discovery::decode(&list.to_string()).unwrap().unwrap()));
-    }
-
-    /// What a new news connection says stands, all but the slices without a grant.
-    fn standing(&mut self, ungranted: &[u32]) {
-        let mut lines = vec!["OK".to_string()];
-        lines.extend((0..self.proxies).map(|proxy| format!("* SUBSCRIBE {proxy} north 21.5 1")));
-        for (slice, table) in self.store.iter().filter(|(slice, _)| !ungranted.contains(slice)) {
-            lines.push(format!("* GRANT {slice} 1"));
-            lines.extend(table.iter().map(|(server, weight)| format!("* ROW {slice} {server} {weight}")));
-        }
-        lines.push("*".into());
-        lines.iter().for_each(|line| self.news(line));
-        self.quiet();
-    }
-
-    /// Carries out what the call says, and acks its mark.
-    fn carry_out(&mut self, call: &str) -> usize {
-        let orders: Vec<_> = call.strip_prefix("APPLY ").unwrap().split(';').collect();
-        for order in &orders {
-            match order.split(',').collect::<Vec<_>>()[..] {
-                ["SET", slice, server, weight] => {
-                    assert!(self.servers.contains_key(server), "{order}");
-                    let table = self.store.get_mut(&slice.parse().unwrap()).unwrap();
-                    match weight.parse().unwrap() {
-                        0.0 => _ = table.remove(server),
-                        weight => _ = table.insert(server.into(), weight),
-                    }
-                    assert!(!table.is_empty(), "{order} leaves a table empty");
-                }
-                ["SYNC", mark, _] => {
-                    (0..self.proxies).for_each(|proxy| self.news(&format!("* ACK {proxy} {mark} 90.5")))
-                }
-                _ => {}
-            }
-        }
-        orders.len()
-    }
-
-    fn answer(&mut self) {
-        let Some(call) = self.open.take() else { return };
-        let taken = self.carry_out(&call);
-        self.tell(Event::Answer(Ok(Answer::Taken(taken))));
-        self.quiet();
-    }
-
-    /// Time passes, calls are answered at once.
-    fn pass(&mut self, ms: u64) {
-        let end = self.now + Span::ms(ms);
-        loop {
-            self.answer();
-            if self.open.is_some() {
-                continue;
-            }
-            match self.wake {
-                Some(at) if at <= end => self.now = at.max(self.now),
-                _ => break,
-            }
-            self.quiet();
-        }
-        self.now = end;
-        self.quiet();
-    }
-
-    /// Tells what stands if that was asked for.
-    fn renew(&mut self) -> bool {
-        let asked = self.follows.drain(..).any(|follow| matches!(follow, Effect::FollowNews { .. }));
-        if asked {
-            self.standing(&[]);
-        }
-        asked
-    }
-
-    fn drain(&mut self, server: &str) {
-        self.servers.insert(server.into(), "leaving");
-        self.list();
-        self.quiet();
-    }
-
-    fn owners(&self) -> BTreeSet<&str> {
-        let whole =
-            |(server, weight): (&'_ String, &f64)| (*weight >= 1.0).then_some(server.as_str().to_owned());
-        let all: Vec<String> = self.store.values().flat_map(|table| table.iter().filter_map(whole)).collect();
-        self.servers.keys().map(String::as_str).filter(|server| all.iter().any(|s| s == server)).collect()
-    }
-}
-
 #[test]
 fn orders_rest_on_whole_tables() {
     let mut rig = Rig::new();
--- a/governor/tests/stand_ins/mod.rs
+++ b/governor/tests/stand_ins/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)] // each file of tests compiles this one for itself and uses a part of it
 
 pub mod managed;
+pub mod rig;
 pub mod world;
 
 use actix_http::body::BodyStream;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -145,3 +145,10 @@
         cause: &'static str,
     },
 }
+
+impl Step {
+    /// Changes what proxies hold.
+    pub fn reaches_proxies(&self) -> bool {
+        matches!(self, Step::Line { .. } | Step::Withdraw { .. } | Step::Level { .. })
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -68,7 +68,7 @@
 const NO_ACKS: Span = Span::ms(3000);
 const MOST_PULLS: f64 = 12.0;
 const PULLS: &str = "its slices come";
-const BEAT: Span = Span::ms(250);
+pub(crate) const BEAT: Span = Span::ms(250);
 const ASK_AGAIN: Span = Span::ms(1500);
 
 /// How far a search for another server may go.
@@ -246,19 +246,19 @@
             Haste::Calm | Haste::Spare => (CALM_PART, heads + heads),
             _ => (1.0, if waiting == 0.0 { Span::default() } else { heads }),
         };
-        let cap = f64::from(self.site.message_cap);
-        let written = || self.channel.messages.sum(self.now, self.site.message_window + BEAT);
-        let opens = || self.now - self.channel.written >= gap && (cap == 0.0 || written() + 1.0 < cap * part);
+        let opens = || self.now - self.channel.written >= gap && self.messages_left(self.now, part) > 1.0;
         let (more, most) = (lines * all + head, self.site.queue_cap * QUEUE_PART);
         // Twice: a call of unknown outcome is said again, and then both may have been carried out.
         let twice = || waiting + self.channel.open_lines() + more + more <= most;
         self.replying && (waiting == 0.0 || (waiting + more <= most * part && twice())) && (!fresh || opens())
     }
 
-    /// Where it fits in beside itself, or no ack has come for so long that nothing can wait any more.
+    /// Where it fits in beside itself, or no ack has come for so long that nothing can wait any more; and as one
+    /// more message to all, for each attempt may have been carried out (rule 5).
     pub fn may_order_again(&self, now: Moment, mark: u16) -> bool {
         let (waiting, again) = (self.channel.lines_waiting(), self.channel.lines_of(mark));
-        waiting + again <= self.site.queue_cap * QUEUE_PART || now - self.channel.heard > NO_ACKS
+        let fits = waiting + again <= self.site.queue_cap * QUEUE_PART;
+        (fits || now - self.channel.heard > NO_ACKS) && self.messages_left(now, 1.0) >= 1.0
     }
 
     /// The level of an op type at a cut between 0 and 1: types in order of payoff, one after the other.
@@ -279,12 +279,9 @@
     }
 
     fn follow_list(&mut self) -> bool {
-        if self.due.list.is_none_or(|at| at > self.now) {
-            return false;
-        }
-        self.due.list = None;
-        self.steps.push(Step::FollowList);
-        true
+        let due = self.due.list.take_if(|at| *at <= self.now);
+        self.steps.extend(due.map(|_| Step::FollowList));
+        due.is_some()
     }
 
     /// One line a server shuts it out of all tables, and who stands by takes over, long before each table is
@@ -323,14 +320,20 @@
         true
     }
 
-    /// Slices wait for all acks, or so long: some proxies may be gone. Lines wait on until they are acked.
+    /// Slices wait for all acks, or so long: some proxies may be gone. Lines wait on until they are acked. Where one
+    /// owner writes, whoever has not acked may still write to the former one: all are asked again (rule 2).
     fn close_marks(&mut self) -> bool {
+        let (open, single) = (self.channel.open_mark, self.site.single_writer);
         let late = |m: &Sent| !m.slices.is_empty() && self.now - m.at >= ACK_WAIT;
-        let open = self.channel.open_mark;
-        let due = |(n, m): &(&u16, &Sent)| Some(**n) != open && (m.waiting.is_empty() || late(m));
-        let Some((&number, _)) = self.channel.marks.iter().find(due) else { return false };
-        self.close_mark(number);
-        true
+        let due =
+            |(n, m): &(&u16, &Sent)| Some(**n) != open && (m.waiting.is_empty() || (late(m) && !single));
+        if let Some((&number, _)) = self.channel.marks.iter().find(due) {
+            self.close_mark(number);
+            return true;
+        }
+        let long = single && self.now - self.channel.written >= ACK_WAIT;
+        let asks = long && self.channel.marks.values().any(late) && self.has_room(0.0, Haste::Calm);
+        asks.then(|| self.write(0.0)).is_some()
     }
 
     fn beat(&mut self) -> bool {
@@ -803,10 +806,10 @@
         true
     }
 
-    /// Where a slice has one writer, each stage of a change of owner waits for the one before: acks of all
-    /// who are joined, the time that those who parted may go on, and the life of a write.
+    /// Where a slice has one writer, each stage of a change of owner waits for the one before: acks of all who are
+    /// joined, the time that those may go on who parted from us or its former governor, and a write's life.
     fn may_send(&self, s: &Slice) -> bool {
-        let calm = || self.now - self.parted_at >= self.site.tenure + self.site.write_life;
+        let calm = || self.now - self.parted_at.max(s.given) >= self.site.tenure + self.site.write_life;
         let done = |at: Moment| self.now - at >= self.site.write_life;
         !self.site.single_writer
             || s.cut_held != HALTED
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -1,6 +1,7 @@
 //! What a governor works out from its records: sums, rates and means, no decisions.
 
 use crate::interface::{PlaceId, ServerId, SliceId, Step};
+use crate::logic::BEAT;
 use crate::ring::Ring;
 use crate::state::{Governor, Lately, Picture, Server, Slice};
 use crate::time::{Moment, Span};
@@ -26,6 +27,17 @@
         s.sick_until.is_some_and(|until| until > self.now)
     }
 
+    /// How many messages each proxy may still get within the window, where we use this part of the cap.
+    pub(crate) fn messages_left(&self, now: Moment, part: f64) -> f64 {
+        let cap = f64::from(self.site.message_cap);
+        let written = self.channel.messages.sum(now, self.site.message_window + BEAT);
+        if cap == 0.0 {
+            f64::INFINITY
+        } else {
+            cap * part - written
+        }
+    }
+
     /// The same way for all servers of a kind, where the list tells kinds apart by size.
     fn kind<'a>(&self, s: &'a Server) -> &'a str {
         if self.site.sizes_known {
