Shutdown, list watches, repeats, closing connections: what crosses no longer loses

Now no call is made any more, an open one is waited for (300 ms at most; SIGKILL comes at 700), who asked is answered; a second signal ends it at once. - SIGHUP while the address was taken, or in the pause after a panic, was passed over (until_end): the old file stayed. Now it is kept. - A file half written at its signal was refused and never read again: it is read for 5 s ('waited in vain for WATCH'). - A watch whose signs of life go on without its changes was believed for ever: it is renewed, beside itself, after 4 s without a change ('waited in vain for /registry/instances?follow=1&since=41'). - A whole list from an agent that is behind brought back a server that leaves, and dropped a new one (reducer.rs, Event::List). - An answer that came twice was closed away in silence, though the one before may have been another call's: the store is read anew. - A stranger's longer second line took the answer to its first, and closing with bytes unread reset the connection before the last word ('an end, no reset: ConnectionReset'). - Dials were begun anew each 300 ms (the list's request each 500): one that is slow each time never succeeded. They go on beside each other now, and a call's dial is given up where calls go elsewhere. - Connections of a life that panicked stayed until they spoke (their map was held by its own tasks), and the next life drew the same marks. - Pauses before a repeat were alike in all governors: half of each is drawn from the seed.

--- a/governor/src/program/configuration.rs
+++ b/governor/src/program/configuration.rs
@@ -131,6 +131,11 @@
 }
 
 impl Start {
+    /// A life after a panic draws anew: an ack of the former one's marks must not pass for one of this.
+    pub fn begin_new_life(&mut self) {
+        self.seed = self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(1);
+    }
+
     /// Takes over what the file says now; where that can't be used, all stays as it was. Returns the keys
     /// that changed and that only a start can take over.
     pub fn read_anew(&mut self) -> Result<Vec<&'static str>, String> {
--- a/governor/src/program/event_loop.rs
+++ b/governor/src/program/event_loop.rs
@@ -11,7 +11,7 @@
 use crate::protocol::{discovery, relay, Malformed};
 use crate::routing::overrides::Wanted;
 use crate::routing::{Effect, Event, Reducer};
-use crate::transport::{calls, limits, listener, news, watch};
+use crate::transport::{calls, limits, listener, news, watch as watch_list};
 use crate::transport::{Back, Broken, CallError, ConnectionId, FollowId, Inbox, Input};
 use actix_rt::net::TcpListener;
 use actix_rt::task::JoinHandle;
@@ -26,6 +26,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::{self, Receiver, Sender};
+use tokio::sync::watch;
+use tokio::time::{sleep_until, timeout_at, Instant};
 use tracing::{debug_span, Span};
 use whinwall::time::Moment;
 use whinwall_cores::sequence::Due;
@@ -42,45 +44,67 @@
 /// A former process may hold our address a moment longer.
 const BIND_ATTEMPTS: u32 = 50;
 
-/// Serves until a signal ends it. A panic costs what the reducer remembered, as a restart would, and not the
-/// process: the relay and discovery know all that stands.
-pub async fn serve(mut start: Start, mut signals: Signals, form: Form) -> Result<&'static str, String> {
-    let listener = tokio::select! {
-        biased;
-        listener = bind(start.listen) => Rc::new(listener?),
-        why = until_end(&mut signals) => return Ok(why),
+/// Why nothing is served any more.
+enum Over {
+    Ended(&'static str),
+    Failed(String),
+}
+
+impl From<&'static str> for Over {
+    fn from(signal: &'static str) -> Self {
+        Over::Ended(signal)
+    }
+}
+
+/// Serves until a signal ends it.
+pub async fn serve(start: Start, signals: Signals, form: Form) -> Result<&'static str, String> {
+    match serve_lives(start, signals, form).await {
+        Over::Ended(why) => Ok(why),
+        Over::Failed(why) => Err(why),
+    }
+}
+
+/// A panic costs what the reducer remembered, as a restart would, and not the process: the relay and discovery know
+/// all that stands.
+async fn serve_lives(mut start: Start, mut signals: Signals, form: Form) -> Over {
+    let listener = match bind(start.listen, &mut signals).await {
+        Ok(listener) => Rc::new(listener),
+        Err(over) => return over,
+    };
+    match listener.local_addr() {
+        Ok(address) => tracing::info!("{} serves at {address}", start.name),
+        Err(why) => return Over::Failed(format!("listen: {why}")),
+    }
+    let mut fronts = match Fronts::open(&start.name, start.operators.as_ref(), form) {
+        Ok(fronts) => fronts,
+        Err(why) => return Over::Failed(why),
     };
-    let address = listener.local_addr().map_err(|why| format!("listen: {why}"))?;
-    tracing::info!("{} serves at {address}", start.name);
-    let mut fronts = Fronts::open(&start.name, start.operators.as_ref(), form)?;
     loop {
         let life = live(&mut start, listener.clone(), &mut signals, &mut fronts);
         match AssertUnwindSafe(life).catch_unwind().await {
-            Ok(why) => return Ok(why),
+            Ok(why) => return Over::Ended(why),
             Err(_) => tracing::error!("a panic; starting again from what relay and discovery know"),
         }
-        sleep(limits::PAUSE).await;
-    }
-}
-
-/// The file is read only now and has nothing newer: other signals are passed over.
-async fn until_end(signals: &mut Signals) -> &'static str {
-    loop {
-        if let Signal::End(why) = signals.come().await {
-            return why;
+        start.begin_new_life();
+        if let Err(why) = signals.sleep(limits::PAUSE).await {
+            return Over::Ended(why);
         }
     }
 }
 
-async fn bind(listen: SocketAddr) -> Result<TcpListener, String> {
+async fn bind(listen: SocketAddr, signals: &mut Signals) -> Result<TcpListener, Over> {
     let mut attempts = 0;
     loop {
         match TcpListener::bind(listen).await {
             Ok(listener) => return Ok(listener),
-            Err(why) if attempts == BIND_ATTEMPTS => return Err(format!("listen: {listen}: {why}")),
-            Err(_) => attempts += 1,
+            Err(why) if attempts == BIND_ATTEMPTS => {
+                return Err(Over::Failed(format!("listen: {listen}: {why}")))
+            }
+            Err(why) if attempts == 0 => tracing::warn!("listen: {listen}: {why}; trying for a while"),
+            Err(_) => {}
         }
-        sleep(limits::PAUSE).await;
+        attempts += 1;
+        signals.sleep(limits::PAUSE).await?;
     }
 }
 
@@ -95,7 +119,8 @@
     let (at_door, mut reports) = mpsc::channel(limits::INBOX);
     let (calls, to_make) = mpsc::channel(1);
     let bounds = listener::Bounds::new(start.connections, start.line_bytes);
-    let _calls = Task::spawn(calls::serve(to_make, inbox.clone()));
+    let (relay, at_relay) = watch::channel(Some(start.targets.relay));
+    let _calls = Task::spawn(calls::serve(to_make, at_relay, inbox.clone()));
     let clock = Clock::start();
     let pooled = (start.cores > 1).then(|| {
         let meters = Arc::new(Meters::of(start.cores));
@@ -118,7 +143,7 @@
             (None, mpsc::channel(1).1, Task::spawn(listener::listen(listener, bounds, here)))
         }
     };
-    let mut turn = Loop::new(start, clock, inbox, calls, fronts, pool);
+    let mut turn = Loop::new(start, clock, inbox, (calls, relay), fronts, pool);
     turn.apply(Event::Started);
     turn.want(start);
     turn.fronts.read_store();
@@ -126,15 +151,20 @@
         turn.wake = None;
         turn.watch_wall();
         turn.look_after();
+        turn.read_again(start);
         turn.apply(Event::Quiet);
         turn.backs.clear();
         turn.next();
         let longest = if turn.pool.is_some() { LOOK_EACH } else { LONGEST_SLEEP };
+        let longest = if turn.reads.is_some() { limits::PAUSE } else { longest };
         let wait = turn.wake.map_or(longest, |at| turn.clock.until(at).min(longest));
         tokio::select! {
             biased;
             signal = signals.come() => match signal {
-                Signal::End(why) => return why,
+                Signal::End(why) => {
+                    turn.end(why, signals, [&mut arrived, &mut reports], &mut batches).await;
+                    return why;
+                }
                 Signal::ReadAnew => turn.read_anew(start),
             },
             Some(word) = turn.fronts.words.recv() => turn.word(word),
@@ -189,9 +219,17 @@
     reducer: Reducer,
     inbox: Inbox,
     calls: Sender<calls::Call>,
+    /// Where calls may be made; nowhere once we are to end.
+    relay: watch::Sender<Option<SocketAddr>>,
+    /// One is being made.
+    calling: bool,
     discovery: awc::Client,
     news: Option<Follow>,
     list: Option<Follow>,
+    /// The list asked for once more, beside the watch that goes on until this one speaks.
+    renewed: Option<Follow>,
+    /// When a file that could not be used is read again, and until when: it may have been half written.
+    reads: Option<(Moment, Moment)>,
     follows: FollowId,
     wake: Option<Moment>,
     /// The ways back of those who spoke in this turn.
@@ -203,14 +241,14 @@
         start: &Start,
         clock: Clock,
         inbox: Inbox,
-        calls: Sender<calls::Call>,
+        (calls, relay): (Sender<calls::Call>, watch::Sender<Option<SocketAddr>>),
         fronts: &'a mut Fronts,
         pool: Option<(Rc<RefCell<Pool>>, Arc<Meters>)>,
     ) -> Self {
         let reducer =
             Reducer::start(start.briefing.clone(), start.targets, start.seed, &start.known, clock.now());
         let discovery = awc::Client::builder().disable_timeout().finish();
-        let (news, list, wake, backs) = (None, None, None, BTreeMap::new());
+        let (news, list, renewed, wake, backs) = (None, None, None, None, BTreeMap::new());
         let (wall, span, turns, follows) = (WallWatch::default(), Span::none(), 0, 0);
         Loop {
             clock,
@@ -223,34 +261,89 @@
             reducer,
             inbox,
             calls,
+            relay,
+            calling: false,
             discovery,
             news,
             list,
+            renewed,
+            reads: None,
             follows,
             wake,
             backs,
         }
     }
 
-    /// A file that can't be used, or is only half there, changes nothing.
-    fn read_anew(&mut self, start: &mut Start) {
-        match start.read_anew() {
-            Ok(left) => {
-                let targets = start.targets;
-                tracing::info!("SIGHUP: relay at {}, discovery at {}", targets.relay, targets.discovery);
-                for key in left {
-                    tracing::warn!("configuration: {key} has changed, which only a new start takes over");
+    /// No call is made any more. One that was written is waited for: the successor reads the store, and what is
+    /// carried out behind that would be none of its orders. Who has asked something by now hears an answer.
+    async fn end(
+        &mut self,
+        why: &'static str,
+        signals: &mut Signals,
+        [arrived, reports]: [&mut Receiver<Input>; 2],
+        batches: &mut Receiver<Batch>,
+    ) {
+        tracing::info!("{why}: no more calls{}", if self.calling { ", one is open" } else { "" });
+        self.relay.send_replace(None);
+        let end = Instant::now() + limits::ENDING;
+        loop {
+            let idle = timeout_at(end, sleep(limits::ANSWERED));
+            tokio::select! {
+                biased;
+                signal = signals.come() => match signal {
+                    Signal::End(why) => return tracing::info!("{why} too: nothing is waited for"),
+                    Signal::ReadAnew => {}
+                },
+                _ = sleep_until(end) => return,
+                Some(input) = arrived.recv() => {
+                    let answers = matches!(input, Input::Answer(_));
+                    self.take(input);
+                    _ = answers.then(|| tracing::info!("the open call has its outcome"));
                 }
-                self.apply(Event::Configured(targets));
-                if let Err(wrong) = self.fronts.follow(&start.name, start.operators.as_ref()) {
-                    tracing::error!("{wrong}");
-                }
-                self.want(start);
+                Some(input) = reports.recv() => self.take(input),
+                Some(batch) = batches.recv() => self.batch(batch),
+                _ = idle, if !self.calling => return,
+            }
+        }
+    }
+
+    /// A file that can't be used, or is only half there, changes nothing, and is read again for a while: who writes
+    /// it may not be through.
+    fn read_anew(&mut self, start: &mut Start) {
+        match self.take_over(start) {
+            Ok(()) => self.reads = None,
+            Err(wrong) => {
+                tracing::error!("configuration: {wrong}; all stays as it was");
+                let now = self.clock.now();
+                self.reads =
+                    Some((now + limits::span(limits::PAUSE), now + limits::span(limits::READ_AGAIN)));
             }
-            Err(wrong) => tracing::error!("configuration: {wrong}; all stays as it was"),
         }
     }
 
+    fn read_again(&mut self, start: &mut Start) {
+        let now = self.clock.now();
+        let Some((_, until)) = self.reads.filter(|(at, _)| *at <= now) else { return };
+        let is_over = self.take_over(start).is_ok() || now >= until;
+        self.reads = (!is_over).then_some((now + limits::span(limits::PAUSE), until));
+    }
+
+    fn take_over(&mut self, start: &mut Start) -> Result<(), String> {
+        let left = start.read_anew()?;
+        let targets = start.targets;
+        tracing::info!("SIGHUP: relay at {}, discovery at {}", targets.relay, targets.discovery);
+        for key in left {
+            tracing::warn!("configuration: {key} has changed, which only a new start takes over");
+        }
+        self.relay.send_replace(Some(targets.relay));
+        self.apply(Event::Configured(targets));
+        if let Err(wrong) = self.fronts.follow(&start.name, start.operators.as_ref()) {
+            tracing::error!("{wrong}");
+        }
+        self.want(start);
+        Ok(())
+    }
+
     /// What the operators' file says of overrides, where there is one.
     fn want(&mut self, start: &Start) {
         if let Some(file) = &start.operators {
@@ -316,6 +409,12 @@
         Some(Follow { id: self.follows, _task: work(self.follows) })
     }
 
+    fn follow_list(&mut self, discovery: SocketAddr, since: u64) -> Option<Follow> {
+        let url = format!("http://{discovery}{}", discovery::watch_path(since));
+        let (client, inbox) = (self.discovery.clone(), self.inbox.clone());
+        self.follow(|id| Task::spawn(watch_list::follow(id, client, url, inbox)))
+    }
+
     /// No more than fit in the inbox at once: what arrives meanwhile is for the next turn.
     fn take_all(&mut self, inbox: &mut Receiver<Input>) {
         for _ in 0..limits::INBOX {
@@ -350,6 +449,10 @@
                 Event::Ended(id)
             }
             Input::News(id, _) if self.news.as_ref().is_none_or(|news| news.id != id) => return None,
+            Input::List(id, Ok(_)) if self.renewed.as_ref().is_some_and(|renewed| renewed.id == id) => {
+                self.list = self.renewed.take();
+                return self.event(input);
+            }
             Input::List(id, _) if self.list.as_ref().is_none_or(|list| list.id != id) => return None,
             Input::News(_, Err(why)) => Event::NewsLost(why),
             Input::List(_, Err(why)) => Event::ListLost(why),
@@ -365,9 +468,11 @@
             },
             Input::Answer(outcome) => {
                 tracing::debug!("answer: {outcome:?}");
+                self.calling = false;
                 let unclear = |wrong| CallError::OutcomeUnknown(unreadable(wrong));
                 Event::Answer(outcome.and_then(|line| relay::decode_answer(&line).map_err(unclear)))
             }
+            Input::Surplus => Event::Surplus,
             Input::List(_, Ok(line)) => match discovery::decode(&line) {
                 Ok(list) => {
                     let list = list?; // nothing but a sign of life
@@ -454,7 +559,14 @@
     }
 
     fn carry_out(&mut self, effect: Effect) {
+        let ends = self.relay.borrow().is_none();
         match effect {
+            // Who is to end learns nothing more, and orders nothing.
+            Effect::Call { .. }
+            | Effect::FollowNews { .. }
+            | Effect::FollowList { .. }
+            | Effect::RenewList { .. }
+                if ends => {}
             Effect::Pong { to } => self.back(to, Back::Say(collector::encode(collector::Reply::Pong))),
             Effect::Keep { to } => self.back(to, Back::Keep),
             Effect::LetGo { to, why } => {
@@ -464,6 +576,7 @@
             Effect::Call { relay, line, afresh } => {
                 tracing::debug!("call: {line}");
                 // One is made at a time: there is room.
+                self.calling = true;
                 _ = self.calls.try_send(calls::Call { relay, line, afresh });
             }
             Effect::FollowNews { relay } => {
@@ -471,10 +584,10 @@
                 self.news = self.follow(|id| Task::spawn(news::follow(id, relay, relay::WATCH, inbox)));
             }
             Effect::FollowList { discovery, since } => {
-                let url = format!("http://{discovery}{}", discovery::watch_path(since));
-                let (client, inbox) = (self.discovery.clone(), self.inbox.clone());
-                self.list = self.follow(|id| Task::spawn(watch::follow(id, client, url, inbox)));
+                self.renewed = None;
+                self.list = self.follow_list(discovery, since);
             }
+            Effect::RenewList { discovery, since } => self.renewed = self.follow_list(discovery, since),
             Effect::Save { serial, puts, drops, line } => {
                 let stamp = Stamp { line: line.on_line(self.clock.now()), reading: Clock::reading() };
                 let job = Job { puts, drops, stamp: saved::write_stamp(&stamp) };
--- a/governor/src/program/signals.rs
+++ b/governor/src/program/signals.rs
@@ -2,6 +2,8 @@
 
 use actix_rt::signal::unix::{self, signal, SignalKind};
 use std::io;
+use std::time::Duration;
+use tokio::time::{timeout_at, Instant};
 
 pub enum Signal {
     /// To end, under this name.
@@ -13,6 +15,8 @@
     terminate: unix::Signal,
     interrupt: unix::Signal,
     hangup: unix::Signal,
+    /// One to read anew came while nobody could.
+    kept: bool,
 }
 
 impl Signals {
@@ -21,6 +25,7 @@
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
             hangup: signal(SignalKind::hangup())?,
+            kept: false,
         })
     }
 
@@ -29,7 +34,23 @@
             biased;
             _ = self.terminate.recv() => Signal::End("SIGTERM"),
             _ = self.interrupt.recv() => Signal::End("SIGINT"),
+            _ = std::future::ready(()), if std::mem::take(&mut self.kept) => Signal::ReadAnew,
             _ = self.hangup.recv() => Signal::ReadAnew,
         }
     }
+
+    /// Sleeps, unless a signal ends the program, under that name. One to read anew is kept for whoever can: what was
+    /// read before may be old.
+    pub async fn sleep(&mut self, time: Duration) -> Result<(), &'static str> {
+        let wakes = Instant::now() + time;
+        let mut kept = false;
+        while let Ok(signal) = timeout_at(wakes, self.come()).await {
+            match signal {
+                Signal::End(why) => return Err(why),
+                Signal::ReadAnew => kept = true,
+            }
+        }
+        self.kept |= kept;
+        Ok(())
+    }
 }
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -14,6 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
+use whinwall::chance::Chance;
 use whinwall::interface::*;
 use whinwall::logic::Governor;
 use whinwall::time::{Moment, Span};
@@ -21,6 +22,9 @@
 use whinwall_management::ask::{Reply, Request, Status};
 use whinwall_overrides::{Act, Reading, Refused, Ticket, Timeline};
 
+/// The part of a pause that is drawn.
+const PAUSE_DRAWN: f64 = 0.5;
+
 #[derive(Debug)]
 pub enum Event {
     Started,
@@ -45,6 +49,8 @@
     News(News),
     NewsLost(Broken),
     Answer(Result<Answer, CallError>),
+    /// The relay answers what nobody asked: an answer that was taken may have been another call's.
+    Surplus,
     List(List),
     ListLost(Broken),
     /// What the operators' file says, at the start or read anew, and what the clocks say.
@@ -97,6 +103,11 @@
         discovery: SocketAddr,
         since: u64,
     },
+    /// The same beside a watch that goes on until this one speaks.
+    RenewList {
+        discovery: SocketAddr,
+        since: u64,
+    },
     /// On disk, all of it or nothing, with a stamp by this line.
     Save {
         serial: u64,
@@ -118,6 +129,8 @@
     Call,
     News,
     List,
+    /// The list has told no change for a while.
+    Renewal,
 }
 
 /// Where all we know comes from; of each the first failure is noted, and its end.
@@ -144,6 +157,10 @@
     targets: Targets,
     names: Names,
     list_version: u64,
+    /// Since when the list has been told in versions below the one that is held.
+    behind_since: Option<Moment>,
+    /// For pauses: governors whose ways broke together must not come again together.
+    chance: Chance,
     /// The connections that have joined.
     collectors: BTreeSet<ConnectionId>,
     proxies: BTreeSet<ProxyId>,
@@ -177,6 +194,8 @@
             targets,
             names: Names::default(),
             list_version: known.version,
+            behind_since: None,
+            chance: Chance::from_seed(!seed),
             collectors: BTreeSet::new(),
             proxies: BTreeSet::new(),
             tables: BTreeMap::new(),
@@ -201,10 +220,10 @@
             Event::Started => {
                 self.follow_news();
                 if self.briefing.deployment.list_pushed {
-                    self.follow_list();
+                    self.follow_list(now);
                 }
             }
-            Event::Configured(targets) => self.configured(targets),
+            Event::Configured(targets) => self.configured(now, targets),
             Event::Message { from, message } => self.message(now, from, message),
             Event::Wrong { from, wrong } => match wrong {
                 Wrong::Spoilt(why) => self.pass_over(from, why),
@@ -235,20 +254,17 @@
                 self.after_pause(now, Due::News);
             }
             Event::Answer(outcome) => self.answer(now, outcome),
-            Event::List(list) => {
-                self.found(Source::List);
-                let scope = if list.whole { ListScope::Whole } else { ListScope::Changes };
-                let listings = self.listings(&list);
-                self.list_version = list.version;
-                self.governor.listed(now, scope, &listings);
-                // A server may have come, or come back under another number.
-                self.with_overrides(now, |_| {});
+            Event::Surplus => {
+                self.note("the relay answers what nobody asked; the store is read anew".into());
+                self.doubt();
             }
+            Event::List(list) => self.list(now, &list),
             Event::ListLost(why) => {
                 if matches!(why, Broken::Unreadable(_)) {
                     self.list_version = 0;
                 }
                 self.lost(Source::List, why);
+                self.agenda.retain(|(_, due)| *due != Due::Renewal);
                 match self.briefing.deployment.list_pushed {
                     true => self.after_pause(now, Due::List),
                     // Where the list is asked for, the decisions say when to ask again.
@@ -286,7 +302,8 @@
     }
 
     fn after_pause(&mut self, now: Moment, due: Due) {
-        self.agenda.insert((now + Span::ns(limits::PAUSE.as_nanos() as u64), due));
+        let pause = limits::span(limits::PAUSE).times(1.0 - PAUSE_DRAWN * self.chance.draw());
+        self.agenda.insert((now + pause, due));
     }
 
     fn follow_news(&mut self) {
@@ -296,15 +313,60 @@
         self.effects.push(Effect::FollowNews { relay: self.targets.relay });
     }
 
-    fn follow_list(&mut self) {
+    fn follow_list(&mut self, now: Moment) {
         self.agenda.retain(|(_, due)| *due != Due::List);
         let (discovery, since) = (self.targets.discovery, self.list_version);
         self.effects.push(Effect::FollowList { discovery, since });
+        self.renew_later(now);
+    }
+
+    /// Where the list is pushed it costs nothing to ask again.
+    fn renew_later(&mut self, now: Moment) {
+        self.agenda.retain(|(_, due)| *due != Due::Renewal);
+        if self.briefing.deployment.list_pushed {
+            self.agenda.insert((now + limits::span(limits::RENEW_LIST), Due::Renewal));
+        }
+    }
+
+    fn renew_list(&mut self, now: Moment) {
+        let (discovery, since) = (self.targets.discovery, self.list_version);
+        self.effects.push(Effect::RenewList { discovery, since });
+        self.renew_later(now);
+    }
+
+    fn list(&mut self, now: Moment, list: &List) {
+        self.found(Source::List);
+        self.renew_later(now);
+        let mut listings = self.listings(list);
+        let mut scope = if list.whole { ListScope::Whole } else { ListScope::Changes };
+        if list.version < self.list_version {
+            // An agent that is behind can tell what is new to us, and takes nothing back: no server that leaves
+            // returns without a new start, and none is gone for being absent.
+            let known = |entry: &Listing| self.governor.standing(entry.server);
+            let returns = |entry: &Listing| {
+                entry.standing == Standing::Ready
+                    && known(entry)
+                        .is_some_and(|(was, start)| was != Standing::Ready && start == entry.started)
+            };
+            listings.retain(|entry| !returns(entry));
+            scope = ListScope::Changes;
+            let since = *self.behind_since.get_or_insert(now);
+            if now - since >= limits::span(limits::BEHIND) {
+                // It does not catch up: its count began anew.
+                (self.list_version, self.behind_since) = (0, None);
+                self.follow_list(now);
+            }
+        } else {
+            (self.list_version, self.behind_since) = (list.version, None);
+        }
+        self.governor.listed(now, scope, &listings);
+        // A server may have come, or come back under another number.
+        self.with_overrides(now, |_| {});
     }
 
     /// What has moved is asked for at its new address; all that is known stays, and a call that is open stays
     /// the first: what its former address does not answer is said again at the new one.
-    fn configured(&mut self, targets: Targets) {
+    fn configured(&mut self, now: Moment, targets: Targets) {
         let former = std::mem::replace(&mut self.targets, targets);
         if former.relay != targets.relay {
             self.snapshot = Snapshot::default();
@@ -312,7 +374,7 @@
             self.follow_news();
         }
         if former.discovery != targets.discovery {
-            self.follow_list();
+            self.follow_list(now);
         }
     }
 
@@ -566,11 +628,16 @@
             Err(why) => self.failed(now, why, may_be_done),
         }
         if in_doubt {
-            self.in_doubt = true;
-            self.follow_news();
+            self.doubt();
         }
     }
 
+    /// Nobody can tell what the store holds: it is read anew before orders are made.
+    fn doubt(&mut self) {
+        self.in_doubt = true;
+        self.follow_news();
+    }
+
     fn failed(&mut self, now: Moment, why: impl fmt::Display, may_be_done: bool) {
         self.lost(Source::Calls, why);
         if self.outbox.failed(may_be_done) {
@@ -616,7 +683,8 @@
                 Due::Decisions(token) => self.governor.woken(now, token),
                 Due::Call => self.outbox.release(),
                 Due::News => self.follow_news(),
-                Due::List => self.follow_list(),
+                Due::List => self.follow_list(now),
+                Due::Renewal => self.renew_list(now),
             }
         }
         if self.overrides.as_ref().and_then(Overrides::due).is_some_and(|at| at <= now) {
@@ -675,7 +743,7 @@
             }
             Step::Mark { number } => Order::Mark { number },
             Step::FollowList => {
-                self.follow_list();
+                self.follow_list(now);
                 return None;
             }
             Step::Wake { token, after } => {
--- a/governor/src/transport/calls.rs
+++ b/governor/src/transport/calls.rs
@@ -6,7 +6,7 @@
 use actix_rt::net::TcpStream;
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 pub struct Call {
     pub relay: SocketAddr,
@@ -21,16 +21,24 @@
 type Open = Option<(SocketAddr, Line)>;
 
 /// Makes each call that comes and says how it went. The relay closes idle connections: one that it has closed
-/// is seen at once, so that no call is written to it.
-pub async fn serve(mut calls: mpsc::Receiver<Call>, inbox: Inbox) {
+/// is seen at once, so that no call is written to it. `at` says where calls may be made now; a dial elsewhere is
+/// given up.
+pub async fn serve(
+    mut calls: mpsc::Receiver<Call>,
+    mut at: watch::Receiver<Option<SocketAddr>>,
+    inbox: Inbox,
+) {
     let mut open: Open = None;
     loop {
         let call = match &mut open {
             None => calls.recv().await,
             Some((_, line)) => tokio::select! {
                 biased;
-                _ = line.next() => {
+                said = line.next() => {
                     open = None; // closed, or it says what nobody asked for
+                    if matches!(said, Some(Ok(_))) && inbox.send(Input::Surplus).await.is_err() {
+                        return;
+                    }
                     continue;
                 }
                 call = calls.recv() => call,
@@ -38,7 +46,7 @@
         };
         let Some(Call { relay, line, afresh }) = call else { return };
         open = open.filter(|(to, _)| !afresh && *to == relay);
-        let attempt = contained(attempt(relay, &mut open, line)).await;
+        let attempt = contained(attempt(relay, &mut open, &mut at, line)).await;
         let answer = attempt.unwrap_or_else(|panicked| Err(CallError::OutcomeUnknown(panicked)));
         if answer.is_err() {
             open = None; // a late answer must not be taken for the next one's
@@ -49,11 +57,22 @@
     }
 }
 
-async fn attempt(relay: SocketAddr, open: &mut Open, call: String) -> Result<String, CallError> {
+async fn attempt(
+    relay: SocketAddr,
+    open: &mut Open,
+    at: &mut watch::Receiver<Option<SocketAddr>>,
+    call: String,
+) -> Result<String, CallError> {
+    let moved = || Err(CallError::NotSent(Broken::Unreachable("given up, calls go elsewhere".into())));
     let line = match open {
+        _ if *at.borrow() != Some(relay) => return moved(),
         Some((_, line)) => line,
         None => {
-            let stream = connect(relay).await.map_err(CallError::NotSent)?;
+            let stream = tokio::select! {
+                biased;
+                _ = at.wait_for(|at| *at != Some(relay)) => return moved(),
+                stream = connect(relay) => stream.map_err(CallError::NotSent)?,
+            };
             &mut open.insert((relay, Framed::new(stream, Lines::with_crlf(limits::LINE)))).1
         }
     };
--- a/governor/src/transport/limits.rs
+++ b/governor/src/transport/limits.rs
@@ -1,10 +1,13 @@
 //! The network's time-outs and sizes. They bound what others may cost; nothing is decided by them.
 
 use std::time::Duration;
+use whinwall::time::Span;
 
-/// All parties are on the same network, a few milliseconds away: a connection that takes longer never comes
-/// up.
+/// All parties are on the same network, a few milliseconds away: a dial that takes longer may be lost, and another
+/// is begun. It may also be slow, so those before go on.
 pub const CONNECT: Duration = Duration::from_millis(300);
+/// So many dials, or requests for the list, go on beside each other: the first has more than two seconds then.
+pub const DIALS: usize = 8;
 /// The relay answers a call within 50 ms or never; the rest is for a busy machine.
 pub const ANSWER: Duration = Duration::from_millis(150);
 /// A request for news is answered like a call, but with all that stands behind the answer.
@@ -16,6 +19,19 @@
 pub const LIST_SILENCE: Duration = Duration::from_millis(3000);
 /// It answers at once, or is silent.
 pub const LIST_ANSWER: Duration = Duration::from_millis(500);
+/// From SIGTERM to our end, at most; SIGKILL comes 700 ms after it. It holds the answer to a call.
+pub const ENDING: Duration = Duration::from_millis(300);
+/// Whoever was told something in the end reads it from the kernel: nothing more to do for so long is the end.
+pub const ANSWERED: Duration = Duration::from_millis(50);
+/// A configuration that can't be used is read again for so long after its signal.
+pub const READ_AGAIN: Duration = Duration::from_secs(5);
+/// A watch of the list that tells no change for so long is asked for anew, beside itself: it may have missed one
+/// while its signs of life went on. What discovery has to tell counts as told after six seconds.
+pub const RENEW_LIST: Duration = Duration::from_secs(4);
+/// A list below the version that is held comes from an agent that is behind, for so long; then it is a new count.
+pub const BEHIND: Duration = Duration::from_secs(6);
+/// What is read of whoever hears a last word, so that closing destroys it not on its way.
+pub const LAST_READ: usize = 256 << 10;
 /// Before the next attempt to reach the relay or discovery. A refused connection costs next to nothing.
 pub const PAUSE: Duration = Duration::from_millis(100);
 /// Whoever connects to us has joined in this time, or is let go: a second is what it may take, and three are
@@ -47,3 +63,8 @@
 pub const LINES_PART: usize = 8;
 /// Descriptors kept for everything that is not a connection to our address.
 pub const RESERVED: usize = 64;
+
+/// In the decisions' measure of time.
+pub fn span(time: Duration) -> Span {
+    Span::ns(time.as_nanos() as u64)
+}
--- a/governor/src/transport/listener.rs
+++ b/governor/src/transport/listener.rs
@@ -13,9 +13,9 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{mpsc, oneshot, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 /// What all connections together may cost.
 #[derive(Clone)]
@@ -99,6 +99,15 @@
     }
 }
 
+/// All connections end with whoever took them.
+struct LetGo(Peers);
+
+impl Drop for LetGo {
+    fn drop(&mut self) {
+        self.0.borrow_mut().clear();
+    }
+}
+
 type Peers = Rc<RefCell<BTreeMap<ConnectionId, (Arc<Peer>, oneshot::Sender<()>)>>>;
 
 /// Takes connections for ever, half of them at the most from those who have not joined. Where there are too many,
@@ -106,6 +115,7 @@
 /// been silent longest: hundreds of strangers must not cost a collector its place.
 pub async fn listen(listener: Rc<TcpListener>, bounds: Bounds, readers: impl Readers) {
     let peers = Peers::default();
+    let _all = LetGo(peers.clone());
     for id in 0.. {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -198,10 +208,13 @@
     let (back, mut answers) = mpsc::channel(limits::UNREAD_ANSWERS);
     let mut patience = Instant::now() + limits::JOIN;
     let mut has_joined = false;
+    // Whoever has not joined hears something on each line: what it says behind one must not take that away.
+    let mut is_due_an_answer = false;
     loop {
         tokio::select! {
             biased;
             Some(answer) = answers.recv() => {
+                is_due_an_answer = false;
                 let Some((line, ends)) = last_word(answer) else {
                     has_joined = true;
                     patience = Instant::now() + limits::QUIET_PEER;
@@ -213,21 +226,27 @@
                     }
                     continue;
                 };
+                let has_word = line.is_some();
                 if let Some(line) = line {
                     if let Err(why) = read_in_time(framed.send(line)).await {
                         return why;
                     }
                 }
                 if ends {
+                    if has_word {
+                        hear_out(&mut framed.into_parts().io, patience).await;
+                    }
                     return "what it said is of no use".into();
                 }
             }
-            line = timeout_at(patience, framed.next()) => match line {
+            _ = sleep_until(patience), if is_due_an_answer => return "it has not joined".into(),
+            line = timeout_at(patience, framed.next()), if !is_due_an_answer => match line {
                 Ok(Some(Ok(line))) => {
                     let now = Instant::now();
                     if has_joined {
                         patience = now + limits::QUIET_PEER;
                     }
+                    is_due_an_answer = !has_joined;
                     peer.speaks(now);
                     let sent = match &bulk {
                         None => {
@@ -252,6 +271,19 @@
     }
 }
 
+/// Closing with something unread resets the connection, and may destroy the last word on its way: what is still sent is
+/// read, within the time and bytes that it had left to join.
+async fn hear_out(io: &mut TcpStream, until: Instant) {
+    let (mut piece, mut left) = ([0; 4096], limits::LAST_READ);
+    _ = io.shutdown().await;
+    while let Ok(Ok(read @ 1..)) = timeout_at(until, io.read(&mut piece)).await {
+        left = left.saturating_sub(read);
+        if left == 0 {
+            return;
+        }
+    }
+}
+
 /// What is to be said, and whether the connection ends with it; none where it may stay.
 fn last_word(back: Back) -> Option<(Option<String>, bool)> {
     match back {
@@ -309,7 +341,7 @@
                 let Some((line, ends)) = last_word(answer) else { continue };
                 if let Some(line) = line {
                     let line = line + "\n";
-                    let said = tokio::io::AsyncWriteExt::write_all(io, line.as_bytes());
+                    let said = io.write_all(line.as_bytes());
                     if let Err(why) = read_in_time(said).await {
                         return why;
                     }
--- a/governor/src/transport/mod.rs
+++ b/governor/src/transport/mod.rs
@@ -7,13 +7,16 @@
 pub mod news;
 pub mod watch;
 
-use futures_util::FutureExt;
+use actix_rt::net::TcpStream;
+use futures_util::stream::FuturesUnordered;
+use futures_util::{FutureExt, StreamExt};
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::time::Duration;
 use tokio::sync::{mpsc, OwnedSemaphorePermit};
+use tokio::time::{timeout_at, Instant};
 
 /// Which of the connections to our own address.
 pub type ConnectionId = u64;
@@ -43,6 +46,8 @@
     News(FollowId, Result<String, Broken>),
     List(FollowId, Result<String, Broken>),
     Answer(Result<String, CallError>),
+    /// The relay answers what nobody asked: an answer before may have been another call's.
+    Surplus,
 }
 
 /// Which chunk of which connection, and when its last byte was read.
@@ -139,10 +144,34 @@
     actix_rt::time::timeout(most, work).await.map_err(|_| Broken::Silent)
 }
 
-async fn connect(to: SocketAddr) -> Result<actix_rt::net::TcpStream, Broken> {
-    let stream = within(limits::CONNECT, actix_rt::net::TcpStream::connect(to)).await?;
-    let stream = stream.map_err(|why| Broken::Unreachable(why.to_string()))?;
+/// The first of several attempts that succeeds. Another begins each so often while those before go on: what was
+/// lost on its way is made up for at once, and what takes long each time is not begun anew for ever.
+pub async fn earliest<T>(
+    every: Duration,
+    most: usize,
+    attempt: impl AsyncFn() -> Result<T, Broken>,
+) -> Result<T, Broken> {
+    let mut attempts = FuturesUnordered::new();
+    for _ in 0..most {
+        attempts.push(attempt());
+        let next = Instant::now() + every;
+        while let Ok(done) = timeout_at(next, attempts.next()).await {
+            match done {
+                Some(Err(why)) if attempts.is_empty() => return Err(why),
+                Some(Err(_)) => {}
+                Some(done) => return done,
+                None => break,
+            }
+        }
+    }
+    Err(Broken::Silent)
+}
+
+async fn connect(to: SocketAddr) -> Result<TcpStream, Broken> {
+    let unreachable = |why: std::io::Error| Broken::Unreachable(why.to_string());
+    let dial = async || TcpStream::connect(to).await.map_err(unreachable);
+    let stream = earliest(limits::CONNECT, limits::DIALS, dial).await?;
     // A call is one small write: nothing is to wait for more to fill a packet.
-    stream.set_nodelay(true).map_err(|why| Broken::Unreachable(why.to_string()))?;
+    stream.set_nodelay(true).map_err(unreachable)?;
     Ok(stream)
 }
--- a/governor/src/transport/watch.rs
+++ b/governor/src/transport/watch.rs
@@ -1,7 +1,7 @@
 //! Discovery's watch: one request, answered by lines for as long as it lasts.
 
 use super::framing::Lines;
-use super::{contained, limits, within, Broken, FollowId, Inbox, Input};
+use super::{contained, earliest, limits, within, Broken, FollowId, Inbox, Input};
 use actix_codec::Decoder;
 use bytes::BytesMut;
 use futures_util::StreamExt;
@@ -13,10 +13,13 @@
 
 async fn read(id: FollowId, client: awc::Client, url: String, inbox: &Inbox) -> Broken {
     let unreachable = |why: &dyn std::fmt::Display| Broken::Unreachable(why.to_string());
-    let mut answer = match within(limits::LIST_ANSWER, client.get(url).send()).await {
-        Ok(Ok(answer)) if answer.status().is_success() => answer,
-        Ok(Ok(answer)) => return unreachable(&answer.status()),
-        Ok(Err(why)) => return unreachable(&why),
+    let ask = async || match client.get(&url).send().await {
+        Ok(answer) if answer.status().is_success() => Ok(answer),
+        Ok(answer) => Err(unreachable(&answer.status())),
+        Err(why) => Err(unreachable(&why)),
+    };
+    let mut answer = match earliest(limits::LIST_ANSWER, limits::DIALS, ask).await {
+        Ok(answer) => answer,
         Err(why) => return why,
     };
     let (mut lines, mut bytes) = (Lines::new(limits::LIST), BytesMut::new());
--- a/governor/tests/crossings.rs
+++ b/governor/tests/crossings.rs
@@ -6,8 +6,10 @@
 use stand_ins::rig::*;
 use std::collections::BTreeMap;
 use whinwall::time::Span;
+use whinwall_governor::protocol::discovery;
 use whinwall_governor::protocol::relay::Answer;
-use whinwall_governor::routing::Event;
+use whinwall_governor::routing::{Effect, Event};
+use whinwall_governor::transport::Broken;
 
 /// Each attempt at a call whose answer is lost may have been carried out, and then it is one more message to every
 /// proxy (rule 5): no more of them than the window allows, however long the relay is mute.
@@ -139,3 +141,79 @@
     rig.pass(5000);
     assert!(!rig.calls.iter().any(|call| call.contains("IN,")), "{:?}", rig.calls);
 }
+
+fn entry(id: &str, state: &str, started_ms: u64) -> serde_json::Value {
+    json!({"id": id, "zone": "north", "state": state, "started_ms": started_ms})
+}
+
+fn tell_list(rig: &mut Rig, version: u64, whole: bool, servers: Vec<serde_json::Value>) {
+    let list = json!({"version": version, "full": whole, "servers": servers});
+    rig.tell(Event::List(discovery::decode(&list.to_string()).unwrap().unwrap()));
+    rig.quiet();
+}
+
+/// After a move the agent is behind: its whole list is from before a drain and a new server.
+#[test]
+fn an_agent_that_is_behind_takes_nothing_back() {
+    let mut rig = Rig::serving();
+    rig.pass(5000);
+    rig.drain("s-2");
+    rig.pass(1000);
+    let new = vec![entry("s-7", "active", 1_700_000_000_000)];
+    tell_list(&mut rig, 43, false, new);
+    rig.servers.insert("s-7".into(), "active");
+    rig.pass(1000);
+    let before = rig.calls.len();
+    let all = || (0..6).map(|n| entry(&format!("s-{n}"), "active", 0)).collect();
+    tell_list(&mut rig, 40, true, all());
+    rig.pass(4000);
+    let made = rig.calls[before..].join(" ");
+    assert!(!made.contains("IN,s-2") && !made.contains(",s-2,1") && !made.contains("OUT,s-7"), "{made}");
+    // What it tells that is new counts all the same.
+    tell_list(&mut rig, 41, false, vec![entry("s-3", "leaving", 0)]);
+    rig.pass(1000);
+    assert!(!rig.owners().contains("s-3") && !rig.owners().contains("s-2"));
+    // It catches up, and from there on all is taken at its word.
+    tell_list(&mut rig, 44, false, vec![entry("s-2", "active", 0)]);
+    rig.pass(3000);
+    assert!(rig.calls.iter().any(|call| call.contains("IN,s-2")));
+}
+
+/// One that stays below the version held has begun its count anew: the whole list is asked for, and believed.
+#[test]
+fn a_count_that_began_anew_is_believed_after_a_while() {
+    let mut rig = Rig::serving();
+    rig.drain("s-2");
+    rig.pass(1000);
+    let all = || (0..6).map(|n| entry(&format!("s-{n}"), "active", 0)).collect();
+    rig.follows.clear();
+    for _ in 0..5 {
+        tell_list(&mut rig, 3, true, all());
+        rig.pass(2000);
+    }
+    let whole = Effect::FollowList { discovery: DISCOVERY, since: 0 };
+    assert!(rig.follows.contains(&whole), "{:?}", rig.follows);
+    tell_list(&mut rig, 3, true, all());
+    rig.pass(3000);
+    assert!(rig.calls.iter().any(|call| call.contains("IN,s-2")));
+}
+
+/// Governors whose ways broke at the same instant must not come again together each time.
+#[test]
+fn pauses_are_drawn_from_the_seed() {
+    let wakes = |seed| {
+        let mut rig = Rig::with_seed(12, seed, |_| {}).set_going();
+        (0..8)
+            .map(|_| {
+                rig.tell(Event::NewsLost(Broken::Closed));
+                rig.quiet();
+                let pause = rig.wake.unwrap() - rig.now;
+                assert!(pause <= Span::ms(100), "{pause:?}");
+                rig.pass(200);
+                pause
+            })
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(wakes(1), wakes(1));
+    assert_ne!(wakes(1), wakes(2));
+}
--- a/governor/tests/stand_ins/mod.rs
+++ b/governor/tests/stand_ins/mod.rs
@@ -273,15 +273,45 @@
         Program::spawn(command, file)
     }
 
-    pub fn spawn(mut command: Command, file: ConfigurationFile) -> Self {
+    pub fn spawn(command: Command, file: ConfigurationFile) -> Self {
+        let mut program = Program::launch(command, file);
+        program.serves();
+        program
+    }
+
+    /// One that need not serve yet.
+    pub fn launch(mut command: Command, file: ConfigurationFile) -> Self {
         let mut child = command.spawn().unwrap();
         let (says, log) = channel();
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| says.send(line)));
-        let mut log = Heard::new(log);
-        let serves = log.wait("the address", |line: &String| line.contains("serves at"));
-        let address = serves.rsplit(' ').next().unwrap().parse().unwrap();
-        Program { child, address, log, file }
+        Program { child, address: SocketAddr::from(([127, 0, 0, 1], 0)), log: Heard::new(log), file }
+    }
+
+    pub fn serves(&mut self) {
+        let serves = self.log.wait("the address", |line: &String| line.contains("serves at"));
+        self.address = serves.rsplit(' ').next().unwrap().parse().unwrap();
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
+    /// Stands still: whatever happens until it goes on, it meets at once.
+    pub fn stops(&self) {
+        self.signal(Signal::STOP);
+        let stat = format!("/proc/{}/stat", self.child.id());
+        while !std::fs::read_to_string(&stat).unwrap().contains(") T ") {
+            thread::yield_now();
+        }
+    }
+
+    pub fn goes_on(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    pub fn logs(&mut self, with: &str) -> String {
+        self.log.wait(with, |line: &String| line.contains(with))
     }
 
     pub fn connect(&self) -> Peer {
--- a/governor/tests/stand_ins/rig.rs
+++ b/governor/tests/stand_ins/rig.rs
@@ -40,6 +40,10 @@
     }
 
     pub fn with(slices: u32, change: impl Fn(&mut serde_json::Value)) -> Self {
+        Rig::with_seed(slices, 7, change)
+    }
+
+    pub fn with_seed(slices: u32, seed: u64, change: impl Fn(&mut serde_json::Value)) -> Self {
         let example = include_str!("../../../deploy/example.json");
         let mut example: serde_json::Value = serde_json::from_str(example).unwrap();
         change(&mut example["settings"]);
@@ -48,7 +52,7 @@
         let now = Moment::default() + Span::ms(1_800_000_000_000);
         let targets = Targets { discovery: DISCOVERY, relay: RELAY };
         let mut rig = Rig {
-            reducer: Reducer::start(briefing, targets, 7, &discovery::List::default(), now),
+            reducer: Reducer::start(briefing, targets, seed, &discovery::List::default(), now),
             now,
             wake: None,
             store: (0..slices).map(|n| (n, BTreeMap::from([(format!("s-{}", n % 6), 1.0)]))).collect(),
--- /dev/null
+++ b/governor/tests/transport.rs
@@ -0,0 +1,129 @@
+//! The transport alone: dials that are slow or hang, and connections of a life that is over.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::io::{Read, Write};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::mpsc::channel;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use whinwall_governor::program::configuration::{self, Surroundings};
+use whinwall_governor::transport::listener::{self, Bounds, Here};
+use whinwall_governor::transport::{calls, earliest, limits, Broken, CallError, Input};
+
+fn run<T>(work: impl Future<Output = T>) -> T {
+    actix_rt::System::new().block_on(work)
+}
+
+/// Each dial takes three times as long as we wait before the next: begun anew each time, none would ever succeed.
+#[test]
+fn a_dial_that_is_slow_each_time_succeeds() {
+    let every = Duration::from_millis(20);
+    let begun = Cell::new(0);
+    let slow = async || {
+        begun.set(begun.get() + 1);
+        actix_rt::time::sleep(every * 3).await;
+        Ok(begun.get())
+    };
+    let reached = run(earliest(every, 8, slow));
+    assert!(reached.is_ok_and(|dials| dials > 1), "another is begun meanwhile");
+    let hangs = async || std::future::pending::<Result<(), Broken>>().await;
+    assert_eq!(run(earliest(every, 2, hangs)), Err(Broken::Silent), "for ever it is not waited for");
+}
+
+/// One that is refused says so at once; one that is lost on its way is made up for by the next.
+#[test]
+fn a_dial_that_is_refused_or_lost_costs_no_time() {
+    let refused = async || Err::<(), _>(Broken::Unreachable("refused".into()));
+    let long = Duration::from_secs(60);
+    assert_eq!(run(earliest(long, 8, refused)), Err(Broken::Unreachable("refused".into())));
+    let dials = Cell::new(0);
+    let first_is_lost = async || {
+        dials.set(dials.get() + 1);
+        match dials.get() {
+            1 => std::future::pending().await,
+            dial => Ok(dial),
+        }
+    };
+    assert_eq!(run(earliest(Duration::from_millis(5), 8, first_is_lost)), Ok(2));
+}
+
+/// Nobody takes connections from its backlog, which is full: a dial there is neither taken nor refused.
+fn mute() -> (std::net::TcpListener, Vec<std::net::TcpStream>, SocketAddr) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    rustix::net::listen(&listener, 0).unwrap();
+    let address = listener.local_addr().unwrap();
+    let dial = || std::net::TcpStream::connect_timeout(&address, Duration::from_millis(300));
+    let held = std::iter::from_fn(|| dial().ok()).collect();
+    (listener, held, address)
+}
+
+/// A dial that hangs holds up neither a move to another relay nor the end: the call is given up as not sent.
+#[test]
+fn a_dial_that_hangs_is_given_up_where_calls_go_elsewhere() {
+    let (_listener, _held, relay) = mute();
+    for elsewhere in [None, Some(SocketAddr::from(([127, 0, 0, 1], 9)))] {
+        run(async {
+            let ((make, to_make), (inbox, mut arrived)) = (mpsc::channel(1), mpsc::channel(1));
+            let (at, at_relay) = watch::channel(Some(relay));
+            actix_rt::spawn(calls::serve(to_make, at_relay, inbox));
+            make.send(calls::Call { relay, line: "APPLY SYNC,1,1".into(), afresh: false }).await.unwrap();
+            // It is dialling: another call would find no room.
+            while make.capacity() == 0 {
+                actix_rt::task::yield_now().await;
+            }
+            at.send(elsewhere).unwrap();
+            let bound = limits::CONNECT * limits::DIALS as u32 / 2;
+            let answer =
+                actix_rt::time::timeout(bound, arrived.recv()).await.expect("before the dial's own end");
+            let Some(Input::Answer(Err(CallError::NotSent(_)))) = answer else { panic!("{answer:?}") };
+        });
+    }
+}
+
+/// After a panic another life takes connections: those of the former one end, though they say nothing.
+#[test]
+fn connections_end_with_the_life_that_took_them() {
+    let (say, address) = channel();
+    let (over, is_over) = tokio::sync::oneshot::channel::<()>();
+    let life = std::thread::spawn(move || {
+        run(async {
+            let listener = Rc::new(actix_rt::net::TcpListener::bind("127.0.0.1:0").await.unwrap());
+            say.send(listener.local_addr().unwrap()).unwrap();
+            let (inbox, mut arrived) = mpsc::channel(8);
+            let here = Here { bounds: Bounds::new(8, 1 << 20), inbox };
+            let bounds = Bounds::new(8, 1 << 20);
+            let taking = actix_rt::spawn(listener::listen(listener.clone(), bounds, here));
+            let line = arrived.recv().await;
+            assert!(matches!(line, Some(Input::Line { .. })), "{line:?}");
+            taking.abort();
+            _ = is_over.await;
+        })
+    });
+    let mut silent = std::net::TcpStream::connect(address.recv().unwrap()).unwrap();
+    silent.write_all(b"{\"@type\":\"PING\"}\n").unwrap();
+    // Shorter than it may stay without having joined.
+    silent.set_read_timeout(Some(limits::JOIN / 2)).unwrap();
+    let ended = silent.read(&mut [0; 64]);
+    assert!(
+        matches!(ended, Ok(0)) || ended.is_err_and(|why| why.kind() == std::io::ErrorKind::ConnectionReset)
+    );
+    over.send(()).unwrap();
+    life.join().unwrap();
+}
+
+/// Marks begin at a number drawn from the seed: in a life after a panic no ack of the former one may pass for one of its.
+#[test]
+fn a_life_after_a_panic_draws_anew() {
+    let file = std::env::temp_dir().join(format!("whinwall-life-{}.json", std::process::id()));
+    std::fs::write(&file, include_str!("../../deploy/example.json")).unwrap();
+    let read = configuration::read(Surroundings { file: Some(file.clone()), ..Surroundings::default() });
+    std::fs::remove_file(&file).unwrap();
+    let mut start = read.unwrap();
+    let mut marks = std::collections::BTreeSet::from([start.seed as u16]);
+    for _ in 0..20 {
+        start.begin_new_life();
+        assert!(marks.insert(start.seed as u16), "a life begins where another did");
+    }
+}
