--- a/briefing/src/lib.rs
+++ b/briefing/src/lib.rs
@@ -45,9 +45,9 @@
     sizes: String,
     #[serde(rename = "zones", default)]
     places: Vec<String>,
-    #[serde(rename = "peersTotal", default = "alone")]
+    #[serde(rename = "peersTotal", default = "alone", deserialize_with = "count")]
     governors: u32,
-    #[serde(rename = "me")]
+    #[serde(rename = "me", default, deserialize_with = "number")]
     number: Option<u32>,
 }
 
@@ -77,7 +77,7 @@
     report_period: Span,
     #[serde(rename = "levelKind", default)]
     level_kind: String,
-    #[serde(rename = "partitionsN", default)]
+    #[serde(rename = "partitionsN", default, deserialize_with = "count")]
     slices: u32,
     #[serde(rename = "singleWriter", default)]
     single_writer: bool,
@@ -91,7 +91,7 @@
     pace: f64,
     #[serde(rename = "queueCap", deserialize_with = "figure")]
     queue_cap: f64,
-    #[serde(rename = "updateCap", default)]
+    #[serde(rename = "updateCap", default, deserialize_with = "figure")]
     message_cap: f64,
     #[serde(rename = "reloadSpanNs", default, deserialize_with = "span")]
     message_window: Span,
@@ -111,8 +111,20 @@
     drain_grace: Span,
 }
 
+/// Whoever writes settings may write a whole number as 5 or as 5.0, and a time as a part of a nanosecond.
 fn span<'de, D: Deserializer<'de>>(raw: D) -> Result<Span, D::Error> {
-    u64::deserialize(raw).map(Span::ns)
+    // The longest that fits in a signed count, 292 years: moments and spans are added up.
+    figure(raw).map(|ns| Span::ns(ns.min(i64::MAX as f64) as u64))
+}
+
+fn count<'de, D: Deserializer<'de>>(raw: D) -> Result<u32, D::Error> {
+    let count = figure(raw)?;
+    let whole = count.fract() == 0.0 && count <= f64::from(u32::MAX);
+    whole.then_some(count as u32).ok_or_else(|| D::Error::custom(format!("{count} is no count")))
+}
+
+fn number<'de, D: Deserializer<'de>>(raw: D) -> Result<Option<u32>, D::Error> {
+    count(raw).map(Some)
 }
 
 /// None of them can be below nothing.
--- /dev/null
+++ b/cli/src/lib.rs
@@ -0,0 +1,30 @@
+//! The parts of the `whinwall` command. `arguments` says what can be asked, `repeats` when a call is made again, `calls`
+//! makes it at each governor, `tables` shows what came back.
+#![forbid(unsafe_code)]
+
+pub mod arguments;
+pub mod calls;
+pub mod repeats;
+pub mod tables;
+
+use std::process::ExitCode;
+
+/// How it went, for scripts; the help of the command says so too.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Went {
+    Well = 0,
+    /// At some governors, or not for certain.
+    InPart = 1,
+    /// A file or an argument is faulty, or all governors refused.
+    Refused = 2,
+    /// No governor could be reached.
+    Nowhere = 3,
+    /// Governors disagree on what stands.
+    Disagree = 4,
+}
+
+impl From<Went> for ExitCode {
+    fn from(went: Went) -> ExitCode {
+        ExitCode::from(went as u8)
+    }
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,35 +1,10 @@
-//! The `whinwall` command. `arguments` says what can be asked, `repeats` when a call is made again, `calls`
-//! makes it at each governor, `tables` shows what came back.
+//! The `whinwall` command.
 #![forbid(unsafe_code)]
 
-mod arguments;
-mod calls;
-mod repeats;
-mod tables;
-
-use arguments::{Arguments, Command, OverrideCommand};
 use clap::{CommandFactory, Parser};
 use std::process::ExitCode;
-
-/// How it went, for scripts; the help of the command says so too.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Went {
-    Well = 0,
-    /// At some governors, or not for certain.
-    InPart = 1,
-    /// A file or an argument is faulty, or all governors refused.
-    Refused = 2,
-    /// No governor could be reached.
-    Nowhere = 3,
-    /// Governors disagree on what stands.
-    Disagree = 4,
-}
-
-impl From<Went> for ExitCode {
-    fn from(went: Went) -> ExitCode {
-        ExitCode::from(went as u8)
-    }
-}
+use whinwall_cli::arguments::{Arguments, Command, OverrideCommand};
+use whinwall_cli::{calls, Went};
 
 fn main() -> ExitCode {
     let Arguments { reach, command } = Arguments::parse();
--- a/governor/src/program/configuration.rs
+++ b/governor/src/program/configuration.rs
@@ -85,7 +85,7 @@
     limits: Limits,
     distributor: Distributor,
     #[serde(default)]
-    known: List,
+    known: Value,
     settings: Briefing,
 }
 
@@ -179,6 +179,17 @@
     file::read(&text).map_err(|why| wrong(&why))
 }
 
+/// Only a help until the list is told: what can't be read of it keeps nobody from starting.
+fn known(written: Value) -> List {
+    if written.is_null() {
+        return List::default();
+    }
+    serde_json::from_value(written).unwrap_or_else(|why| {
+        tracing::warn!("configuration: known: {why}; begun without it");
+        List::default()
+    })
+}
+
 fn check(around: Surroundings, written: Value) -> Result<Start, String> {
     let file: File = serde_path_to_error::deserialize(&written).map_err(|wrong| match wrong.path() {
         path if path.iter().next().is_none() => wrong.inner().to_string(),
@@ -214,7 +225,7 @@
         seed: file.seed.unwrap_or_else(clock),
         connections,
         line_bytes: (file.limits.memory_mb * 1e6) as usize / limits::LINES_PART,
-        known: file.known,
+        known: known(file.known),
         briefing: file.settings,
         operators,
         cores,
--- a/governor/src/routing/outbox.rs
+++ b/governor/src/routing/outbox.rs
@@ -151,14 +151,17 @@
     }
 
     /// So many orders were taken, and leave. The rest is said again, for the figure may be wrong, and an
-    /// order sets a state. One at which the relay stops twice is skipped and returned: it would stop there
-    /// for ever.
+    /// order sets a state. One at which the relay stops twice is skipped and returned, with all that it orders of its
+    /// slice: it would stop there for ever.
     pub fn taken(&mut self, many: usize) -> Option<String> {
         (self.state, self.failures) = (State::Idle, 0);
         let call = self.calls.front_mut()?;
         call.drain(..many.min(call.len()));
         let skips = many == 0 && self.refused && !call.is_empty();
         let skipped = skips.then(|| call.remove(0));
+        // What it would have gone with may empty a table that it was to fill.
+        let slice = skipped.as_ref().and_then(|order| order.slice);
+        call.retain(|order| slice.is_none() || order.slice != slice);
         self.refused = !skips && !call.is_empty();
         // What stood has gone out as a message of its own: the rest is weighed like a repeat.
         self.unclear = many > 0 && !call.is_empty();
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -24,6 +24,8 @@
 
 /// The part of a pause that is drawn.
 const PAUSE_DRAWN: f64 = 0.5;
+/// Orders remembered as unusable; beyond that they are forgotten, and cost a reading of the store each.
+const MOST_SKIPPED: usize = 256;
 
 #[derive(Debug)]
 pub enum Event {
@@ -177,6 +179,8 @@
     /// read anew, or can't be read.
     in_doubt: bool,
     outbox: Outbox,
+    /// Orders that the relay could not use, since the list last changed.
+    skipped: BTreeSet<String>,
     /// What has failed since it last worked, and how often.
     failures: BTreeMap<Source, u32>,
     agenda: BTreeSet<(Moment, Due)>,
@@ -204,6 +208,7 @@
             first_given: BTreeSet::new(),
             in_doubt: false,
             outbox: Outbox::default(),
+            skipped: BTreeSet::new(),
             failures: BTreeMap::new(),
             agenda: BTreeSet::new(),
             overrides: None,
@@ -360,6 +365,9 @@
             (self.list_version, self.behind_since) = (list.version, None);
         }
         self.governor.listed(now, scope, &listings);
+        if !list.entries.is_empty() {
+            self.skipped.clear();
+        }
         // A server may have come, or come back under another number.
         self.with_overrides(now, |_| {});
     }
@@ -571,7 +579,10 @@
             if !(again && holds) {
                 let lines: Vec<_> = table.iter().map(|(server, weight)| (*server, *weight)).collect();
                 self.outbox.changed_hands(slice);
-                self.governor.slice_given(now, slice, &lines);
+                match again && ours.is_some() {
+                    true => self.governor.slice_reread(now, slice, &lines),
+                    false => self.governor.slice_given(now, slice, &lines),
+                }
                 self.tables.insert(slice, table);
                 self.snapshot.differed();
             }
@@ -613,6 +624,12 @@
                 let refused = many == 0 && sent > 0;
                 if let Some(order) = self.outbox.taken(many) {
                     self.note(format!("an order can't be used and is skipped: {order}"));
+                    // Its change stands with us and not in the store, unless the answers were spoilt. An order that was
+                    // skipped before can't be used whatever the store holds.
+                    if self.skipped.len() >= MOST_SKIPPED {
+                        self.skipped.clear();
+                    }
+                    in_doubt |= self.skipped.insert(order);
                 }
                 // Should the figure be wrong, they have one message more.
                 let mark = self.outbox.mark().filter(|_| refused);
@@ -728,9 +745,14 @@
             Step::Line { slice, server, weight } => {
                 let name = self.names.name(server)?;
                 let table = self.tables.entry(slice).or_default();
-                match weight > 0.0 {
-                    true => _ = table.insert(server, weight),
-                    false => _ = table.remove(&server),
+                if weight > 0.0 {
+                    // Where one owner writes, a new line takes the place of the former.
+                    if self.briefing.deployment.single_writer {
+                        table.clear();
+                    }
+                    table.insert(server, weight);
+                } else {
+                    table.remove(&server);
                 }
                 Order::Line { slice, server: name, weight }
             }
--- a/governor/tests/crossings.rs
+++ b/governor/tests/crossings.rs
@@ -2,14 +2,15 @@
 
 mod stand_ins;
 
+use quickcheck::{Arbitrary, Gen};
 use serde_json::json;
 use stand_ins::rig::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use whinwall::time::Span;
 use whinwall_governor::protocol::discovery;
 use whinwall_governor::protocol::relay::Answer;
 use whinwall_governor::routing::{Effect, Event};
-use whinwall_governor::transport::Broken;
+use whinwall_governor::transport::{Broken, Targets};
 
 /// Each attempt at a call whose answer is lost may have been carried out, and then it is one more message to every
 /// proxy (rule 5): no more of them than the window allows, however long the relay is mute.
@@ -217,3 +218,309 @@
     assert_eq!(wakes(1), wakes(1));
     assert_ne!(wakes(1), wakes(2));
 }
+
+/// Another customer's words for op types, places and kinds of machine: the same happens, and the same is ordered.
+#[test]
+fn names_decide_nothing() {
+    let played = |op_types: [&str; 2], places: [&str; 3], machine: &str| {
+        let mut rig = Rig::with(12, |settings| {
+            settings["classes"][0]["name"] = json!(op_types[0]);
+            settings["classes"][1]["name"] = json!(op_types[1]);
+            settings["zones"] = json!(places);
+        });
+        let list = |rig: &mut Rig, version: u64| {
+            let servers = rig.servers.iter().enumerate().map(
+                |(n, (id, state))| json!({"id": id, "zone": places[n % 3], "kind": machine, "state": state}),
+            );
+            let servers = servers.collect();
+            tell_list(rig, version, true, servers);
+        };
+        list(&mut rig, 41);
+        rig.standing(&[]);
+        rig.says(1, &json!({"@type": "SOURCE", "az": places[0]}).to_string());
+        for second in 0..30 {
+            for n in 0..6 {
+                let (bad, avg) =
+                    if n == 4 && second > 8 { (9, 0.0) } else { (0, 300.0 + 400.0 * f64::from(n)) };
+                let met = json!({"@type": "LOAD", "az": places[n as usize % 3], "host": format!("s-{n}"), "n": 9,
+                    "bad": bad, "avg": avg, "window": 1000.0});
+                rig.says(1, &met.to_string());
+            }
+            for slice in 0..12 {
+                let asked = json!({"@type": "SHARD", "partition": slice, "kind": op_types[slice % 2],
+                    "n": 3 + slice * second / 9, "bad": slice / 9, "window": 1000.0});
+                rig.says(1, &asked.to_string());
+            }
+            if second == 15 {
+                rig.servers.insert("s-1".into(), "leaving");
+                list(&mut rig, 42);
+            }
+            rig.pass(1000);
+        }
+        let calls = rig.calls.join("\n");
+        calls
+            .replace(&format!(",{},", op_types[0]), ",first,")
+            .replace(&format!(",{},", op_types[1]), ",second,")
+    };
+    let ours = played(["lookup", "post"], ["north", "south", "west"], "m2");
+    assert!(ours.contains("LIMIT,") && ours.contains("OUT,s-1"), "{ours}");
+    assert_eq!(ours, played(["zz top", "a"], ["1", "0", "zone/b"], "\u{e9}t\u{e9}"));
+}
+
+/// What happens, in any order: each is drawn as a number and what it is done to.
+#[derive(Clone, Debug)]
+struct Events(Vec<(u8, u32)>);
+
+impl Arbitrary for Events {
+    fn arbitrary(gen: &mut Gen) -> Self {
+        Events(Vec::arbitrary(gen))
+    }
+}
+
+/// The rig, with what a bystander knows of what it was told.
+struct Played {
+    rig: Rig,
+    held: BTreeSet<u32>,
+    seen: usize,
+    /// The orders of the last call while its outcome is not known to the governor, and whether it was carried out: then it
+    /// may be said again or not.
+    open: Option<(BTreeSet<String>, bool)>,
+    /// What stands withdrawn from all tables, and slices whose ops are held back: nothing is sent there.
+    shut: BTreeSet<String>,
+    halted: BTreeSet<String>,
+    version: u64,
+    targets: Targets,
+}
+
+impl Played {
+    /// Of each call made since the last look: orders only for slices held, nothing new while one is open, nothing put
+    /// on a server that leaves.
+    fn look(&mut self) {
+        let calls: Vec<String> = self.rig.calls[self.seen..].to_vec();
+        self.seen = self.rig.calls.len();
+        for call in calls {
+            for order in call["APPLY ".len()..].split(';') {
+                match order.split(',').collect::<Vec<_>>()[..] {
+                    ["OUT", server] => _ = self.shut.insert(server.into()),
+                    ["IN", server] => _ = self.shut.remove(server),
+                    ["LIMIT", slice, "*", "0", _] => _ = self.halted.insert(slice.into()),
+                    ["LIMIT", slice, ..] => _ = self.halted.remove(slice),
+                    _ => {}
+                }
+            }
+            let orders: BTreeSet<String> = call["APPLY ".len()..].split(';').map(str::to_string).collect();
+            match self.open.take() {
+                Some((open, _)) if orders.is_subset(&open) => {}
+                Some((open, false)) => panic!("newer than what is open: {call}\nopen: {open:?}"),
+                _ => orders.iter().for_each(|order| self.is_lawful(order)),
+            }
+            self.open = Some((orders, false));
+        }
+    }
+
+    fn is_lawful(&self, order: &str) {
+        match order.split(',').collect::<Vec<_>>()[..] {
+            ["SET", slice, server, weight] => {
+                assert!(self.held.contains(&slice.parse().unwrap()), "of no slice of ours: {order}");
+                let none_goes_there = self.shut.contains(server) || self.halted.contains(slice);
+                let leaves = self.rig.servers[server] == "leaving" && !none_goes_there;
+                assert!(!leaves || weight.parse::<f64>().unwrap() < 1.0, "to one that leaves: {order}");
+            }
+            ["LIMIT", slice, ..] if slice != "*" => {
+                assert!(self.held.contains(&slice.parse().unwrap()), "of no slice of ours: {order}");
+            }
+            _ => {}
+        }
+    }
+
+    /// Carries out the call that is open, or does not, and says so or something else.
+    fn answer(&mut self, is_done: bool, answer: impl FnOnce(usize) -> Event) {
+        let Some(call) = self.rig.open.take() else { return };
+        let orders = if is_done { self.rig.carry_out(&call) } else { call.split(';').count() };
+        self.open = self.open.take().map(|(open, _)| (open, is_done));
+        self.rig.tell(answer(orders));
+    }
+
+    fn is_short(&mut self, taken: usize) {
+        let Some(call) = self.rig.open.take() else { return };
+        let orders: Vec<_> = call["APPLY ".len()..].split(';').collect();
+        let stand = orders[..taken.min(orders.len())].join(";");
+        if !stand.is_empty() {
+            self.rig.carry_out(&format!("APPLY {stand}"));
+        }
+        // At the second refusal the first order is skipped, and nothing may be left.
+        let may_be_over = taken >= orders.len() || orders.len() == 1;
+        self.open = Some((orders.iter().map(|order| order.to_string()).collect(), may_be_over));
+        self.rig.tell(Event::Answer(Ok(Answer::Taken(taken.min(orders.len())))));
+    }
+
+    fn list(&mut self, version: u64) {
+        let servers = self.rig.servers.iter().map(|(id, state)| entry(id, state, 0)).collect();
+        tell_list(&mut self.rig, version, true, servers);
+    }
+
+    fn play(&mut self, event: u8, n: u32) {
+        let server = format!("s-{}", n % 6);
+        let stay = self.rig.servers.values().filter(|state| **state == "active").count();
+        match event % 18 {
+            0 if stay > 2 => {
+                self.rig.servers.insert(server, "leaving");
+                self.version += 1;
+                self.list(self.version);
+            }
+            1 => {
+                self.rig.servers.insert(server, "active");
+                self.version += 1;
+                self.list(self.version);
+            }
+            // From an agent that is behind: all that leaves is active there.
+            2 => {
+                let all = (0..6).map(|n| entry(&format!("s-{n}"), "active", 0)).collect();
+                tell_list(&mut self.rig, self.version - 1 - u64::from(n % 9), n.is_multiple_of(2), all);
+                tell_list(&mut self.rig, self.version, false, Vec::new());
+            }
+            3 => self.rig.tell(Event::ListLost(Broken::Silent)),
+            4 | 5 => self.answer(event % 18 == 4, |_| UNKNOWN),
+            6 => self.answer(false, |_| Event::Answer(Ok(Answer::NotNow("ERR unavailable".into())))),
+            7 => self.is_short(n as usize % 3),
+            8 => {
+                let settles = self.rig.open.is_some();
+                self.answer(true, |orders| Event::Answer(Ok(Answer::Taken(orders))));
+                self.open = self.open.take().filter(|_| !settles);
+            }
+            9 => self.rig.tell(Event::Surplus),
+            10 => {
+                self.rig.tell(Event::NewsLost(Broken::Silent));
+                self.rig.now = self.rig.now + Span::ms(u64::from(n % 300));
+            }
+            11 | 12 => {
+                let slice = n % 12;
+                self.rig.news(&format!("* GRANT {slice} 0"));
+                self.held.remove(&slice);
+                if event % 18 == 12 {
+                    self.rig.quiet();
+                    self.look();
+                }
+                self.rig.news(&format!("* GRANT {slice} 1"));
+                self.held.insert(slice);
+                let rows = self.rig.store[&slice].clone();
+                rows.iter().for_each(|(s, weight)| self.rig.news(&format!("* ROW {slice} {s} {weight}")));
+            }
+            13 => {
+                self.targets.relay.set_port(6400 + (n % 2) as u16);
+                self.targets.discovery.set_port(8500 + (n % 3) as u16);
+                self.rig.tell(Event::Configured(self.targets));
+            }
+            14 => self.rig.news(&format!("* CLOSED {}", n % 4)),
+            15 => self.rig.news(&format!("* SUBSCRIBE {} north 21.5 {}", n % 4, n / 4 % 2)),
+            16 => {
+                self.rig.now = self.rig.wake.unwrap_or(self.rig.now).max(self.rig.now);
+            }
+            _ => {
+                self.rig.now = self.rig.now + Span::ms(u64::from(n % 700));
+            }
+        }
+        self.rig.quiet();
+        self.look();
+        self.rig.renew();
+        self.look();
+    }
+}
+
+#[test]
+fn whatever_crosses_calls_keep_their_order_and_their_slices() {
+    for seed in 0..240 {
+        let events = Events::arbitrary(&mut Gen::from_size_and_seed(160, seed));
+        let rig = Rig::with(12, |settings| {
+            settings["familyInfo"]["singleWriter"] = json!(seed % 3 == 0);
+            settings["familyInfo"]["updateCap"] = json!(if seed % 2 == 0 { 0 } else { 12 });
+        });
+        let rig = rig.set_going();
+        let seen = rig.calls.len();
+        let targets = Targets { relay: RELAY, discovery: DISCOVERY };
+        let held = (0..12).collect();
+        let mut played = Played {
+            rig,
+            held,
+            seen,
+            open: None,
+            shut: BTreeSet::new(),
+            halted: BTreeSet::new(),
+            version: 41,
+            targets,
+        };
+        for (event, n) in &events.0 {
+            played.play(*event, *n);
+        }
+        let known = played.rig.reducer.known(None).unwrap().servers.len();
+        assert!(known <= 6, "seed {seed}: {known} servers known of 6");
+        // Once nothing fails any more, the store is as it believes, and what leaves has nothing.
+        for proxy in 0..4 {
+            played.rig.news(&format!("* SUBSCRIBE {proxy} north 21.5 0"));
+        }
+        for _ in 0..30 {
+            played.rig.renew();
+            played.rig.pass(1000);
+        }
+        let rig = &mut played.rig;
+        let drained = rig.owners().into_iter().find(|server| rig.servers[*server] == "leaving");
+        assert_eq!(drained, None, "seed {seed}: {events:?}");
+        rig.tell(Event::NewsLost(Broken::Closed));
+        rig.pass(100);
+        rig.standing(&[]);
+        let stands = "the relay's news stands: 4 proxies, 12 slices, 0 new to us, 6 servers known";
+        assert_eq!(rig.notes.last().unwrap(), stands, "seed {seed}: {events:?}");
+    }
+}
+
+/// A new owner takes the place of the former in the store, so it does in what we believe of it: else each break of the news
+/// made all moved slices new to us, and forgot what is held back.
+#[test]
+fn a_single_writers_tables_are_known_again_after_a_break_of_the_news() {
+    let mut rig = Rig::with(12, |settings| settings["familyInfo"]["singleWriter"] = json!(true)).set_going();
+    rig.pass(10_000);
+    rig.drain("s-2");
+    rig.pass(20_000);
+    assert!(!rig.owners().contains("s-2"));
+    rig.tell(Event::NewsLost(Broken::Silent));
+    rig.pass(100);
+    rig.standing(&[]);
+    let stands = "the relay's news stands: 4 proxies, 12 slices, 0 new to us, 6 servers known";
+    assert_eq!(rig.notes.last().unwrap(), stands);
+}
+
+/// A slice of ours whose table is another after a break: nobody knows its levels, so they are told anew.
+#[test]
+fn a_table_that_changed_while_the_news_was_broken_has_its_levels_told_anew() {
+    let mut rig = Rig::serving();
+    rig.pass(5000);
+    let before = rig.calls.len();
+    rig.tell(Event::NewsLost(Broken::Silent));
+    rig.store.insert(3, BTreeMap::from([("s-5".into(), 1.0)]));
+    rig.pass(100);
+    rig.standing(&[]);
+    rig.pass(2000);
+    let made = rig.calls[before..].join(" ");
+    assert!(made.contains("LIMIT,3,*,1,1") && !made.contains("LIMIT,4,"), "{made}");
+}
+
+/// An order that is skipped stands with us and not in the store; but one that can't be used is not tried for ever.
+#[test]
+fn what_is_skipped_has_the_store_read_anew_once() {
+    let mut rig = Rig::serving();
+    rig.drain("s-2");
+    rig.follows.clear();
+    let mut read_anew = 0;
+    for _ in 0..40 {
+        if rig.open.take().is_some() {
+            rig.tell(Event::Answer(Ok(Answer::Taken(0))));
+        }
+        rig.now = rig.now + Span::ms(100);
+        rig.quiet();
+        read_anew += usize::from(rig.renew());
+    }
+    let skipped = rig.notes.iter().filter(|note| note.contains("skipped")).count();
+    assert!(read_anew > 0 && skipped > read_anew, "{read_anew} of {skipped}");
+    rig.pass(10_000);
+    assert!(!rig.owners().contains("s-2"), "{:?}", rig.store);
+}
--- a/governor/tests/sockets.rs
+++ b/governor/tests/sockets.rs
@@ -273,3 +273,31 @@
     kill_process(Pid::from_child(&program.child), Signal::TERM).unwrap();
     assert!(program.ends().success());
 }
+
+/// Another customer's forms of the same settings; a list from a former life that can't be read.
+#[test]
+fn settings_in_other_forms_start_as_well() {
+    type Change = fn(&mut Value);
+    let cases: [(Change, &str); 8] = [
+        (|file| file["settings"]["classes"][0]["targetNs"] = json!(1.2e9), "fine"),
+        (|file| file["settings"]["familyInfo"]["tenureNs"] = json!(0.5), "fine"),
+        (|file| file["settings"]["familyInfo"]["updateCap"] = json!(12.0), "fine"),
+        (|file| file["settings"]["familyInfo"]["partitionsN"] = json!(1024.0), "fine"),
+        (|file| file["settings"]["obligations"]["warmAfterNs"] = json!(1e30), "fine"),
+        (|file| file["settings"]["familyInfo"]["updateCap"] = json!(-1), "familyInfo.updateCap"),
+        (|file| file["settings"]["peersTotal"] = json!(2.5), "peersTotal"),
+        (
+            |file| file["known"] = json!({"version": 3, "full": true, "servers": [{"id": 7}]}),
+            "begun without it",
+        ),
+    ];
+    for (change, expected) in cases {
+        let mut file = configuration();
+        change(&mut file);
+        let file = ConfigurationFile::write(&file.to_string());
+        let output = command(&file).arg("--check").output().unwrap();
+        let said = String::from_utf8_lossy(&output.stderr) + String::from_utf8_lossy(&output.stdout);
+        assert!(said.contains(expected), "{said:?} lacks {expected:?}");
+        assert_eq!(output.status.success(), !expected.contains('.') && expected != "peersTotal", "{said}");
+    }
+}
--- a/src/news.rs
+++ b/src/news.rs
@@ -3,7 +3,7 @@
 use crate::interface::*;
 use crate::logic::TOLD_AGAIN;
 use crate::pins::Pins;
-use crate::state::{Governor, Slice, Wished};
+use crate::state::{Governor, Haste, Slice, Wished, UNKNOWN};
 use crate::time::{Moment, Span};
 use std::collections::BTreeSet;
 
@@ -166,6 +166,14 @@
         self.settle(now);
     }
 
+    /// It was in our charge, and its table is another than we left it: nobody knows its levels, which are told anew.
+    pub fn slice_reread(&mut self, now: Moment, slice: SliceId, table: &[(ServerId, f64)]) {
+        self.slice_given(now, slice, table);
+        self.slices.get_mut(&slice).into_iter().for_each(|s| s.cut_held = UNKNOWN);
+        self.tell(slice, Haste::Calm);
+        self.settle(now);
+    }
+
     pub fn slice_taken(&mut self, now: Moment, slice: SliceId) {
         self.told(slice);
         self.retable(slice, |s| (s.wanted, s.held) = Default::default());
--- a/src/state.rs
+++ b/src/state.rs
@@ -547,6 +547,9 @@
     Spare,
 }
 
+/// Stands for a cut that nobody knows: it differs from each.
+pub const UNKNOWN: f64 = -1.0;
+
 pub struct Slice {
     /// The table as it should be.
     pub wanted: BTreeMap<ServerId, f64>,
