--- a/governor/tests/crossings.rs
+++ b/governor/tests/crossings.rs
@@ -12,12 +12,11 @@
 use whinwall_governor::routing::{Effect, Event};
 use whinwall_governor::transport::{Broken, Targets};
 
-/// Each attempt at a call whose answer is lost may have been carried out, and then it is one more message to every
-/// proxy (rule 5): no more of them than the window allows, however long the relay is mute.
-#[test]
-fn repeats_of_unknown_outcome_keep_the_message_cap() {
+/// Drains a server under a message cap, and gives each call this answer, so long after it: no more calls than the window
+/// allows, and more than one window's.
+fn keeps_the_message_cap(slices: u32, pause: Span, answer: impl Fn() -> Event) {
     let (cap, window) = (10, Span::ms(10_000));
-    let mut rig = Rig::with(12, |settings| {
+    let mut rig = Rig::with(slices, |settings| {
         settings["familyInfo"]["updateCap"] = json!(cap);
         settings["familyInfo"]["reloadSpanNs"] = json!(window.as_ns());
     })
@@ -28,39 +27,27 @@
     for _ in 0..400 {
         if rig.open.take().is_some() {
             made.push(rig.now);
-            rig.tell(UNKNOWN);
+            rig.tell(answer());
         }
-        rig.now = rig.now + Span::ms(100);
+        rig.now = rig.now + pause;
         rig.quiet();
         let recent = made.iter().filter(|at| rig.now - **at < window).count();
         assert!(recent <= cap, "{recent} messages within the window, of {} in all", made.len());
     }
-    assert!(made.len() > cap, "it is said again once the window has passed: {made:?}");
+    assert!(made.len() > cap, "it goes on once the window has passed: {made:?}");
+}
+
+/// Each attempt at a call whose answer is lost may have been carried out, and then it is one more message to every
+/// proxy (rule 5): no more of them than the window allows, however long the relay is mute.
+#[test]
+fn repeats_of_unknown_outcome_keep_the_message_cap() {
+    keeps_the_message_cap(12, Span::ms(100), || UNKNOWN);
 }
 
 /// A relay that takes one order at a time makes each rest a message of its own.
 #[test]
 fn answers_that_are_short_keep_the_message_cap() {
-    let (cap, window) = (10, Span::ms(10_000));
-    let mut rig = Rig::with(60, |settings| {
-        settings["familyInfo"]["updateCap"] = json!(cap);
-        settings["familyInfo"]["reloadSpanNs"] = json!(window.as_ns());
-    })
-    .set_going();
-    rig.pass(20_000);
-    rig.drain("s-2");
-    let mut made = Vec::new();
-    for _ in 0..400 {
-        if rig.open.take().is_some() {
-            made.push(rig.now);
-            rig.tell(Event::Answer(Ok(Answer::Taken(1))));
-        }
-        rig.now = rig.now + Span::ms(50);
-        rig.quiet();
-        let recent = made.iter().filter(|at| rig.now - **at < window).count();
-        assert!(recent <= cap, "{recent} messages within the window, of {} in all", made.len());
-    }
-    assert!(made.len() > cap, "the rest is said once the window has passed: {made:?}");
+    keeps_the_message_cap(60, Span::ms(50), || Event::Answer(Ok(Answer::Taken(1))));
 }
 
 /// A proxy whose acks are held up holds the former table, and writes by it: no new owner before it has acked that its ops
