--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -123,11 +123,11 @@
         match event.name {
             "powerOn" => {
                 let seed = event.whole(0, "rngSeed")?;
-                match whinwall_briefing::read(event.value(1)) {
-                    Ok(briefing) => {
-                        self.op_types.insert(id, briefing.op_types);
-                        self.places.insert(id, briefing.places);
-                        self.governors.insert(id, Governor::start(briefing.deployment, seed, now));
+                match whinwall_settings::read(event.value(1)) {
+                    Ok(settings) => {
+                        self.op_types.insert(id, settings.request_classes);
+                        self.places.insert(id, settings.zones);
+                        self.governors.insert(id, Governor::start(settings.deployment, seed, now));
                     }
                     Err(wrong) => output.push(json!(["fault", format!("config: {wrong}")])),
                 }
--- a/fleet/src/day.rs
+++ b/fleet/src/day.rs
@@ -708,12 +708,12 @@
 impl Day {
     fn start(&mut self, at: usize) {
         let settings = self.sizes.settings(at);
-        let briefing = whinwall_briefing::read(&settings).expect("our own settings");
+        let settings = whinwall_settings::read(&settings).expect("our own settings");
         let here = |port| SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port);
         let targets = Targets { discovery: here(8500), relay: here(6400) };
         let seed = (self.chance.draw() * 1e15) as u64;
         let known = discovery::List::default();
-        let reducer = Reducer::start(briefing, targets, seed, &known, self.now);
+        let reducer = Reducer::start(settings, targets, seed, &known, self.now);
         let governor = &mut self.governors[at];
         governor.life += 1;
         (governor.reducer, governor.follows, governor.quiet) = (Some(reducer), false, None);
--- a/governor/benches/scale.rs
+++ b/governor/benches/scale.rs
@@ -99,11 +99,11 @@
     (fleet["pushRate"], fleet["queueCap"], fleet["partitionsN"]) = (json!(pace), json!(cap), json!(slices));
     settings["obligations"]["drainGraceNs"] = json!(2_500_000_000u64);
     (settings["me"], settings["peersTotal"]) = (json!(0), json!(GOVERNORS));
-    let briefing = whinwall_briefing::read(&settings).unwrap();
+    let settings = whinwall_settings::read(&settings).unwrap();
     let now = Moment::default() + Span::ms(1_800_000_000_000);
     let here = |port| SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port);
     let targets = Targets { discovery: here(8500), relay: here(6400) };
-    let reducer = Reducer::start(briefing, targets, 7, &discovery::List::default(), now);
+    let reducer = Reducer::start(settings, targets, 7, &discovery::List::default(), now);
     let (acks, turns, untold) = (BTreeMap::new(), Vec::new(), Vec::new());
     let mut rig = Rig { reducer, now, pace, proxies, free: now, acks, turns, lines: 0.0, untold, told: now };
     rig.turn(vec![list(1, true, (0..servers).map(|n| (n, "active", 0)))]);
--- a/governor/benches/turn.rs
+++ b/governor/benches/turn.rs
@@ -35,11 +35,11 @@
     fn of(servers: u32, overrides: u32) -> Self {
         let example = include_str!("../../deploy/example.json");
         let example: serde_json::Value = serde_json::from_str(example).unwrap();
-        let briefing = whinwall_briefing::read(&example["settings"]).unwrap();
+        let settings = whinwall_settings::read(&example["settings"]).unwrap();
         let now = Moment::default() + Span::ms(1_800_000_000_000);
         let here = |port| SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port);
         let targets = Targets { discovery: here(8500), relay: here(6400) };
-        let reducer = Reducer::start(briefing, targets, 7, &discovery::List::default(), now);
+        let reducer = Reducer::start(settings, targets, 7, &discovery::List::default(), now);
         let mut fleet = Fleet { reducer, now };
         let reading = Reading { boot: String::new(), since_boot: Span::default(), wall: now };
         let wanted =
--- a/governor/src/program/configuration.rs
+++ b/governor/src/program/configuration.rs
@@ -8,8 +8,8 @@
 use std::path::{Path, PathBuf};
 use std::time::{SystemTime, UNIX_EPOCH};
 use tracing::level_filters::LevelFilter;
-use whinwall_briefing::Briefing;
 use whinwall_operators::{file, OperatorsFile};
+use whinwall_settings::Settings;
 
 const LOG_LINES: u32 = 40;
 /// What a running program can't change.
@@ -64,7 +64,7 @@
     /// What lines without their end may take in memory, in bytes; and those that wait as much again.
     pub line_bytes: usize,
     pub known: List,
-    pub briefing: Briefing,
+    pub settings: Settings,
     /// What the operators' file says, where there is one.
     pub operators: Option<OperatorsFile>,
     /// Threads for the way of reports: one, or one that decides and readers beside it.
@@ -86,7 +86,7 @@
     distributor: Distributor,
     #[serde(default)]
     known: Value,
-    settings: Briefing,
+    settings: Settings,
 }
 
 #[derive(Deserialize)]
@@ -226,7 +226,7 @@
         connections,
         line_bytes: (file.limits.memory_mb * 1e6) as usize / limits::LINES_PART,
         known: known(file.known),
-        briefing: file.settings,
+        settings: file.settings,
         operators,
         cores,
         around,
--- a/governor/src/program/event_loop.rs
+++ b/governor/src/program/event_loop.rs
@@ -246,7 +246,7 @@
         pool: Option<(Rc<RefCell<Pool>>, Arc<Meters>)>,
     ) -> Self {
         let reducer =
-            Reducer::start(start.briefing.clone(), start.targets, start.seed, &start.known, clock.now());
+            Reducer::start(start.settings.clone(), start.targets, start.seed, &start.known, clock.now());
         let discovery = awc::Client::builder().disable_timeout().finish();
         let (news, list, renewed, wake, backs) = (None, None, None, None, BTreeMap::new());
         let (wall, span, turns, follows) = (WallWatch::default(), Span::none(), 0, 0);
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -18,9 +18,9 @@
 use whinwall::interface::*;
 use whinwall::logic::Governor;
 use whinwall::time::{Moment, Span};
-use whinwall_briefing::Briefing;
 use whinwall_management::ask::{Reply, Request, Status};
 use whinwall_overrides::{Act, Reading, Refused, Ticket, Timeline};
+use whinwall_settings::Settings;
 
 /// The part of a pause that is drawn.
 const PAUSE_DRAWN: f64 = 0.5;
@@ -155,7 +155,7 @@
 
 pub struct Reducer {
     governor: Governor,
-    briefing: Briefing,
+    settings: Settings,
     targets: Targets,
     names: Names,
     list_version: u64,
@@ -191,10 +191,10 @@
 }
 
 impl Reducer {
-    pub fn start(briefing: Briefing, targets: Targets, seed: u64, known: &List, now: Moment) -> Self {
+    pub fn start(settings: Settings, targets: Targets, seed: u64, known: &List, now: Moment) -> Self {
         let mut reducer = Reducer {
-            governor: Governor::start(briefing.deployment.clone(), seed, now),
-            briefing,
+            governor: Governor::start(settings.deployment.clone(), seed, now),
+            settings,
             targets,
             names: Names::default(),
             list_version: known.version,
@@ -224,7 +224,7 @@
         match event {
             Event::Started => {
                 self.follow_news();
-                if self.briefing.deployment.list_pushed {
+                if self.settings.deployment.list_pushed {
                     self.follow_list(now);
                 }
             }
@@ -270,7 +270,7 @@
                 }
                 self.lost(Source::List, why);
                 self.agenda.retain(|(_, due)| *due != Due::Renewal);
-                match self.briefing.deployment.list_pushed {
+                match self.settings.deployment.list_pushed {
                     true => self.after_pause(now, Due::List),
                     // Where the list is asked for, the decisions say when to ask again.
                     false => self.governor.list_failed(now),
@@ -299,8 +299,8 @@
     pub fn known(&self, than: Option<u64>) -> Option<Known> {
         let changes = self.names.changes();
         (than != Some(changes)).then(|| Known {
-            places: self.briefing.places.clone(),
-            op_types: self.briefing.op_types.clone(),
+            places: self.settings.zones.clone(),
+            op_types: self.settings.request_classes.clone(),
             servers: self.names.numbers().clone(),
             changes,
         })
@@ -328,7 +328,7 @@
     /// Where the list is pushed it costs nothing to ask again.
     fn renew_later(&mut self, now: Moment) {
         self.agenda.retain(|(_, due)| *due != Due::Renewal);
-        if self.briefing.deployment.list_pushed {
+        if self.settings.deployment.list_pushed {
             self.agenda.insert((now + limits::span(limits::RENEW_LIST), Due::Renewal));
         }
     }
@@ -460,7 +460,7 @@
 
     /// Where the settings name none, any will do.
     fn known_place(&self, name: &str) -> Option<PlaceId> {
-        known::place(&self.briefing.places, name)
+        known::place(&self.settings.zones, name)
     }
 
     fn listings(&mut self, list: &List) -> Vec<Listing> {
@@ -508,7 +508,7 @@
                 }
             }
             Message::Asked(collector::Asked { slice, op_type, came, aborted, covers_ms }) if joined => {
-                let known = self.briefing.op_types.iter().position(|known| *known == op_type);
+                let known = self.settings.request_classes.iter().position(|known| *known == op_type);
                 let Some(known) = known else {
                     return self.pass_over(from, format!("{op_type:?} asked of slice {slice}"));
                 };
@@ -747,7 +747,7 @@
                 let table = self.tables.entry(slice).or_default();
                 if weight > 0.0 {
                     // Where one owner writes, a new line takes the place of the former.
-                    if self.briefing.deployment.single_writer {
+                    if self.settings.deployment.single_writer {
                         table.clear();
                     }
                     table.insert(server, weight);
@@ -758,7 +758,7 @@
             }
             Step::Withdraw { server, out } => Order::Withdraw { server: self.names.name(server)?, out },
             Step::Level { slice, op_types, share, tries } => {
-                let named = self.briefing.op_types.iter().enumerate();
+                let named = self.settings.request_classes.iter().enumerate();
                 let meant = named.filter(|(at, _)| op_types >> at & 1 == 1);
                 let op_types = meant.map(|(_, name)| name.clone()).collect();
                 Order::Level { slice, op_types, share, tries }
--- a/governor/tests/size.rs
+++ b/governor/tests/size.rs
@@ -78,11 +78,11 @@
     file["settings"]["zones"] = (0..PLACES).map(place).collect();
     file["settings"]["familyInfo"]["queueCap"] = json!(1e9);
     file["settings"]["familyInfo"]["pushRate"] = json!(1e9);
-    let briefing = whinwall_briefing::read(&file["settings"]).unwrap();
+    let settings = whinwall_settings::read(&file["settings"]).unwrap();
     let mut now = Moment::default() + Span::ms(1_800_000_000_000);
     let here = |port| SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port);
     let targets = Targets { discovery: here(8500), relay: here(6400) };
-    let mut reducer = Reducer::start(briefing, targets, 7, &discovery::List::default(), now);
+    let mut reducer = Reducer::start(settings, targets, 7, &discovery::List::default(), now);
     let listed = |list: Value| Event::List(discovery::decode(&list.to_string()).unwrap().unwrap());
     let news = |line: String| Event::News(decode_news(&line).unwrap());
     let mut longest = Duration::ZERO;
--- a/governor/tests/stand_ins/rig.rs
+++ b/governor/tests/stand_ins/rig.rs
@@ -47,12 +47,12 @@
         let example = include_str!("../../../deploy/example.json");
         let mut example: serde_json::Value = serde_json::from_str(example).unwrap();
         change(&mut example["settings"]);
-        let briefing = whinwall_briefing::read(&example["settings"]).unwrap();
-        let single_writer = briefing.deployment.single_writer;
+        let settings = whinwall_settings::read(&example["settings"]).unwrap();
+        let single_writer = settings.deployment.single_writer;
         let now = Moment::default() + Span::ms(1_800_000_000_000);
         let targets = Targets { discovery: DISCOVERY, relay: RELAY };
         let mut rig = Rig {
-            reducer: Reducer::start(briefing, targets, seed, &discovery::List::default(), now),
+            reducer: Reducer::start(settings, targets, seed, &discovery::List::default(), now),
             now,
             wake: None,
             store: (0..slices).map(|n| (n, BTreeMap::from([(format!("s-{}", n % 6), 1.0)]))).collect(),
--- /dev/null
+++ b/settings/src/lib.rs
@@ -0,0 +1,179 @@
+//! Parses and validates the deployment settings that a governor receives at startup: JSON with the names and units
+//! of the protocol's first message. The simulator adapter and the governor share this package, so that the decision
+//! module needs no JSON.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+use serde::de::Error;
+use serde::{Deserialize, Deserializer};
+use whinwall::deployment::{Deployment, OpType};
+use whinwall::time::Span;
+
+/// The most request classes of one deployment: the decisions address them by the bits of one `u64`.
+const MAX_REQUEST_CLASSES: usize = 64;
+
+/// The validated settings of one deployment.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The typed facts that the decision module works with.
+    pub deployment: Deployment,
+    /// Names of the request classes, by their position in `deployment.op_types`.
+    pub request_classes: Vec<String>,
+    /// Names of the zones, by the position under which the decision module knows them.
+    pub zones: Vec<String>,
+}
+
+impl<'de> Deserialize<'de> for Settings {
+    fn deserialize<D: Deserializer<'de>>(raw: D) -> Result<Self, D::Error> {
+        let document = Document::deserialize(raw)?;
+        let classes = document.request_classes.len();
+        if !(1..=MAX_REQUEST_CLASSES).contains(&classes) {
+            let message = format!("classes: {classes} op types, not 1 to {MAX_REQUEST_CLASSES}");
+            return Err(D::Error::custom(message));
+        }
+        Ok(document.into_settings())
+    }
+}
+
+/// Parses the settings; the error names the key that is missing or has the wrong type.
+pub fn read(settings: &serde_json::Value) -> Result<Settings, String> {
+    serde_path_to_error::deserialize(settings).map_err(|error| error.to_string())
+}
+
+/// The settings as they are written.
+#[derive(Deserialize)]
+struct Document {
+    #[serde(rename = "classes")]
+    request_classes: Vec<RequestClass>,
+    #[serde(rename = "familyInfo")]
+    fleet: FleetSection,
+    #[serde(rename = "obligations")]
+    rules: RulesSection,
+    #[serde(rename = "membershipMode")]
+    registry_mode: RegistryMode,
+    #[serde(rename = "weights", default)]
+    replica_weights: String,
+    #[serde(rename = "zones", default)]
+    zones: Vec<String>,
+    #[serde(rename = "peersTotal", default = "single_governor", deserialize_with = "count")]
+    governors: u32,
+    #[serde(rename = "me", default, deserialize_with = "optional_count")]
+    number: Option<u32>,
+}
+
+fn single_governor() -> u32 {
+    1
+}
+
+#[derive(Deserialize)]
+struct RequestClass {
+    name: String,
+    #[serde(rename = "value", deserialize_with = "non_negative")]
+    value: f64,
+    #[serde(rename = "targetNs", deserialize_with = "duration")]
+    target_latency: Span,
+}
+
+#[derive(Deserialize, PartialEq)]
+#[serde(rename_all = "lowercase")]
+enum RegistryMode {
+    Push,
+    Ask,
+}
+
+#[derive(Deserialize)]
+struct FleetSection {
+    #[serde(rename = "periodNs", default, deserialize_with = "duration")]
+    report_period: Span,
+    #[serde(rename = "levelKind", default)]
+    level_kind: String,
+    #[serde(rename = "partitionsN", default, deserialize_with = "count")]
+    slices: u32,
+    #[serde(rename = "singleWriter", default)]
+    single_writer: bool,
+    #[serde(rename = "tenureNs", default, deserialize_with = "duration")]
+    tenure: Span,
+    #[serde(rename = "writeLifeNs", default, deserialize_with = "duration")]
+    write_life: Span,
+    #[serde(rename = "fixedCost", deserialize_with = "non_negative")]
+    message_head: f64,
+    #[serde(rename = "pushRate", deserialize_with = "non_negative")]
+    pace: f64,
+    #[serde(rename = "queueCap", deserialize_with = "non_negative")]
+    queue_cap: f64,
+    #[serde(rename = "updateCap", default, deserialize_with = "non_negative")]
+    message_cap: f64,
+    #[serde(rename = "reloadSpanNs", default, deserialize_with = "duration")]
+    message_window: Span,
+}
+
+#[derive(Deserialize)]
+struct RulesSection {
+    #[serde(rename = "goneIsAdvice", default)]
+    gone_is_advice: bool,
+    #[serde(rename = "coldFrom", deserialize_with = "non_negative")]
+    cold_share: f64,
+    #[serde(rename = "warmAfterNs", deserialize_with = "duration")]
+    warm_after: Span,
+    #[serde(rename = "fallMultiple", deserialize_with = "non_negative")]
+    fall_multiple: f64,
+    #[serde(rename = "drainGraceNs", default, deserialize_with = "duration")]
+    drain_grace: Span,
+}
+
+/// Accepts a count of nanoseconds written as an integer or as a decimal, as different JSON writers do.
+fn duration<'de, D: Deserializer<'de>>(raw: D) -> Result<Span, D::Error> {
+    // Clamped to a signed 64-bit count (292 years), because moments and durations are added up.
+    non_negative(raw).map(|ns| Span::ns(ns.min(i64::MAX as f64) as u64))
+}
+
+fn count<'de, D: Deserializer<'de>>(raw: D) -> Result<u32, D::Error> {
+    let count = non_negative(raw)?;
+    let whole = count.fract() == 0.0 && count <= f64::from(u32::MAX);
+    whole.then_some(count as u32).ok_or_else(|| D::Error::custom(format!("{count} is no count")))
+}
+
+fn optional_count<'de, D: Deserializer<'de>>(raw: D) -> Result<Option<u32>, D::Error> {
+    count(raw).map(Some)
+}
+
+/// Rejects negative numbers and NaN.
+fn non_negative<'de, D: Deserializer<'de>>(raw: D) -> Result<f64, D::Error> {
+    let number = f64::deserialize(raw)?;
+    let valid = (number >= 0.0).then_some(number);
+    valid.ok_or_else(|| D::Error::custom(format!("{number} is below 0")))
+}
+
+impl Document {
+    fn into_settings(self) -> Settings {
+        let Document { fleet, rules, .. } = self;
+        let op_type =
+            |class: &RequestClass| OpType { payoff: class.value, target_latency: class.target_latency };
+        let deployment = Deployment {
+            op_types: self.request_classes.iter().map(op_type).collect(),
+            report_period: fleet.report_period,
+            gone_is_advice: rules.gone_is_advice,
+            list_pushed: self.registry_mode == RegistryMode::Push,
+            sizes_known: matches!(self.replica_weights.as_str(), "nominal" | "rough"),
+            levels_followed: fleet.level_kind == "fraction",
+            governors: self.governors,
+            // Without a number of its own, one of several governors takes no part in draws among them.
+            number: self.number.unwrap_or(if self.governors > 1 { u32::MAX } else { 0 }),
+            slices: fleet.slices,
+            single_writer: fleet.single_writer,
+            tenure: fleet.tenure,
+            write_life: fleet.write_life,
+            cold_share: rules.cold_share,
+            warm_after: rules.warm_after,
+            fall_multiple: rules.fall_multiple,
+            drain_grace: rules.drain_grace,
+            message_head: fleet.message_head,
+            pace: fleet.pace,
+            queue_cap: fleet.queue_cap,
+            message_cap: fleet.message_cap as u32,
+            message_window: fleet.message_window,
+        };
+        let request_classes = self.request_classes.into_iter().map(|class| class.name).collect();
+        Settings { deployment, request_classes, zones: self.zones }
+    }
+}
