--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -217,6 +217,7 @@
     Some(Listing {
         server,
         lot: u64::from(server),
+        share: Share::Everyone,
         place: place(entry.get(1)?.as_str()?),
         machine: entry.get(2)?.as_str()?.to_string(),
         standing: match entry.get(4)?.as_str()? {
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -472,6 +472,7 @@
             size: entry.size,
             started: (entry.started_ms > 0).then(|| Moment::default() + Span::ms(entry.started_ms)),
             lot: known::lot(&entry.server),
+            share: Share::Everyone,
         };
         list.entries.iter().map(listing).collect()
     }
--- /dev/null
+++ b/scale/src/decisions/mod.rs
@@ -0,0 +1,1 @@
+//! Sweeps of the number of governors in the emulator.
--- /dev/null
+++ b/scale/src/one/mod.rs
@@ -0,0 +1,1 @@
+//! One real governor process at size, against paced stand-ins on loopback.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -16,6 +16,19 @@
     Gone,
 }
 
+/// Which governors steer a replica, where each of them works with a subset of the replicas.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Share {
+    /// Subsetting is off: every governor steers every replica.
+    #[default]
+    Everyone,
+    /// The replica is in this governor's subset and in those of `governors - 1` others. `position` is this governor's
+    /// rank among them, from 0 on; all of them compute the same order.
+    Subset { governors: u32, position: u32 },
+    /// The replica is in the subsets of other governors only.
+    Others,
+}
+
 /// One server as the list shows it.
 #[derive(Clone, Debug)]
 pub struct Listing {
@@ -28,6 +41,8 @@
     /// Stands for the server at all governors alike, whatever its id is here: draws that they make about it
     /// fall alike.
     pub lot: u64,
+    /// Which governors steer it.
+    pub share: Share,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,7 @@
 use crate::chance::Chance;
 use crate::deployment::Deployment;
 use crate::interface::{
-    Heeded, Listing, Met, PlaceId, ProxyId, ServerId, SliceId, Standing, Step, Wish, WishId,
+    Heeded, Listing, Met, PlaceId, ProxyId, ServerId, Share, SliceId, Standing, Step, Wish, WishId,
 };
 use crate::pins::Pins;
 use crate::ring::Ring;
@@ -25,6 +25,8 @@
     pub started: Option<Moment>,
     /// Stands for it at all governors alike.
     pub lot: u64,
+    /// Which governors steer it.
+    pub share: Share,
     pub listed: bool,
     pub tries: Ring,
     pub aborted: Ring,
@@ -436,6 +438,7 @@
             size: 1.0,
             started: None,
             lot: 0,
+            share: Share::default(),
             listed: false,
             tries: ring(),
             aborted: ring(),
@@ -474,7 +477,7 @@
             self.forget();
         }
         self.place = entry.place;
-        (self.started, self.lot) = (entry.started, entry.lot);
+        (self.started, self.lot, self.share) = (entry.started, entry.lot, entry.share);
         // One that drained and then left the list has gone for good, whatever else a dropped line may mean.
         let left = self.standing == Standing::Draining && entry.standing == Standing::Gone;
         self.standing = if left { Standing::Draining } else { entry.standing };
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -45,7 +45,7 @@
 pub fn listing(server: ServerId, standing: Standing, started_ms: u64) -> Listing {
     let started = (started_ms > 0).then(|| at(started_ms));
     let (place, lot) = (server as usize % 3, u64::from(server));
-    Listing { server, place, machine: "m".into(), standing, size: 1.0, started, lot }
+    Listing { server, place, machine: "m".into(), standing, size: 1.0, started, lot, share: Share::Everyone }
 }
 
 #[derive(Clone, PartialEq, Debug)]
