--- /dev/null
+++ b/lab/src/columns.rs
@@ -0,0 +1,124 @@
+//! Tables by columns: written as one Parquet file, whole or not at all, and as Markdown.
+
+use parquet::data_type::{ByteArray, ByteArrayType, DoubleType, Int64Type};
+use parquet::file::properties::WriterProperties;
+use parquet::file::writer::{SerializedFileWriter, SerializedRowGroupWriter};
+use parquet::schema::parser::parse_message_type;
+use std::fmt::Write;
+use std::fs::File;
+use std::path::Path;
+use std::sync::Arc;
+
+/// The values of one column.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Values {
+    /// UTF-8 text.
+    Text(Vec<String>),
+    /// Whole numbers.
+    Whole(Vec<i64>),
+    /// Real numbers.
+    Real(Vec<f64>),
+}
+
+/// A named column.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Column {
+    /// Its name: a word of letters, digits and underscores.
+    pub name: &'static str,
+    /// A value for each row.
+    pub values: Values,
+}
+
+impl Column {
+    /// A column of text.
+    pub fn text(name: &'static str, values: impl IntoIterator<Item = String>) -> Self {
+        Column { name, values: Values::Text(values.into_iter().collect()) }
+    }
+
+    /// A column of whole numbers.
+    pub fn whole(name: &'static str, values: impl IntoIterator<Item = i64>) -> Self {
+        Column { name, values: Values::Whole(values.into_iter().collect()) }
+    }
+
+    /// A column of real numbers.
+    pub fn real(name: &'static str, values: impl IntoIterator<Item = f64>) -> Self {
+        Column { name, values: Values::Real(values.into_iter().collect()) }
+    }
+
+    fn schema(&self) -> String {
+        match self.values {
+            Values::Text(_) => format!("required binary {} (UTF8);", self.name),
+            Values::Whole(_) => format!("required int64 {};", self.name),
+            Values::Real(_) => format!("required double {};", self.name),
+        }
+    }
+
+    fn len(&self) -> usize {
+        match &self.values {
+            Values::Text(values) => values.len(),
+            Values::Whole(values) => values.len(),
+            Values::Real(values) => values.len(),
+        }
+    }
+
+    fn cell(&self, row: usize) -> String {
+        match &self.values {
+            Values::Text(values) => values[row].clone(),
+            Values::Whole(values) => values[row].to_string(),
+            Values::Real(values) => rounded(values[row]),
+        }
+    }
+}
+
+/// With as many decimals as leave about four digits.
+fn rounded(value: f64) -> String {
+    let decimals = match value.abs() {
+        size if size >= 1000.0 || size == 0.0 => 0,
+        size if size >= 10.0 => 1,
+        size if size >= 1.0 => 2,
+        _ => 4,
+    };
+    format!("{value:.decimals$}")
+}
+
+/// Writes the columns as one row group; the file is there whole or not at all.
+pub fn write_parquet(path: &Path, columns: &[Column]) -> parquet::errors::Result<()> {
+    let draft = path.with_extension("draft");
+    let fields: String = columns.iter().map(Column::schema).collect();
+    let schema = Arc::new(parse_message_type(&format!("message row {{ {fields} }}"))?);
+    let properties = Arc::new(WriterProperties::builder().build());
+    let mut file = SerializedFileWriter::new(File::create(&draft)?, schema, properties)?;
+    let mut group = file.next_row_group()?;
+    columns.iter().try_for_each(|column| write_column(&mut group, column))?;
+    group.close()?;
+    file.close()?;
+    std::fs::rename(&draft, path)?;
+    Ok(())
+}
+
+fn write_column(
+    group: &mut SerializedRowGroupWriter<'_, File>,
+    column: &Column,
+) -> parquet::errors::Result<()> {
+    let Some(mut writer) = group.next_column()? else { return Ok(()) };
+    match &column.values {
+        Values::Text(values) => {
+            let values: Vec<ByteArray> = values.iter().map(|value| value.as_str().into()).collect();
+            writer.typed::<ByteArrayType>().write_batch(&values, None, None)?;
+        }
+        Values::Whole(values) => _ = writer.typed::<Int64Type>().write_batch(values, None, None)?,
+        Values::Real(values) => _ = writer.typed::<DoubleType>().write_batch(values, None, None)?,
+    }
+    writer.close()
+}
+
+/// The columns as a Markdown table.
+pub fn markdown(columns: &[Column]) -> String {
+    let line = |cells: Vec<String>| format!("| {} |\n", cells.join(" | "));
+    let mut text = line(columns.iter().map(|column| column.name.replace('_', " ")).collect());
+    text += &line(columns.iter().map(|_| "---".to_string()).collect());
+    for row in 0..columns.iter().map(Column::len).min().unwrap_or(0) {
+        _ = write!(text, "{}", line(columns.iter().map(|column| column.cell(row)).collect()));
+    }
+    text
+}
--- a/lab/src/results.rs
+++ b/lab/src/results.rs
@@ -1,15 +1,11 @@
 //! Rows of results in a folder, as Parquet: one file for each batch of plays, written whole or not at all, so
 //! that a run that was broken off goes on where it was.
 
-use parquet::data_type::{ByteArray, ByteArrayType, DoubleType, Int64Type};
-use parquet::file::properties::WriterProperties;
+use crate::columns::{write_parquet, Column};
 use parquet::file::reader::{FileReader, SerializedFileReader};
-use parquet::file::writer::SerializedFileWriter;
 use parquet::record::RowAccessor;
-use parquet::schema::parser::parse_message_type;
 use std::fs::File;
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
 use whinwall_fleet::day::Outcome;
 
 #[derive(Clone, Debug, PartialEq)]
@@ -32,38 +28,31 @@
     pub broken: i64,
 }
 
-const SCHEMA: &str = "message row {
-    required binary experiment (UTF8); required binary commit (UTF8); required binary case (UTF8);
-    required binary way (UTF8); required double value; required int64 seed; required double service;
-    required int64 ops; required int64 acked; required int64 late; required int64 rejected;
-    required int64 aborted; required int64 orders; required int64 verdicts; required double most_lines;
-    required int64 broken;
-}";
-
-type Texts = [fn(&Row) -> &str; 4];
-const TEXTS: Texts = [|row| &row.experiment, |row| &row.commit, |row| &row.case, |row| &row.way];
-
-enum Figure {
-    Whole(fn(&Row) -> i64),
-    Real(fn(&Row) -> f64),
+/// The rows by columns, in the order in which `read_file` takes them.
+fn columns(rows: &[Row]) -> Vec<Column> {
+    let text = |name, of: fn(&Row) -> &str| Column::text(name, rows.iter().map(|row| of(row).to_string()));
+    let whole = |name, of: fn(&Row) -> i64| Column::whole(name, rows.iter().map(of));
+    let real = |name, of: fn(&Row) -> f64| Column::real(name, rows.iter().map(of));
+    vec![
+        text("experiment", |row| &row.experiment),
+        text("commit", |row| &row.commit),
+        text("case", |row| &row.case),
+        text("way", |row| &row.way),
+        real("value", |row| row.value),
+        whole("seed", |row| row.seed),
+        real("service", |row| row.service),
+        whole("ops", |row| row.ops),
+        whole("acked", |row| row.acked),
+        whole("late", |row| row.late),
+        whole("rejected", |row| row.rejected),
+        whole("aborted", |row| row.aborted),
+        whole("orders", |row| row.orders),
+        whole("verdicts", |row| row.verdicts),
+        real("most_lines", |row| row.most_lines),
+        whole("broken", |row| row.broken),
+    ]
 }
 
-/// The columns behind the texts, in the order of the schema.
-const FIGURES: [Figure; 12] = [
-    Figure::Real(|row| row.value),
-    Figure::Whole(|row| row.seed),
-    Figure::Real(|row| row.service),
-    Figure::Whole(|row| row.ops),
-    Figure::Whole(|row| row.acked),
-    Figure::Whole(|row| row.late),
-    Figure::Whole(|row| row.rejected),
-    Figure::Whole(|row| row.aborted),
-    Figure::Whole(|row| row.orders),
-    Figure::Whole(|row| row.verdicts),
-    Figure::Real(|row| row.most_lines),
-    Figure::Whole(|row| row.broken),
-];
-
 impl Row {
     pub fn of(experiment: &str, commit: &str, play: &crate::experiment::Play, day: &Outcome) -> Self {
         Row {
@@ -101,38 +90,7 @@
     std::fs::create_dir_all(folder).map_err(|why| failed(folder, why))?;
     let free = |n: &u32| !folder.join(format!("part-{n:05}.parquet")).exists();
     let path = folder.join(format!("part-{:05}.parquet", (0..).find(free).unwrap_or_default()));
-    let draft = path.with_extension("draft");
-    write(&draft, rows).map_err(|why| failed(&draft, why))?;
-    std::fs::rename(&draft, &path).map_err(|why| failed(&path, why))
-}
-
-fn write(path: &Path, rows: &[Row]) -> parquet::errors::Result<()> {
-    let schema = Arc::new(parse_message_type(SCHEMA)?);
-    let properties = Arc::new(WriterProperties::builder().build());
-    let mut file = SerializedFileWriter::new(File::create(path)?, schema, properties)?;
-    let mut group = file.next_row_group()?;
-    let (mut texts, mut figures) = (TEXTS.iter(), FIGURES.iter());
-    while let Some(mut column) = group.next_column()? {
-        if let Some(text) = texts.next() {
-            let values: Vec<ByteArray> = rows.iter().map(|row| text(row).into()).collect();
-            column.typed::<ByteArrayType>().write_batch(&values, None, None)?;
-        } else if let Some(figure) = figures.next() {
-            match figure {
-                Figure::Whole(of) => {
-                    let values: Vec<_> = rows.iter().map(of).collect();
-                    column.typed::<Int64Type>().write_batch(&values, None, None)?;
-                }
-                Figure::Real(of) => {
-                    let values: Vec<_> = rows.iter().map(of).collect();
-                    column.typed::<DoubleType>().write_batch(&values, None, None)?;
-                }
-            }
-        }
-        column.close()?;
-    }
-    group.close()?;
-    file.close()?;
-    Ok(())
+    write_parquet(&path, &columns(rows)).map_err(|why| failed(&path, why))
 }
 
 /// All rows of a folder, or of one file.
--- /dev/null
+++ b/scale/src/fit.rs
@@ -0,0 +1,152 @@
+//! Ordinary least squares with several regressors: coefficients, residuals, the coefficient of determination (R2) and
+//! the range in which a fit was measured.
+
+/// One measured point: the regressors and what was measured there.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Point {
+    /// Values of the regressors, in the order of the fit's names.
+    pub regressors: Vec<f64>,
+    /// The measured value.
+    pub measured: f64,
+}
+
+/// A linear model `intercept + sum(slope * regressor)` fitted to points.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LinearFit {
+    /// The value where all regressors are 0.
+    pub intercept: f64,
+    /// One slope for each regressor.
+    pub slopes: Vec<f64>,
+    /// Measured less predicted, in the order of the points.
+    pub residuals: Vec<f64>,
+    /// The share of the variance that the model explains; 1 where there is none to explain.
+    pub r_squared: f64,
+    /// The least and the greatest value measured of each regressor.
+    pub range: Vec<(f64, f64)>,
+}
+
+/// Why no fit exists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FitError {
+    /// There are fewer points than coefficients.
+    #[error("{points} points do not determine {coefficients} coefficients")]
+    TooFewPoints {
+        /// Points given.
+        points: usize,
+        /// Coefficients wanted.
+        coefficients: usize,
+    },
+    /// The points differ in their number of regressors.
+    #[error("the points have different numbers of regressors")]
+    Ragged,
+    /// A regressor does not vary, or depends on others.
+    #[error("the regressors are not independent in these points")]
+    Dependent,
+}
+
+/// A pivot below this part of its column's greatest value is taken for 0.
+const SINGULAR: f64 = 1e-10;
+
+impl LinearFit {
+    /// Fits the model to the points.
+    pub fn of(points: &[Point]) -> Result<LinearFit, FitError> {
+        let many = points.first().map_or(0, |point| point.regressors.len());
+        if points.iter().any(|point| point.regressors.len() != many) {
+            return Err(FitError::Ragged);
+        }
+        let coefficients = many + 1;
+        if points.len() < coefficients {
+            return Err(FitError::TooFewPoints { points: points.len(), coefficients });
+        }
+        // Each regressor is scaled to its greatest value, so that the equations are well conditioned.
+        let scales = scales(points, many);
+        let solution = solve(normal_equations(points, &scales)).ok_or(FitError::Dependent)?;
+        let slopes: Vec<f64> =
+            solution[1..].iter().zip(&scales).map(|(slope, scale)| slope / scale).collect();
+        let mut fit =
+            LinearFit { intercept: solution[0], slopes, residuals: vec![], r_squared: 1.0, range: vec![] };
+        fit.residuals = points.iter().map(|point| point.measured - fit.predict(&point.regressors)).collect();
+        fit.r_squared = r_squared(points, &fit.residuals);
+        fit.range = (0..many).map(|at| range(points, at)).collect();
+        Ok(fit)
+    }
+
+    /// What the model says at these regressors.
+    pub fn predict(&self, regressors: &[f64]) -> f64 {
+        let terms = self.slopes.iter().zip(regressors).map(|(slope, regressor)| slope * regressor);
+        self.intercept + terms.sum::<f64>()
+    }
+
+    /// Whether the regressors lie within what was measured.
+    pub fn covers(&self, regressors: &[f64]) -> bool {
+        let within = |(low, high): &(f64, f64), at: &f64| (*low..=*high).contains(at);
+        self.range.iter().zip(regressors).all(|(range, at)| within(range, at))
+    }
+
+    /// The greatest residual, whatever its sign.
+    pub fn largest_residual(&self) -> f64 {
+        self.residuals.iter().map(|residual| residual.abs()).fold(0.0, f64::max)
+    }
+}
+
+fn scales(points: &[Point], many: usize) -> Vec<f64> {
+    let greatest = |at: usize| points.iter().map(|point| point.regressors[at].abs()).fold(0.0, f64::max);
+    (0..many).map(|at| if greatest(at) > 0.0 { greatest(at) } else { 1.0 }).collect()
+}
+
+fn range(points: &[Point], at: usize) -> (f64, f64) {
+    let values = points.iter().map(|point| point.regressors[at]);
+    values.fold((f64::INFINITY, f64::NEG_INFINITY), |(low, high), value| (low.min(value), high.max(value)))
+}
+
+fn r_squared(points: &[Point], residuals: &[f64]) -> f64 {
+    let mean = points.iter().map(|point| point.measured).sum::<f64>() / points.len() as f64;
+    let total: f64 = points.iter().map(|point| (point.measured - mean).powi(2)).sum();
+    let left: f64 = residuals.iter().map(|residual| residual.powi(2)).sum();
+    if total > 0.0 {
+        1.0 - left / total
+    } else {
+        1.0
+    }
+}
+
+/// The rows of the normal equations, each with its right side as the last value.
+fn normal_equations(points: &[Point], scales: &[f64]) -> Vec<Vec<f64>> {
+    let size = scales.len() + 1;
+    let mut rows = vec![vec![0.0; size + 1]; size];
+    for point in points {
+        let mut values = vec![1.0];
+        values.extend(point.regressors.iter().zip(scales).map(|(value, scale)| value / scale));
+        values.push(point.measured);
+        for (row, factor) in rows.iter_mut().zip(values.clone()) {
+            row.iter_mut().zip(&values).for_each(|(cell, value)| *cell += factor * value);
+        }
+    }
+    rows
+}
+
+/// Gaussian elimination with partial pivoting; none where the equations are singular.
+fn solve(mut rows: Vec<Vec<f64>>) -> Option<Vec<f64>> {
+    let size = rows.len();
+    for column in 0..size {
+        let pivot =
+            (column..size).max_by(|a, b| rows[*a][column].abs().total_cmp(&rows[*b][column].abs()))?;
+        let greatest =
+            rows.iter().flat_map(|row| &row[..size]).fold(0.0_f64, |most, cell| most.max(cell.abs()));
+        if rows[pivot][column].abs() <= greatest * SINGULAR {
+            return None;
+        }
+        rows.swap(column, pivot);
+        let pivot_row = rows[column].clone();
+        for row in rows.iter_mut().skip(column + 1) {
+            let factor = row[column] / pivot_row[column];
+            row.iter_mut().zip(&pivot_row).for_each(|(cell, value)| *cell -= factor * value);
+        }
+    }
+    let mut solution = vec![0.0; size];
+    for column in (0..size).rev() {
+        let known: f64 = (column + 1..size).map(|at| rows[column][at] * solution[at]).sum();
+        solution[column] = (rows[column][size] - known) / rows[column][column];
+    }
+    Some(solution)
+}
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -1,9 +1,14 @@
 //! Harness of the scale tests behind `docs/CAPACITY.md`: `one` measures one real governor process against paced
 //! stand-ins, `many` runs real processes beside in-process governors, `decisions` sweeps the number of governors
-//! in the emulator.
+//! in the emulator. `process` starts and observes a governor, `stand_ins` plays what it connects to, `fit` and
+//! `results` turn measurements into figures, tables and charts.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod decisions;
+pub mod fit;
 pub mod many;
 pub mod one;
+pub mod process;
+pub mod results;
+pub mod stand_ins;
--- a/scale/src/one/mod.rs
+++ b/scale/src/one/mod.rs
@@ -1,7 +1,17 @@
-//! One real governor process at size, against paced stand-ins on loopback.
+//! One real governor process at size, against paced stand-ins on loopback: `rig` sets it up, `steady` measures it at
+//! rest, `events` in events, `sweep` says which cases are played, `report` turns them into fits, tables and charts.
 
-use std::error::Error;
+pub mod events;
+pub mod report;
+pub mod rig;
+pub mod steady;
+pub mod sweep;
+
+use crate::process::{governor_program, ProcessError};
+use crate::results::{Folder, ResultsError};
 use std::path::PathBuf;
+use std::time::Duration;
+use steady::Times;
 
 /// Arguments of the subcommand.
 #[derive(Clone, Debug, clap::Args)]
@@ -9,9 +19,57 @@
     /// The folder for rows, tables and charts
     #[arg(long)]
     pub out: PathBuf,
+    /// The governor's program [default: whinwall-governor beside this one, built first under cargo]
+    #[arg(long)]
+    pub program: Option<PathBuf>,
+    /// Seconds before each measurement
+    #[arg(long, default_value_t = 12.0)]
+    pub warm_up: f64,
+    /// Seconds of each measurement
+    #[arg(long, default_value_t = 10.0)]
+    pub measured: f64,
+    /// Only these sweeps: size, slices, proxies, churn, writes, silent, events, flood
+    #[arg(long, value_delimiter = ',')]
+    pub only: Vec<String>,
+}
+
+/// Why a measurement failed.
+#[derive(Debug, thiserror::Error)]
+pub enum MeasureError {
+    /// A process could not be started or observed.
+    #[error(transparent)]
+    Process(#[from] ProcessError),
+    /// A stand-in could not be started, or a connection failed.
+    #[error("a stand-in: {0}")]
+    StandIn(#[from] std::io::Error),
+    /// Results could not be written.
+    #[error(transparent)]
+    Results(#[from] ResultsError),
 }
 
-/// Runs the subcommand.
-pub fn run(_args: Args) -> Result<(), Box<dyn Error>> {
-    Err("not built into this branch yet".into())
+/// Plays all sweeps and writes what came of them.
+pub fn run(args: Args) -> Result<(), MeasureError> {
+    let program = args.program.clone().map_or_else(governor_program, Ok)?;
+    let folder = Folder::create(&args.out)?;
+    let times = Times {
+        warm_up: Duration::from_secs_f64(args.warm_up),
+        measured: Duration::from_secs_f64(args.measured),
+    };
+    let wanted = |sweep: &str| args.only.is_empty() || args.only.iter().any(|only| only == sweep);
+    let mut points = Vec::new();
+    for case in sweep::steady_cases().into_iter().filter(|case| wanted(case.sweep)) {
+        let point = steady::measure(&program, &case, times)?;
+        eprintln!("{}", report::line(&point));
+        points.push(point);
+        report::write_steady(&folder, &points)?;
+    }
+    if wanted("events") {
+        let outcomes = sweep::play_events(&program, times)?;
+        report::write_events(&folder, &outcomes)?;
+    }
+    if wanted("flood") {
+        let floods = sweep::play_floods(&program)?;
+        report::write_floods(&folder, &floods)?;
+    }
+    Ok(())
 }
--- /dev/null
+++ b/scale/src/one/report.rs
@@ -0,0 +1,266 @@
+//! What was measured, as rows, tables with least-squares fits, and charts.
+
+use super::events::Outcome;
+use super::steady::Steady;
+use super::sweep::Flood;
+use crate::fit::{LinearFit, Point};
+use crate::results::{markdown, Chart, Column, Folder, ResultsError, Series};
+use std::fmt::Write;
+use std::time::Duration;
+
+const KILOBYTE: f64 = 1000.0;
+const MEGABYTE: f64 = 1e6;
+/// What the target allows a governor for control.
+const PROCESSOR_BUDGET: f64 = 0.029;
+const BYTES_BUDGET: f64 = 27.0 * KILOBYTE;
+
+/// One point in a line, for whoever waits.
+pub fn line(point: &Steady) -> String {
+    let size = &point.case.setup.size;
+    format!(
+        "{}: {} replicas, {} zones, {} slices, {} proxies: {:.1} KB/s in, {:.2} KB/s out, {:.4} cores, {:.1} MB",
+        point.case.sweep,
+        size.replicas,
+        size.zones,
+        size.slices,
+        size.proxies,
+        point.rate(point.traffic.bytes_in()) / KILOBYTE,
+        point.rate(point.traffic.bytes_out()) / KILOBYTE,
+        point.processor_share(),
+        point.usage.resident as f64 / MEGABYTE,
+    )
+}
+
+fn columns(points: &[Steady]) -> Vec<Column> {
+    let whole = |name, of: fn(&Steady) -> usize| Column::whole(name, points.iter().map(|p| of(p) as i64));
+    let real = |name, of: fn(&Steady) -> f64| Column::real(name, points.iter().map(of));
+    vec![
+        Column::text("sweep", points.iter().map(|point| point.case.sweep.to_string())),
+        whole("replicas", |p| p.case.setup.size.replicas),
+        whole("zones", |p| p.case.setup.size.zones),
+        whole("slices", |p| p.case.setup.size.slices),
+        whole("proxies", |p| p.case.setup.size.proxies),
+        whole("writes", |p| p.case.setup.writes),
+        real("churn_a_second", |p| p.case.churn),
+        real("lines_a_second", |p| p.rate(p.traffic.reports.lines)),
+        real("reports_kb_a_second", |p| p.rate(p.traffic.reports.bytes) / KILOBYTE),
+        real("list_kb_a_second", |p| p.rate(p.traffic.list.bytes) / KILOBYTE),
+        real("news_kb_a_second", |p| p.rate(p.traffic.news.bytes) / KILOBYTE),
+        real("in_kb_a_second", |p| p.rate(p.traffic.bytes_in()) / KILOBYTE),
+        real("out_kb_a_second", |p| p.rate(p.traffic.bytes_out()) / KILOBYTE),
+        real("orders_a_second", |p| p.rate(p.orders as u64)),
+        real("cores", Steady::processor_share),
+        real("resident_mb", |p| p.usage.resident as f64 / MEGABYTE),
+        real("peak_mb", |p| p.usage.resident_peak as f64 / MEGABYTE),
+        real("ready_ms", |p| p.time_to_ready.as_secs_f64() * 1e3),
+        real("harness_cores", Steady::harness_share),
+        real("measured_s", |p| p.lasted.as_secs_f64()),
+        real("machine_load", |p| p.machine_load),
+    ]
+}
+
+/// A fitted quantity: how it is called, the sweep, its regressors and what is measured.
+struct Quantity {
+    name: &'static str,
+    sweeps: &'static [&'static str],
+    regressors: &'static [(&'static str, fn(&Steady) -> f64)],
+    measured: fn(&Steady) -> f64,
+}
+
+const LINES: (&str, fn(&Steady) -> f64) = ("lines/s", |p| p.rate(p.traffic.reports.lines));
+const REPLICAS: (&str, fn(&Steady) -> f64) = ("replicas", |p| p.case.setup.size.replicas as f64);
+const REPLICAS_ZONES: (&str, fn(&Steady) -> f64) =
+    ("replicas x zones", |p| (p.case.setup.size.replicas * p.case.setup.size.zones) as f64);
+const SLICES: (&str, fn(&Steady) -> f64) = ("slices", |p| p.case.setup.size.slices as f64);
+const SLICES_ZONES: (&str, fn(&Steady) -> f64) =
+    ("slices x zones", |p| (p.case.setup.size.slices * p.case.setup.size.zones) as f64);
+const PROXIES: (&str, fn(&Steady) -> f64) = ("proxies", |p| p.case.setup.size.proxies as f64);
+const CHURN: (&str, fn(&Steady) -> f64) = ("entries/s", |p| p.case.churn);
+
+const QUANTITIES: [Quantity; 10] = [
+    Quantity {
+        name: "reports, bytes/s",
+        sweeps: &["size", "slices"],
+        regressors: &[REPLICAS_ZONES, SLICES_ZONES],
+        measured: |p| p.rate(p.traffic.reports.bytes),
+    },
+    Quantity {
+        name: "processor, cores",
+        sweeps: &["size"],
+        regressors: &[LINES, REPLICAS],
+        measured: Steady::processor_share,
+    },
+    Quantity {
+        name: "processor, cores, by lines alone",
+        sweeps: &["size"],
+        regressors: &[LINES],
+        measured: Steady::processor_share,
+    },
+    Quantity {
+        name: "processor without reports, cores",
+        sweeps: &["silent"],
+        regressors: &[REPLICAS],
+        measured: Steady::processor_share,
+    },
+    Quantity {
+        name: "processor by slices, cores",
+        sweeps: &["slices"],
+        regressors: &[SLICES],
+        measured: Steady::processor_share,
+    },
+    Quantity {
+        name: "processor by proxies, cores",
+        sweeps: &["proxies"],
+        regressors: &[PROXIES],
+        measured: Steady::processor_share,
+    },
+    Quantity {
+        name: "processor by churn of the list, cores",
+        sweeps: &["churn"],
+        regressors: &[CHURN],
+        measured: Steady::processor_share,
+    },
+    Quantity {
+        name: "list by churn, bytes/s",
+        sweeps: &["churn"],
+        regressors: &[CHURN],
+        measured: |p| p.rate(p.traffic.list.bytes),
+    },
+    Quantity {
+        name: "memory resident, bytes",
+        sweeps: &["size"],
+        regressors: &[REPLICAS, REPLICAS_ZONES],
+        measured: |p| p.usage.resident as f64,
+    },
+    Quantity {
+        name: "memory by slices, bytes",
+        sweeps: &["slices"],
+        regressors: &[SLICES],
+        measured: |p| p.usage.resident as f64,
+    },
+];
+
+fn points_of<'a>(points: &'a [Steady], sweeps: &'a [&str]) -> impl Iterator<Item = &'a Steady> {
+    points.iter().filter(move |point| sweeps.contains(&point.case.sweep))
+}
+
+fn fit(points: &[Steady], quantity: &Quantity) -> Option<LinearFit> {
+    let point = |p: &Steady| Point {
+        regressors: quantity.regressors.iter().map(|(_, of)| of(p)).collect(),
+        measured: (quantity.measured)(p),
+    };
+    LinearFit::of(&points_of(points, quantity.sweeps).map(point).collect::<Vec<_>>()).ok()
+}
+
+fn fits(points: &[Steady]) -> String {
+    let mut text = String::from(
+        "| quantity | points | fit | R2 | largest residual | residuals, in the order of the rows | range |\n\
+         | --- | --- | --- | --- | --- | --- | --- |\n",
+    );
+    for quantity in &QUANTITIES {
+        let Some(fit) = fit(points, quantity) else { continue };
+        let slopes = fit.slopes.iter().zip(quantity.regressors);
+        let terms: Vec<_> = slopes.map(|(slope, (name, _))| format!("{slope:.4e} x {name}")).collect();
+        let ranges = fit.range.iter().zip(quantity.regressors);
+        let ranges: Vec<_> =
+            ranges.map(|((low, high), (name, _))| format!("{name} {low:.0} to {high:.0}")).collect();
+        let residuals: Vec<_> = fit.residuals.iter().map(|residual| format!("{residual:.2e}")).collect();
+        _ = writeln!(
+            text,
+            "| {} | {} | {:.4e} + {} | {:.4} | {:.2e} | {} | {} |",
+            quantity.name,
+            fit.residuals.len(),
+            fit.intercept,
+            terms.join(" + "),
+            fit.r_squared,
+            fit.largest_residual(),
+            residuals.join(" "),
+            ranges.join(", ")
+        );
+    }
+    text
+}
+
+/// Writes rows, table, fits and charts of the cases at rest.
+pub fn write_steady(folder: &Folder, points: &[Steady]) -> Result<(), ResultsError> {
+    let columns = columns(points);
+    folder.rows("steady", &columns)?;
+    let text =
+        format!("# One governor at rest\n\n{}\n# Least squares\n\n{}", markdown(&columns), fits(points));
+    folder.text("steady.md", &text)?;
+    folder.chart(
+        "processor",
+        &chart(points, "processor share of one governor", "cores", PROCESSOR_BUDGET, Steady::processor_share),
+    )?;
+    let bytes = |p: &Steady| p.rate(p.traffic.bytes_in()) / KILOBYTE;
+    folder.chart(
+        "bytes",
+        &chart(points, "bytes told to one governor", "KB/s", BYTES_BUDGET / KILOBYTE, bytes),
+    )?;
+    let memory = |p: &Steady| p.usage.resident as f64 / MEGABYTE;
+    folder.chart("memory", &chart(points, "memory of one governor", "MB resident", 64.0, memory))
+}
+
+/// The sizes measured, a series for each number of zones.
+fn chart(points: &[Steady], title: &str, up: &str, budget: f64, measured: impl Fn(&Steady) -> f64) -> Chart {
+    let mut zones: Vec<_> = points_of(points, &["size"]).map(|p| p.case.setup.size.zones).collect();
+    zones.sort_unstable();
+    zones.dedup();
+    let series = zones.into_iter().map(|zones| {
+        let of_zones = points_of(points, &["size"]).filter(|p| p.case.setup.size.zones == zones);
+        let at: Vec<_> = of_zones.map(|p| (p.case.setup.size.replicas as f64, measured(p))).collect();
+        let fitted = at.iter().map(|(x, y)| Point { regressors: vec![*x], measured: *y }).collect::<Vec<_>>();
+        let name = format!("{zones} zones");
+        match LinearFit::of(&fitted) {
+            Ok(fit) => Series::fitted(&name, at, &fit),
+            Err(_) => Series { name, points: at, line: None },
+        }
+    });
+    Chart {
+        title: title.into(),
+        across: "replicas".into(),
+        up: up.into(),
+        series: series.collect(),
+        budget: Some(budget),
+    }
+}
+
+/// Writes rows and table of the events.
+pub fn write_events(folder: &Folder, outcomes: &[Outcome]) -> Result<(), ResultsError> {
+    let real = |name, of: fn(&Outcome) -> f64| Column::real(name, outcomes.iter().map(of));
+    let ms = |name, of: fn(&Outcome) -> Option<Duration>| {
+        let shown =
+            |outcome| of(outcome).map_or("-".into(), |took| format!("{:.1}", took.as_secs_f64() * 1e3));
+        Column::text(name, outcomes.iter().map(shown))
+    };
+    let columns = [
+        Column::text("event", outcomes.iter().map(|outcome| outcome.name.clone())),
+        ms("first_order_ms", |o| o.first_order),
+        ms("last_order_ms", |o| o.last_order),
+        real("list_kb", |o| o.traffic.list.bytes as f64 / KILOBYTE),
+        real("news_kb", |o| o.traffic.news.bytes as f64 / KILOBYTE),
+        real("reports_kb", |o| o.traffic.reports.bytes as f64 / KILOBYTE),
+        real("calls_kb", |o| o.traffic.calls.bytes as f64 / KILOBYTE),
+        Column::whole("orders", outcomes.iter().map(|outcome| outcome.orders as i64)),
+        real("processor_ms", |o| o.processor.as_secs_f64() * 1e3),
+        real("over_s", |o| o.lasted.as_secs_f64()),
+        real("peak_mb", |o| o.resident_peak as f64 / MEGABYTE),
+        real("machine_load", |o| o.machine_load),
+    ];
+    folder.rows("events", &columns)?;
+    folder.text("events.md", &format!("# One governor in events\n\n{}", markdown(&columns)))
+}
+
+/// Writes rows and table of the floods.
+pub fn write_floods(folder: &Folder, floods: &[Flood]) -> Result<(), ResultsError> {
+    let real = |name, of: fn(&Flood) -> f64| Column::real(name, floods.iter().map(of));
+    let columns = [
+        Column::text("flood", floods.iter().map(|flood| flood.name.clone())),
+        real("lines_a_second", |f| f.lines),
+        real("processor_us_a_line", |f| f.processor * 1e6),
+        real("cores", |f| f.lines * f.processor),
+        real("peak_mb", |f| f.resident_peak as f64 / MEGABYTE),
+    ];
+    folder.rows("floods", &columns)?;
+    folder.text("floods.md", &format!("# Floods\n\n{}", markdown(&columns)))
+}
--- /dev/null
+++ b/scale/src/one/rig.rs
@@ -0,0 +1,80 @@
+//! A governor with all its stand-ins, set up for one case.
+
+use super::MeasureError;
+use crate::process::{Governor, Launch};
+use crate::stand_ins::collectors::{Collectors, Schedule};
+use crate::stand_ins::discovery::Discovery;
+use crate::stand_ins::fleet::{FleetSize, ReportShape};
+use crate::stand_ins::relay::Relay;
+use crate::stand_ins::Traffic;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How a governor is set up and what it is told.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The fleet.
+    pub size: FleetSize,
+    /// What each zone's collector tells; none for silence.
+    pub reports: Option<ReportShape>,
+    /// Writes in which a collector's lines of one period leave.
+    pub writes: usize,
+    /// The text of the operators' file, where there is one.
+    pub operators: Option<String>,
+}
+
+impl Setup {
+    /// Every zone's collector tells of every replica and slice each second, in one write.
+    pub fn reported(size: FleetSize) -> Self {
+        let reports = Some(ReportShape::whole(&size));
+        Setup { size, reports, writes: 1, operators: None }
+    }
+
+    /// The schedules of all its collectors.
+    pub fn schedules(&self) -> Vec<Schedule> {
+        let schedules = |shape| Schedule::for_zones(&self.size, shape, self.writes);
+        self.reports.as_ref().map(schedules).unwrap_or_default()
+    }
+}
+
+/// A running governor with its stand-ins; all end when it is dropped.
+pub struct Rig {
+    /// What the collectors say; declared first, so that they end before the governor does.
+    pub collectors: Option<Collectors>,
+    /// The governor.
+    pub governor: Governor,
+    /// Its relay.
+    pub relay: Relay,
+    /// Its discovery agent.
+    pub discovery: Discovery,
+    /// What went over all connections.
+    pub traffic: Arc<Traffic>,
+    /// From its start to its first PONG.
+    pub time_to_ready: Duration,
+}
+
+impl Rig {
+    /// Starts the stand-ins, then the governor, and pings it; collectors are not there yet.
+    pub fn start(program: &Path, setup: &Setup) -> Result<Rig, MeasureError> {
+        let traffic = Arc::new(Traffic::default());
+        let relay = Relay::start(&setup.size, &traffic)?;
+        let discovery = Discovery::start(&setup.size, &traffic)?;
+        let governor = Governor::start(&Launch {
+            program: program.into(),
+            configuration: setup.size.configuration(relay.address()),
+            discovery: discovery.address(),
+            operators: setup.operators.clone(),
+        })?;
+        governor.ping()?;
+        let time_to_ready = governor.started().elapsed();
+        Ok(Rig { collectors: None, governor, relay, discovery, traffic, time_to_ready })
+    }
+
+    /// Has the collectors of the setup begin.
+    pub fn report(&mut self, setup: &Setup) -> Result<(), MeasureError> {
+        let schedules = setup.schedules();
+        self.collectors = Some(Collectors::start(self.governor.address(), schedules, &self.traffic)?);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/scale/src/one/steady.rs
@@ -0,0 +1,118 @@
+//! One governor at rest: what it uses while the stand-ins go on at their pace.
+
+use super::rig::{Rig, Setup};
+use super::MeasureError;
+use crate::process::Usage;
+use crate::stand_ins::discovery::Listed;
+use crate::stand_ins::TrafficCount;
+use std::path::Path;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A setup, and which sweep it is a point of.
+#[derive(Clone, Debug)]
+pub struct Case {
+    /// The sweep.
+    pub sweep: &'static str,
+    /// The setup.
+    pub setup: Setup,
+    /// Entries of the list that change a second.
+    pub churn: f64,
+}
+
+/// For how long a case is played.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// Before the measurement, until windows and tables have filled.
+    pub warm_up: Duration,
+    /// The measurement.
+    pub measured: Duration,
+}
+
+/// What a case came to.
+#[derive(Clone, Debug)]
+pub struct Steady {
+    /// The case.
+    pub case: Case,
+    /// From the governor's start to its first PONG.
+    pub time_to_ready: Duration,
+    /// For how long it was measured.
+    pub lasted: Duration,
+    /// What went over its connections meanwhile.
+    pub traffic: TrafficCount,
+    /// Its processor time meanwhile.
+    pub processor: Duration,
+    /// Its memory at the end, and the most so far.
+    pub usage: Usage,
+    /// Processor time of the harness meanwhile.
+    pub harness: Duration,
+    /// Orders that the governor made meanwhile.
+    pub orders: usize,
+    /// Average number of runnable processes on the machine in the last minute.
+    pub machine_load: f64,
+}
+
+impl Steady {
+    /// The part of one core that the governor used.
+    pub fn processor_share(&self) -> f64 {
+        self.processor.as_secs_f64() / self.lasted.as_secs_f64()
+    }
+
+    /// The part of one core that the harness used.
+    pub fn harness_share(&self) -> f64 {
+        self.harness.as_secs_f64() / self.lasted.as_secs_f64()
+    }
+
+    /// A count as a rate a second.
+    pub fn rate(&self, count: u64) -> f64 {
+        count as f64 / self.lasted.as_secs_f64()
+    }
+}
+
+/// Plays a case.
+pub fn measure(program: &Path, case: &Case, times: Times) -> Result<Steady, MeasureError> {
+    let mut rig = Rig::start(program, &case.setup)?;
+    rig.report(&case.setup)?;
+    thread::sleep(times.warm_up);
+    rig.relay.calls();
+    let (usage, harness) = (rig.governor.usage()?, Usage::of_self()?);
+    let (traffic, began) = (rig.traffic.read(), Instant::now());
+    churn(&rig, case, began + times.measured);
+    let lasted = began.elapsed();
+    let (usage_after, harness_after) = (rig.governor.usage()?, Usage::of_self()?);
+    Ok(Steady {
+        case: case.clone(),
+        time_to_ready: rig.time_to_ready,
+        lasted,
+        traffic: rig.traffic.read().since(traffic),
+        processor: usage_after.processor - usage.processor,
+        usage: usage_after,
+        // Threads of the harness that ended meanwhile took their time with them.
+        harness: harness_after.processor.saturating_sub(harness.processor),
+        orders: rig.relay.calls().iter().map(|call| call.orders.len()).sum(),
+        machine_load: machine_load(),
+    })
+}
+
+/// Changes entries at the case's pace until the end: replicas that own no slice leave and come back in turn.
+fn churn(rig: &Rig, case: &Case, end: Instant) {
+    let pause = if case.churn > 0.0 { Duration::from_secs_f64(1.0 / case.churn) } else { Duration::MAX };
+    let mut next = Instant::now();
+    for step in 0.. {
+        if case.churn == 0.0 || next >= end {
+            break;
+        }
+        thread::sleep(next.saturating_duration_since(Instant::now()));
+        let replica = step / 2 % case.setup.size.replicas;
+        let state = if step % 2 == 0 { "leaving" } else { "active" };
+        rig.discovery.change([(replica, Listed { state, started_ms: 0 })]);
+        next += pause;
+    }
+    thread::sleep(end.saturating_duration_since(Instant::now()));
+}
+
+/// The machine's load average over one minute, to be said beside each figure.
+pub fn machine_load() -> f64 {
+    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    text.split_whitespace().next().and_then(|load| load.parse().ok()).unwrap_or(f64::NAN)
+}
--- /dev/null
+++ b/scale/src/one/sweep.rs
@@ -0,0 +1,100 @@
+//! Which cases are played in full.
+
+use super::events::{self, Event, Outcome};
+use super::rig::Setup;
+use super::steady::{Case, Times};
+use super::MeasureError;
+use crate::stand_ins::fleet::FleetSize;
+use std::path::Path;
+
+const REPLICAS: [usize; 4] = [275, 550, 1100, 2200];
+const ZONES: [usize; 3] = [1, 3, 9];
+const SLICES: [usize; 4] = [0, 60, 200, 660];
+const PROXIES: [usize; 3] = [0, 400, 1600];
+const CHURN: [f64; 3] = [1.0, 10.0, 100.0];
+const WRITES: [usize; 2] = [20, 200];
+/// Periods of each collector in a flood: nine collectors, 19,800 lines a period.
+const FLOOD_PERIODS: usize = 100;
+
+fn case(sweep: &'static str, size: FleetSize) -> Case {
+    Case { sweep, setup: Setup::reported(size), churn: 0.0 }
+}
+
+/// The cases at rest: replicas by zones, then from the target's size each other dimension by itself.
+pub fn steady_cases() -> Vec<Case> {
+    let target = FleetSize::target();
+    let sizes = ZONES.iter().flat_map(|zones| REPLICAS.iter().map(move |replicas| (*zones, *replicas)));
+    let mut cases: Vec<Case> = sizes
+        .map(|(zones, replicas)| case("size", FleetSize { replicas, zones, ..FleetSize::target() }))
+        .collect();
+    cases.extend(SLICES.map(|slices| case("slices", FleetSize { slices, ..target.clone() })));
+    cases.extend(PROXIES.map(|proxies| case("proxies", FleetSize { proxies, ..target.clone() })));
+    cases.extend(CHURN.map(|churn| Case { churn, ..case("churn", target.clone()) }));
+    for writes in WRITES {
+        let mut spread = case("writes", target.clone());
+        spread.setup.writes = writes;
+        cases.push(spread);
+    }
+    cases.extend(REPLICAS.map(|replicas| {
+        let mut silent = case("silent", FleetSize { replicas, ..target.clone() });
+        silent.setup.reports = None;
+        silent
+    }));
+    cases
+}
+
+/// Starts at each size, then the events at the target's.
+pub fn play_events(program: &Path, times: Times) -> Result<Vec<Outcome>, MeasureError> {
+    let mut outcomes = Vec::new();
+    for replicas in REPLICAS {
+        let setup = Setup::reported(FleetSize { replicas, ..FleetSize::target() });
+        let outcome = events::start(program, &setup)?;
+        outcomes.push(Outcome { name: format!("{}, {replicas} replicas", outcome.name), ..outcome });
+    }
+    let target = FleetSize::target();
+    let (rack, zone) = (40, target.replicas / target.zones);
+    let several = [
+        Event::Drain(1),
+        Event::Back(1),
+        Event::Drain(rack),
+        Event::Back(rack),
+        Event::Drain(zone),
+        Event::Back(zone),
+    ];
+    outcomes.extend(events::play(program, &Setup::reported(target.clone()), &several, times)?);
+    for replicas in REPLICAS {
+        let setup = Setup::reported(FleetSize { replicas, ..target.clone() });
+        let played = events::play(program, &setup, &[Event::WholeList], times)?;
+        let named =
+            |outcome: Outcome| Outcome { name: format!("{}, {replicas} replicas", outcome.name), ..outcome };
+        outcomes.extend(played.into_iter().map(named));
+    }
+    Ok(outcomes)
+}
+
+/// What a flood came to.
+#[derive(Clone, Debug)]
+pub struct Flood {
+    /// What was flooded.
+    pub name: String,
+    /// Lines a second.
+    pub lines: f64,
+    /// Processor time a line, in seconds.
+    pub processor: f64,
+    /// The most memory resident.
+    pub resident_peak: u64,
+}
+
+/// Four collectors flood one governor, on one core and with readers beside it.
+pub fn play_floods(program: &Path) -> Result<Vec<Flood>, MeasureError> {
+    let mut floods = Vec::new();
+    for cores in [1, 2, 4] {
+        let size = FleetSize { zones: 4, ..FleetSize::target() };
+        let operators = format!("<operators version=\"1\"><cores most=\"{cores}\"/></operators>");
+        let setup = Setup { operators: (cores > 1).then_some(operators), ..Setup::reported(size) };
+        let (lines, processor, usage) = events::flood(program, &setup, FLOOD_PERIODS)?;
+        let name = format!("four collectors, <cores most=\"{cores}\"/>");
+        floods.push(Flood { name, lines, processor, resident_peak: usage.resident_peak });
+    }
+    Ok(floods)
+}
--- /dev/null
+++ b/scale/src/process.rs
@@ -0,0 +1,251 @@
+//! Real governor processes: building, starting, observing through `/proc`, and ending them by their id.
+
+use serde_json::Value;
+use std::ffi::OsString;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Far longer than a start takes, also on a busy machine.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+const PING_TIMEOUT: Duration = Duration::from_secs(30);
+const GOVERNOR: &str = "whinwall-governor";
+/// What the governor logs once it listens; its address follows.
+const SERVES: &str = "serves at ";
+
+/// Why a process could not be started or observed.
+#[derive(Debug, thiserror::Error)]
+pub enum ProcessError {
+    /// A file, pipe or socket failed.
+    #[error("{what}: {source}")]
+    Io {
+        /// What was attempted.
+        what: String,
+        /// How it failed.
+        source: std::io::Error,
+    },
+    /// The program is not there, or cargo could not build it.
+    #[error("{0} is not built: cargo build --release -p whinwall-governor")]
+    NotBuilt(PathBuf),
+    /// It ended, or said nothing, before it served.
+    #[error("the governor did not serve within {START_TIMEOUT:?}; its log ends with {0:?}")]
+    NoStart(String),
+    /// `/proc` shows something unexpected.
+    #[error("{0} has no usable {1}")]
+    Unreadable(String, &'static str),
+    /// A connection did not answer a PING with PONG.
+    #[error("no PONG came, but {0:?}")]
+    NoPong(String),
+}
+
+fn io(what: impl Into<String>) -> impl FnOnce(std::io::Error) -> ProcessError {
+    let what = what.into();
+    |source| ProcessError::Io { what, source }
+}
+
+/// The governor's program beside the running executable. Under cargo it is built first, so that it is never stale.
+pub fn governor_program() -> Result<PathBuf, ProcessError> {
+    let own = std::env::current_exe().map_err(io("own executable"))?;
+    let folder = own.parent().unwrap_or(Path::new("."));
+    // Executables of tests are one folder further down.
+    let folder = if folder.ends_with("deps") { folder.parent().unwrap_or(folder) } else { folder };
+    let program = folder.join(GOVERNOR);
+    if let Some(cargo) = std::env::var_os("CARGO") {
+        build(cargo, folder)?;
+    }
+    program.is_file().then_some(program.clone()).ok_or(ProcessError::NotBuilt(program))
+}
+
+fn build(cargo: OsString, folder: &Path) -> Result<(), ProcessError> {
+    let mut command = Command::new(cargo);
+    command.args(["build", "--quiet", "--jobs", "3", "--package", GOVERNOR]);
+    if folder.ends_with("release") {
+        command.arg("--release");
+    }
+    command.current_dir(env!("CARGO_MANIFEST_DIR"));
+    let status = command.status().map_err(io("cargo build"))?;
+    status.success().then_some(()).ok_or_else(|| ProcessError::NotBuilt(folder.join(GOVERNOR)))
+}
+
+/// What a process has used so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usage {
+    /// Processor time of all its threads.
+    pub processor: Duration,
+    /// Memory resident now, in bytes (VmRSS).
+    pub resident: u64,
+    /// The most memory that was ever resident, in bytes (VmHWM).
+    pub resident_peak: u64,
+    /// Threads now.
+    pub threads: u64,
+}
+
+impl Usage {
+    /// Reads the usage of the process with this id. Its processor time comes in nanoseconds from `schedstat` where the
+    /// kernel offers it, otherwise in ticks of 10 ms from `stat`.
+    pub fn of(id: u32) -> Result<Usage, ProcessError> {
+        let path = format!("/proc/{id}/status");
+        let status = std::fs::read_to_string(&path).map_err(io(&path))?;
+        let figure = |key: &'static str| {
+            let line = status.lines().find_map(|line| line.strip_prefix(key));
+            let number = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+            number.ok_or(ProcessError::Unreadable(path.clone(), key))
+        };
+        let processor = match scheduled(id) {
+            Some(time) => time,
+            None => ticks(id)?,
+        };
+        Ok(Usage {
+            processor,
+            resident: figure("VmRSS:")? << 10,
+            resident_peak: figure("VmHWM:")? << 10,
+            threads: figure("Threads:")?,
+        })
+    }
+
+    /// Usage of the running process itself: the harness with all its stand-ins.
+    pub fn of_self() -> Result<Usage, ProcessError> {
+        Usage::of(std::process::id())
+    }
+}
+
+/// The time on a processor of all threads that are alive.
+fn scheduled(id: u32) -> Option<Duration> {
+    let threads = std::fs::read_dir(format!("/proc/{id}/task")).ok()?;
+    let mut total = Duration::ZERO;
+    for thread in threads {
+        // A thread that ends between the two steps has no file any more.
+        let Ok(text) = std::fs::read_to_string(thread.ok()?.path().join("schedstat")) else { continue };
+        total += Duration::from_nanos(text.split_whitespace().next()?.parse().ok()?);
+    }
+    (!total.is_zero()).then_some(total)
+}
+
+/// Processor time in user and system mode, in ticks.
+fn ticks(id: u32) -> Result<Duration, ProcessError> {
+    const USER: usize = 11;
+    const SYSTEM: usize = 12;
+    let path = format!("/proc/{id}/stat");
+    let stat = std::fs::read_to_string(&path).map_err(io(&path))?;
+    // The name in brackets may hold spaces; the fields are counted behind it.
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let field = |at: usize| fields.get(at).and_then(|field| field.parse::<u64>().ok());
+    let count = field(USER).zip(field(SYSTEM)).map(|(user, system)| user + system);
+    let count = count.ok_or(ProcessError::Unreadable(path, "times"))?;
+    Ok(Duration::from_secs_f64(count as f64 / rustix::param::clock_ticks_per_second() as f64))
+}
+
+/// What a governor is started with.
+#[derive(Clone, Debug)]
+pub struct Launch {
+    /// The program.
+    pub program: PathBuf,
+    /// Its configuration file; the listen address is replaced by a free port on loopback.
+    pub configuration: Value,
+    /// Where its discovery agent listens.
+    pub discovery: SocketAddr,
+    /// The text of its operators' file, where there is one.
+    pub operators: Option<String>,
+}
+
+/// A running governor; it is killed by its id and waited for when dropped.
+pub struct Governor {
+    child: Child,
+    address: SocketAddr,
+    log: Receiver<String>,
+    started: Instant,
+    _folder: tempfile::TempDir,
+}
+
+impl Governor {
+    /// Starts it, and waits until it listens.
+    pub fn start(launch: &Launch) -> Result<Governor, ProcessError> {
+        let folder = tempfile::tempdir().map_err(io("temporary folder"))?;
+        let mut configuration = launch.configuration.clone();
+        configuration["listen"] = "127.0.0.1:0".into();
+        let path = folder.path().join("configuration.json");
+        std::fs::write(&path, configuration.to_string()).map_err(io("configuration"))?;
+        let mut command = Command::new(&launch.program);
+        command.env_clear().env("PROXY_CONFIG", &path).env("PROXY_DISCOVERY", launch.discovery.to_string());
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        if let Some(text) = &launch.operators {
+            let path = folder.path().join("operators.xml");
+            std::fs::write(&path, text).map_err(io("operators' file"))?;
+            command.arg("--operators").arg(path);
+        }
+        let started = Instant::now();
+        let mut child = command.spawn().map_err(io(launch.program.display().to_string()))?;
+        let (say, log) = channel();
+        if let Some(errors) = child.stderr.take() {
+            let lines = BufReader::new(errors).lines();
+            thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| say.send(line)));
+        }
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut governor = Governor { child, address, log, started, _folder: folder };
+        governor.address = governor.wait_for_address()?;
+        Ok(governor)
+    }
+
+    fn wait_for_address(&self) -> Result<SocketAddr, ProcessError> {
+        let end = self.started + START_TIMEOUT;
+        let mut last = String::new();
+        while let Ok(line) = self.log.recv_timeout(end.saturating_duration_since(Instant::now())) {
+            if let Some(Ok(address)) = line.split(SERVES).nth(1).map(|rest| rest.trim().parse()) {
+                return Ok(address);
+            }
+            last = line;
+        }
+        Err(ProcessError::NoStart(last))
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// When it was started.
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// What it has used so far.
+    pub fn usage(&self) -> Result<Usage, ProcessError> {
+        Usage::of(self.id())
+    }
+
+    /// All that it has logged since the last look.
+    pub fn logged(&self) -> Vec<String> {
+        self.log.try_iter().collect()
+    }
+
+    /// Opens a connection, sends a PING and waits for the PONG.
+    pub fn ping(&self) -> Result<(), ProcessError> {
+        let stream = TcpStream::connect(self.address).map_err(io("connect"))?;
+        ping(&stream)
+    }
+}
+
+/// Sends a PING on an open connection and waits for the PONG: all lines sent there before it have been read.
+pub fn ping(mut stream: &TcpStream) -> Result<(), ProcessError> {
+    stream.set_read_timeout(Some(PING_TIMEOUT)).map_err(io("PING"))?;
+    stream.write_all(b"{\"@type\":\"PING\"}\n").map_err(io("PING"))?;
+    let mut answer = String::new();
+    BufReader::new(stream).read_line(&mut answer).map_err(io("PONG"))?;
+    answer.contains("PONG").then_some(()).ok_or(ProcessError::NoPong(answer))
+}
+
+impl Drop for Governor {
+    fn drop(&mut self) {
+        _ = self.child.kill();
+        _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/scale/src/results.rs
@@ -0,0 +1,132 @@
+//! Results of a scale test in a folder: rows as Parquet, tables as Markdown, charts as SVG.
+
+use crate::fit::LinearFit;
+use plotters::prelude::*;
+use std::path::{Path, PathBuf};
+pub use whinwall_lab::columns::{markdown, write_parquet, Column, Values};
+
+const CHART_SIZE: (u32, u32) = (900, 480);
+const COLOURS: [RGBColor; 5] = [
+    RGBColor(31, 119, 180),
+    RGBColor(255, 127, 14),
+    RGBColor(44, 160, 44),
+    RGBColor(148, 103, 189),
+    RGBColor(127, 127, 127),
+];
+
+/// Why results could not be written.
+#[derive(Debug, thiserror::Error)]
+#[error("{path}: {why}")]
+pub struct ResultsError {
+    path: PathBuf,
+    why: String,
+}
+
+impl ResultsError {
+    fn new(path: &Path, why: impl std::fmt::Display) -> Self {
+        ResultsError { path: path.into(), why: why.to_string() }
+    }
+}
+
+/// The folder that a scale test writes to.
+#[derive(Clone, Debug)]
+pub struct Folder(PathBuf);
+
+impl Folder {
+    /// Creates the folder where it is missing.
+    pub fn create(path: &Path) -> Result<Folder, ResultsError> {
+        std::fs::create_dir_all(path).map_err(|why| ResultsError::new(path, why))?;
+        Ok(Folder(path.into()))
+    }
+
+    /// Writes the rows as `NAME.parquet`.
+    pub fn rows(&self, name: &str, columns: &[Column]) -> Result<(), ResultsError> {
+        let path = self.0.join(format!("{name}.parquet"));
+        write_parquet(&path, columns).map_err(|why| ResultsError::new(&path, why))
+    }
+
+    /// Writes a text file.
+    pub fn text(&self, name: &str, text: &str) -> Result<(), ResultsError> {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).map_err(|why| ResultsError::new(&path, why))
+    }
+
+    /// Draws the chart as `NAME.svg`.
+    pub fn chart(&self, name: &str, chart: &Chart) -> Result<(), ResultsError> {
+        let path = self.0.join(format!("{name}.svg"));
+        chart.draw(&path).map_err(|why| ResultsError::new(&path, why))
+    }
+}
+
+/// Points of one kind, and the line fitted to them where there is one.
+#[derive(Clone, Debug, Default)]
+pub struct Series {
+    /// What the legend says.
+    pub name: String,
+    /// Where they lie.
+    pub points: Vec<(f64, f64)>,
+    /// Intercept and slope.
+    pub line: Option<(f64, f64)>,
+}
+
+impl Series {
+    /// Points with the line of a fit that has one regressor.
+    pub fn fitted(name: &str, points: Vec<(f64, f64)>, fit: &LinearFit) -> Self {
+        let line = fit.slopes.first().map(|slope| (fit.intercept, *slope));
+        Series { name: name.into(), points, line }
+    }
+}
+
+/// A chart of measured points.
+#[derive(Clone, Debug, Default)]
+pub struct Chart {
+    /// Its title.
+    pub title: String,
+    /// What the horizontal axis shows.
+    pub across: String,
+    /// What the vertical axis shows.
+    pub up: String,
+    /// What is drawn.
+    pub series: Vec<Series>,
+    /// A horizontal line, where there is a budget.
+    pub budget: Option<f64>,
+}
+
+impl Chart {
+    fn greatest(&self, of: impl Fn(&(f64, f64)) -> f64) -> f64 {
+        self.series.iter().flat_map(|series| &series.points).map(of).fold(f64::MIN_POSITIVE, f64::max)
+    }
+
+    fn draw(&self, path: &Path) -> Result<(), Box<dyn std::error::Error>> {
+        const MARGIN: f64 = 1.06;
+        let right = self.greatest(|point| point.0) * MARGIN;
+        let top = self.greatest(|point| point.1).max(self.budget.unwrap_or(0.0)) * MARGIN;
+        let area = SVGBackend::new(path, CHART_SIZE).into_drawing_area();
+        area.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(&self.title, ("sans-serif", 22))
+            .margin(12)
+            .x_label_area_size(46)
+            .y_label_area_size(70)
+            .build_cartesian_2d(0.0..right, 0.0..top)?;
+        chart.configure_mesh().x_desc(&self.across).y_desc(&self.up).draw()?;
+        for (series, colour) in self.series.iter().zip(COLOURS.iter().cycle()) {
+            let colour = *colour;
+            let points = series.points.iter().map(|point| Circle::new(*point, 4, colour.filled()));
+            let key = move |(x, y)| Circle::new((x + 8, y), 4, colour.filled());
+            chart.draw_series(points)?.label(&series.name).legend(key);
+            if let Some((intercept, slope)) = series.line {
+                let ends = [0.0, right].map(|at| (at, intercept + slope * at));
+                chart.draw_series(LineSeries::new(ends, &colour))?;
+            }
+        }
+        if let Some(budget) = self.budget {
+            let key = |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], RED);
+            let line = LineSeries::new([(0.0, budget), (right, budget)], &RED);
+            chart.draw_series(line)?.label("budget").legend(key);
+        }
+        chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+        area.present()?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/scale/src/stand_ins/discovery.rs
@@ -0,0 +1,183 @@
+//! Discovery's agent: the registry's list over HTTP, whole or as a watch with chunks.
+
+use super::fleet::FleetSize;
+use super::{Server, Traffic};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// A watch gives a sign of life this often while nothing changes.
+const KEEP_ALIVE: Duration = Duration::from_secs(2);
+
+/// The state of one replica in the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// `active`, `leaving` or `left`.
+    pub state: &'static str,
+    /// When it was started last, in Unix milliseconds; 0 for long ago.
+    pub started_ms: u64,
+}
+
+struct Registry {
+    size: FleetSize,
+    version: u64,
+    /// Of each replica, its state and the version in which it changed last.
+    entries: BTreeMap<usize, (Listed, u64)>,
+    /// Watches that were told no later version than before this one are told the whole list.
+    whole_from: u64,
+    ended: bool,
+}
+
+impl Registry {
+    /// The entries that changed after a version, or all of them.
+    fn list(&self, since: Option<u64>) -> Value {
+        let wanted = |(listed, changed): &(Listed, u64)| match since {
+            Some(since) => *changed > since,
+            None => listed.state != "left",
+        };
+        let entry = |(at, (listed, _)): (&usize, &(Listed, u64))| {
+            self.size.entry(*at, listed.state, listed.started_ms)
+        };
+        let servers: Vec<Value> = self.entries.iter().filter(|(_, entry)| wanted(entry)).map(entry).collect();
+        json!({"version": self.version, "full": since.is_none(), "servers": servers})
+    }
+}
+
+#[derive(Clone)]
+struct Shared(Arc<(Mutex<Registry>, Condvar)>);
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Registry> {
+        self.0 .0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The agent; its watches end when it is dropped.
+pub struct Discovery {
+    server: Server,
+    shared: Shared,
+}
+
+impl Discovery {
+    /// Lists all replicas of a fleet as active.
+    pub fn start(size: &FleetSize, traffic: &Arc<Traffic>) -> std::io::Result<Discovery> {
+        let listed = Listed { state: "active", started_ms: 0 };
+        let entries = (0..size.replicas).map(|at| (at, (listed, 1))).collect();
+        let registry = Registry { size: size.clone(), version: 1, entries, whole_from: 1, ended: false };
+        let shared = Shared(Arc::new((Mutex::new(registry), Condvar::new())));
+        let (serving, traffic) = (shared.clone(), traffic.clone());
+        let server = Server::start(move |stream| {
+            _ = serve(stream, &serving, &traffic);
+        })?;
+        Ok(Discovery { server, shared })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// Changes the entries of some replicas in one version; watches are told the change at once.
+    pub fn change(&self, changes: impl IntoIterator<Item = (usize, Listed)>) {
+        self.next_version(changes, false);
+    }
+
+    /// The same, but watches are told the whole list, as after a time out of reach.
+    pub fn change_and_tell_all(&self, changes: impl IntoIterator<Item = (usize, Listed)>) {
+        self.next_version(changes, true);
+    }
+
+    fn next_version(&self, changes: impl IntoIterator<Item = (usize, Listed)>, whole: bool) {
+        let mut registry = self.shared.lock();
+        registry.version += 1;
+        let version = registry.version;
+        if whole {
+            registry.whole_from = version;
+        }
+        registry.entries.extend(changes.into_iter().map(|(at, listed)| (at, (listed, version))));
+        drop(registry);
+        self.shared.0 .1.notify_all();
+    }
+
+    /// Bytes of the whole list as one object.
+    pub fn whole_list_bytes(&self) -> usize {
+        self.shared.lock().list(None).to_string().len()
+    }
+}
+
+impl Drop for Discovery {
+    fn drop(&mut self) {
+        self.shared.lock().ended = true;
+        self.shared.0 .1.notify_all();
+    }
+}
+
+fn serve(stream: TcpStream, shared: &Shared, traffic: &Traffic) -> std::io::Result<()> {
+    let mut reader = BufReader::new(stream.try_clone()?);
+    loop {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            if reader.read_until(b'\n', &mut head)? == 0 {
+                return Ok(());
+            }
+        }
+        traffic.requests.add(head.len(), head.iter().filter(|byte| **byte == b'\n').count());
+        let head = String::from_utf8_lossy(&head);
+        let path = head.split_whitespace().nth(1).unwrap_or_default().to_string();
+        match since(&path) {
+            Some(since) => return follow(&stream, since, shared, traffic),
+            None => answer(&stream, &path, shared, traffic)?,
+        }
+    }
+}
+
+/// The version after which a watch is asked for; none for a request that is no watch.
+fn since(path: &str) -> Option<u64> {
+    let query = path.strip_prefix("/registry/instances?")?;
+    let value = |key: &str| query.split('&').find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='));
+    (value("follow") == Some("1")).then(|| value("since").and_then(|since| since.parse().ok()).unwrap_or(0))
+}
+
+fn answer(mut stream: &TcpStream, path: &str, shared: &Shared, traffic: &Traffic) -> std::io::Result<()> {
+    let (status, body) = match path {
+        "/registry/instances" => ("200 OK", format!("{}\n", shared.lock().list(None))),
+        _ => ("404 Not Found", String::new()),
+    };
+    let head = format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n", body.len());
+    stream.write_all(head.as_bytes())?;
+    stream.write_all(body.as_bytes())?;
+    traffic.list.add(head.len() + body.len(), body.lines().count());
+    Ok(())
+}
+
+fn follow(mut stream: &TcpStream, since: u64, shared: &Shared, traffic: &Traffic) -> std::io::Result<()> {
+    let mut say = |text: &str, lines: usize| {
+        traffic.list.add(text.len(), lines);
+        stream.write_all(text.as_bytes())
+    };
+    say("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", 0)?;
+    let mut told = (since > 0).then_some(since);
+    loop {
+        let mut registry = shared.lock();
+        if told.is_some_and(|told| told >= registry.version) && !registry.ended {
+            let waited = shared.0 .1.wait_timeout(registry, KEEP_ALIVE);
+            registry = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+        if registry.ended {
+            return Ok(());
+        }
+        let line = match told {
+            Some(version) if version >= registry.version => "\n".to_string(),
+            version => {
+                let changed_after = version.filter(|version| *version >= registry.whole_from);
+                format!("{}\n", registry.list(changed_after))
+            }
+        };
+        told = Some(registry.version);
+        drop(registry);
+        say(&format!("{:x}\r\n{line}\r\n", line.len()), 1)?;
+    }
+}
--- /dev/null
+++ b/scale/src/stand_ins/fleet.rs
@@ -0,0 +1,183 @@
+//! The fleet that the stand-ins speak of: names of replicas and zones, the registry's entries, and the report lines
+//! about them, all drawn from a seed.
+
+use serde_json::{json, Value};
+
+/// Names of request classes that the settings and reports agree on.
+const CLASSES: [&str; 4] = ["lookup", "post", "search", "batch"];
+/// Mean latency of an answer in milliseconds: the least, and by how much it varies.
+const LATENCY_MS: (f64, f64) = (20.0, 40.0);
+
+/// How large the fleet is that one governor is told of.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetSize {
+    /// Replicas in the list.
+    pub replicas: usize,
+    /// Zones, each with a collector.
+    pub zones: usize,
+    /// Slices in the governor's charge.
+    pub slices: usize,
+    /// Proxies that are joined.
+    pub proxies: usize,
+    /// Request classes, 1 to 4.
+    pub classes: usize,
+    /// Governors of the tier, as the settings name them.
+    pub governors: usize,
+    /// Requests a second to all replicas.
+    pub requests: f64,
+}
+
+impl FleetSize {
+    /// The target's size at one governor: 2,200 replicas, 9 zones, 20 slices, 650 governors, 58,000 requests a second.
+    pub fn target() -> Self {
+        FleetSize {
+            replicas: 2200,
+            zones: 9,
+            slices: 20,
+            proxies: 100,
+            classes: 2,
+            governors: 650,
+            requests: 58_000.0,
+        }
+    }
+
+    /// The name of a replica.
+    pub fn replica(&self, at: usize) -> String {
+        format!("s-{:08x}", (at as u32).wrapping_mul(0x9e37_79b1))
+    }
+
+    /// The name of a zone.
+    pub fn zone(&self, at: usize) -> String {
+        format!("z{}", at % self.zones)
+    }
+
+    /// The replica that owns a slice at the start.
+    pub fn owner(&self, slice: usize) -> usize {
+        // Spread over the fleet, so that a governor's slices sit on many replicas.
+        (slice * self.replicas / self.slices.max(1)) % self.replicas.max(1)
+    }
+
+    /// The registry's entry of a replica in a state.
+    pub fn entry(&self, at: usize, state: &str, started_ms: u64) -> Value {
+        json!({"id": self.replica(at), "addr": format!("10.1.{}.{}:8443", at / 256, at % 256),
+            "zone": self.zone(at), "kind": "m2", "cell": at % 16, "state": state, "weight": 1.0,
+            "started_ms": started_ms})
+    }
+
+    /// The settings of one governor of the tier.
+    pub fn settings(&self) -> Value {
+        let class = |name: &&str| json!({"name": name, "value": 2.0, "targetNs": 1_200_000_000u64});
+        json!({
+            "classes": CLASSES[..self.classes].iter().map(class).collect::<Vec<_>>(),
+            "familyInfo": {
+                "periodNs": 1_000_000_000u64, "levelKind": "fraction", "singleWriter": false,
+                "partitionsN": self.slices * self.governors, "tenureNs": 4_000_000_000u64,
+                "writeLifeNs": 20_000_000u64, "fixedCost": 8.0, "pushRate": 40_000.0, "queueCap": 60_000.0,
+                "updateCap": 0, "reloadSpanNs": 10_000_000_000u64
+            },
+            "obligations": {
+                "coldFrom": 0.21, "warmAfterNs": 15_000_000_000u64, "fallMultiple": 3.0,
+                "drainGraceNs": 2_500_000_000u64
+            },
+            "me": 0,
+            "peersTotal": self.governors,
+            "membershipMode": "push",
+            "weights": "rough",
+            "zones": (0..self.zones).map(|at| self.zone(at)).collect::<Vec<_>>()
+        })
+    }
+
+    /// The whole configuration file of a governor in front of this relay.
+    pub fn configuration(&self, relay: std::net::SocketAddr) -> Value {
+        json!({
+            "name": "n0", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 8.0, "memory_mb": 192, "sockets": 1024},
+            "distributor": {"address": relay.to_string()},
+            "known": {"version": 0, "full": true, "servers": []},
+            "settings": self.settings()
+        })
+    }
+}
+
+/// A small generator of uniform numbers (xorshift64*), the same in each run.
+#[derive(Clone, Debug)]
+pub struct Draw(u64);
+
+impl Draw {
+    /// Begins with a seed.
+    pub fn new(seed: u64) -> Self {
+        Draw(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1)
+    }
+
+    /// Uniform from 0 up to 1.
+    pub fn uniform(&mut self) -> f64 {
+        self.0 ^= self.0 >> 12;
+        self.0 ^= self.0 << 25;
+        self.0 ^= self.0 >> 27;
+        (self.0.wrapping_mul(0x2545_f491_4f6c_dd1d) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// A whole number near the mean, between nothing and twice of it.
+    fn near(&mut self, mean: f64) -> u64 {
+        (mean * 2.0 * self.uniform()).round() as u64
+    }
+}
+
+/// What one collector tells in one period.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReportShape {
+    /// Replicas that it reports on: those with these positions, step by step.
+    pub replicas: std::ops::Range<usize>,
+    /// The time that each line covers.
+    pub window_ms: f64,
+    /// Of how many zones a line is the sum.
+    pub zones_summed: usize,
+    /// Whether it reports on each slice of the governor too.
+    pub slices: bool,
+}
+
+impl ReportShape {
+    /// What a zone's collector tells of a whole fleet each second.
+    pub fn whole(size: &FleetSize) -> Self {
+        ReportShape { replicas: 0..size.replicas, window_ms: 1000.0, zones_summed: 1, slices: true }
+    }
+
+    /// Lines of one period.
+    pub fn lines(&self, size: &FleetSize, zone: usize, draw: &mut Draw) -> Vec<String> {
+        let mut lines: Vec<String> =
+            self.replicas.clone().map(|at| self.load_line(size, zone, at, draw)).collect();
+        if self.slices {
+            let slice_classes =
+                (0..size.slices).flat_map(|slice| (0..size.classes).map(move |class| (slice, class)));
+            lines.extend(slice_classes.map(|(slice, class)| self.shard_line(size, slice, class, draw)));
+        }
+        lines
+    }
+
+    /// A line's part of what comes to the whole fleet.
+    fn part(&self, size: &FleetSize) -> f64 {
+        size.requests * self.window_ms / 1000.0 * self.zones_summed as f64 / size.zones as f64
+    }
+
+    fn load_line(&self, size: &FleetSize, zone: usize, at: usize, draw: &mut Draw) -> String {
+        let tries = draw.near(self.part(size) / size.replicas as f64);
+        let latency = LATENCY_MS.0 + LATENCY_MS.1 * draw.uniform();
+        let (in_flight, utilisation) = (draw.near(4.0), draw.uniform());
+        format!(
+            "{{\"@type\":\"LOAD\",\"az\":\"{}\",\"host\":\"{}\",\"n\":{tries},\"bad\":0,\"avg\":{latency:.1},\
+             \"window\":{:.1},\"report\":{{\"inflight\":{in_flight},\"util\":{utilisation:.2}}}}}",
+            size.zone(zone),
+            size.replica(at),
+            self.window_ms
+        )
+    }
+
+    fn shard_line(&self, size: &FleetSize, slice: usize, class: usize, draw: &mut Draw) -> String {
+        let all = (size.slices * size.governors * size.classes) as f64;
+        let came = draw.near(self.part(size) / all);
+        format!(
+            "{{\"@type\":\"SHARD\",\"partition\":{slice},\"kind\":\"{}\",\"n\":{came},\"bad\":0,\"window\":{:.1}}}",
+            CLASSES[class], self.window_ms
+        )
+    }
+}
