--- a/scale/src/one/events.rs
+++ b/scale/src/one/events.rs
@@ -14,8 +14,6 @@
 
 /// A governor that has not acted by then is not going to.
 const LONGEST: Duration = Duration::from_secs(20);
-/// Over this time the cost of an event is taken.
-const SETTLING: Duration = Duration::from_secs(6);
 
 /// What happens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -96,10 +94,10 @@
     let mut rig = Rig::start(program, setup)?;
     rig.report(setup)?;
     thread::sleep(times.warm_up);
-    events.iter().map(|event| play_one(&rig, setup, *event)).collect()
+    events.iter().map(|event| play_one(&rig, setup, *event, times.measured)).collect()
 }
 
-fn play_one(rig: &Rig, setup: &Setup, event: Event) -> Result<Outcome, MeasureError> {
+fn play_one(rig: &Rig, setup: &Setup, event: Event, settling: Duration) -> Result<Outcome, MeasureError> {
     rig.relay.calls();
     let (usage, traffic, began) = (rig.governor.usage()?, rig.traffic.read(), Instant::now());
     let (replicas, listed) = concerned(rig, setup, event);
@@ -111,7 +109,7 @@
     let names: Vec<String> = replicas.iter().map(|replica| setup.size.replica(*replica)).collect();
     let drains = listed.state == "leaving";
     let (mut calls, mut last_order) = (Vec::new(), None);
-    while began.elapsed() < SETTLING || (drains && last_order.is_none() && began.elapsed() < LONGEST) {
+    while began.elapsed() < settling || (drains && last_order.is_none() && began.elapsed() < LONGEST) {
         calls.extend(rig.relay.next_call(Duration::from_millis(20)));
         let owners = rig.relay.owners();
         let is_left = drains && !owners.values().any(|owner| names.contains(owner));
--- a/scale/src/one/mod.rs
+++ b/scale/src/one/mod.rs
@@ -28,7 +28,7 @@
     /// Seconds of each measurement
     #[arg(long, default_value_t = 10.0)]
     pub measured: f64,
-    /// Only these sweeps: size, slices, proxies, churn, writes, silent, events, flood
+    /// Only these sweeps: size, slices, proxies, churn, writes, summed, silent, events, flood
     #[arg(long, value_delimiter = ',')]
     pub only: Vec<String>,
 }
--- a/scale/src/one/report.rs
+++ b/scale/src/one/report.rs
@@ -41,6 +41,8 @@
         whole("slices", |p| p.case.setup.size.slices),
         whole("proxies", |p| p.case.setup.size.proxies),
         whole("writes", |p| p.case.setup.writes),
+        whole("told", |p| p.case.setup.reports.as_ref().map_or(0, |shape| shape.replicas.len())),
+        real("window_ms", |p| p.case.setup.reports.as_ref().map_or(0.0, |shape| shape.window_ms)),
         real("churn_a_second", |p| p.case.churn),
         real("lines_a_second", |p| p.rate(p.traffic.reports.lines)),
         real("reports_kb_a_second", |p| p.rate(p.traffic.reports.bytes) / KILOBYTE),
@@ -59,23 +61,26 @@
     ]
 }
 
+/// A name, and its value at a point.
+type Regressor = (&'static str, fn(&Steady) -> f64);
+
 /// A fitted quantity: how it is called, the sweep, its regressors and what is measured.
 struct Quantity {
     name: &'static str,
     sweeps: &'static [&'static str],
-    regressors: &'static [(&'static str, fn(&Steady) -> f64)],
+    regressors: &'static [Regressor],
     measured: fn(&Steady) -> f64,
 }
 
-const LINES: (&str, fn(&Steady) -> f64) = ("lines/s", |p| p.rate(p.traffic.reports.lines));
-const REPLICAS: (&str, fn(&Steady) -> f64) = ("replicas", |p| p.case.setup.size.replicas as f64);
-const REPLICAS_ZONES: (&str, fn(&Steady) -> f64) =
+const LINES: Regressor = ("lines/s", |p| p.rate(p.traffic.reports.lines));
+const REPLICAS: Regressor = ("replicas", |p| p.case.setup.size.replicas as f64);
+const REPLICAS_ZONES: Regressor =
     ("replicas x zones", |p| (p.case.setup.size.replicas * p.case.setup.size.zones) as f64);
-const SLICES: (&str, fn(&Steady) -> f64) = ("slices", |p| p.case.setup.size.slices as f64);
-const SLICES_ZONES: (&str, fn(&Steady) -> f64) =
+const SLICES: Regressor = ("slices", |p| p.case.setup.size.slices as f64);
+const SLICES_ZONES: Regressor =
     ("slices x zones", |p| (p.case.setup.size.slices * p.case.setup.size.zones) as f64);
-const PROXIES: (&str, fn(&Steady) -> f64) = ("proxies", |p| p.case.setup.size.proxies as f64);
-const CHURN: (&str, fn(&Steady) -> f64) = ("entries/s", |p| p.case.churn);
+const PROXIES: Regressor = ("proxies", |p| p.case.setup.size.proxies as f64);
+const CHURN: Regressor = ("entries/s", |p| p.case.churn);
 
 const QUANTITIES: [Quantity; 10] = [
     Quantity {
--- a/scale/src/one/rig.rs
+++ b/scale/src/one/rig.rs
@@ -18,6 +18,8 @@
     pub size: FleetSize,
     /// What each zone's collector tells; none for silence.
     pub reports: Option<ReportShape>,
+    /// Collectors, one for each of the first zones.
+    pub collectors: usize,
     /// Writes in which a collector's lines of one period leave.
     pub writes: usize,
     /// The text of the operators' file, where there is one.
@@ -28,12 +30,13 @@
     /// Every zone's collector tells of every replica and slice each second, in one write.
     pub fn reported(size: FleetSize) -> Self {
         let reports = Some(ReportShape::whole(&size));
-        Setup { size, reports, writes: 1, operators: None }
+        Setup { collectors: size.zones, size, reports, writes: 1, operators: None }
     }
 
     /// The schedules of all its collectors.
     pub fn schedules(&self) -> Vec<Schedule> {
-        let schedules = |shape| Schedule::for_zones(&self.size, shape, self.writes);
+        let schedule = |shape, zone| Schedule::of(&self.size, shape, zone, self.writes);
+        let schedules = |shape| (0..self.collectors).map(|zone| schedule(shape, zone)).collect();
         self.reports.as_ref().map(schedules).unwrap_or_default()
     }
 }
--- a/scale/src/one/sweep.rs
+++ b/scale/src/one/sweep.rs
@@ -4,7 +4,7 @@
 use super::rig::Setup;
 use super::steady::{Case, Times};
 use super::MeasureError;
-use crate::stand_ins::fleet::FleetSize;
+use crate::stand_ins::fleet::{FleetSize, ReportShape};
 use std::path::Path;
 
 const REPLICAS: [usize; 4] = [275, 550, 1100, 2200];
@@ -13,6 +13,9 @@
 const PROXIES: [usize; 3] = [0, 400, 1600];
 const CHURN: [f64; 3] = [1.0, 10.0, 100.0];
 const WRITES: [usize; 2] = [20, 200];
+/// Replicas that summed reports tell of, and the window of a line in milliseconds: shapes of aggregated reports.
+const SUMMED: [(usize, f64); 6] =
+    [(44, 1000.0), (88, 1000.0), (176, 1000.0), (352, 2000.0), (704, 4000.0), (2200, 12_000.0)];
 /// Periods of each collector in a flood: nine collectors, 19,800 lines a period.
 const FLOOD_PERIODS: usize = 100;
 
@@ -35,6 +38,7 @@
         spread.setup.writes = writes;
         cases.push(spread);
     }
+    cases.extend(SUMMED.map(|(told, window_ms)| summed(&target, told, window_ms)));
     cases.extend(REPLICAS.map(|replicas| {
         let mut silent = case("silent", FleetSize { replicas, ..target.clone() });
         silent.setup.reports = None;
@@ -43,6 +47,15 @@
     cases
 }
 
+/// One connection that tells of some replicas, summed over all zones.
+fn summed(size: &FleetSize, told: usize, window_ms: f64) -> Case {
+    let mut summed = case("summed", size.clone());
+    let shape = ReportShape { replicas: 0..told, window_ms, zones_summed: size.zones, slices: true };
+    summed.setup.reports = Some(shape);
+    summed.setup.collectors = 1;
+    summed
+}
+
 /// Starts at each size, then the events at the target's.
 pub fn play_events(program: &Path, times: Times) -> Result<Vec<Outcome>, MeasureError> {
     let mut outcomes = Vec::new();
--- a/scale/src/stand_ins/collectors.rs
+++ b/scale/src/stand_ins/collectors.rs
@@ -65,11 +65,6 @@
             periods: (0..PERIODS_DRAWN).map(drawn).collect(),
         }
     }
-
-    /// One for each zone.
-    pub fn for_zones(size: &FleetSize, shape: &ReportShape, writes: usize) -> Vec<Self> {
-        (0..size.zones).map(|zone| Schedule::of(size, shape, zone, writes)).collect()
-    }
 }
 
 /// Running collectors; they end when dropped.
@@ -182,8 +177,8 @@
             .zip(schedules)
             .map(|(stream, schedule)| scope.spawn(move || write(stream, schedule)))
             .collect();
-        let ended = writers.into_iter().map(|writer| writer.join());
-        ended.map(|outcome| outcome.unwrap_or(Err(ProcessError::NoPong("a panic".into())))).collect()
+        let mut ended = writers.into_iter().map(|writer| writer.join());
+        ended.try_for_each(|outcome| outcome.unwrap_or(Err(ProcessError::NoPong("a panic".into()))))
     });
     outcome.map(|()| (traffic.reports.read().since(before).lines, begin.elapsed()))
 }
--- /dev/null
+++ b/scale/tests/stand_ins.rs
@@ -0,0 +1,137 @@
+//! The stand-ins by themselves: what they say is what the protocol gives, and what they count is what was said.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+use whinwall_governor::protocol::{collector, discovery as list, relay as news};
+use whinwall_scale::stand_ins::collectors::Schedule;
+use whinwall_scale::stand_ins::discovery::{Discovery, Listed};
+use whinwall_scale::stand_ins::fleet::{Draw, FleetSize, ReportShape};
+use whinwall_scale::stand_ins::relay::Relay;
+use whinwall_scale::stand_ins::Traffic;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn small() -> FleetSize {
+    FleetSize { replicas: 30, zones: 3, slices: 4, proxies: 5, ..FleetSize::target() }
+}
+
+struct Peer {
+    reader: BufReader<TcpStream>,
+    read: usize,
+}
+
+impl Peer {
+    fn asks(address: SocketAddr, text: &str) -> Peer {
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(text.as_bytes()).unwrap();
+        Peer { reader: BufReader::new(stream), read: 0 }
+    }
+
+    fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.read += self.reader.read_line(&mut line).unwrap();
+        line.trim_end().to_string()
+    }
+}
+
+#[test]
+fn each_report_line_is_one_that_the_governor_reads() {
+    let size = small();
+    let lines = ReportShape::whole(&size).lines(&size, 1, &mut Draw::new(7));
+    assert_eq!(lines.len(), size.replicas + size.slices * size.classes);
+    for line in &lines {
+        collector::quick(line).unwrap_or_else(|| panic!("{line} is no report"));
+    }
+    // What all zones tell of in a second is what comes to the fleet, within the spread of the draw.
+    let told: f64 = (0..size.zones)
+        .flat_map(|zone| ReportShape::whole(&size).lines(&size, zone, &mut Draw::new(zone as u64)))
+        .filter_map(|line| match collector::decode(&line) {
+            Ok(collector::Message::Met(met)) => Some(met.tries),
+            _ => None,
+        })
+        .sum();
+    assert!((0.7..1.3).contains(&(told / size.requests)), "{told} tries of {}", size.requests);
+}
+
+#[test]
+fn a_schedule_holds_each_line_once_however_many_writes_it_has() {
+    let size = small();
+    let lines = |writes| {
+        let schedule = Schedule::of(&size, &ReportShape::whole(&size), 0, writes);
+        let blocks = |period: &Vec<_>| {
+            period.iter().map(|b: &whinwall_scale::stand_ins::collectors::Block| b.lines).sum()
+        };
+        schedule.periods.iter().map(blocks).collect::<Vec<usize>>()
+    };
+    assert_eq!(lines(1), lines(7));
+    assert_eq!(lines(1)[0], 38);
+}
+
+#[test]
+fn the_relay_tells_what_stands_and_carries_out_up_to_the_first_order_that_it_cannot_read() {
+    let (size, traffic) = (small(), Arc::new(Traffic::default()));
+    let relay = Relay::start(&size, &traffic).unwrap();
+    let mut watcher = Peer::asks(relay.address(), "WATCH\r\n");
+    let stands: Vec<String> = (0..1 + size.proxies + 2 * size.slices + 1).map(|_| watcher.line()).collect();
+    assert!(stands.iter().all(|line| news::decode_news(line).is_ok()), "{stands:?}");
+    assert_eq!(stands.iter().filter(|line| line.starts_with("* ROW")).count(), size.slices);
+
+    let mut caller = Peer::asks(relay.address(), "APPLY SET,1,s-new,2;SYNC,9,1;NONSENSE;SET,2,s-new,2\r\n");
+    assert_eq!(caller.line(), "OK 2");
+    let call = relay.next_call(PATIENCE).unwrap();
+    assert_eq!(call.orders.len(), 4);
+    assert_eq!(relay.owners()[&1], "s-new");
+    assert_ne!(relay.owners()[&2], "s-new");
+    let mut acks = 0;
+    while acks < size.proxies {
+        acks += usize::from(watcher.line().starts_with("* ACK "));
+    }
+    assert_eq!(traffic.read().answers.bytes, caller.read as u64);
+    // Signs of life may follow what was read here.
+    assert!(traffic.read().news.bytes >= watcher.read as u64);
+}
+
+#[test]
+fn discovery_tells_the_whole_list_then_changes_then_the_whole_list_again_when_told_so() {
+    let (size, traffic) = (small(), Arc::new(Traffic::default()));
+    let discovery = Discovery::start(&size, &traffic).unwrap();
+    let request = "GET /registry/instances?follow=1&since=0 HTTP/1.1\r\nhost: x\r\n\r\n";
+    let mut watch = Peer::asks(discovery.address(), request);
+    while !watch.line().is_empty() {}
+    // A chunk is its length, its line, and an empty line; signs of life may come between.
+    let mut next = || loop {
+        let length = usize::from_str_radix(&watch.line(), 16).unwrap();
+        let line = watch.line();
+        assert_eq!(length, line.len() + 1);
+        watch.line();
+        if let Some(list) = list::decode(&line).unwrap() {
+            return (list, length);
+        }
+    };
+    let (whole, length) = next();
+    assert!(whole.whole && whole.entries.len() == size.replicas);
+    assert_eq!(length, discovery.whole_list_bytes() + 1);
+    let leaving = Listed { state: "leaving", started_ms: 0 };
+    discovery.change([(3, leaving), (4, leaving)]);
+    let (changes, _) = next();
+    assert!(!changes.whole && changes.entries.len() == 2 && changes.version == 2);
+    discovery.change_and_tell_all([(5, leaving)]);
+    let (again, _) = next();
+    assert!(again.whole && again.entries.len() == size.replicas && again.version == 3);
+    assert_eq!(traffic.read().requests.bytes, request.len() as u64);
+}
+
+#[test]
+fn discovery_answers_a_request_for_the_whole_list() {
+    let (size, traffic) = (small(), Arc::new(Traffic::default()));
+    let discovery = Discovery::start(&size, &traffic).unwrap();
+    let mut peer = Peer::asks(discovery.address(), "GET /registry/instances HTTP/1.1\r\nhost: x\r\n\r\n");
+    while !peer.line().is_empty() {}
+    let mut body = vec![0; discovery.whole_list_bytes()];
+    peer.reader.read_exact(&mut body).unwrap();
+    let list = list::decode(std::str::from_utf8(&body).unwrap()).unwrap().unwrap();
+    assert!(list.whole && list.entries.len() == size.replicas);
+}
