--- /dev/null
+++ b/scale/src/one/aggregated.rs
@@ -0,0 +1,176 @@
+//! One real governor told by real aggregators: collectors of all zones tell each aggregator of the whole fleet, the
+//! aggregators tell the governor of its subset, and a tap between them counts what it is told.
+
+use super::rig::Setup;
+use super::steady::{machine_load, Times};
+use super::MeasureError;
+use crate::process::{Governor, Launch, ProcessError, Running, Usage};
+use crate::stand_ins::collectors::Collectors;
+use crate::stand_ins::discovery::Discovery;
+use crate::stand_ins::relay::Relay;
+use crate::stand_ins::tap::Tap;
+use crate::stand_ins::Traffic;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The fleet's part of the operators' file.
+#[derive(Clone, Debug)]
+pub struct Subsetting {
+    /// Aggregators that run.
+    pub aggregators: usize,
+    /// Wished replicas a governor.
+    pub subset: usize,
+    /// What a governor may be told, in bytes a second.
+    pub bytes_per_second: u64,
+}
+
+/// What the governor and the aggregators used meanwhile.
+#[derive(Clone, Debug)]
+pub struct Aggregated {
+    /// How it was set up.
+    pub subsetting: Subsetting,
+    /// From the governor's start to its first PONG.
+    pub time_to_ready: Duration,
+    /// For how long it was measured.
+    pub lasted: Duration,
+    /// Bytes of reports that came to the governor.
+    pub reports: u64,
+    /// Lines of reports that came to the governor.
+    pub lines: u64,
+    /// Bytes that came to the governor in all.
+    pub bytes_in: u64,
+    /// Bytes that the governor sent in all.
+    pub bytes_out: u64,
+    /// Its processor time.
+    pub processor: Duration,
+    /// Its memory.
+    pub usage: Usage,
+    /// Of each aggregator, its processor time and memory.
+    pub aggregators: Vec<(Duration, Usage)>,
+    /// Bytes that all collectors told all aggregators.
+    pub told: u64,
+    /// The last lines of the governor's log.
+    pub log: Vec<String>,
+    /// Average number of runnable processes on the machine in the last minute.
+    pub machine_load: f64,
+}
+
+/// The operators' file of a fleet in which one governor is served: `n0`, behind the tap. The others are members
+/// without an address.
+fn operators(setup: &Setup, subsetting: &Subsetting, tap: SocketAddr, aggregators: &[SocketAddr]) -> String {
+    let last = setup.size.slices.saturating_sub(1);
+    let served = format!("<governor name=\"n0\" address=\"{tap}\" slices=\"0-{last}\"/>");
+    let others: String = (1..setup.size.governors).map(|n| format!("<governor name=\"n{n}\"/>")).collect();
+    let aggregators: String = aggregators
+        .iter()
+        .enumerate()
+        .map(|(n, address)| format!("<aggregator name=\"m{n}\" address=\"{address}\"/>"))
+        .collect();
+    let Subsetting { subset, bytes_per_second, .. } = subsetting;
+    format!(
+        "<operators version=\"1\"><subsetting subset=\"{subset}\" bytes-per-second=\"{bytes_per_second}\">\
+         {served}{others}{aggregators}</subsetting></operators>"
+    )
+}
+
+/// Free addresses on loopback; each is given up at once, for a program to listen at.
+fn free_addresses(many: usize) -> std::io::Result<Vec<SocketAddr>> {
+    let listeners: Vec<_> =
+        (0..many).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<std::io::Result<_>>()?;
+    listeners.iter().map(TcpListener::local_addr).collect()
+}
+
+struct Aggregators {
+    running: Vec<Running>,
+    addresses: Vec<SocketAddr>,
+    _folder: tempfile::TempDir,
+}
+
+impl Aggregators {
+    fn start(
+        program: &Path,
+        addresses: Vec<SocketAddr>,
+        operators: &str,
+        discovery: SocketAddr,
+    ) -> Result<Aggregators, MeasureError> {
+        let folder = tempfile::tempdir()?;
+        let file: PathBuf = folder.path().join("operators.xml");
+        std::fs::write(&file, operators)?;
+        let start = |(n, address): (usize, &SocketAddr)| {
+            let mut command = Command::new(program);
+            command.env_clear().arg("--operators").arg(&file).args(["--name", &format!("m{n}")]);
+            command.args(["--listen", &address.to_string(), "--discovery", &discovery.to_string()]);
+            let running = Running::start(command)?;
+            running.address()?;
+            Ok(running)
+        };
+        let running = addresses.iter().enumerate().map(start).collect::<Result<_, ProcessError>>()?;
+        Ok(Aggregators { running, addresses, _folder: folder })
+    }
+
+    fn usages(&self) -> Result<Vec<Usage>, ProcessError> {
+        self.running.iter().map(Running::usage).collect()
+    }
+}
+
+/// Measures the governor at rest behind its aggregators.
+pub fn measure(
+    governor: &Path,
+    aggregator: &Path,
+    setup: &Setup,
+    subsetting: &Subsetting,
+    times: Times,
+) -> Result<Aggregated, MeasureError> {
+    let (traffic, told) = (Arc::new(Traffic::default()), Arc::new(Traffic::default()));
+    let (relay, discovery) = (Relay::start(&setup.size, &traffic)?, Discovery::start(&setup.size, &traffic)?);
+    let aggregators_discovery = Discovery::start(&setup.size, &told)?;
+    let tap = Tap::start()?;
+    let addresses = free_addresses(subsetting.aggregators)?;
+    let operators = operators(setup, subsetting, tap.address(), &addresses);
+    let governor = Governor::start(&Launch {
+        program: governor.into(),
+        configuration: setup.size.configuration(relay.address()),
+        discovery: discovery.address(),
+        operators: Some(operators.clone()),
+    })?;
+    governor.ping()?;
+    let time_to_ready = governor.started().elapsed();
+    tap.lead_to(governor.address());
+    let aggregators = Aggregators::start(aggregator, addresses, &operators, aggregators_discovery.address())?;
+    let collectors: Vec<Collectors> = aggregators
+        .addresses
+        .iter()
+        .map(|address| Collectors::start(*address, setup.schedules(), &told))
+        .collect::<std::io::Result<_>>()?;
+    thread::sleep(times.warm_up);
+
+    let (usage, others, began) = (governor.usage()?, aggregators.usages()?, Instant::now());
+    let (seen, inward, all_told) = (traffic.read(), tap.through.inward.read(), told.read());
+    let outward = tap.through.outward.read();
+    thread::sleep(times.measured);
+    let lasted = began.elapsed();
+    let (usage_after, others_after) = (governor.usage()?, aggregators.usages()?);
+    let (seen, inward) = (traffic.read().since(seen), tap.through.inward.read().since(inward));
+    let outward = tap.through.outward.read().since(outward);
+    drop(collectors);
+    let used = |(after, before): (Usage, Usage)| (after.processor - before.processor, after);
+    Ok(Aggregated {
+        subsetting: subsetting.clone(),
+        time_to_ready,
+        lasted,
+        reports: inward.bytes,
+        lines: inward.lines,
+        bytes_in: inward.bytes + seen.bytes_in(),
+        bytes_out: outward.bytes + seen.bytes_out(),
+        processor: usage_after.processor - usage.processor,
+        usage: usage_after,
+        aggregators: others_after.into_iter().zip(others).map(used).collect(),
+        told: told.read().since(all_told).reports.bytes,
+        log: governor.logged(),
+        machine_load: machine_load(),
+    })
+}
--- a/scale/src/one/mod.rs
+++ b/scale/src/one/mod.rs
@@ -1,6 +1,7 @@
 //! One real governor process at size, against paced stand-ins on loopback: `rig` sets it up, `steady` measures it at
-//! rest, `events` in events, `sweep` says which cases are played, `report` turns them into fits, tables and charts.
+//! rest, `events` in events, `aggregated` behind real aggregators, `sweep` says which cases are played, `report` turns them into fits, tables and charts.
 
+pub mod aggregated;
 pub mod events;
 pub mod report;
 pub mod rig;
@@ -9,6 +10,9 @@
 
 use crate::process::{governor_program, ProcessError};
 use crate::results::{Folder, ResultsError};
+use crate::stand_ins::fleet::FleetSize;
+use aggregated::Subsetting;
+use rig::Setup;
 use std::path::PathBuf;
 use std::time::Duration;
 use steady::Times;
@@ -28,7 +32,19 @@
     /// Seconds of each measurement
     #[arg(long, default_value_t = 10.0)]
     pub measured: f64,
-    /// Only these sweeps: size, slices, proxies, churn, writes, summed, silent, events, flood
+    /// The aggregator's program: with it the governor is measured behind aggregators, too
+    #[arg(long)]
+    pub aggregator: Option<PathBuf>,
+    /// Aggregators that run, where there is a program for them
+    #[arg(long, default_value_t = 4)]
+    pub aggregators: usize,
+    /// Replicas of a governor's subset, behind aggregators
+    #[arg(long, default_value_t = 100)]
+    pub subset: usize,
+    /// What a governor may be told, in bytes a second, behind aggregators
+    #[arg(long, default_value_t = 27_000)]
+    pub bytes_per_second: u64,
+    /// Only these sweeps: size, slices, proxies, churn, writes, summed, silent, events, flood, aggregated
     #[arg(long, value_delimiter = ',')]
     pub only: Vec<String>,
 }
@@ -71,5 +87,15 @@
         let floods = sweep::play_floods(&program)?;
         report::write_floods(&folder, &floods)?;
     }
+    if let Some(aggregator) = args.aggregator.as_ref().filter(|_| wanted("aggregated")) {
+        let subsetting = Subsetting {
+            aggregators: args.aggregators,
+            subset: args.subset,
+            bytes_per_second: args.bytes_per_second,
+        };
+        let setup = Setup::reported(FleetSize::target());
+        let measured = aggregated::measure(&program, aggregator, &setup, &subsetting, times)?;
+        report::write_aggregated(&folder, &measured)?;
+    }
     Ok(())
 }
--- a/scale/src/one/report.rs
+++ b/scale/src/one/report.rs
@@ -1,5 +1,6 @@
 //! What was measured, as rows, tables with least-squares fits, and charts.
 
+use super::aggregated::Aggregated;
 use super::events::Outcome;
 use super::steady::Steady;
 use super::sweep::Flood;
@@ -269,3 +270,46 @@
     folder.rows("floods", &columns)?;
     folder.text("floods.md", &format!("# Floods\n\n{}", markdown(&columns)))
 }
+
+/// Writes rows and table of a governor behind aggregators, and the log of the governor beside them.
+pub fn write_aggregated(folder: &Folder, measured: &Aggregated) -> Result<(), ResultsError> {
+    let seconds = measured.lasted.as_secs_f64();
+    let (mut names, mut cores, mut resident, mut peak) = (vec![], vec![], vec![], vec![]);
+    let governor = ("governor".to_string(), measured.processor, measured.usage);
+    let aggregators = measured.aggregators.iter().enumerate();
+    let aggregators =
+        aggregators.map(|(n, (processor, usage))| (format!("aggregator m{n}"), *processor, *usage));
+    for (name, processor, usage) in std::iter::once(governor).chain(aggregators) {
+        names.push(name);
+        cores.push(processor.as_secs_f64() / seconds);
+        resident.push(usage.resident as f64 / MEGABYTE);
+        peak.push(usage.resident_peak as f64 / MEGABYTE);
+    }
+    let columns = [
+        Column::text("process", names),
+        Column::real("cores", cores),
+        Column::real("resident_mb", resident),
+        Column::real("peak_mb", peak),
+    ];
+    folder.rows("aggregated", &columns)?;
+    let rate = |bytes: u64| bytes as f64 / KILOBYTE / seconds;
+    let text = format!(
+        "# One governor behind aggregators\n\n{}\nSubset {}, budget {} bytes/s, {} aggregators. To the governor: \
+         {:.2} KB/s in all, of which reports {:.2} KB/s in {:.1} lines/s; from it {:.2} KB/s. Collectors tell all \
+         aggregators together {:.0} KB/s. Ready in {:.1} ms, measured for {seconds:.1} s, machine load {:.1}.\n\n\
+         ```\n{}\n```\n",
+        markdown(&columns),
+        measured.subsetting.subset,
+        measured.subsetting.bytes_per_second,
+        measured.subsetting.aggregators,
+        rate(measured.bytes_in),
+        rate(measured.reports),
+        measured.lines as f64 / seconds,
+        rate(measured.bytes_out),
+        rate(measured.told),
+        measured.time_to_ready.as_secs_f64() * 1e3,
+        measured.machine_load,
+        measured.log.join("\n")
+    );
+    folder.text("aggregated.md", &text)
+}
--- a/scale/src/process.rs
+++ b/scale/src/process.rs
@@ -14,7 +14,7 @@
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 const PING_TIMEOUT: Duration = Duration::from_secs(30);
 const GOVERNOR: &str = "whinwall-governor";
-/// What the governor logs once it listens; its address follows.
+/// What a program of whinwall's logs once it listens; its address follows.
 const SERVES: &str = "serves at ";
 
 /// Why a process could not be started or observed.
@@ -32,7 +32,7 @@
     #[error("{0} is not built: cargo build --release -p whinwall-governor")]
     NotBuilt(PathBuf),
     /// It ended, or said nothing, before it served.
-    #[error("the governor did not serve within {START_TIMEOUT:?}; its log ends with {0:?}")]
+    #[error("the program did not serve within {START_TIMEOUT:?}; its log ends with {0:?}")]
     NoStart(String),
     /// `/proc` shows something unexpected.
     #[error("{0} has no usable {1}")]
@@ -152,45 +152,29 @@
     pub operators: Option<String>,
 }
 
-/// A running governor; it is killed by its id and waited for when dropped.
-pub struct Governor {
+/// A running program that logs lines; it is killed by its id and waited for when dropped.
+pub struct Running {
     child: Child,
-    address: SocketAddr,
     log: Receiver<String>,
     started: Instant,
-    _folder: tempfile::TempDir,
 }
 
-impl Governor {
-    /// Starts it, and waits until it listens.
-    pub fn start(launch: &Launch) -> Result<Governor, ProcessError> {
-        let folder = tempfile::tempdir().map_err(io("temporary folder"))?;
-        let mut configuration = launch.configuration.clone();
-        configuration["listen"] = "127.0.0.1:0".into();
-        let path = folder.path().join("configuration.json");
-        std::fs::write(&path, configuration.to_string()).map_err(io("configuration"))?;
-        let mut command = Command::new(&launch.program);
-        command.env_clear().env("PROXY_CONFIG", &path).env("PROXY_DISCOVERY", launch.discovery.to_string());
+impl Running {
+    /// Starts the program.
+    pub fn start(mut command: Command) -> Result<Running, ProcessError> {
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
-        if let Some(text) = &launch.operators {
-            let path = folder.path().join("operators.xml");
-            std::fs::write(&path, text).map_err(io("operators' file"))?;
-            command.arg("--operators").arg(path);
-        }
         let started = Instant::now();
-        let mut child = command.spawn().map_err(io(launch.program.display().to_string()))?;
+        let mut child = command.spawn().map_err(io(command.get_program().display().to_string()))?;
         let (say, log) = channel();
         if let Some(errors) = child.stderr.take() {
             let lines = BufReader::new(errors).lines();
             thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| say.send(line)));
         }
-        let address = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut governor = Governor { child, address, log, started, _folder: folder };
-        governor.address = governor.wait_for_address()?;
-        Ok(governor)
+        Ok(Running { child, log, started })
     }
 
-    fn wait_for_address(&self) -> Result<SocketAddr, ProcessError> {
+    /// Waits until it logs the address at which it listens.
+    pub fn address(&self) -> Result<SocketAddr, ProcessError> {
         let end = self.started + START_TIMEOUT;
         let mut last = String::new();
         while let Ok(line) = self.log.recv_timeout(end.saturating_duration_since(Instant::now())) {
@@ -202,11 +186,6 @@
         Err(ProcessError::NoStart(last))
     }
 
-    /// Where it listens.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
     /// When it was started.
     pub fn started(&self) -> Instant {
         self.started
@@ -226,6 +205,62 @@
     pub fn logged(&self) -> Vec<String> {
         self.log.try_iter().collect()
     }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        _ = self.child.kill();
+        _ = self.child.wait();
+    }
+}
+
+/// A running governor; it is killed when dropped.
+pub struct Governor {
+    /// Its process.
+    pub process: Running,
+    address: SocketAddr,
+    _folder: tempfile::TempDir,
+}
+
+impl Governor {
+    /// Starts it, and waits until it listens.
+    pub fn start(launch: &Launch) -> Result<Governor, ProcessError> {
+        let folder = tempfile::tempdir().map_err(io("temporary folder"))?;
+        let mut configuration = launch.configuration.clone();
+        configuration["listen"] = "127.0.0.1:0".into();
+        let path = folder.path().join("configuration.json");
+        std::fs::write(&path, configuration.to_string()).map_err(io("configuration"))?;
+        let mut command = Command::new(&launch.program);
+        command.env_clear().env("PROXY_CONFIG", &path).env("PROXY_DISCOVERY", launch.discovery.to_string());
+        if let Some(text) = &launch.operators {
+            let path = folder.path().join("operators.xml");
+            std::fs::write(&path, text).map_err(io("operators' file"))?;
+            command.arg("--operators").arg(path);
+        }
+        let process = Running::start(command)?;
+        let address = process.address()?;
+        Ok(Governor { process, address, _folder: folder })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// When it was started.
+    pub fn started(&self) -> Instant {
+        self.process.started()
+    }
+
+    /// What it has used so far.
+    pub fn usage(&self) -> Result<Usage, ProcessError> {
+        self.process.usage()
+    }
+
+    /// All that it has logged since the last look.
+    pub fn logged(&self) -> Vec<String> {
+        self.process.logged()
+    }
 
     /// Opens a connection, sends a PING and waits for the PONG.
     pub fn ping(&self) -> Result<(), ProcessError> {
@@ -242,10 +277,3 @@
     BufReader::new(stream).read_line(&mut answer).map_err(io("PONG"))?;
     answer.contains("PONG").then_some(()).ok_or(ProcessError::NoPong(answer))
 }
-
-impl Drop for Governor {
-    fn drop(&mut self) {
-        _ = self.child.kill();
-        _ = self.child.wait();
-    }
-}
--- a/scale/src/stand_ins/mod.rs
+++ b/scale/src/stand_ins/mod.rs
@@ -5,6 +5,7 @@
 pub mod discovery;
 pub mod fleet;
 pub mod relay;
+pub mod tap;
 
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
--- a/scale/tests/stand_ins.rs
+++ b/scale/tests/stand_ins.rs
@@ -9,7 +9,8 @@
 use whinwall_scale::stand_ins::discovery::{Discovery, Listed};
 use whinwall_scale::stand_ins::fleet::{Draw, FleetSize, ReportShape};
 use whinwall_scale::stand_ins::relay::Relay;
-use whinwall_scale::stand_ins::Traffic;
+use whinwall_scale::stand_ins::tap::Tap;
+use whinwall_scale::stand_ins::{Counter, Traffic};
 
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -135,3 +136,17 @@
     let list = list::decode(std::str::from_utf8(&body).unwrap()).unwrap().unwrap();
     assert!(list.whole && list.entries.len() == size.replicas);
 }
+
+#[test]
+fn a_tap_counts_what_goes_through_it_each_way() {
+    let (size, traffic) = (small(), Arc::new(Traffic::default()));
+    let relay = Relay::start(&size, &traffic).unwrap();
+    let tap = Tap::start().unwrap();
+    tap.lead_to(relay.address());
+    let call = "APPLY SET,1,s-new,2\r\n";
+    let mut caller = Peer::asks(tap.address(), call);
+    assert_eq!(caller.line(), "OK 1");
+    let through = |counter: &Counter| (counter.read().bytes, counter.read().lines);
+    assert_eq!(through(&tap.through.inward), (call.len() as u64, 1));
+    assert_eq!(through(&tap.through.outward), (caller.read as u64, 1));
+}
