scale: SIGHUP and an empty event among the events; events without reports too

What an event costs is hidden by reports; played without them, and against an event in which nothing happens.

--- a/scale/src/one/events.rs
+++ b/scale/src/one/events.rs
@@ -15,9 +15,16 @@
 /// A governor that has not acted by then is not going to.
 const LONGEST: Duration = Duration::from_secs(20);
 
+/// What the governor logs when it has read its files anew.
+const RELOADED: &str = "SIGHUP: relay at";
+
 /// What happens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Event {
+    /// Nothing: what the same time costs at rest.
+    Nothing,
+    /// The configuration file is read anew, on SIGHUP.
+    Configured,
     /// So many replicas begin to drain at once, the first owners of slices among them.
     Drain(usize),
     /// So many replicas are back at once, cold.
@@ -30,6 +37,8 @@
     /// A name for tables.
     pub fn name(&self) -> String {
         match self {
+            Event::Nothing => "nothing".into(),
+            Event::Configured => "SIGHUP, until it is logged as read".into(),
             Event::Drain(many) => format!("{many} replicas drain"),
             Event::Back(many) => format!("{many} replicas are back, cold"),
             Event::WholeList => "the whole list again, one owner drains".into(),
@@ -42,7 +51,7 @@
 pub struct Outcome {
     /// What happened.
     pub name: String,
-    /// Until the first call that withdraws a replica, where one must come.
+    /// Until the first call that withdraws a replica, where one must come, or until files were read anew.
     pub first_order: Option<Duration>,
     /// Until no slice is owned by a replica that drains, where one was.
     pub last_order: Option<Duration>,
@@ -99,23 +108,30 @@
 
 fn play_one(rig: &Rig, setup: &Setup, event: Event, settling: Duration) -> Result<Outcome, MeasureError> {
     rig.relay.calls();
+    rig.governor.logged();
+    let change = concerned(rig, setup, event);
     let (usage, traffic, began) = (rig.governor.usage()?, rig.traffic.read(), Instant::now());
-    let (replicas, listed) = concerned(rig, setup, event);
-    let changes = replicas.iter().map(|replica| (*replica, listed));
+    let mut first_order = None;
     match event {
-        Event::WholeList => rig.discovery.change_and_tell_all(changes),
-        _ => rig.discovery.change(changes),
+        Event::Nothing => {}
+        Event::Configured => {
+            rig.governor.process.reload()?;
+            first_order = rig.governor.process.logs(RELOADED, LONGEST).then(|| began.elapsed());
+        }
+        Event::WholeList => rig.discovery.change_and_tell_all(change.entries()),
+        Event::Drain(_) | Event::Back(_) => rig.discovery.change(change.entries()),
     }
-    let names: Vec<String> = replicas.iter().map(|replica| setup.size.replica(*replica)).collect();
-    let drains = listed.state == "leaving";
+    let names: Vec<String> = change.replicas.iter().map(|replica| setup.size.replica(*replica)).collect();
+    let drains = !names.is_empty() && change.listed.state == "leaving";
     let (mut calls, mut last_order) = (Vec::new(), None);
     while began.elapsed() < settling || (drains && last_order.is_none() && began.elapsed() < LONGEST) {
         calls.extend(rig.relay.next_call(Duration::from_millis(20)));
-        let owners = rig.relay.owners();
-        let is_left = drains && !owners.values().any(|owner| names.contains(owner));
+        let is_left = drains && !rig.relay.owners().values().any(|owner| names.contains(owner));
         last_order = last_order.or(is_left.then(|| began.elapsed()));
     }
-    let first_order = drains.then(|| first_withdrawal(&calls, &names)).flatten().map(|call| call.at - began);
+    if drains {
+        first_order = first_withdrawal(&calls, &names).map(|call| call.at - began);
+    }
     let after = rig.governor.usage()?;
     Ok(Outcome {
         name: event.name(),
@@ -130,16 +146,29 @@
     })
 }
 
+/// Replicas that change, and to what.
+struct Change {
+    replicas: Vec<usize>,
+    listed: Listed,
+}
+
+impl Change {
+    fn entries(&self) -> impl Iterator<Item = (usize, Listed)> + '_ {
+        self.replicas.iter().map(|replica| (*replica, self.listed))
+    }
+}
+
 /// Which replicas change, and to what.
-fn concerned(rig: &Rig, setup: &Setup, event: Event) -> (Vec<usize>, Listed) {
+fn concerned(rig: &Rig, setup: &Setup, event: Event) -> Change {
     let cold = || SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64);
     let leaving = Listed { state: "leaving", started_ms: 0 };
     let (many, listed) = match event {
+        Event::Nothing | Event::Configured => (0, leaving),
         Event::Drain(many) => (many, leaving),
         Event::WholeList => (1, leaving),
         Event::Back(many) => (many, Listed { state: "active", started_ms: cold() }),
     };
-    (owners_first(rig, setup, many, listed.state == "leaving"), listed)
+    Change { replicas: owners_first(rig, setup, many, listed.state == "leaving"), listed }
 }
 
 /// Replicas that own slices now come first, so that a drain asks for action; those that are back are the same
--- a/scale/src/one/sweep.rs
+++ b/scale/src/one/sweep.rs
@@ -67,6 +67,8 @@
     let target = FleetSize::target();
     let (rack, zone) = (40, target.replicas / target.zones);
     let several = [
+        Event::Nothing,
+        Event::Configured,
         Event::Drain(1),
         Event::Back(1),
         Event::Drain(rack),
@@ -74,7 +76,13 @@
         Event::Drain(zone),
         Event::Back(zone),
     ];
-    outcomes.extend(events::play(program, &Setup::reported(target.clone()), &several, times)?);
+    let reported = Setup::reported(target.clone());
+    // What an event costs shows best where nothing else is told.
+    let silent = Setup { reports: None, ..reported.clone() };
+    for (reports, setup) in [("reports", &reported), ("no reports", &silent)] {
+        let named = |outcome: Outcome| Outcome { name: format!("{}, {reports}", outcome.name), ..outcome };
+        outcomes.extend(events::play(program, setup, &several, times)?.into_iter().map(named));
+    }
     for replicas in REPLICAS {
         let setup = Setup::reported(FleetSize { replicas, ..target.clone() });
         let played = events::play(program, &setup, &[Event::WholeList], times)?;
--- a/scale/src/process.rs
+++ b/scale/src/process.rs
@@ -1,5 +1,6 @@
 //! Real governor processes: building, starting, observing through `/proc`, and ending them by their id.
 
+use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
 use std::ffi::OsString;
 use std::io::{BufRead, BufReader, Write};
@@ -205,6 +206,19 @@
     pub fn logged(&self) -> Vec<String> {
         self.log.try_iter().collect()
     }
+
+    /// Waits until it logs a line with this text; false where none comes in time.
+    pub fn logs(&self, text: &str, within: Duration) -> bool {
+        let end = Instant::now() + within;
+        let next = || self.log.recv_timeout(end.saturating_duration_since(Instant::now())).ok();
+        std::iter::from_fn(next).any(|line| line.contains(text))
+    }
+
+    /// Has it read its files anew (SIGHUP).
+    pub fn reload(&self) -> Result<(), ProcessError> {
+        let sent = kill_process(Pid::from_child(&self.child), Signal::HUP);
+        sent.map_err(|why| io("SIGHUP")(why.into()))
+    }
 }
 
 impl Drop for Running {
--- a/scale/tests/one.rs
+++ b/scale/tests/one.rs
@@ -88,6 +88,12 @@
     assert!(played[1].traffic.list.bytes > 10 * played[0].traffic.list.bytes, "{played:?}");
 }
 
+#[test]
+fn a_configuration_is_read_anew_and_costs_no_order() {
+    let played = events::play(program(), &setup(40, 2), &[Event::Configured], SHORT).unwrap();
+    assert!(played[0].first_order.is_some() && played[0].last_order.is_none(), "{played:?}");
+}
+
 #[test]
 fn a_start_leads_to_orders() {
     let started = events::start(program(), &setup(40, 2)).unwrap();
