--- a/scale/src/stand_ins/discovery.rs
+++ b/scale/src/stand_ins/discovery.rs
@@ -153,10 +153,20 @@
     Ok(())
 }
 
-fn follow(mut stream: &TcpStream, since: u64, shared: &Shared, traffic: &Traffic) -> std::io::Result<()> {
-    let mut say = |text: &str, lines: usize| {
+/// Whether the other side has ended the connection; it says nothing more while it follows.
+fn is_closed(stream: &TcpStream) -> bool {
+    let at_once = stream.set_nonblocking(true).and_then(|()| stream.peek(&mut [0]));
+    let ended = match at_once {
+        Ok(read) => read == 0,
+        Err(why) => why.kind() != std::io::ErrorKind::WouldBlock,
+    };
+    ended || stream.set_nonblocking(false).is_err()
+}
+
+fn follow(stream: &TcpStream, since: u64, shared: &Shared, traffic: &Traffic) -> std::io::Result<()> {
+    let say = |text: &str, lines: usize| {
         traffic.list.add(text.len(), lines);
-        stream.write_all(text.as_bytes())
+        (&mut &*stream).write_all(text.as_bytes())
     };
     say("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", 0)?;
     let mut told = (since > 0).then_some(since);
@@ -178,6 +188,10 @@
         };
         told = Some(registry.version);
         drop(registry);
+        // What is written to a watch that was given up would be counted and never arrive.
+        if is_closed(stream) {
+            return Ok(());
+        }
         say(&format!("{:x}\r\n{line}\r\n", line.len()), 1)?;
     }
 }
