--- a/scale/src/one/aggregated.rs
+++ b/scale/src/one/aggregated.rs
@@ -59,6 +59,29 @@
     pub machine_load: f64,
 }
 
+impl Aggregated {
+    /// A count as a rate a second.
+    pub fn rate(&self, count: u64) -> f64 {
+        count as f64 / self.lasted.as_secs_f64()
+    }
+
+    /// The part of one core that the governor used.
+    pub fn processor_share(&self) -> f64 {
+        self.processor.as_secs_f64() / self.lasted.as_secs_f64()
+    }
+
+    /// The part of one core that an aggregator used, on average.
+    pub fn aggregator_share(&self) -> f64 {
+        let total: f64 = self.aggregators.iter().map(|(processor, _)| processor.as_secs_f64()).sum();
+        total / self.lasted.as_secs_f64() / self.aggregators.len().max(1) as f64
+    }
+
+    /// The most memory that any aggregator held.
+    pub fn aggregator_peak(&self) -> u64 {
+        self.aggregators.iter().map(|(_, usage)| usage.resident_peak).max().unwrap_or(0)
+    }
+}
+
 /// The operators' file of a fleet in which one governor is served: `n0`, behind the tap. The others are members
 /// without an address.
 fn operators(setup: &Setup, subsetting: &Subsetting, tap: SocketAddr, aggregators: &[SocketAddr]) -> String {
--- a/scale/src/one/mod.rs
+++ b/scale/src/one/mod.rs
@@ -13,7 +13,7 @@
 use crate::stand_ins::fleet::FleetSize;
 use aggregated::Subsetting;
 use rig::Setup;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 use steady::Times;
 
@@ -38,13 +38,16 @@
     /// Aggregators that run, where there is a program for them
     #[arg(long, default_value_t = 4)]
     pub aggregators: usize,
-    /// Replicas of a governor's subset, behind aggregators
-    #[arg(long, default_value_t = 100)]
-    pub subset: usize,
+    /// Replicas of a governor's subset, behind aggregators; several are played in turn
+    #[arg(long, value_delimiter = ',', default_values_t = [25, 50, 100, 200])]
+    pub subset: Vec<usize>,
     /// What a governor may be told, in bytes a second, behind aggregators
     #[arg(long, default_value_t = 27_000)]
     pub bytes_per_second: u64,
-    /// Only these sweeps: size, slices, proxies, churn, writes, summed, silent, events, flood, aggregated
+    /// Plays of each case at rest and of each subset
+    #[arg(long, default_value_t = 1)]
+    pub plays: usize,
+    /// Only these sweeps: target, size, slices, proxies, churn, writes, summed, silent, events, flood, aggregated
     #[arg(long, value_delimiter = ',')]
     pub only: Vec<String>,
 }
@@ -73,8 +76,9 @@
     };
     let wanted = |sweep: &str| args.only.is_empty() || args.only.iter().any(|only| only == sweep);
     let mut points = Vec::new();
-    for case in sweep::steady_cases().into_iter().filter(|case| wanted(case.sweep)) {
-        let point = steady::measure(&program, &case, times)?;
+    let cases: Vec<_> = sweep::steady_cases().into_iter().filter(|case| wanted(case.sweep)).collect();
+    for case in (0..args.plays).flat_map(|_| &cases) {
+        let point = steady::measure(&program, case, times)?;
         eprintln!("{}", report::line(&point));
         points.push(point);
         report::write_steady(&folder, &points)?;
@@ -88,14 +92,25 @@
         report::write_floods(&folder, &floods)?;
     }
     if let Some(aggregator) = args.aggregator.as_ref().filter(|_| wanted("aggregated")) {
-        let subsetting = Subsetting {
-            aggregators: args.aggregators,
-            subset: args.subset,
-            bytes_per_second: args.bytes_per_second,
-        };
-        let setup = Setup::reported(FleetSize::target());
-        let measured = aggregated::measure(&program, aggregator, &setup, &subsetting, times)?;
-        report::write_aggregated(&folder, &measured)?;
+        measure_aggregated(&args, &program, aggregator, &folder, times)?;
+    }
+    Ok(())
+}
+
+fn measure_aggregated(
+    args: &Args,
+    governor: &Path,
+    aggregator: &Path,
+    folder: &Folder,
+    times: Times,
+) -> Result<(), MeasureError> {
+    let setup = Setup::reported(FleetSize::target());
+    let mut measured = Vec::new();
+    for subset in (0..args.plays).flat_map(|_| &args.subset) {
+        let Args { aggregators, bytes_per_second, .. } = *args;
+        let subsetting = Subsetting { aggregators, subset: *subset, bytes_per_second };
+        measured.push(aggregated::measure(governor, aggregator, &setup, &subsetting, times)?);
+        report::write_aggregated(folder, &measured)?;
     }
     Ok(())
 }
--- a/scale/src/one/report.rs
+++ b/scale/src/one/report.rs
@@ -271,45 +271,54 @@
     folder.text("floods.md", &format!("# Floods\n\n{}", markdown(&columns)))
 }
 
-/// Writes rows and table of a governor behind aggregators, and the log of the governor beside them.
-pub fn write_aggregated(folder: &Folder, measured: &Aggregated) -> Result<(), ResultsError> {
-    let seconds = measured.lasted.as_secs_f64();
-    let (mut names, mut cores, mut resident, mut peak) = (vec![], vec![], vec![], vec![]);
-    let governor = ("governor".to_string(), measured.processor, measured.usage);
-    let aggregators = measured.aggregators.iter().enumerate();
-    let aggregators =
-        aggregators.map(|(n, (processor, usage))| (format!("aggregator m{n}"), *processor, *usage));
-    for (name, processor, usage) in std::iter::once(governor).chain(aggregators) {
-        names.push(name);
-        cores.push(processor.as_secs_f64() / seconds);
-        resident.push(usage.resident as f64 / MEGABYTE);
-        peak.push(usage.resident_peak as f64 / MEGABYTE);
-    }
+/// Writes rows, table and fits of a governor behind aggregators, and the last log of the governor.
+pub fn write_aggregated(folder: &Folder, measured: &[Aggregated]) -> Result<(), ResultsError> {
+    let whole = |name, of: fn(&Aggregated) -> u64| Column::whole(name, measured.iter().map(|m| of(m) as i64));
+    let real = |name, of: fn(&Aggregated) -> f64| Column::real(name, measured.iter().map(of));
     let columns = [
-        Column::text("process", names),
-        Column::real("cores", cores),
-        Column::real("resident_mb", resident),
-        Column::real("peak_mb", peak),
+        whole("subset", |m| m.subsetting.subset as u64),
+        whole("budget", |m| m.subsetting.bytes_per_second),
+        whole("aggregators", |m| m.aggregators.len() as u64),
+        real("reports_kb_a_second", |m| m.rate(m.reports) / KILOBYTE),
+        real("lines_a_second", |m| m.rate(m.lines)),
+        real("in_kb_a_second", |m| m.rate(m.bytes_in) / KILOBYTE),
+        real("out_kb_a_second", |m| m.rate(m.bytes_out) / KILOBYTE),
+        real("cores", Aggregated::processor_share),
+        real("resident_mb", |m| m.usage.resident as f64 / MEGABYTE),
+        real("peak_mb", |m| m.usage.resident_peak as f64 / MEGABYTE),
+        real("ready_ms", |m| m.time_to_ready.as_secs_f64() * 1e3),
+        real("aggregator_cores", Aggregated::aggregator_share),
+        real("aggregator_peak_mb", |m| m.aggregator_peak() as f64 / MEGABYTE),
+        real("told_to_aggregators_kb_a_second", |m| m.rate(m.told) / KILOBYTE),
+        real("measured_s", |m| m.lasted.as_secs_f64()),
+        real("machine_load", |m| m.machine_load),
     ];
     folder.rows("aggregated", &columns)?;
-    let rate = |bytes: u64| bytes as f64 / KILOBYTE / seconds;
+    let quantities: [(&str, fn(&Aggregated) -> f64); 3] = [
+        ("bytes/s", |m: &Aggregated| m.rate(m.bytes_in)),
+        ("cores", Aggregated::processor_share),
+        ("bytes of memory", |m: &Aggregated| m.usage.resident_peak as f64),
+    ];
+    let fits: String =
+        quantities.into_iter().filter_map(|(name, of)| fit_subset(name, measured, of)).collect();
+    let log = measured.last().map(|last| last.log.join("\n")).unwrap_or_default();
     let text = format!(
-        "# One governor behind aggregators\n\n{}\nSubset {}, budget {} bytes/s, {} aggregators. To the governor: \
-         {:.2} KB/s in all, of which reports {:.2} KB/s in {:.1} lines/s; from it {:.2} KB/s. Collectors tell all \
-         aggregators together {:.0} KB/s. Ready in {:.1} ms, measured for {seconds:.1} s, machine load {:.1}.\n\n\
-         ```\n{}\n```\n",
-        markdown(&columns),
-        measured.subsetting.subset,
-        measured.subsetting.bytes_per_second,
-        measured.subsetting.aggregators,
-        rate(measured.bytes_in),
-        rate(measured.reports),
-        measured.lines as f64 / seconds,
-        rate(measured.bytes_out),
-        rate(measured.told),
-        measured.time_to_ready.as_secs_f64() * 1e3,
-        measured.machine_load,
-        measured.log.join("\n")
+        "# One governor behind aggregators\n\n{}\n{fits}\nThe governor's log in the last play:\n\n```\n{log}\n```\n",
+        markdown(&columns)
     );
     folder.text("aggregated.md", &text)
 }
+
+/// A quantity by the size of the subset.
+fn fit_subset(name: &str, measured: &[Aggregated], of: fn(&Aggregated) -> f64) -> Option<String> {
+    let point = |m: &Aggregated| Point { regressors: vec![m.subsetting.subset as f64], measured: of(m) };
+    let fit = LinearFit::of(&measured.iter().map(point).collect::<Vec<_>>()).ok()?;
+    let residuals: Vec<_> = fit.residuals.iter().map(|residual| format!("{residual:.2e}")).collect();
+    Some(format!(
+        "- {name}: {:.4e} + {:.4e} x subset, R2 {:.4}, residuals {}\n",
+        fit.intercept,
+        fit.slopes[0],
+        fit.r_squared,
+        residuals.join(" ")
+    ))
+}
--- a/scale/src/one/sweep.rs
+++ b/scale/src/one/sweep.rs
@@ -23,13 +23,15 @@
     Case { sweep, setup: Setup::reported(size), churn: 0.0 }
 }
 
-/// The cases at rest: replicas by zones, then from the target's size each other dimension by itself.
+/// The cases at rest: the target's size and an eighth of it, replicas by zones, then from the target's size each other dimension by itself.
 pub fn steady_cases() -> Vec<Case> {
     let target = FleetSize::target();
     let sizes = ZONES.iter().flat_map(|zones| REPLICAS.iter().map(move |replicas| (*zones, *replicas)));
-    let mut cases: Vec<Case> = sizes
-        .map(|(zones, replicas)| case("size", FleetSize { replicas, zones, ..FleetSize::target() }))
-        .collect();
+    let mut cases = vec![case("target", target.clone())];
+    cases.push(case("target", FleetSize { replicas: REPLICAS[0], ..target.clone() }));
+    let sizes =
+        sizes.map(|(zones, replicas)| case("size", FleetSize { replicas, zones, ..FleetSize::target() }));
+    cases.extend(sizes);
     cases.extend(SLICES.map(|slices| case("slices", FleetSize { slices, ..target.clone() })));
     cases.extend(PROXIES.map(|proxies| case("proxies", FleetSize { proxies, ..target.clone() })));
     cases.extend(CHURN.map(|churn| Case { churn, ..case("churn", target.clone()) }));
