--- a/scale/src/one/report.rs
+++ b/scale/src/one/report.rs
@@ -294,17 +294,19 @@
         real("machine_load", |m| m.machine_load),
     ];
     folder.rows("aggregated", &columns)?;
-    let quantities: [(&str, fn(&Aggregated) -> f64); 3] = [
-        ("bytes/s", |m: &Aggregated| m.rate(m.bytes_in)),
-        ("cores", Aggregated::processor_share),
-        ("bytes of memory", |m: &Aggregated| m.usage.resident_peak as f64),
-    ];
-    let fits: String =
-        quantities.into_iter().filter_map(|(name, of)| fit_subset(name, measured, of)).collect();
+    let fits: Vec<String> = [
+        fit_subset("bytes/s", measured, |m| m.rate(m.bytes_in)),
+        fit_subset("cores", measured, Aggregated::processor_share),
+        fit_subset("bytes of memory", measured, |m| m.usage.resident_peak as f64),
+    ]
+    .into_iter()
+    .flatten()
+    .collect();
     let log = measured.last().map(|last| last.log.join("\n")).unwrap_or_default();
     let text = format!(
-        "# One governor behind aggregators\n\n{}\n{fits}\nThe governor's log in the last play:\n\n```\n{log}\n```\n",
-        markdown(&columns)
+        "# One governor behind aggregators\n\n{}\n{}\nThe governor's log in the last play:\n\n```\n{log}\n```\n",
+        markdown(&columns),
+        fits.concat()
     );
     folder.text("aggregated.md", &text)
 }
