--- a/scale/src/process.rs
+++ b/scale/src/process.rs
@@ -30,7 +30,7 @@
         source: std::io::Error,
     },
     /// The program is not there, or cargo could not build it.
-    #[error("{0} is not built: cargo build --release -p whinwall-governor")]
+    #[error("{0} is not there: build it with cargo build --release")]
     NotBuilt(PathBuf),
     /// It ended, or said nothing, before it served.
     #[error("the program did not serve within {START_TIMEOUT:?}; its log ends with {0:?}")]
@@ -48,28 +48,33 @@
     |source| ProcessError::Io { what, source }
 }
 
-/// The governor's program beside the running executable. Under cargo it is built first, so that it is never stale.
+/// The governor's program beside the running executable; under cargo it is built first.
 pub fn governor_program() -> Result<PathBuf, ProcessError> {
+    program(GOVERNOR, GOVERNOR)
+}
+
+/// A program of the workspace beside the running executable. Under cargo it is built first, so that it is never stale.
+pub fn program(package: &str, name: &str) -> Result<PathBuf, ProcessError> {
     let own = std::env::current_exe().map_err(io("own executable"))?;
     let folder = own.parent().unwrap_or(Path::new("."));
     // Executables of tests are one folder further down.
     let folder = if folder.ends_with("deps") { folder.parent().unwrap_or(folder) } else { folder };
-    let program = folder.join(GOVERNOR);
+    let program = folder.join(name);
     if let Some(cargo) = std::env::var_os("CARGO") {
-        build(cargo, folder)?;
+        build(cargo, package, name, folder)?;
     }
     program.is_file().then_some(program.clone()).ok_or(ProcessError::NotBuilt(program))
 }
 
-fn build(cargo: OsString, folder: &Path) -> Result<(), ProcessError> {
+fn build(cargo: OsString, package: &str, name: &str, folder: &Path) -> Result<(), ProcessError> {
     let mut command = Command::new(cargo);
-    command.args(["build", "--quiet", "--jobs", "3", "--package", GOVERNOR]);
+    command.args(["build", "--quiet", "--jobs", "3", "--package", package, "--bin", name]);
     if folder.ends_with("release") {
         command.arg("--release");
     }
     command.current_dir(env!("CARGO_MANIFEST_DIR"));
     let status = command.status().map_err(io("cargo build"))?;
-    status.success().then_some(()).ok_or_else(|| ProcessError::NotBuilt(folder.join(GOVERNOR)))
+    status.success().then_some(()).ok_or_else(|| ProcessError::NotBuilt(folder.join(name)))
 }
 
 /// What a process has used so far.
