scale: the tests' look for complaints in the governor's log finds them

It looked for WARN, which the log never says: a line that can't be used is logged as info, 'a report is passed over'. A test sends one and holds the look to it.

--- a/scale/tests/one.rs
+++ b/scale/tests/one.rs
@@ -1,6 +1,7 @@
 //! One real governor at small size: lines arrive and are counted as computed, figures fit, memory is bounded, a drain
 //! is acted on. Nothing here depends on how fast the machine is.
 
+use std::io::Write;
 use std::path::PathBuf;
 use std::sync::OnceLock;
 use std::time::Duration;
@@ -11,11 +12,15 @@
 use whinwall_scale::one::steady::{self, Case, Times};
 use whinwall_scale::process::{governor_program, Usage};
 use whinwall_scale::results::Folder;
-use whinwall_scale::stand_ins::collectors::flood;
-use whinwall_scale::stand_ins::fleet::{FleetSize, ReportShape};
+use whinwall_scale::stand_ins::collectors::{flood, join};
+use whinwall_scale::stand_ins::fleet::{Draw, FleetSize, ReportShape};
 
 /// What a small governor never needs, in a debug build with much room.
 const MEMORY_BOUND: u64 = 64 << 20;
+/// Far longer than anything takes: a test that waits so long has failed.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// What the governor logs of a report that can't be used.
+const PASSED_OVER: &str = "a report is passed over";
 const SHORT: Times = Times { warm_up: Duration::from_millis(100), measured: Duration::from_millis(500) };
 
 fn program() -> &'static PathBuf {
@@ -54,7 +59,7 @@
             .governor
             .logged()
             .into_iter()
-            .filter(|line| line.contains("WARN") || line.contains("ERROR"))
+            .filter(|line| [PASSED_OVER, " warn ", " error "].iter().any(|sign| line.contains(sign)))
             .collect();
         assert!(complaints.is_empty(), "{complaints:?}");
         let usage = rig.governor.usage().unwrap();
@@ -66,6 +71,17 @@
     assert!(fit.r_squared > 0.99 && (80.0..150.0).contains(&fit.slopes[0]), "{fit:?}");
 }
 
+/// The check for complaints in the test above would find a line that can't be used.
+#[test]
+fn a_spoilt_line_is_logged() {
+    let setup = setup(20, 1);
+    let rig = Rig::start(program(), &setup).unwrap();
+    let mut collector = join(rig.governor.address(), "z0", &rig.traffic).unwrap();
+    let spoilt = setup.reports.unwrap().lines(&setup.size, 0, &mut Draw::new(1)).remove(0);
+    writeln!(collector, "{}", spoilt.replace("\"bad\":0", "\"bad\":-1")).unwrap();
+    assert!(rig.governor.process.logs(PASSED_OVER, PATIENCE));
+}
+
 #[test]
 fn readers_beside_the_loop_take_the_same_lines() {
     let mut setup = setup(60, 3);
