--- a/scale/src/one/events.rs
+++ b/scale/src/one/events.rs
@@ -72,13 +72,7 @@
 /// A start: from the process's creation until the first order that sets a line, which needs list and news.
 pub fn start(program: &Path, setup: &Setup) -> Result<Outcome, MeasureError> {
     let rig = Rig::start(program, setup)?;
-    let (mut calls, mut first_order) = (Vec::new(), None);
-    while first_order.is_none() && rig.governor.started().elapsed() < LONGEST {
-        let Some(call) = rig.relay.next_call(Duration::from_millis(20)) else { continue };
-        let sets = call.orders.iter().any(|order| order.starts_with("SET,"));
-        first_order = sets.then(|| call.at - rig.governor.started());
-        calls.push(call);
-    }
+    let (first_order, orders) = rig.wait_for_first_order(LONGEST);
     let usage = rig.governor.usage()?;
     Ok(Outcome {
         name: format!("a start, ready after {:.1} ms", rig.time_to_ready.as_secs_f64() * 1e3),
@@ -88,7 +82,7 @@
         processor: usage.processor,
         lasted: rig.governor.started().elapsed(),
         resident_peak: usage.resident_peak,
-        orders: calls.iter().map(|call| call.orders.len()).sum(),
+        orders,
         machine_load: machine_load(),
     })
 }
@@ -190,6 +184,8 @@
 /// Floods the governor with lines and returns lines a second and processor time a line in seconds.
 pub fn flood(program: &Path, setup: &Setup, times: usize) -> Result<(f64, f64, Usage), MeasureError> {
     let rig = Rig::start(program, setup)?;
+    // Reports on what is not listed yet would be passed over.
+    rig.wait_for_first_order(LONGEST);
     let schedules = setup.schedules();
     // Once without being measured: names, windows and buffers are there then.
     crate::stand_ins::collectors::flood(rig.governor.address(), &schedules, 1, &rig.traffic)?;
--- a/scale/src/one/rig.rs
+++ b/scale/src/one/rig.rs
@@ -11,6 +11,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// How soon the end of a wait is noticed.
+const LOOK: Duration = Duration::from_millis(20);
+
 /// How a governor is set up and what it is told.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -74,6 +77,21 @@
         Ok(Rig { collectors: None, governor, relay, discovery, traffic, time_to_ready })
     }
 
+    /// Waits for the first order that sets a line of a table, which a governor makes once it knows the list and what
+    /// stands in the store. Returns the time since its start and the orders made so far; no time where none came.
+    pub fn wait_for_first_order(&self, longest: Duration) -> (Option<Duration>, usize) {
+        let started = self.governor.started();
+        let mut orders = 0;
+        while started.elapsed() < longest {
+            let Some(call) = self.relay.next_call(LOOK) else { continue };
+            orders += call.orders.len();
+            if call.orders.iter().any(|order| order.starts_with("SET,")) {
+                return (Some(call.at - started), orders);
+            }
+        }
+        (None, orders)
+    }
+
     /// Has the collectors of the setup begin.
     pub fn report(&mut self, setup: &Setup) -> Result<(), MeasureError> {
         let schedules = setup.schedules();
--- a/scale/tests/one.rs
+++ b/scale/tests/one.rs
@@ -39,6 +39,8 @@
     for (replicas, zones) in [(20, 1), (20, 3), (60, 1), (60, 3), (180, 3)] {
         let setup = setup(replicas, zones);
         let rig = Rig::start(program(), &setup).unwrap();
+        // Reports on what is not listed yet would be passed over.
+        assert!(rig.wait_for_first_order(PATIENCE).0.is_some());
         let schedules = setup.schedules();
         let before = rig.traffic.read().reports;
         let (lines, _) = flood(rig.governor.address(), &schedules, PERIODS, &rig.traffic).unwrap();
