--- a/scale/src/one/report.rs
+++ b/scale/src/one/report.rs
@@ -59,6 +59,7 @@
         real("harness_cores", Steady::harness_share),
         real("measured_s", |p| p.lasted.as_secs_f64()),
         real("machine_load", |p| p.machine_load),
+        real("decoding_us_a_line", |p| p.decoding.map_or(f64::NAN, |took| took.as_secs_f64() * 1e6)),
     ]
 }
 
--- a/scale/src/one/steady.rs
+++ b/scale/src/one/steady.rs
@@ -2,12 +2,14 @@
 
 use super::rig::{Rig, Setup};
 use super::MeasureError;
-use crate::process::Usage;
+use crate::process::{thread_time, Usage};
 use crate::stand_ins::discovery::Listed;
+use crate::stand_ins::fleet::{Draw, FleetSize, ReportShape};
 use crate::stand_ins::TrafficCount;
 use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
+use whinwall_governor::protocol::collector;
 
 /// A setup, and which sweep it is a point of.
 #[derive(Clone, Debug)]
@@ -50,6 +52,8 @@
     pub orders: usize,
     /// Average number of runnable processes on the machine in the last minute.
     pub machine_load: f64,
+    /// Processor time of decoding one report line, measured in the harness right after: how fast the machine was then.
+    pub decoding: Option<Duration>,
 }
 
 impl Steady {
@@ -91,6 +95,7 @@
         harness: harness_after.processor.saturating_sub(harness.processor),
         orders: rig.relay.calls().iter().map(|call| call.orders.len()).sum(),
         machine_load: machine_load(),
+        decoding: decoding_time(),
     })
 }
 
@@ -111,6 +116,17 @@
     thread::sleep(end.saturating_duration_since(Instant::now()));
 }
 
+/// Processor time of decoding one report line, on average over as many as the target's collectors tell in a second.
+fn decoding_time() -> Option<Duration> {
+    let size = FleetSize::target();
+    let lines = ReportShape::whole(&size).lines(&size, 0, &mut Draw::new(1));
+    let before = thread_time()?;
+    let decode_all = || lines.iter().filter(|line| collector::quick(line).is_some()).count();
+    let decoded: usize = (0..size.zones).map(|_| decode_all()).sum();
+    let took = thread_time()? - before;
+    Some(took / decoded.max(1) as u32)
+}
+
 /// The machine's load average over one minute, to be said beside each figure.
 pub fn machine_load() -> f64 {
     let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
--- a/scale/src/process.rs
+++ b/scale/src/process.rs
@@ -131,6 +131,12 @@
     (!total.is_zero()).then_some(total)
 }
 
+/// The time on a processor of the calling thread so far, where the kernel tells it in nanoseconds.
+pub fn thread_time() -> Option<Duration> {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").ok()?;
+    Some(Duration::from_nanos(text.split_whitespace().next()?.parse().ok()?))
+}
+
 /// Processor time in user and system mode, in ticks.
 fn ticks(id: u32) -> Result<Duration, ProcessError> {
     const USER: usize = 11;
