--- a/cli/src/calls.rs
+++ b/cli/src/calls.rs
@@ -1,5 +1,6 @@
 //! Makes calls at each governor, all at once, and says how each went.
 
+use crate::answers::Said;
 use crate::arguments::{Reach, SetCommand};
 use crate::repeats::Repeats;
 use crate::{tables, Went};
@@ -9,13 +10,10 @@
 use whinwall::chance::Chance;
 use whinwall::time::Span;
 use whinwall_governor::program::configuration::{self, Surroundings};
-use whinwall_management::client::{Client, Failure, Place};
+use whinwall_management::client::{Client, Failure};
 use whinwall_management::wire::{self, Outcome};
 use whinwall_overrides::record;
 
-/// What each governor said, in the order in which they were named.
-pub type Said<T> = Vec<(Place, Result<T, Failure>)>;
-
 fn seed() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     since.as_nanos() as u64 ^ u64::from(std::process::id()) << 32
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -1,7 +1,8 @@
 //! The parts of the `whinwall` command. `arguments` says what can be asked, `repeats` when a call is made again, `calls`
-//! makes it at each governor, `tables` shows what came back.
+//! makes it at each governor, `answers` holds what came back, `tables` shows it.
 #![forbid(unsafe_code)]
 
+pub mod answers;
 pub mod arguments;
 pub mod calls;
 pub mod repeats;
--- a/cli/src/tables.rs
+++ b/cli/src/tables.rs
@@ -1,6 +1,6 @@
 //! What governors said, as tables for people and JSON for scripts.
 
-use crate::calls::Said;
+use crate::answers::Said;
 use std::collections::BTreeMap;
 use whinwall::time::Span;
 use whinwall_management::client::Place;
--- a/cli/tests/tables.rs
+++ b/cli/tests/tables.rs
@@ -1,6 +1,6 @@
 //! What several governors said, side by side.
 
-use whinwall_cli::calls::Said;
+use whinwall_cli::answers::Said;
 use whinwall_cli::tables::*;
 use whinwall_management::client::Failure;
 use whinwall_management::wire::{Item, KindName, List};
--- /dev/null
+++ b/fleet/src/day/real_time.rs
@@ -0,0 +1,92 @@
+//! A day played in real time against governors that are programs of their own.
+
+use super::{Day, Outcome};
+use whinwall::time::Moment;
+use whinwall_governor::protocol::collector::{Asked, Message, Met};
+use whinwall_governor::protocol::relay::Answer;
+use whinwall_governor::routing::Event;
+use whinwall_governor::transport::Broken;
+
+/// Where a governor is a program of its own: what is said to it goes out as lines, on whatever ways there
+/// are.
+pub trait Wire {
+    fn news(&mut self, line: &str);
+    fn cut_news(&mut self);
+    fn list(&mut self, line: &str);
+    fn cut_list(&mut self);
+    fn report(&mut self, place: usize, line: &str);
+    /// To the call that is open; none where it gets no answer.
+    fn answer(&mut self, line: Option<&str>);
+}
+
+/// What such a program has said.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Heard {
+    /// It asks for the news, or for the list.
+    Watch,
+    List,
+    Call(String),
+}
+
+/// An event in the words of the protocol.
+pub(super) fn say(wire: &mut dyn Wire, event: Event) {
+    match event {
+        Event::Message { from, message: Message::Met(met) } => {
+            let Met { place, server, tries, aborted, mean_latency_ms, covers_ms } = met;
+            let line = serde_json::json!({"@type": "LOAD", "az": place, "host": server, "n": tries, "bad": aborted,
+                "avg": mean_latency_ms, "window": covers_ms});
+            wire.report(from as usize, &line.to_string());
+        }
+        Event::Message { from, message: Message::Asked(asked) } => {
+            let Asked { slice, op_type, came, aborted, covers_ms } = asked;
+            let line = serde_json::json!({"@type": "SHARD", "partition": slice, "kind": op_type, "n": came,
+                "bad": aborted, "window": covers_ms});
+            wire.report(from as usize, &line.to_string());
+        }
+        Event::Answer(Ok(Answer::Taken(many))) => wire.answer(Some(&format!("OK {many}"))),
+        Event::Answer(Ok(Answer::NotNow(why) | Answer::Unusable(why))) => {
+            wire.answer(Some(&format!("ERR {why}")))
+        }
+        Event::Answer(Err(_)) => wire.answer(None),
+        Event::NewsLost(_) => wire.cut_news(),
+        Event::ListLost(_) => wire.cut_list(),
+        _ => {}
+    }
+}
+
+impl Day {
+    pub fn seat(&mut self, at: usize, wire: Box<dyn Wire>) {
+        self.governors[at].wire = Some(wire);
+    }
+
+    pub fn begins_now(&mut self) -> Moment {
+        self.begin()
+    }
+
+    /// What is due by now is done; when the next is.
+    pub fn catch_up(&mut self, now: Moment) -> Option<Moment> {
+        while self.due().is_some_and(|at| at <= now) {
+            self.now = self.due().unwrap_or(now);
+            self.go_on();
+        }
+        self.now = now;
+        self.due()
+    }
+
+    pub fn heard(&mut self, at: usize, heard: Heard) {
+        match heard {
+            Heard::Watch => self.follow_news(at),
+            Heard::List if self.discovery_away => self.tell(at, Event::ListLost(Broken::Silent)),
+            Heard::List => {
+                let text = self.list_text();
+                self.governors[at].wire.iter_mut().for_each(|wire| wire.list(&text));
+            }
+            Heard::Call(line) => self.call(at, &line),
+        }
+    }
+
+    pub fn is_over(mut self) -> Outcome {
+        self.end();
+        self.outcome
+    }
+}
