--- a/cli/src/tables.rs
+++ b/cli/src/tables.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use whinwall::time::Span;
 use whinwall_management::client::Place;
-use whinwall_management::wire::{Item, KindName, List, Outcome, State};
+use whinwall_management::wire::{Item, KindName, List, Outcome, Reports, State, Subsetting};
 use whinwall_overrides::words;
 
 /// One override at all governors that answered; none where one lacks it.
@@ -152,8 +152,10 @@
     let failing =
         if failing.is_empty() { "nothing fails".into() } else { format!("failing: {}", failing.join(", ")) };
     let open = if state.orders_open { "; orders are open" } else { "" };
+    let subsetting = state.subsetting.as_ref().map(subsetting).unwrap_or_default();
+    let reports = state.reports.as_ref().map(reports).unwrap_or_default();
     format!(
-        "{} {}, up {}; {} proxies, {} slices, {} servers; {} overrides stand, {} listed; {failing}{open}",
+        "{} {}, up {}; {} proxies, {} slices, {} servers; {} overrides stand, {} listed; {failing}{open}{subsetting}{reports}",
         state.name,
         state.version,
         words::write_span(Span::ms(1000).times(state.up_s)),
@@ -164,3 +166,25 @@
         state.overrides_listed,
     )
 }
+
+fn subsetting(subsetting: &Subsetting) -> String {
+    let Subsetting { governors, aggregators, subset, own_replicas, listed_replicas, budget_bytes_per_s } =
+        subsetting;
+    format!(
+        "; steers {own_replicas} of {listed_replicas} replicas ({subset} wished) among {governors} governors; \
+         {aggregators} aggregators may tell it {budget_bytes_per_s} bytes a second"
+    )
+}
+
+fn reports(reports: &Reports) -> String {
+    let age = match reports.age_s {
+        Some(age) => format!("the latest report {age:.1} s old"),
+        None => "no report yet".into(),
+    };
+    let stale = if reports.stale { ", STALE: no replica is judged" } else { "" };
+    let partial = match reports.partial_replicas {
+        0 => String::new(),
+        some => format!(", {some} replicas reported in part"),
+    };
+    format!("; told {:.0} bytes a second, {age}{stale}{partial}", reports.bytes_per_s)
+}
--- a/cli/tests/command.rs
+++ b/cli/tests/command.rs
@@ -66,6 +66,8 @@
                         orders_open: true,
                         standing: clerk.book().standing().count(),
                         listed: clerk.book().listed().count(),
+                        subsetting: None,
+                        reports: None,
                     }),
                 };
                 let kept_back =
--- a/cli/tests/tables.rs
+++ b/cli/tests/tables.rs
@@ -3,7 +3,7 @@
 use whinwall_cli::calls::Said;
 use whinwall_cli::tables::*;
 use whinwall_management::client::Failure;
-use whinwall_management::wire::{Item, KindName, List};
+use whinwall_management::wire::{Item, KindName, List, Reports, State, Subsetting};
 
 fn item(id: &str, state: &str, left_s: f64) -> Item {
     Item {
@@ -58,3 +58,44 @@
     assert_eq!((rows(&both, false).len(), rows(&both, true).len()), (1, 2));
     assert!(rows(&both, true).iter().all(Row::agrees));
 }
+
+fn state() -> State {
+    State {
+        name: "n1".into(),
+        version: "0.1.0".into(),
+        up_s: 65.0,
+        proxies: 3,
+        slices: 6,
+        servers: 2200,
+        orders_open: false,
+        failing: vec![],
+        overrides_standing: 0,
+        overrides_listed: 0,
+        subsetting: None,
+        reports: None,
+    }
+}
+
+#[test]
+fn status_names_members_subset_and_reports_where_there_are_subsets() {
+    let plain = status(&state());
+    assert!(plain.ends_with("0 overrides stand, 0 listed; nothing fails"), "{plain}");
+    let subsetting = Subsetting {
+        governors: 650,
+        aggregators: 4,
+        subset: 48,
+        own_replicas: 51,
+        listed_replicas: 2200,
+        budget_bytes_per_s: 27_000,
+    };
+    let reports = Reports { bytes_per_s: 21_300.4, age_s: Some(0.84), stale: false, partial_replicas: 0 };
+    let with = State { subsetting: Some(subsetting), reports: Some(reports.clone()), ..state() };
+    let expected = "; steers 51 of 2200 replicas (48 wished) among 650 governors; \
+                    4 aggregators may tell it 27000 bytes a second; told 21300 bytes a second, \
+                    the latest report 0.8 s old";
+    assert_eq!(status(&with), format!("{plain}{expected}"));
+    let late = Reports { age_s: None, stale: true, partial_replicas: 7, ..reports };
+    let text = status(&State { reports: Some(late), ..with });
+    let expected = "no report yet, STALE: no replica is judged, 7 replicas reported in part";
+    assert!(text.ends_with(expected), "{text}");
+}
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -426,6 +426,8 @@
                     orders_open: !self.outbox.is_clear(),
                     standing: book.map_or(0, |book| book.standing().count()),
                     listed: book.map_or(0, |book| book.listed().count()),
+                    subsetting: None,
+                    reports: None,
                 })
             }
         };
--- a/management/src/ask.rs
+++ b/management/src/ask.rs
@@ -32,6 +32,40 @@
     pub orders_open: bool,
     pub standing: usize,
     pub listed: usize,
+    /// Where each governor steers a subset of the replicas.
+    pub subsetting: Option<SubsettingStatus>,
+    /// What aggregators tell; none where governors are told by collectors.
+    pub reports: Option<ReportFreshness>,
+}
+
+/// The fleet and this governor's part of the replicas.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SubsettingStatus {
+    /// Governors of the fleet, this one included.
+    pub governors: usize,
+    /// Aggregators of the fleet.
+    pub aggregators: usize,
+    /// The wished replicas a governor.
+    pub subset_size: usize,
+    /// The replicas that this governor steers now.
+    pub own_replicas: usize,
+    /// The replicas that the registry lists now.
+    pub listed_replicas: usize,
+    /// What this governor may be told, in bytes a second.
+    pub bytes_per_second: u64,
+}
+
+/// How fresh and how complete the reports are that this governor goes by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReportFreshness {
+    /// What it is told now.
+    pub bytes_per_second: f64,
+    /// The time since the latest report; none where there was none.
+    pub age: Option<Span>,
+    /// Reports are too old to judge replicas by.
+    pub stale: bool,
+    /// Replicas whose reports lack a zone or a span of time.
+    pub partial_replicas: usize,
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/management/src/wire.rs
+++ b/management/src/wire.rs
@@ -1,6 +1,6 @@
 //! Requests and replies as JSON. Unknown keys are refused: a slip of the pen must not pass for a default.
 
-use crate::ask::{Reply, Request, Shown, Status};
+use crate::ask::{Reply, ReportFreshness, Request, Shown, Status, SubsettingStatus};
 use serde::{Deserialize, Serialize};
 use whinwall::interface::Heeded;
 use whinwall::time::{Moment, Span};
@@ -83,6 +83,43 @@
     pub failing: Vec<Failing>,
     pub overrides_standing: usize,
     pub overrides_listed: usize,
+    /// Where each governor steers a subset of the replicas.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub subsetting: Option<Subsetting>,
+    /// What aggregators tell; none where governors are told by collectors.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub reports: Option<Reports>,
+}
+
+/// The fleet and the governor's part of the replicas.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Subsetting {
+    /// Governors of the fleet, the one that answers included.
+    pub governors: usize,
+    /// Aggregators of the fleet.
+    pub aggregators: usize,
+    /// The wished replicas a governor.
+    pub subset: usize,
+    /// The replicas that the governor steers now.
+    pub own_replicas: usize,
+    /// The replicas that the registry lists now.
+    pub listed_replicas: usize,
+    /// What the governor may be told, in bytes a second.
+    pub budget_bytes_per_s: u64,
+}
+
+/// How fresh and how complete the reports are that the governor goes by.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Reports {
+    /// What the governor is told now.
+    pub bytes_per_s: f64,
+    /// The time since the latest report; none where there was none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub age_s: Option<f64>,
+    /// Reports are too old to judge replicas by.
+    pub stale: bool,
+    /// Replicas whose reports lack a zone or a span of time.
+    pub partial_replicas: usize,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -242,6 +279,32 @@
             failing: status.failing.iter().map(failing).collect(),
             overrides_standing: status.standing,
             overrides_listed: status.listed,
+            subsetting: status.subsetting.as_ref().map(Subsetting::of),
+            reports: status.reports.as_ref().map(Reports::of),
+        }
+    }
+}
+
+impl Subsetting {
+    fn of(status: &SubsettingStatus) -> Self {
+        Subsetting {
+            governors: status.governors,
+            aggregators: status.aggregators,
+            subset: status.subset_size,
+            own_replicas: status.own_replicas,
+            listed_replicas: status.listed_replicas,
+            budget_bytes_per_s: status.bytes_per_second,
+        }
+    }
+}
+
+impl Reports {
+    fn of(freshness: &ReportFreshness) -> Self {
+        Reports {
+            bytes_per_s: freshness.bytes_per_second,
+            age_s: freshness.age.map(Span::seconds),
+            stale: freshness.stale,
+            partial_replicas: freshness.partial_replicas,
         }
     }
 }
--- a/management/tests/front.rs
+++ b/management/tests/front.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc;
 use whinwall::interface::Heeded;
 use whinwall::time::{Moment, Span};
-use whinwall_management::ask::{Reply, Request, Shown, Status};
+use whinwall_management::ask::{Reply, ReportFreshness, Request, Shown, Status, SubsettingStatus};
 use whinwall_management::client::{Client, Failure, Place};
 use whinwall_management::server::{self, Asked, Doors, Serving};
 use whinwall_management::wire::{KindName, Set};
@@ -72,6 +72,20 @@
                     orders_open: false,
                     standing: 1,
                     listed: 2,
+                    subsetting: Some(SubsettingStatus {
+                        governors: 650,
+                        aggregators: 4,
+                        subset_size: 48,
+                        own_replicas: 51,
+                        listed_replicas: 2200,
+                        bytes_per_second: 27_000,
+                    }),
+                    reports: Some(ReportFreshness {
+                        bytes_per_second: 21_300.5,
+                        age: Some(Span::ms(800)),
+                        stale: false,
+                        partial_replicas: 7,
+                    }),
                 }),
             });
         }
@@ -129,6 +143,13 @@
             assert_eq!((list[0].slices.as_deref(), list[0].kind), (Some("4-9"), KindName::Pin));
             let status = client.status().await.unwrap();
             assert_eq!((status.name.as_str(), status.up_s, status.failing[0].times), ("n0", 5.0, 4));
+            let subsetting = status.subsetting.unwrap();
+            assert_eq!((subsetting.governors, subsetting.aggregators, subsetting.subset), (650, 4, 48));
+            assert_eq!((subsetting.own_replicas, subsetting.listed_replicas), (51, 2200));
+            assert_eq!(subsetting.budget_bytes_per_s, 27_000);
+            let reports = status.reports.unwrap();
+            assert_eq!((reports.bytes_per_s, reports.age_s), (21_300.5, Some(0.8)));
+            assert_eq!((reports.stale, reports.partial_replicas), (false, 7));
             assert!(matches!(client.set("full", &set()).await, Err(Failure::NotNow(_))));
             assert!(matches!(client.set("taken", &set()).await, Err(Failure::Refused { code: 409, .. })));
             assert!(matches!(client.clear("gone", "mb").await, Err(Failure::Refused { code: 404, .. })));
--- a/operators/src/file.rs
+++ b/operators/src/file.rs
@@ -1,5 +1,6 @@
 //! What operators say in their file. Each part is off where it is not named.
 
+use crate::subsetting::{self, SubsettingConfig};
 use crate::tree::{self, Element, Wrong};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -25,6 +26,8 @@
     pub cores: Option<usize>,
     pub bounds: Bounds,
     pub overrides: Vec<FileOrder>,
+    /// Each governor steers a subset of the replicas, and is told of these by aggregators.
+    pub subsetting: Option<SubsettingConfig>,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -48,13 +51,14 @@
     if root.name != "operators" {
         return Err(root.wrong("the outermost element must be <operators>"));
     }
-    root.has_only(&["version"], &["log", "store", "management", "cores", "overrides"])?;
+    root.has_only(&["version"], &["log", "store", "management", "cores", "overrides", "subsetting"])?;
     root.must("version", |version| {
         (version == VERSION).then_some(()).ok_or(format!("{version:?} is not {VERSION:?}"))
     })?;
     let (log, store) = (root.child("log")?, root.child("store")?);
     let management = root.child("management")?.map(doors).transpose()?;
     let cores = root.child("cores")?.map(cores).transpose()?;
+    let subsetting = root.child("subsetting")?.map(subsetting::subsetting).transpose()?;
     let (bounds, overrides) = root.child("overrides")?.map(overrides).transpose()?.unwrap_or_default();
     Ok(OperatorsFile {
         log: log.map(log_form).transpose()?.unwrap_or_default(),
@@ -63,6 +67,7 @@
         cores,
         bounds,
         overrides,
+        subsetting,
     })
 }
 
--- a/operators/tests/file.rs
+++ b/operators/tests/file.rs
@@ -68,6 +68,12 @@
     whole(&format!("<overrides longest=\"12h\">{overrides}</overrides>"))
 }
 
+fn subsetting(attributes: &str, more: &str) -> String {
+    let members =
+        r#"<governor name="n1" address="127.0.0.1:8443"/><aggregator name="m1" address="127.0.0.1:7001"/>"#;
+    whole(&format!("<subsetting {attributes}>{members}{more}</subsetting>"))
+}
+
 #[test]
 fn schema_and_reader_agree() {
     let schema = Schema(tree::read(SCHEMA).unwrap());
@@ -87,6 +93,14 @@
             r#"<weight id="a" factor="0.5" server="s" author="m" reason="r" until="2026-12-01T22:00:00Z"/>"#,
         ),
     ];
+    let good = good.into_iter().chain([
+        subsetting(r#"subset="48" bytes-per-second="27000""#, ""),
+        subsetting(r#"subset="100000" bytes-per-second="512""#, r#"<governor name="n2" slices="0-19,40"/>"#),
+        subsetting(
+            r#"subset="1" bytes-per-second="1000000000""#,
+            r#"<aggregator name="m:2" address="[::1]:7"/>"#,
+        ),
+    ]);
     for text in good {
         assert!(schema.allows(&text), "the schema refuses {text}");
         file::read(&text).unwrap_or_else(|wrong| panic!("{wrong} in {text}"));
@@ -118,6 +132,22 @@
             r#"<weight id="a" factor="much" server="s" author="m" reason="r" until="2026-12-01T22:00:00Z"/>"#,
         ),
     ];
+    let bad = bad.into_iter().chain([
+        subsetting(r#"subset="0" bytes-per-second="27000""#, ""),
+        subsetting(r#"subset="100001" bytes-per-second="27000""#, ""),
+        subsetting(r#"subset="48" bytes-per-second="511""#, ""),
+        subsetting(r#"subset="48" bytes-per-second="1000000001""#, ""),
+        subsetting(r#"subset="48""#, ""),
+        subsetting(r#"subset="48" bytes-per-second="27000" zone="a""#, ""),
+        subsetting(r#"subset="48" bytes-per-second="27000""#, r#"<governor name="n 2"/>"#),
+        subsetting(r#"subset="48" bytes-per-second="27000""#, r#"<governor name="n2" slices="0-"/>"#),
+        subsetting(
+            r#"subset="48" bytes-per-second="27000""#,
+            r#"<governor name="n2" address="127.0.0.1:0"/>"#,
+        ),
+        subsetting(r#"subset="48" bytes-per-second="27000""#, r#"<aggregator name="m2"/>"#),
+        subsetting(r#"subset="48" bytes-per-second="27000""#, r#"<proxy name="p2"/>"#),
+    ]);
     for text in bad {
         assert!(!schema.allows(&text), "the schema takes {text}");
         assert!(file::read(&text).is_err(), "the reader takes {text}");
