Governors with a subset tell their decisions who steers each replica

Change: governor/src/routing/subset.rs (typed, pure) and reducer/subsets.rs: the assignment over the registry as known, computed at once where many replicas are new and else once a second at most; another fleet at SIGHUP; own name absent refuses the file. Without <subsetting> all is as before: Everyone.

--- a/governor/src/program/configuration.rs
+++ b/governor/src/program/configuration.rs
@@ -1,6 +1,7 @@
 //! The one place where configuration is read, checked and given defaults. A message names the faulty key.
 
 use crate::protocol::discovery::List;
+use crate::routing::subset::Fleet;
 use crate::transport::{limits, Targets};
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
@@ -67,6 +68,8 @@
     pub settings: Settings,
     /// What the operators' file says, where there is one.
     pub operators: Option<OperatorsFile>,
+    /// The fleet that the operators' file names, where each governor steers a subset of the replicas.
+    pub fleet: Option<Fleet>,
     /// Threads for the way of reports: one, or one that decides and readers beside it.
     pub cores: usize,
     /// Where all this is from, for reading it anew.
@@ -156,8 +159,8 @@
         if new.cores != self.cores {
             left.push("operators' file: <cores>");
         }
-        (self.targets, self.around, self.file, self.operators) =
-            (new.targets, new.around, new.file, new.operators);
+        (self.targets, self.around, self.file, self.operators, self.fleet) =
+            (new.targets, new.around, new.file, new.operators, new.fleet);
         Ok(left)
     }
 }
@@ -190,6 +193,13 @@
     })
 }
 
+/// The fleet that the operators' file names; this governor is one of it.
+fn fleet(operators: Option<&OperatorsFile>, name: &str) -> Result<Option<Fleet>, String> {
+    let subsetting = operators.and_then(|file| file.subsetting.as_ref());
+    let fleet = subsetting.map(|subsetting| Fleet::new(subsetting, name)).transpose();
+    fleet.map_err(|why| format!("operators' file: {why}"))
+}
+
 fn check(around: Surroundings, written: Value) -> Result<Start, String> {
     let file: File = serde_path_to_error::deserialize(&written).map_err(|wrong| match wrong.path() {
         path if path.iter().next().is_none() => wrong.inner().to_string(),
@@ -215,8 +225,10 @@
     if connections == 0 {
         return Err(format!("limits.sockets: {} are too few", file.limits.sockets));
     }
+    let name = either(&around.name, file.name, "name")?;
+    let fleet = fleet(operators.as_ref(), &name)?;
     Ok(Start {
-        name: either(&around.name, file.name, "name")?,
+        name,
         listen: address(either(&around.listen, file.listen, "listen")?, "listen")?,
         targets: Targets {
             discovery: address(either(&around.discovery, file.discovery, "discovery")?, "discovery")?,
@@ -228,6 +240,7 @@
         known: known(file.known),
         settings: file.settings,
         operators,
+        fleet,
         cores,
         around,
         file: written,
--- a/governor/src/program/event_loop.rs
+++ b/governor/src/program/event_loop.rs
@@ -145,6 +145,7 @@
     };
     let mut turn = Loop::new(start, clock, inbox, (calls, relay), fronts, pool);
     turn.apply(Event::Started);
+    turn.apply(Event::SubsettingConfigured(start.fleet.clone()));
     turn.want(start);
     turn.fronts.read_store();
     loop {
@@ -337,6 +338,7 @@
         }
         self.relay.send_replace(Some(targets.relay));
         self.apply(Event::Configured(targets));
+        self.apply(Event::SubsettingConfigured(start.fleet.clone()));
         if let Err(wrong) = self.fronts.follow(&start.name, start.operators.as_ref()) {
             tracing::error!("{wrong}");
         }
--- a/governor/src/routing/mod.rs
+++ b/governor/src/routing/mod.rs
@@ -6,5 +6,6 @@
 pub mod overrides;
 mod reducer;
 mod snapshot;
+pub mod subset;
 
 pub use reducer::{Effect, Event, Reducer};
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -1,11 +1,14 @@
 //! `apply` takes one event after another, feeds the decisions with it, and asks for effects. Orders are made
 //! only once all that had arrived is in, and only while no call is open: then they rest on the newest view.
 
+mod subsets;
+
 use super::known::{self, span, Known};
 use super::names::Names;
 use super::outbox::Outbox;
 use super::overrides::{Overrides, Wanted};
 use super::snapshot::{Snapshot, Table};
+use super::subset::{Fleet, Subsets};
 use crate::protocol::collector::{self, Message};
 use crate::protocol::discovery::{Entry, List};
 use crate::protocol::relay::{Answer, News, Order};
@@ -32,6 +35,8 @@
     Started,
     /// The configuration was read anew.
     Configured(Targets),
+    /// The operators' file names the fleet in which each governor steers a subset of the replicas, or none.
+    SubsettingConfigured(Option<Fleet>),
     Message {
         from: ConnectionId,
         message: Message,
@@ -133,6 +138,8 @@
     List,
     /// The list has told no change for a while.
     Renewal,
+    /// Subsets are computed for the registry as it is by then.
+    Subsets,
 }
 
 /// Where all we know comes from; of each the first failure is noted, and its end.
@@ -186,6 +193,8 @@
     agenda: BTreeSet<(Moment, Due)>,
     /// There where the operators' file is.
     overrides: Option<Overrides>,
+    /// There where the operators' file names a fleet.
+    subsets: Option<Subsets>,
     started: Moment,
     effects: Vec<Effect>,
 }
@@ -212,6 +221,7 @@
             failures: BTreeMap::new(),
             agenda: BTreeSet::new(),
             overrides: None,
+            subsets: None,
             started: now,
             effects: Vec::new(),
         };
@@ -229,6 +239,7 @@
                 }
             }
             Event::Configured(targets) => self.configured(now, targets),
+            Event::SubsettingConfigured(fleet) => self.subsetting_configured(now, fleet),
             Event::Message { from, message } => self.message(now, from, message),
             Event::Wrong { from, wrong } => match wrong {
                 Wrong::Spoilt(why) => self.pass_over(from, why),
@@ -365,6 +376,7 @@
             (self.list_version, self.behind_since) = (list.version, None);
         }
         self.governor.listed(now, scope, &listings);
+        self.subsets_due(now, list);
         if !list.entries.is_empty() {
             self.skipped.clear();
         }
@@ -426,7 +438,7 @@
                     orders_open: !self.outbox.is_clear(),
                     standing: book.map_or(0, |book| book.standing().count()),
                     listed: book.map_or(0, |book| book.listed().count()),
-                    subsetting: None,
+                    subsetting: self.subsets.as_ref().map(Subsets::status),
                     reports: None,
                 })
             }
@@ -474,7 +486,7 @@
             size: entry.size,
             started: (entry.started_ms > 0).then(|| Moment::default() + Span::ms(entry.started_ms)),
             lot: known::lot(&entry.server),
-            share: Share::Everyone,
+            share: self.share(&entry.server),
         };
         list.entries.iter().map(listing).collect()
     }
@@ -705,6 +717,7 @@
                 Due::News => self.follow_news(),
                 Due::List => self.follow_list(now),
                 Due::Renewal => self.renew_list(now),
+                Due::Subsets => self.compute_subsets(now),
             }
         }
         if self.overrides.as_ref().and_then(Overrides::due).is_some_and(|at| at <= now) {
--- /dev/null
+++ b/governor/src/routing/reducer/subsets.rs
@@ -0,0 +1,100 @@
+//! The reducer's part of subsetting: the decisions are told which governors steer each replica.
+
+use super::{Due, Reducer};
+use crate::protocol::discovery::{List, State};
+use crate::routing::names::Names;
+use crate::routing::subset::{Fleet, Subsets};
+use std::collections::BTreeMap;
+use whinwall::interface::{ServerId, Share};
+use whinwall::logic::Governor;
+use whinwall::time::Moment;
+use whinwall_subsetting::Replica;
+
+/// Replicas of zones that the settings do not name are in one zone together.
+const UNNAMED_ZONE: &str = "";
+
+impl Reducer {
+    /// Which governors steer each replica, as the decisions were told last.
+    pub fn shares(&self) -> BTreeMap<&str, Share> {
+        let numbers = self.names.numbers().iter();
+        numbers.filter_map(|(name, server)| Some((name.as_str(), self.governor.share(*server)?))).collect()
+    }
+
+    /// The operators' file names a fleet, another fleet, or none any more.
+    pub(super) fn subsetting_configured(&mut self, now: Moment, fleet: Option<Fleet>) {
+        let changed = match (&mut self.subsets, fleet) {
+            (None, None) => false,
+            (Some(_), None) => {
+                self.subsets = None;
+                self.note("subsetting is off: this governor steers all replicas".into());
+                true
+            }
+            (Some(subsets), Some(fleet)) => subsets.reconfigure(fleet),
+            (None, Some(fleet)) => {
+                self.subsets = Some(Subsets::new(fleet));
+                true
+            }
+        };
+        if changed {
+            self.compute_subsets(now);
+            self.tell_shares(now);
+            self.note_subset();
+        }
+    }
+
+    /// The registry may have changed.
+    pub(super) fn subsets_due(&mut self, now: Moment, list: &List) {
+        let Some(subsets) = &self.subsets else { return };
+        let there = list.entries.iter().filter(|entry| entry.state != State::Gone);
+        let due = subsets.due(now, there.map(|entry| entry.server.as_str()));
+        let pending = self.agenda.iter().find(|(_, pending)| *pending == Due::Subsets).map(|(at, _)| *at);
+        self.agenda.retain(|(_, pending)| *pending != Due::Subsets);
+        self.agenda.insert((pending.map_or(due, |at| at.min(due)), Due::Subsets));
+    }
+
+    /// Computes the subsets of the registry as it is known, and tells the decisions what changed.
+    pub(super) fn compute_subsets(&mut self, now: Moment) {
+        let Some(subsets) = &mut self.subsets else { return };
+        if subsets.compute(now, &registry(&self.names, &self.governor, &self.settings.zones)) {
+            self.tell_shares(now);
+        }
+    }
+
+    /// Which governors steer a replica.
+    pub(super) fn share(&self, replica: &str) -> Share {
+        self.subsets.as_ref().map_or(Share::Everyone, |subsets| subsets.share(replica))
+    }
+
+    fn tell_shares(&mut self, now: Moment) {
+        let changed = |(name, server): (&String, &ServerId)| {
+            let (known, share) = (self.governor.share(*server)?, self.share(name));
+            (known != share).then_some((*server, share))
+        };
+        let changed: Vec<_> = self.names.numbers().iter().filter_map(changed).collect();
+        if !changed.is_empty() {
+            self.governor.shares_changed(now, &changed);
+        }
+    }
+
+    fn note_subset(&mut self) {
+        let Some(status) = self.subsets.as_ref().map(Subsets::status) else { return };
+        self.note(format!(
+            "subsetting: one of {} governors, {} of {} replicas are steered here, {} wished",
+            status.governors, status.own_replicas, status.listed_replicas, status.subset_size
+        ));
+    }
+}
+
+/// The replicas that are listed and not gone.
+fn registry<'a>(names: &'a Names, governor: &'a Governor, zones: &'a [String]) -> Vec<Replica<'a>> {
+    let replica = |(name, server): (&'a String, &ServerId)| {
+        let listed = governor.listed_server(*server)?;
+        Some(Replica {
+            id: name,
+            zone: zones.get(listed.place).map_or(UNNAMED_ZONE, String::as_str),
+            group: &listed.machine,
+            weight: listed.size,
+        })
+    };
+    names.numbers().iter().filter_map(replica).collect()
+}
--- /dev/null
+++ b/governor/src/routing/subset.rs
@@ -0,0 +1,147 @@
+//! Which replicas this governor steers, where each governor of the fleet steers a subset of them. Computed from the
+//! fleet's names and the registry alone, so that all governors that know the same compute the same.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use whinwall::interface::Share;
+use whinwall::time::{Moment, Span};
+use whinwall_management::ask::SubsettingStatus;
+use whinwall_operators::{SubsettingConfig, UnknownMember};
+use whinwall_subsetting::{Assignment, Membership, MembershipError, Parameters, Planner, Position, Replica};
+
+/// Changes of the registry are taken together for so long after a computation, which takes some 10 ms at 650
+/// governors and 2,200 replicas: a zone that comes back one replica at a time costs 1% of a core meanwhile.
+const COMPUTE_EACH: Span = Span::ms(1000);
+
+/// One in so many of the replicas that are known: more new ones than that at once don't wait.
+const MANY_PART: usize = 16;
+
+/// The fleet that the operators' file names, as one of its governors sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fleet {
+    own_name: String,
+    membership: Membership,
+    parameters: Parameters,
+    aggregators: usize,
+    bytes_per_second: u64,
+}
+
+/// Why a configuration is none of this governor's fleet.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FleetError {
+    /// The governor itself is not named.
+    #[error(transparent)]
+    Unknown(#[from] UnknownMember),
+    /// The names make no fleet.
+    #[error("<subsetting>: {0}")]
+    Membership(#[from] MembershipError),
+}
+
+impl Fleet {
+    /// The fleet of this configuration, in which the governor's own name must be.
+    pub fn new(config: &SubsettingConfig, own_name: &str) -> Result<Self, FleetError> {
+        config.governor(own_name)?;
+        Ok(Fleet {
+            own_name: own_name.to_string(),
+            membership: config.membership()?,
+            parameters: config.parameters(),
+            aggregators: config.aggregators.len(),
+            bytes_per_second: config.bytes_per_second,
+        })
+    }
+
+    /// What all governors must agree on for computing the same.
+    fn plan(&self) -> (&Membership, Parameters) {
+        (&self.membership, self.parameters)
+    }
+}
+
+/// The latest assignment, and what the next one needs.
+#[derive(Debug)]
+pub struct Subsets {
+    fleet: Fleet,
+    planner: Planner,
+    assignment: Assignment,
+    /// Of the registry that it was computed from; none where it has to be computed anew in any case.
+    fingerprint: Option<u64>,
+    computed: Option<Moment>,
+    own_replicas: usize,
+    listed_replicas: usize,
+}
+
+impl Subsets {
+    /// Nothing is assigned before the first computation.
+    pub fn new(fleet: Fleet) -> Self {
+        let mut planner = Planner::new(fleet.membership.clone(), fleet.parameters);
+        let assignment = planner.assign(&[]);
+        Subsets {
+            fleet,
+            planner,
+            assignment,
+            fingerprint: None,
+            computed: None,
+            own_replicas: 0,
+            listed_replicas: 0,
+        }
+    }
+
+    /// Takes over a new configuration; what was assigned stands until the next computation. True where the
+    /// members or the size of subsets changed.
+    pub fn reconfigure(&mut self, fleet: Fleet) -> bool {
+        let changed = self.fleet.plan() != fleet.plan();
+        if changed {
+            self.planner = Planner::new(fleet.membership.clone(), fleet.parameters);
+            self.fingerprint = None;
+        }
+        self.fleet = fleet;
+        changed
+    }
+
+    /// When a change of the registry that names these replicas as there is to be computed: at once where it brings
+    /// many, as at a start, or else together with those that follow.
+    pub fn due<'a>(&self, now: Moment, named: impl Iterator<Item = &'a str>) -> Moment {
+        let unassigned = named.filter(|replica| self.assignment.governors_of(replica).is_empty()).count();
+        let many = unassigned * MANY_PART > self.listed_replicas;
+        self.computed.filter(|_| !many).map_or(now, |at| now.max(at + COMPUTE_EACH))
+    }
+
+    /// Computes the assignment where the registry or the fleet changed. True where it did.
+    pub fn compute(&mut self, now: Moment, registry: &[Replica]) -> bool {
+        let fingerprint = Some(fingerprint(registry));
+        if self.fingerprint == fingerprint {
+            return false;
+        }
+        self.assignment = self.planner.assign(registry);
+        self.own_replicas = self.assignment.subset_of(&self.fleet.own_name).len();
+        (self.fingerprint, self.computed, self.listed_replicas) = (fingerprint, Some(now), registry.len());
+        true
+    }
+
+    /// Who steers a replica. One that is not assigned yet is left to others until it is.
+    pub fn share(&self, replica: &str) -> Share {
+        match self.assignment.position(replica, &self.fleet.own_name) {
+            Some(Position { governors, position }) => Share::Subset { governors, position },
+            None => Share::Others,
+        }
+    }
+
+    /// For the management front.
+    pub fn status(&self) -> SubsettingStatus {
+        SubsettingStatus {
+            governors: self.fleet.membership.len(),
+            aggregators: self.fleet.aggregators,
+            subset_size: self.fleet.parameters.subset_size,
+            own_replicas: self.own_replicas,
+            listed_replicas: self.listed_replicas,
+            bytes_per_second: self.fleet.bytes_per_second,
+        }
+    }
+}
+
+/// Registries with the same one are taken for the same.
+fn fingerprint(registry: &[Replica]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    for Replica { id, zone, group, weight } in registry {
+        (id, zone, group, weight.to_bits()).hash(&mut hasher);
+    }
+    hasher.finish()
+}
--- /dev/null
+++ b/governor/tests/subsets.rs
@@ -0,0 +1,332 @@
+//! Subsetting in the governor: the decisions are told what the pure package computes, for the registry and the fleet
+//! as they are known; off where the operators' file does not name a fleet.
+
+mod stand_ins;
+
+use rustix::process::Signal;
+use serde_json::json;
+use stand_ins::managed::Managed;
+use stand_ins::rig::Rig;
+use stand_ins::PATIENCE;
+use std::collections::BTreeMap;
+use std::time::Instant;
+use whinwall::interface::Share;
+use whinwall::time::Span;
+use whinwall_governor::protocol::discovery;
+use whinwall_governor::routing::subset::Fleet;
+use whinwall_governor::routing::Event;
+use whinwall_management::ask::{Reply, Request, SubsettingStatus};
+use whinwall_management::wire::Subsetting;
+use whinwall_operators::{AggregatorMember, GovernorMember, SubsettingConfig};
+use whinwall_subsetting::{Assignment, Membership, Parameters, Replica};
+
+const OWN_NAME: &str = "n0";
+const SUBSET_SIZE: usize = 8;
+const GOVERNORS: usize = 10;
+const REPLICAS: usize = 60;
+const ZONES: [&str; 3] = ["north", "south", "west"];
+
+fn names(governors: usize) -> Vec<String> {
+    (0..governors).map(|number| format!("n{number}")).collect()
+}
+
+fn config(names: &[String]) -> SubsettingConfig {
+    let governor = |name: &String| GovernorMember { name: name.clone(), address: None, slices: vec![] };
+    SubsettingConfig {
+        subset_size: SUBSET_SIZE,
+        bytes_per_second: 27_000,
+        governors: names.iter().map(governor).collect(),
+        aggregators: vec![AggregatorMember { name: "m1".into(), address: ([127, 0, 0, 1], 7001).into() }],
+    }
+}
+
+fn fleet(names: &[String]) -> Fleet {
+    Fleet::new(&config(names), OWN_NAME).expect("its own name is there")
+}
+
+/// A replica as the registry lists it, and as the pure package is given it.
+#[derive(Clone)]
+struct Listed {
+    id: String,
+    zone: &'static str,
+    state: &'static str,
+    weight: f64,
+}
+
+impl Listed {
+    fn lend(&self) -> Replica<'_> {
+        Replica { id: &self.id, zone: self.zone, group: "m2", weight: self.weight }
+    }
+}
+
+fn registry() -> Vec<Listed> {
+    let listed = |number: usize| Listed {
+        id: format!("s-{number}"),
+        zone: ZONES[number % ZONES.len()],
+        state: "active",
+        weight: if number.is_multiple_of(10) { 2.0 } else { 1.0 },
+    };
+    (0..REPLICAS).map(listed).collect()
+}
+
+fn list(rig: &mut Rig, version: u64, whole: bool, registry: &[Listed]) {
+    let entry = |listed: &Listed| {
+        let Listed { id, zone, state, weight } = listed;
+        json!({"id": id, "zone": zone, "kind": "m2", "state": state, "weight": weight})
+    };
+    // The stand-in for the store takes lines on these only.
+    rig.servers.extend(registry.iter().map(|listed| (listed.id.clone(), listed.state)));
+    let servers: Vec<_> = registry.iter().map(entry).collect();
+    let line = json!({"version": version, "full": whole, "servers": servers}).to_string();
+    rig.tell(Event::List(discovery::decode(&line).expect("a list").expect("a change")));
+}
+
+/// What the pure package says of each replica for the governor under test.
+fn expected(names: &[String], registry: &[Listed]) -> BTreeMap<String, Share> {
+    let there = registry.iter().filter(|listed| listed.state != "left");
+    let replicas: Vec<_> = there.map(Listed::lend).collect();
+    let membership = Membership::new(names.to_vec()).expect("names differ");
+    let parameters = Parameters::new(SUBSET_SIZE).expect("not 0");
+    let assignment = Assignment::compute(&membership, &replicas, &parameters);
+    let share = |replica: &Replica| match assignment.position(replica.id, OWN_NAME) {
+        Some(place) => Share::Subset { governors: place.governors, position: place.position },
+        None => Share::Others,
+    };
+    replicas.iter().map(|replica| (replica.id.to_string(), share(replica))).collect()
+}
+
+/// What the decisions were told, of these replicas.
+fn told(rig: &Rig, of: &BTreeMap<String, Share>) -> BTreeMap<String, Share> {
+    let shares = rig.reducer.shares();
+    of.keys().filter_map(|id| Some((id.clone(), *shares.get(id.as_str())?))).collect()
+}
+
+fn rig() -> Rig {
+    let mut rig = Rig::new();
+    list(&mut rig, 41, true, &registry());
+    rig.standing(&[]);
+    rig
+}
+
+fn status(rig: &mut Rig) -> Option<SubsettingStatus> {
+    rig.tell(Event::Asked { ticket: 1, request: Request::Status });
+    match rig.replies.pop() {
+        Some(Reply::Status(status)) => status.subsetting,
+        other => panic!("no status: {other:?}"),
+    }
+}
+
+#[test]
+fn without_a_fleet_everyone_steers_every_replica() {
+    let mut rig = rig();
+    rig.tell(Event::SubsettingConfigured(None));
+    rig.quiet();
+    assert_eq!(rig.reducer.shares().len(), REPLICAS);
+    assert!(rig.reducer.shares().values().all(|share| *share == Share::Everyone));
+    assert_eq!(status(&mut rig), None);
+}
+
+#[test]
+fn shares_are_what_the_pure_package_computes_whatever_comes_first() {
+    let expected = expected(&names(GOVERNORS), &registry());
+    assert!(expected.values().any(|share| *share == Share::Others));
+    let mut list_first = rig();
+    list_first.tell(Event::SubsettingConfigured(Some(fleet(&names(GOVERNORS)))));
+    assert_eq!(told(&list_first, &expected), expected);
+    let mut fleet_first = Rig::new();
+    fleet_first.tell(Event::SubsettingConfigured(Some(fleet(&names(GOVERNORS)))));
+    list(&mut fleet_first, 41, true, &registry());
+    fleet_first.quiet();
+    assert_eq!(told(&fleet_first, &expected), expected);
+}
+
+#[test]
+fn the_status_names_members_and_the_own_subset() {
+    let mut rig = rig();
+    rig.tell(Event::SubsettingConfigured(Some(fleet(&names(GOVERNORS)))));
+    let own = expected(&names(GOVERNORS), &registry());
+    let own = own.values().filter(|share| matches!(share, Share::Subset { .. })).count();
+    let expected = SubsettingStatus {
+        governors: GOVERNORS,
+        aggregators: 1,
+        subset_size: SUBSET_SIZE,
+        own_replicas: own,
+        listed_replicas: REPLICAS,
+        bytes_per_second: 27_000,
+    };
+    assert_eq!(status(&mut rig), Some(expected));
+}
+
+#[test]
+fn a_change_of_the_registry_changes_the_shares() {
+    let fleet_names = names(GOVERNORS);
+    let mut rig = rig();
+    rig.tell(Event::SubsettingConfigured(Some(fleet(&fleet_names))));
+    rig.pass(2000);
+    let mut registry = registry();
+    registry[3].state = "left";
+    registry[4].state = "leaving";
+    let new = Listed { id: "s-new".into(), ..registry[3].clone() };
+    registry.push(Listed { state: "active", ..new });
+    list(&mut rig, 42, false, &registry[3..]);
+    rig.quiet();
+    let first = expected(&fleet_names, &registry);
+    assert_eq!(told(&rig, &first), first);
+    assert!(
+        !first.contains_key("s-3") && first.contains_key("s-4"),
+        "one that drains is steered until it left"
+    );
+
+    // What follows within a second is computed together; until then a new replica is left to others.
+    registry.push(Listed { id: "s-newer".into(), ..registry[5].clone() });
+    list(&mut rig, 43, false, &registry[registry.len() - 1..]);
+    rig.quiet();
+    assert_eq!(rig.reducer.shares()["s-newer"], Share::Others);
+    assert_eq!(told(&rig, &first), first);
+    rig.pass(1000);
+    let second = expected(&fleet_names, &registry);
+    assert_eq!(told(&rig, &second), second);
+}
+
+#[test]
+fn a_small_change_does_not_put_off_a_large_one() {
+    let fleet_names = names(GOVERNORS);
+    let mut rig = Rig::new();
+    rig.tell(Event::SubsettingConfigured(Some(fleet(&fleet_names))));
+    let mut registry = registry();
+    list(&mut rig, 41, true, &registry[..10]);
+    rig.quiet();
+    list(&mut rig, 42, true, &registry);
+    registry[0].state = "leaving";
+    list(&mut rig, 43, false, &registry[..1]);
+    rig.quiet();
+    let expected = expected(&fleet_names, &registry);
+    assert_eq!(told(&rig, &expected), expected);
+}
+
+#[test]
+fn a_zone_lost_and_back_leaves_the_shares_as_they_were() {
+    let fleet_names = names(GOVERNORS);
+    let mut rig = rig();
+    rig.tell(Event::SubsettingConfigured(Some(fleet(&fleet_names))));
+    let rest: Vec<_> = registry().into_iter().filter(|listed| listed.zone != "west").collect();
+    for (version, registry) in [(42, rest), (43, registry())] {
+        list(&mut rig, version, true, &registry);
+        rig.pass(2000);
+        let expected = expected(&fleet_names, &registry);
+        assert_eq!(told(&rig, &expected), expected);
+    }
+}
+
+#[test]
+fn a_change_of_the_fleet_changes_the_shares_at_once_and_none_switches_it_off() {
+    let mut rig = rig();
+    for governors in [GOVERNORS, GOVERNORS - 1, 1] {
+        rig.tell(Event::SubsettingConfigured(Some(fleet(&names(governors)))));
+        let expected = expected(&names(governors), &registry());
+        assert_eq!(told(&rig, &expected), expected);
+        assert!(rig.notes.pop().is_some_and(|note| note.contains(&format!("one of {governors} governors"))));
+    }
+    rig.notes.clear();
+    rig.tell(Event::SubsettingConfigured(Some(fleet(&names(1)))));
+    assert_eq!(rig.notes, [""; 0], "the same fleet again is no change");
+    rig.tell(Event::SubsettingConfigured(None));
+    assert!(rig.reducer.shares().values().all(|share| *share == Share::Everyone));
+}
+
+#[test]
+fn a_day_of_changes_keeps_the_shares_exact() {
+    let (mut registry, mut fleet_names) = (registry(), names(GOVERNORS));
+    let mut rig = rig();
+    rig.tell(Event::SubsettingConfigured(Some(fleet(&fleet_names))));
+    for change in 0..470_usize {
+        rig.now = rig.now + Span::ms(1000);
+        if change % 3 == 0 {
+            fleet_names[1 + change % (GOVERNORS - 1)] = format!("replacement-{change}");
+            rig.tell(Event::SubsettingConfigured(Some(fleet(&fleet_names))));
+        } else {
+            let at = change * 7 % registry.len();
+            registry[at].id = format!("s-{}", REPLICAS + change);
+            list(&mut rig, 42 + change as u64, true, &registry);
+        }
+        rig.pass(1000);
+        let expected = expected(&fleet_names, &registry);
+        assert_eq!(told(&rig, &expected), expected, "change {change}");
+    }
+}
+
+fn element(names: &[&str]) -> String {
+    let governors: String = names.iter().map(|name| format!("<governor name=\"{name}\"/>")).collect();
+    format!(
+        "<subsetting subset=\"4\" bytes-per-second=\"27000\">{governors}\
+         <aggregator name=\"m1\" address=\"127.0.0.1:7001\"/></subsetting>"
+    )
+}
+
+/// Asks until the status shows so many governors.
+fn becomes(managed: &Managed, governors: Option<usize>) -> Option<Subsetting> {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        let status = managed.ask(async |client| client.status().await).expect("a status");
+        let listed = status.subsetting.as_ref().is_none_or(|subsetting| subsetting.listed_replicas == 12);
+        if status.subsetting.as_ref().map(|subsetting| subsetting.governors) == governors && listed {
+            return status.subsetting;
+        }
+        assert!(Instant::now() < end, "{status:?} stays as it is");
+    }
+}
+
+/// As the pure package has it, for the registry of the stand-in.
+fn own_subset(names: &[&str]) -> usize {
+    let membership = Membership::new(names.iter().map(|name| name.to_string())).expect("names differ");
+    let ids: Vec<_> = (0..12).map(|number| format!("s-{number}")).collect();
+    let lend = |id| Replica { id, zone: "north", group: "m2", weight: 1.0 };
+    let replicas: Vec<_> = ids.iter().map(String::as_str).map(lend).collect();
+    Assignment::compute(&membership, &replicas, &Parameters { subset_size: 4 }).subset_of(OWN_NAME).len()
+}
+
+#[test]
+fn the_program_takes_over_another_fleet_at_a_signal() {
+    let mut managed = Managed::start(12, 24);
+    assert_eq!(becomes(&managed, None), None);
+    let fleets: [&[&str]; 3] = [&["n0", "n1", "n2"], &["n0", "n1", "n2", "n3", "n4"], &["n4", "n0"]];
+    for names in fleets {
+        managed.operators(&element(names));
+        managed.program().signal(Signal::HUP);
+        managed.log(&format!("one of {} governors", names.len()));
+        let subsetting = becomes(&managed, Some(names.len())).expect("subsets");
+        assert_eq!((subsetting.own_replicas, subsetting.aggregators), (own_subset(names), 1));
+    }
+    // A fleet without this governor changes nothing.
+    managed.operators(&element(&["n1", "n2"]));
+    managed.program().signal(Signal::HUP);
+    let refused = managed.log("all stays as it was");
+    let expected = "<subsetting>: this governor's own name, \"n0\", is not among its governors";
+    assert!(refused.contains(expected), "{refused}");
+    assert_eq!(
+        becomes(&managed, Some(2)).map(|subsetting| subsetting.own_replicas),
+        Some(own_subset(fleets[2]))
+    );
+    // Over a restart it is there from the beginning.
+    managed.operators(&element(fleets[0]));
+    managed.restart();
+    assert_eq!(
+        becomes(&managed, Some(3)).map(|subsetting| subsetting.own_replicas),
+        Some(own_subset(fleets[0]))
+    );
+    managed.operators("<overrides/>");
+    managed.program().signal(Signal::HUP);
+    managed.log("subsetting is off");
+    assert_eq!(becomes(&managed, None), None);
+}
+
+#[test]
+fn a_start_refuses_a_fleet_without_this_governor() {
+    let managed = Managed::start(3, 6);
+    managed.operators(&element(&["n1", "n2"]));
+    let (mut command, _file) = managed.command();
+    let output = command.arg("--check").output().expect("it runs");
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{said}");
+    assert!(said.contains("this governor's own name, \"n0\", is not among its governors"), "{said}");
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -172,6 +172,27 @@
         self.servers.get(&server).map(|s| (s.standing, s.started))
     }
 
+    /// A server that the list names and does not call gone.
+    pub fn listed_server(&self, server: ServerId) -> Option<&Server> {
+        self.servers.get(&server).filter(|s| s.listed)
+    }
+
+    /// Which governors steer a server, as the decisions were told last.
+    pub fn share(&self, server: ServerId) -> Option<Share> {
+        self.servers.get(&server).map(|s| s.share)
+    }
+
+    /// Other governors steer these servers now; nothing else that the list says of them changed.
+    pub fn shares_changed(&mut self, now: Moment, shares: &[(ServerId, Share)]) {
+        for (server, share) in shares {
+            if let Some(known) = self.servers.get_mut(server) {
+                known.share = *share;
+            }
+        }
+        self.alarm = true;
+        self.settle(now);
+    }
+
     pub fn servers_known(&self) -> usize {
         self.servers.len()
     }
