--- a/aggregation/src/aggregator.rs
+++ b/aggregation/src/aggregator.rs
@@ -114,7 +114,7 @@
             was_fresh: true,
             was_behind: false,
         };
-        aggregator.apply_members();
+        aggregator.apply_members(now);
         aggregator
     }
 
@@ -126,7 +126,7 @@
         }
         self.called = now;
         match event {
-            Event::Configured(configuration) => self.configured(configuration, &mut effects),
+            Event::Configured(configuration) => self.configured(now, configuration, &mut effects),
             Event::CollectorJoined { connection, zone } => {
                 self.collector_joined(now, connection, zone, &mut effects);
             }
@@ -187,7 +187,7 @@
         self.share_out(now, effects);
     }
 
-    fn configured(&mut self, configuration: Configuration, effects: &mut Vec<Effect>) {
+    fn configured(&mut self, now: Moment, configuration: Configuration, effects: &mut Vec<Effect>) {
         self.planner = Planner::new(configuration.membership.clone(), configuration.parameters);
         self.configuration = configuration;
         let members: BTreeMap<_, _> =
@@ -199,11 +199,11 @@
             }
             stays
         });
-        self.apply_members();
+        self.apply_members(now);
     }
 
     /// Feeds, peers and slices as the configuration names them.
-    fn apply_members(&mut self) {
+    fn apply_members(&mut self, now: Moment) {
         let configuration = &self.configuration;
         self.peers.configure(&configuration.own, &configuration.aggregators);
         let mut slices = BTreeSet::new();
@@ -212,7 +212,7 @@
             feed.slices = member.slices.clone();
             slices.extend(member.slices.iter().flat_map(|(first, last)| *first..=*last));
         }
-        self.sums.keep_slices(&slices);
+        self.sums.keep_slices(now, &slices);
         self.subsets_due = true;
         // Who serves a new governor is decided with the next tick.
         self.sharing.clear();
@@ -391,7 +391,7 @@
         Heartbeat {
             name: self.configuration.own.clone(),
             ready: self.is_ready(now),
-            fresh: self.registry.is_fresh(now),
+            list_age_ms: self.registry.age(now).as_ns() / Span::ms(1).as_ns(),
             version: self.registry.version(),
             zones: self.coverage.present().map(str::to_string).collect(),
         }
--- a/aggregation/src/feed.rs
+++ b/aggregation/src/feed.rs
@@ -88,7 +88,8 @@
 }
 
 /// One governor. Owned by the aggregator, one for each governor of the configuration, and ends with it; its
-/// readings are bounded by its subset and its slices' classes, and end with the connection.
+/// readings are bounded by its subset and its slices' classes (and what left them of late), and end with the
+/// connection.
 #[derive(Clone, Debug)]
 pub(crate) struct Feed {
     pub address: Option<SocketAddr>,
@@ -102,6 +103,7 @@
     /// Its last sign of life.
     pub answered: Moment,
     readings: BTreeMap<Key, Reading>,
+    phase: Span,
     next_turn: Moment,
 }
 
@@ -117,16 +119,20 @@
             overdue: false,
             answered: Moment::default(),
             readings: BTreeMap::new(),
+            phase: Span::default(),
             next_turn: Moment::default(),
         }
     }
 
-    /// A connection is there: it is told from as far back as is held, its turns begin at its own time.
+    /// A connection is there: it is told from as far back as is held. Its turns come once in each report period,
+    /// `phase` after the period's start on the clock that all machines read, whoever serves it: where another did
+    /// so until now, the two are one period apart.
     pub fn connected(&mut self, now: Moment, phase: Span) {
         (self.link, self.pause) = (Link::Connected, limits::RETRY);
         self.answered = now;
         self.readings.clear();
-        self.next_turn = self.next_turn.max(now + phase);
+        self.phase = phase;
+        self.next_turn = self.next_turn.max(turn_after(now, phase));
     }
 
     /// The connection is no more, or never came; a new dial is made later, each time later.
@@ -153,10 +159,10 @@
         self.link == Link::Connected && now >= self.next_turn
     }
 
-    /// Its lines of this report period. Turns are at least a report period apart, and no turn has more bytes than
-    /// the budget: over any number of report periods the budget holds.
+    /// Its lines of this report period. There is one turn a period, and no turn has more bytes than the budget: over
+    /// any number of report periods the budget holds.
     pub fn turn(&mut self, now: Moment, zone: &str, budget: usize, sums: &Sums, coverage: &Coverage) -> Turn {
-        self.next_turn = now + limits::REPORT_PERIOD;
+        self.next_turn = turn_after(now, self.phase);
         let (candidates, mut lines) = self.candidates(now, zone, sums, coverage);
         let choice = budget::choose(&candidates, budget.saturating_sub(wire::overhead()), PERIODS);
         let text = wire::PING.to_string();
@@ -206,10 +212,19 @@
                 consider(Key::Shard(slice, class.clone()), series);
             }
         }
+        // A key that comes back goes on where it ended, as long as a late start would reach back beyond that.
+        readings.retain(|_, reading| now - reading.cursor.since() <= limits::LATE_START);
+        self.readings.append(&mut readings);
         (candidates, lines)
     }
 }
 
+/// The first turn after this moment.
+fn turn_after(now: Moment, phase: Span) -> Moment {
+    let periods = (now - phase).count_of(limits::REPORT_PERIOD) + 1;
+    Moment::default() + phase + Span::ns(limits::REPORT_PERIOD.as_ns().saturating_mul(periods))
+}
+
 /// Where the key is read from; a key that is new here, or whose series is another, starts late.
 fn known_reading(readings: &mut BTreeMap<Key, Reading>, key: &Key, series: &Series, now: Moment) -> Reading {
     let known = readings.remove(key).filter(|reading| series.has(&reading.cursor));
--- a/aggregation/src/limits.rs
+++ b/aggregation/src/limits.rs
@@ -9,8 +9,8 @@
 /// The first line about a key on a new connection reaches back at most this far: past the suspicion of a dead
 /// owner, and the dial.
 pub const LATE_START: Span = Span::ms(5000);
-/// The reducer is to be called with a tick this often.
-pub const TICK: Span = Span::ms(100);
+/// The reducer is to be called with a tick this often; a governor's turn is late by no more.
+pub const TICK: Span = Span::ms(25);
 /// Aggregators tell each other this often that they are alive.
 pub const HEARTBEAT: Span = Span::ms(500);
 /// Three missed heartbeats and some delay.
--- a/aggregation/src/membership.rs
+++ b/aggregation/src/membership.rs
@@ -7,6 +7,8 @@
 use whinwall::time::Moment;
 use whinwall_subsetting::rendezvous;
 
+const STALE_MS: u64 = limits::REGISTRY_STALE.as_ns() / 1_000_000;
+
 /// What an aggregator tells its peers.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct Heartbeat {
@@ -14,8 +16,8 @@
     pub name: String,
     /// Whether it has a list and sums that are worth passing on.
     pub ready: bool,
-    /// Whether its list comes from a watch that is alive.
-    pub fresh: bool,
+    /// How long ago discovery was heard.
+    pub list_age_ms: u64,
     /// The version of its list.
     pub version: u64,
     /// The zones whose collectors it hears.
@@ -81,19 +83,21 @@
         }
     }
 
-    /// The aggregators that share the governors: those that are ready and have a fresh list, or where nobody has
-    /// one, those that are ready. `own` is what this one would tell.
+    /// The aggregators that share the governors: those that are ready, but for those whose list is older than
+    /// another's by more than [`limits::REGISTRY_STALE`]. Where discovery is silent to all, all lists grow old alike.
+    /// `own` is what this one would tell.
     pub fn sharing<'a>(&'a self, own: &'a Heartbeat) -> Vec<&'a str> {
         let alive = self.peers.values().filter(|peer| peer.alive).map(|peer| &peer.said);
         let ready: Vec<_> = alive.chain([own]).filter(|said| said.ready).collect();
-        let any_fresh = ready.iter().any(|said| said.fresh);
-        let sharing = ready.into_iter().filter(|said| said.fresh || !any_fresh);
+        let freshest = ready.iter().map(|said| said.list_age_ms).min().unwrap_or(0);
+        let oldest = freshest.saturating_add(STALE_MS);
+        let sharing = ready.into_iter().filter(|said| said.list_age_ms <= oldest);
         sharing.map(|said| said.name.as_str()).collect()
     }
 
     /// The latest version that a peer's list has.
     pub fn latest_version(&self) -> u64 {
-        let alive = self.peers.values().filter(|peer| peer.alive && peer.said.fresh);
+        let alive = self.peers.values().filter(|peer| peer.alive && peer.said.list_age_ms <= STALE_MS);
         alive.map(|peer| peer.said.version).max().unwrap_or(0)
     }
 
--- a/aggregation/src/registry.rs
+++ b/aggregation/src/registry.rs
@@ -2,7 +2,7 @@
 
 use crate::limits;
 use std::collections::BTreeMap;
-use whinwall::time::Moment;
+use whinwall::time::{Moment, Span};
 use whinwall_governor::protocol::discovery::{Entry, List, State};
 
 /// Replicas by name: no more than `MAX_REPLICAS`; one ends when the list says that it has left.
@@ -69,9 +69,14 @@
         self.last_heard = Some(now);
     }
 
+    /// How long ago discovery was heard.
+    pub fn age(&self, now: Moment) -> Span {
+        now - self.last_heard.unwrap_or_default()
+    }
+
     /// Whether the watch is alive: what is held is what discovery has.
     pub fn is_fresh(&self, now: Moment) -> bool {
-        self.last_heard.is_some_and(|last| now - last <= limits::REGISTRY_STALE)
+        self.age(now) <= limits::REGISTRY_STALE
     }
 
     /// Whether a whole list came ever.
--- a/aggregation/src/sums.rs
+++ b/aggregation/src/sums.rs
@@ -79,6 +79,13 @@
     read: Sum,
 }
 
+impl Cursor {
+    /// What came before is read.
+    pub fn since(&self) -> Moment {
+        self.since
+    }
+}
+
 /// What came since a cursor.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Portion {
@@ -154,7 +161,12 @@
 }
 
 /// A slice's series, by class.
-type Classes = Vec<(Arc<str>, Series)>;
+#[derive(Clone, Debug)]
+struct Slice {
+    /// What is reported of it since then is summed.
+    since: Moment,
+    classes: Vec<(Arc<str>, Series)>,
+}
 
 /// What became of a line.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -171,7 +183,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Sums {
     replicas: BTreeMap<Arc<str>, Series>,
-    slices: BTreeMap<u32, Classes>,
+    slices: BTreeMap<u32, Slice>,
     series: u64,
 }
 
@@ -188,17 +200,18 @@
     }
 
     /// Keeps the series of these slices, and has room for new ones.
-    pub fn keep_slices(&mut self, slices: &BTreeSet<u32>) {
+    pub fn keep_slices(&mut self, now: Moment, slices: &BTreeSet<u32>) {
         self.slices.retain(|slice, _| slices.contains(slice));
         for slice in slices {
-            self.slices.entry(*slice).or_default();
+            let new = || Slice { since: now, classes: Vec::new() };
+            self.slices.entry(*slice).or_insert_with(new);
         }
     }
 
     /// Forgets classes that nobody speaks of.
     pub fn forget_idle(&mut self, now: Moment) {
-        for classes in self.slices.values_mut() {
-            classes.retain(|(_, series)| now - series.last <= limits::CLASS_IDLE);
+        for slice in self.slices.values_mut() {
+            slice.classes.retain(|(_, series)| now - series.last <= limits::CLASS_IDLE);
         }
     }
 
@@ -208,7 +221,9 @@
             self.series += 1;
             *series = Series::new(self.series, now);
         }
-        self.slices.values_mut().for_each(Vec::clear);
+        for slice in self.slices.values_mut() {
+            *slice = Slice { since: now, classes: Vec::new() };
+        }
     }
 
     /// Adds a line about a replica.
@@ -222,7 +237,7 @@
 
     /// Adds a line about a slice.
     pub fn add_shard(&mut self, now: Moment, slice: u32, class: &str, covers: Span, sum: Sum) -> Taken {
-        let Some(classes) = self.slices.get_mut(&slice) else { return Taken::Unknown };
+        let Some(Slice { since, classes }) = self.slices.get_mut(&slice) else { return Taken::Unknown };
         if let Some((_, series)) = classes.iter_mut().find(|(known, _)| **known == *class) {
             series.add(now, covers, sum);
             return Taken::Summed;
@@ -231,7 +246,7 @@
             return Taken::NoRoom;
         }
         self.series += 1;
-        let mut series = Series::new(self.series, now - covers);
+        let mut series = Series::new(self.series, (now - covers).max(*since));
         series.add(now, covers, sum);
         classes.push((class.into(), series));
         Taken::Summed
@@ -244,12 +259,13 @@
 
     /// The series of a slice, by class.
     pub fn classes(&self, slice: u32) -> impl Iterator<Item = (&Arc<str>, &Series)> {
-        self.slices.get(&slice).into_iter().flatten().map(|(class, series)| (class, series))
+        let classes = self.slices.get(&slice).into_iter().flat_map(|slice| &slice.classes);
+        classes.map(|(class, series)| (class, series))
     }
 
     /// How many series there are.
     pub fn len(&self) -> usize {
-        self.replicas.len() + self.slices.values().map(Vec::len).sum::<usize>()
+        self.replicas.len() + self.slices.values().map(|slice| slice.classes.len()).sum::<usize>()
     }
 
     /// Whether there is none.
--- a/aggregation/tests/virtual_fleet/mod.rs
+++ b/aggregation/tests/virtual_fleet/mod.rs
@@ -16,6 +16,8 @@
 pub const STEP_MS: u64 = 100;
 /// Collectors report each second.
 const PERIOD_MS: u64 = 1000;
+/// Windows have a tenth of a microsecond.
+const CLOSE_MS: f64 = 0.01;
 
 /// A line as a governor heard it.
 #[derive(Clone, Debug)]
@@ -262,6 +264,11 @@
         self.event(index, Event::ConnectionEnded(connection_of(zone)));
     }
 
+    /// The collectors of a zone can't reach a machine: their connections stay open and silent.
+    pub fn mute_zone(&mut self, index: usize, zone: usize) {
+        self.machines[index].cut_zones.insert(zone);
+    }
+
     pub fn join_zone(&mut self, index: usize, zone: usize) {
         self.machines[index].cut_zones.remove(&zone);
         let name = zone_name(zone);
@@ -555,35 +562,54 @@
         most
     }
 
-    /// Each key's counts in the lines of each connection are those that were reported in the time which the lines
-    /// cover, no more and no less.
+    /// Each line has the counts that were reported in the time which it covers, no more and no less; and no two lines
+    /// of one key on one connection cover the same time.
     pub fn assert_counts_exact(&self, zones_of: impl Fn(usize) -> BTreeSet<usize>) {
         for governor in &self.governors {
-            let mut by_key: BTreeMap<(u64, String), Vec<(&Heard, &Told)>> = BTreeMap::new();
+            let mut covered: BTreeMap<(u64, String), f64> = BTreeMap::new();
             for (heard, told) in self.reports(&governor.name) {
-                by_key.entry((heard.connection, told.key())).or_default().push((heard, told));
+                let (begins, key) = (heard.at_ms - told.window, told.key());
+                let place = format!("{} {key} at {}: {told:?}", governor.name, heard.at_ms);
+                let zones = zones_of(heard.aggregator);
+                let said = self.said_within(&key, begins - CLOSE_MS, heard.at_ms);
+                let said = said.iter().filter(|said| zones.contains(&said.zone));
+                let (mut n, mut bad, mut busy) = (0.0, 0.0, 0.0);
+                for one in said {
+                    (n, bad, busy) = (n + one.n, bad + one.bad, busy + (one.n - one.bad) * one.avg);
+                }
+                assert_eq!((told.n, told.bad), (n, bad), "counts of {place}");
+                let told_busy = (told.n - told.bad) * told.avg;
+                let close = (told_busy - busy).abs() <= 1e-3 * busy.max(1.0);
+                assert!(close || told.host.is_none(), "{told_busy} and {busy} ms of {place}");
+                let before = covered.insert((heard.connection, key), heard.at_ms);
+                assert!(before.is_none_or(|before| begins >= before - CLOSE_MS), "twice in {place}");
             }
-            for ((connection, key), lines) in by_key {
-                let zones = zones_of(lines[0].0.aggregator);
-                let begins = lines[0].0.at_ms - lines[0].1.window;
-                let ends = lines.last().unwrap().0.at_ms;
-                let within = |said: &&Said| said.at_ms >= begins - 0.01 && said.at_ms <= ends;
-                let said = self.said[&key].iter().filter(within).filter(|said| zones.contains(&said.zone));
-                let said: Vec<_> = said.collect();
-                let sum = |count: fn(&Told) -> f64| lines.iter().map(|(_, told)| count(told)).sum::<f64>();
-                let place = format!("{} {key} on connection {connection}", governor.name);
-                assert_eq!(sum(|told| told.n), said.iter().map(|said| said.n).sum::<f64>(), "n of {place}");
-                assert_eq!(
-                    sum(|told| told.bad),
-                    said.iter().map(|said| said.bad).sum::<f64>(),
-                    "bad of {place}"
-                );
-                let told_busy = sum(|told| (told.n - told.bad) * told.avg);
-                let said_busy: f64 = said.iter().map(|said| (said.n - said.bad) * said.avg).sum();
-                let close = (told_busy - said_busy).abs() <= 1e-3 * said_busy.max(1.0);
-                assert!(close || key.contains('/'), "{told_busy} and {said_busy} ms of {place}");
+        }
+    }
+
+    /// What was reported of a key in a time.
+    fn said_within(&self, key: &str, from_ms: f64, to_ms: f64) -> &[Said] {
+        let said = self.said.get(key).map_or(&[][..], Vec::as_slice);
+        let first = said.partition_point(|said| said.at_ms < from_ms);
+        let last = said.partition_point(|said| said.at_ms <= to_ms);
+        &said[first..last.max(first)]
+    }
+
+    /// Lines that name no missing zone and yet lack something that any zone reported in the time which they cover:
+    /// the latest of them, if any.
+    pub fn last_silent_lack_ms(&self) -> Option<f64> {
+        let mut last = None;
+        for governor in &self.governors {
+            for (heard, told) in self.reports(&governor.name).filter(|(_, told)| told.missing == 0) {
+                let begins = heard.at_ms - told.window;
+                let said = self.said_within(&told.key(), begins + CLOSE_MS, heard.at_ms);
+                let said: f64 = said.iter().map(|said| said.n).sum();
+                if told.n < said {
+                    last = Some(last.unwrap_or(0.0_f64).max(heard.at_ms));
+                }
             }
         }
+        last
     }
 
     pub fn all_zones(&self) -> BTreeSet<usize> {
--- a/aggregation/tests/wire.rs
+++ b/aggregation/tests/wire.rs
@@ -53,7 +53,7 @@
 #[test]
 fn a_heartbeat_comes_back_as_it_went() {
     let zones = vec!["a".to_string(), "b".to_string()];
-    let heartbeat = Heartbeat { name: "m1".into(), ready: true, fresh: false, version: 41, zones };
+    let heartbeat = Heartbeat { name: "m1".into(), ready: true, list_age_ms: 700, version: 41, zones };
     assert_eq!(wire::decode_heartbeat(&wire::heartbeat(&heartbeat)), Some(heartbeat));
     assert_eq!(wire::decode_heartbeat(r#"{"@type":"PING"}"#), None);
     let zones = vec!["z".to_string(); 1000];
