whinwall-aggregator: the program, on loopback with stand-ins

Listens as a governor does (the governor's own listener), follows discovery's watch, connects to governors as a collector, heartbeats to its peers, rereads its file on SIGHUP, metrics over HTTP on a loopback address.

--- a/aggregation/src/configuration.rs
+++ b/aggregation/src/configuration.rs
@@ -41,6 +41,9 @@
     /// More aggregators than peers are kept for.
     #[error("{0} aggregators are more than {max}", max = limits::MAX_AGGREGATORS)]
     TooManyAggregators(usize),
+    /// A governor is to be served, and nothing says which slices it is told of.
+    #[error("governor {0:?} has an address and no slices: the protocol does not tell which ones it has")]
+    SlicesMissing(String),
     /// A governor has no usable slices.
     #[error("the slices of governor {0:?} go from {1} to {2}")]
     SlicesReversed(String, u32, u32),
@@ -103,6 +106,9 @@
 fn check_slices(governors: &[GovernorMember]) -> Result<(), ConfigurationError> {
     let mut slices = 0;
     for governor in governors {
+        if governor.address.is_some() && governor.slices.is_empty() {
+            return Err(ConfigurationError::SlicesMissing(governor.name.clone()));
+        }
         for (first, last) in &governor.slices {
             if first > last {
                 return Err(ConfigurationError::SlicesReversed(governor.name.clone(), *first, *last));
--- /dev/null
+++ b/aggregation/src/program/configuration.rs
@@ -0,0 +1,63 @@
+//! The operators' file as the aggregator's configuration.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use thiserror::Error;
+use whinwall_aggregation::configuration::{Configuration, ConfigurationError, GovernorMember};
+use whinwall_operators::file::{self, LARGEST};
+use whinwall_operators::{SubsettingConfig, Wrong};
+
+/// What the file says.
+pub struct Members {
+    /// For the reducer.
+    pub configuration: Configuration,
+    /// Where the other aggregators listen, by name.
+    pub peers: BTreeMap<String, SocketAddr>,
+}
+
+/// Why the file can't be used.
+#[derive(Debug, Error)]
+pub enum Unusable {
+    /// It can't be read.
+    #[error("{0}")]
+    Unreadable(#[from] std::io::Error),
+    /// It is larger than any file that somebody wrote.
+    #[error("it has more than {LARGEST} bytes")]
+    TooLarge,
+    /// It is faulty at a place.
+    #[error("{0}")]
+    Faulty(Wrong),
+    /// It says nothing of subsetting.
+    #[error("it has no element <subsetting>")]
+    NoSubsetting,
+    /// What it says does not fit together.
+    #[error("<subsetting>: {0}")]
+    Inconsistent(#[from] ConfigurationError),
+}
+
+/// Reads the file, for the aggregator of this name.
+pub fn read(path: &Path, own: &str) -> Result<Members, Unusable> {
+    if std::fs::metadata(path)?.len() > LARGEST as u64 {
+        return Err(Unusable::TooLarge);
+    }
+    let text = std::fs::read_to_string(path)?;
+    let file = file::read(&text).map_err(Unusable::Faulty)?;
+    members(file.subsetting.ok_or(Unusable::NoSubsetting)?, own)
+}
+
+fn members(subsetting: SubsettingConfig, own: &str) -> Result<Members, Unusable> {
+    let parameters = subsetting.parameters();
+    let names: Vec<_> = subsetting.aggregators.iter().map(|member| member.name.clone()).collect();
+    let governors = subsetting.governors.into_iter();
+    let governors = governors.map(|member| GovernorMember {
+        name: member.name,
+        address: member.address,
+        slices: member.slices,
+    });
+    let (bytes, governors) = (subsetting.bytes_per_second, governors.collect());
+    let configuration = Configuration::new(own, parameters, bytes, governors, &names)?;
+    let aggregators = subsetting.aggregators.into_iter();
+    let peers = aggregators.filter(|member| member.name != own).map(|member| (member.name, member.address));
+    Ok(Members { configuration, peers: peers.collect() })
+}
--- /dev/null
+++ b/aggregation/src/program/event_loop.rs
@@ -0,0 +1,334 @@
+//! The loop: what arrives becomes events, what the reducer asks for is done.
+
+use super::configuration::{self, Members};
+use super::governors::{Happened, Links};
+use super::metrics::{self, Figures, Shared, Traffic};
+use super::peers::Senders;
+use actix_rt::net::TcpListener;
+use actix_rt::task::JoinHandle;
+use std::collections::BTreeSet;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::{self, Receiver};
+use tokio::time::{interval, MissedTickBehavior};
+use whinwall::time::{Moment, Span};
+use whinwall_aggregation::aggregator::Aggregator;
+use whinwall_aggregation::limits::TICK;
+use whinwall_aggregation::messages::{ConnectionId, Effect, Event};
+use whinwall_aggregation::wire;
+use whinwall_governor::program::clock::Clock;
+use whinwall_governor::program::signals::{Signal, Signals};
+use whinwall_governor::protocol::collector::{self, Message, Reply, Report};
+use whinwall_governor::protocol::{discovery, Wrong};
+use whinwall_governor::transport::{limits, listener, watch, Back, FollowId, Inbox, Input};
+
+/// Connections to our address: collectors of all zones and the other aggregators, each more than once.
+const CONNECTIONS: usize = 512;
+/// What lines that lack their end may take in memory, and those that wait for the loop as much again.
+const LINE_BYTES: usize = 16 << 20;
+/// A line to the log on what is so.
+const SUMMARY_EACH: Span = Span::ms(60_000);
+
+/// What the program starts with.
+pub struct Start {
+    pub operators: PathBuf,
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub zone: Option<String>,
+    pub metrics: Option<SocketAddr>,
+    pub members: Members,
+}
+
+/// Ends with its handle.
+struct Task(JoinHandle<()>);
+
+impl Task {
+    fn spawn(work: impl Future<Output = ()> + 'static) -> Self {
+        Task(actix_rt::spawn(work))
+    }
+}
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// The line that is being taken, with the way back.
+struct Speaker<'a> {
+    id: ConnectionId,
+    back: &'a mpsc::Sender<Back>,
+}
+
+struct Loop {
+    clock: Clock,
+    aggregator: Aggregator,
+    links: Links,
+    senders: Senders,
+    client: awc::Client,
+    discovery: SocketAddr,
+    inbox: Inbox,
+    follows: FollowId,
+    watch: Option<Task>,
+    /// Connections that may stay: collectors and peers. Bounded by the listener, ends with the connection.
+    joined: BTreeSet<ConnectionId>,
+    traffic: Traffic,
+    figures: Shared,
+    next_summary: Moment,
+}
+
+/// Serves until a signal ends it.
+pub async fn serve(start: Start, mut signals: Signals) -> Result<&'static str, String> {
+    let listener = TcpListener::bind(start.listen).await;
+    let listener = listener.map_err(|why| format!("listen: {}: {why}", start.listen))?;
+    let address = listener.local_addr().map_err(|why| why.to_string())?;
+    // Two inboxes, so that whoever floods our address does not delay discovery.
+    let (inbox, mut lists) = mpsc::channel(limits::INBOX);
+    let (at_door, mut lines) = mpsc::channel(limits::INBOX);
+    let here = listener::Here { bounds: listener::Bounds::new(CONNECTIONS, LINE_BYTES), inbox: at_door };
+    let _door = Task::spawn(listener::listen(Rc::new(listener), here.bounds.clone(), here));
+    let figures = Shared::default();
+    let _metrics = start.metrics.map(|address| Task::spawn(serve_metrics(address, figures.clone())));
+    let mut turn = Loop::new(&start, inbox, figures);
+    tracing::info!("aggregator {} serves at {address}", start.name);
+    let mut ticks = interval(Duration::from_nanos(TICK.as_ns()));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        tokio::select! {
+            biased;
+            signal = signals.come() => match signal {
+                Signal::End(why) => return Ok(why),
+                Signal::ReadAnew => turn.read_anew(&start),
+            },
+            _ = ticks.tick() => turn.tick(),
+            (governor, happened) = turn.links.happens() => turn.link(&governor, happened),
+            Some(input) = lists.recv() => turn.input(input),
+            Some(input) = lines.recv() => turn.take_all(input, &mut lines),
+        }
+    }
+}
+
+async fn serve_metrics(address: SocketAddr, figures: Shared) {
+    if let Err(why) = metrics::serve(address, figures).await {
+        tracing::error!("{why}");
+    }
+}
+
+impl Loop {
+    fn new(start: &Start, inbox: Inbox, figures: Shared) -> Self {
+        let clock = Clock::start();
+        let configuration = start.members.configuration.clone();
+        let aggregator = Aggregator::new(clock.now(), configuration, start.zone.clone());
+        let mut senders = Senders::none();
+        senders.configure(&start.members.peers);
+        Loop {
+            clock,
+            aggregator,
+            links: Links::none(),
+            senders,
+            client: awc::Client::builder().disable_timeout().finish(),
+            discovery: start.discovery,
+            inbox,
+            follows: 0,
+            watch: None,
+            joined: BTreeSet::new(),
+            traffic: Traffic::default(),
+            figures,
+            next_summary: clock.now() + SUMMARY_EACH,
+        }
+    }
+
+    fn read_anew(&mut self, start: &Start) {
+        match configuration::read(&start.operators, &start.name) {
+            Ok(members) => {
+                tracing::info!("the file is read anew");
+                self.senders.configure(&members.peers);
+                self.apply(Event::Configured(members.configuration));
+            }
+            Err(why) => tracing::error!("configuration: {why}; the former one stays"),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.apply(Event::Tick);
+        self.traffic.batches_dropped = self.links.dropped;
+        let (traffic, counters) = (self.traffic, self.aggregator.counters());
+        let state = self.aggregator.state();
+        *self.figures.borrow_mut() = Figures { traffic, counters, state };
+        if self.clock.now() >= self.next_summary {
+            self.next_summary = self.clock.now() + SUMMARY_EACH;
+            tracing::info!(
+                "{} of {} governors connected, {} peers, {} of {} zones missing, {} replicas, {} lines in, {} out",
+                state.governors_connected,
+                state.governors_owned,
+                state.peers_alive,
+                state.zones_missing,
+                state.zones,
+                state.replicas,
+                traffic.lines_in,
+                counters.lines_sent
+            );
+        }
+    }
+
+    fn link(&mut self, governor: &str, happened: Happened) {
+        self.apply(match happened {
+            Happened::Connected => Event::GovernorConnected(governor),
+            Happened::Answered => Event::GovernorAnswered(governor),
+            Happened::Lost => Event::GovernorLost(governor),
+        });
+    }
+
+    /// No more than fit in the inbox at once: ticks are due meanwhile.
+    fn take_all(&mut self, first: Input, lines: &mut Receiver<Input>) {
+        self.input(first);
+        for _ in 0..limits::INBOX {
+            let Ok(input) = lines.try_recv() else { return };
+            self.input(input);
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        match input {
+            Input::Line { from, line, back, .. } => self.line(&Speaker { id: from, back: &back }, &line),
+            Input::Ended(id, _) => {
+                self.joined.remove(&id);
+                self.apply(Event::ConnectionEnded(id));
+            }
+            Input::List(id, _) if id != self.follows => {}
+            Input::List(_, Ok(line)) => self.list(&line),
+            Input::List(_, Err(why)) => {
+                tracing::warn!("discovery's watch: {why}");
+                self.apply(Event::RegistryLost);
+            }
+            // Aggregators have no relay.
+            Input::News(..) | Input::Answer(_) | Input::Surplus => {}
+        }
+    }
+
+    fn list(&mut self, line: &str) {
+        match discovery::decode(line) {
+            Ok(Some(list)) => self.apply(Event::RegistryListed(list)),
+            Ok(None) => self.apply(Event::RegistryAlive),
+            Err(why) => {
+                tracing::warn!("discovery's watch: {why}");
+                self.watch = None;
+                self.apply(Event::RegistryLost);
+            }
+        }
+    }
+
+    fn line(&mut self, speaker: &Speaker, line: &str) {
+        self.traffic.lines_in += 1;
+        self.traffic.bytes_in += line.len() as u64 + 1;
+        if let Some(report) = collector::quick(line) {
+            return self.report(speaker, report);
+        }
+        match collector::decode_slowly(line) {
+            Ok(Message::Ping) => say(speaker, Back::Say(collector::encode(Reply::Pong))),
+            Ok(Message::Source { place }) => {
+                self.keep(speaker);
+                let joined = Event::CollectorJoined { connection: speaker.id, zone: &place };
+                self.apply_for(joined, Some(speaker));
+            }
+            Ok(Message::Met(met)) => self.report(
+                speaker,
+                Report::Met {
+                    place: &met.place,
+                    server: &met.server,
+                    tries: met.tries,
+                    aborted: met.aborted,
+                    mean_latency_ms: met.mean_latency_ms,
+                    covers_ms: met.covers_ms,
+                },
+            ),
+            Ok(Message::Asked(asked)) => self.report(
+                speaker,
+                Report::Asked {
+                    slice: asked.slice,
+                    op_type: &asked.op_type,
+                    came: asked.came,
+                    aborted: asked.aborted,
+                    covers_ms: asked.covers_ms,
+                },
+            ),
+            Ok(Message::Unknown) => match wire::decode_heartbeat(line) {
+                Some(heartbeat) => {
+                    self.keep(speaker);
+                    self.apply(Event::HeartbeatReceived(heartbeat));
+                }
+                None => self.pass_over(speaker),
+            },
+            Err(Wrong::Spoilt(_)) => self.pass_over(speaker),
+            Err(Wrong::Unreadable(_)) => {
+                self.traffic.lines_spoilt += 1;
+                say(speaker, Back::End(None));
+            }
+        }
+    }
+
+    fn report(&mut self, speaker: &Speaker, report: Report) {
+        self.apply_for(Event::Reported { connection: speaker.id, report }, Some(speaker));
+    }
+
+    fn keep(&mut self, speaker: &Speaker) {
+        if self.joined.insert(speaker.id) {
+            say(speaker, Back::Keep);
+        }
+    }
+
+    /// A line that is spoilt changes nothing; whoever has not joined goes.
+    fn pass_over(&mut self, speaker: &Speaker) {
+        self.traffic.lines_spoilt += 1;
+        if !self.joined.contains(&speaker.id) {
+            refuse(speaker);
+        }
+    }
+
+    fn apply(&mut self, event: Event) {
+        self.apply_for(event, None);
+    }
+
+    fn apply_for(&mut self, event: Event, speaker: Option<&Speaker>) {
+        for effect in self.aggregator.apply(self.clock.now(), event) {
+            self.carry_out(effect, speaker);
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect, speaker: Option<&Speaker>) {
+        match effect {
+            Effect::Connect { governor, address } => self.links.connect(&governor, address),
+            Effect::Disconnect { governor } => self.links.disconnect(&governor),
+            Effect::Send { governor, lines } => {
+                if !self.links.send(&governor, lines) {
+                    self.apply(Event::GovernorLost(&governor));
+                }
+            }
+            Effect::SendHeartbeat(heartbeat) => self.senders.send(wire::heartbeat(&heartbeat)),
+            // It answers an event of that connection, always.
+            Effect::RefuseCollector(_) => speaker.into_iter().for_each(refuse),
+            Effect::FollowRegistry { since } => {
+                self.follows += 1;
+                let url = format!("http://{}{}", self.discovery, discovery::watch_path(since));
+                let (client, inbox) = (self.client.clone(), self.inbox.clone());
+                self.watch = Some(Task::spawn(watch::follow(self.follows, client, url, inbox)));
+            }
+            Effect::Log(note) if note.is_warning() => tracing::warn!("{note}"),
+            Effect::Log(note) => tracing::info!("{note}"),
+        }
+    }
+}
+
+/// What finds no room is for somebody who reads no answers.
+fn say(speaker: &Speaker, back: Back) {
+    _ = speaker.back.try_send(back);
+}
+
+fn refuse(speaker: &Speaker) {
+    let nack = Reply::Nack { why: "of no use from whoever has not joined" };
+    say(speaker, Back::End(Some(collector::encode(nack))));
+}
--- /dev/null
+++ b/aggregation/src/program/metrics.rs
@@ -0,0 +1,116 @@
+//! Metrics in Prometheus' text form, over HTTP on a loopback address.
+
+use actix_http::{HttpService, Request, Response};
+use actix_rt::net::TcpListener;
+use actix_service::{Service, ServiceFactory};
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use whinwall_aggregation::aggregator::{Counters, State};
+
+/// Before the next connection is taken, after one that could not be.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// What the process counts beside the reducer.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    /// Lines that came.
+    pub lines_in: u64,
+    /// Their bytes.
+    pub bytes_in: u64,
+    /// Lines that were no usable messages.
+    pub lines_spoilt: u64,
+    /// Batches for governors that read too slowly.
+    pub batches_dropped: u64,
+}
+
+/// All that is shown.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Figures {
+    /// The process's.
+    pub traffic: Traffic,
+    /// The reducer's.
+    pub counters: Counters,
+    /// What is so now.
+    pub state: State,
+}
+
+/// The latest figures, shared with who serves them.
+pub type Shared = Rc<RefCell<Figures>>;
+
+fn text(figures: &Figures) -> String {
+    let Figures { traffic, counters, state } = *figures;
+    let mut registry = Registry::with_prefix("whinwall_aggregator");
+    let counts = [
+        ("lines_in", "Lines that came", traffic.lines_in),
+        ("bytes_in", "Bytes that came", traffic.bytes_in),
+        ("lines_spoilt", "Lines that were no usable messages", traffic.lines_spoilt),
+        ("batches_dropped", "Batches for governors that read too slowly", traffic.batches_dropped),
+        ("reports", "Reports summed", counters.reports),
+        (
+            "reports_unknown",
+            "Reports of unlisted replicas or slices of no governor",
+            counters.reports_unknown,
+        ),
+        ("reports_dropped", "Reports for which there was no room", counters.reports_dropped),
+        ("lines_out", "Report lines to governors", counters.lines_sent),
+        ("bytes_out", "Bytes to governors", counters.bytes_sent),
+        ("budget_stretches", "Turns in which lines had to wait for the budget", counters.budget_stretches),
+        ("stalls", "Times that it was not running and started anew", counters.stalls),
+        ("assignments", "Times that subsets were computed", counters.assignments),
+    ];
+    for (name, help, count) in counts {
+        let counter: Counter = Counter::default();
+        counter.inc_by(count);
+        registry.register(name, help, counter);
+    }
+    let levels = [
+        ("ready", "Whether it passes reports on", usize::from(state.ready)),
+        ("governors_owned", "Governors that are its to serve", state.governors_owned),
+        ("governors_connected", "Governors that it is connected to", state.governors_connected),
+        ("peers_alive", "Other aggregators that are alive", state.peers_alive),
+        ("zones", "Zones that are known", state.zones),
+        ("zones_missing", "Zones that are missing", state.zones_missing),
+        ("replicas", "Replicas listed", state.replicas),
+        ("series", "Series held", state.series),
+        ("registry_version", "The version of the list", state.registry_version as usize),
+    ];
+    for (name, help, level) in levels {
+        let gauge: Gauge = Gauge::default();
+        gauge.set(level as i64);
+        registry.register(name, help, gauge);
+    }
+    let mut text = String::new();
+    // Writing to a string does not fail.
+    _ = encode(&mut text, &registry);
+    text
+}
+
+/// Serves the figures for ever; the error says why that can't begin.
+pub async fn serve(address: SocketAddr, figures: Shared) -> Result<(), String> {
+    let wrong = |why: &dyn std::fmt::Display| format!("metrics: {address}: {why}");
+    let listener = TcpListener::bind(address).await.map_err(|why| wrong(&why))?;
+    let bound = listener.local_addr().map_err(|why| wrong(&why))?;
+    tracing::info!("metrics at {bound}");
+    let answer = move |request: Request| {
+        let response = match request.path() {
+            "/metrics" => Response::ok().set_body(text(&figures.borrow())),
+            _ => Response::not_found().set_body(String::new()),
+        };
+        async { Ok::<_, Infallible>(response) }
+    };
+    let service = HttpService::build().h1(answer).new_service(()).await;
+    let service = service.map_err(|()| wrong(&"no service"))?;
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => _ = actix_rt::spawn(service.call((stream, Some(from)))),
+            Err(_) => actix_rt::time::sleep(PAUSE).await,
+        }
+    }
+}
--- a/aggregation/tests/budget.rs
+++ b/aggregation/tests/budget.rs
@@ -45,21 +45,23 @@
 #[test]
 fn a_budget_that_does_not_hold_one_line_is_an_error() {
     let least = wire::longest_line() + wire::overhead();
-    assert_eq!(configured("m0", least as u64, vec![member("g0", &[])]), Ok(()));
+    assert_eq!(configured("m0", least as u64, vec![member("g0", &[(0, 1)])]), Ok(()));
     let budget = least - 1;
     let wrong = ConfigurationError::BudgetTooSmall { budget, line: least };
-    assert_eq!(configured("m0", budget as u64, vec![member("g0", &[])]), Err(wrong));
+    assert_eq!(configured("m0", budget as u64, vec![member("g0", &[(0, 1)])]), Err(wrong));
 }
 
 #[test]
 fn members_are_checked() {
-    let absent = configured("m7", 27_000, vec![member("g0", &[])]);
+    let absent = configured("m7", 27_000, vec![member("g0", &[(0, 1)])]);
     assert_eq!(absent, Err(ConfigurationError::OwnNameAbsent("m7".into())));
+    let slices = configured("m0", 27_000, vec![member("g0", &[])]);
+    assert_eq!(slices, Err(ConfigurationError::SlicesMissing("g0".into())));
     let reversed = configured("m0", 27_000, vec![member("g0", &[(4, 2)])]);
     assert_eq!(reversed, Err(ConfigurationError::SlicesReversed("g0".into(), 4, 2)));
     let many = configured("m0", 27_000, vec![member("g0", &[(0, 65_536)])]);
     assert_eq!(many, Err(ConfigurationError::TooManySlices(65_537)));
-    let twice = configured("m0", 27_000, vec![member("g0", &[]), member("g0", &[])]);
+    let twice = configured("m0", 27_000, vec![member("g0", &[(0, 1)]), member("g0", &[(0, 1)])]);
     assert!(matches!(twice, Err(ConfigurationError::Governors(_))), "{twice:?}");
     let none = configured("m0", 27_000, vec![]);
     assert!(matches!(none, Err(ConfigurationError::Governors(_))), "{none:?}");
--- /dev/null
+++ b/aggregation/tests/program.rs
@@ -0,0 +1,196 @@
+//! The program on loopback sockets, between stand-ins.
+
+mod stand_ins;
+
+use rustix::process::Signal;
+use stand_ins::{get, Collector, Discovery, Governor, Line, Program};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use whinwall_governor::protocol::collector::{quick, Report};
+
+const LIST: &str = r#"{"version":41,"full":true,"servers":[
+    {"id":"s-0","addr":"127.0.0.9:1","zone":"a","kind":"m","cell":1,"state":"active","weight":1.0,"started_ms":0},
+    {"id":"s-1","addr":"127.0.0.9:1","zone":"b","kind":"m","cell":1,"state":"active","weight":1.0,"started_ms":0}]}"#;
+
+fn discovery() -> Discovery {
+    Discovery::start(&LIST.replace('\n', ""))
+}
+
+/// The operators' file: each governor with two slices of its own.
+fn file(governors: &[SocketAddr], aggregators: &[(String, SocketAddr)]) -> String {
+    let governors = governors.iter().enumerate().map(|(n, address)| {
+        let (first, last) = (2 * n, 2 * n + 1);
+        format!("<governor name=\"g{n}\" address=\"{address}\" slices=\"{first}-{last}\"/>")
+    });
+    let aggregators = aggregators
+        .iter()
+        .map(|(name, address)| format!("<aggregator name=\"{name}\" address=\"{address}\"/>"));
+    let members: String = governors.chain(aggregators).collect();
+    let subsetting = format!("<subsetting subset=\"2\" bytes-per-second=\"27000\">{members}</subsetting>");
+    format!("<operators version=\"1\">{subsetting}</operators>")
+}
+
+/// Addresses of aggregators that are not there.
+fn absent(name: &str, port: u16) -> (String, SocketAddr) {
+    (name.to_string(), SocketAddr::from(([127, 0, 0, 1], port)))
+}
+
+fn reports(zone: &str, slices: u32) -> Vec<String> {
+    let load = |host: &str| {
+        format!("{{\"@type\":\"LOAD\",\"az\":\"{zone}\",\"host\":\"{host}\",\"n\":10,\"bad\":1,\"avg\":5.0,\"window\":250.0}}")
+    };
+    let shard = |slice: u32| {
+        format!("{{\"@type\":\"SHARD\",\"partition\":{slice},\"kind\":\"lookup\",\"n\":7,\"bad\":0,\"window\":250.0}}")
+    };
+    [load("s-0"), load("s-1")].into_iter().chain((0..slices).map(shard)).collect()
+}
+
+fn collectors(to: &[SocketAddr], slices: u32) -> Vec<Collector> {
+    let zones = to.iter().flat_map(|to| ["a", "b"].map(|zone| (*to, zone)));
+    zones.map(|(to, zone)| Collector::start(to, zone, &reports(zone, slices))).collect()
+}
+
+#[test]
+fn one_alone_sums_zones_and_tells_each_governor_of_its_own_slices() {
+    let (discovery, mut governors) = (discovery(), [Governor::start(), Governor::start()]);
+    let addresses = governors.each_ref().map(|governor| governor.address);
+    let mut program = Program::start("m0", &file(&addresses, &[absent("m0", 7)]), &discovery, &[]);
+    let _collectors = collectors(&[program.address], 6);
+    for (number, governor) in governors.iter_mut().enumerate() {
+        governor.hears(r#"{"@type":"SOURCE","az":"a"}"#);
+        // The first window has what came until zones were whole, the second is an ordinary one.
+        let marked = |line: &Line| line.text.contains("s-0") && !line.text.contains("missing");
+        let line = governor.heard.wait("a whole line of s-0", marked).text;
+        let Some(Report::Met { place, tries, aborted, mean_latency_ms, covers_ms, .. }) = quick(&line) else {
+            panic!("{line}")
+        };
+        assert_eq!((place, mean_latency_ms), ("a", 5.0));
+        // Two zones' lines in each quarter of a second, give or take those at the window's ends.
+        let lines = tries / 10.0;
+        assert_eq!((lines.fract(), aborted), (0.0, lines));
+        let expected = 2.0 * covers_ms / 250.0;
+        assert!((lines - expected).abs() <= 4.0, "{lines} lines, not about {expected}: {line}");
+        let own = governor.hears("SHARD").text;
+        let Some(Report::Asked { slice, .. }) = quick(&own) else { panic!("{own}") };
+        assert_eq!(slice as usize / 2, number);
+    }
+    program.signal(Signal::TERM);
+    assert_eq!(program.ends().code(), Some(0));
+}
+
+#[test]
+fn four_share_the_governors_and_take_over_from_one_that_dies_or_hangs() {
+    const GOVERNORS: usize = 8;
+    let (discovery, mut governors) = (discovery(), Vec::new());
+    governors.resize_with(GOVERNORS, Governor::start);
+    let addresses: Vec<_> = governors.iter().map(|governor| governor.address).collect();
+    let names = ["m0", "m1", "m2", "m3"];
+    let unknown: Vec<_> = names.iter().zip(1..).map(|(name, port)| absent(name, port)).collect();
+    let mut programs: Vec<_> =
+        names.iter().map(|name| Program::start(name, &file(&addresses, &unknown), &discovery, &[])).collect();
+    // Only now are their addresses known.
+    let known: Vec<_> =
+        names.iter().zip(&programs).map(|(name, program)| (name.to_string(), program.address)).collect();
+    for program in &programs {
+        program.reads_anew(&file(&addresses, &known));
+    }
+    let to: Vec<_> = programs.iter().map(|program| program.address).collect();
+    let _collectors = collectors(&to, 2 * GOVERNORS as u32);
+    let expect_all = |governors: &mut Vec<Governor>| {
+        for governor in governors.iter_mut() {
+            governor.heard.forget();
+            governor.hears("s-0");
+        }
+    };
+    expect_all(&mut governors);
+    for program in &mut programs {
+        program.logs("as one of 4 aggregators");
+    }
+    programs[1].signal(Signal::STOP);
+    for one in [0, 2, 3] {
+        programs[one].logs("aggregator m1 is not heard");
+    }
+    expect_all(&mut governors);
+    programs[1].signal(Signal::CONT);
+    programs[1].logs("was not running for");
+    programs[0].logs("as one of 4 aggregators");
+    programs[2].dies();
+    for one in [0, 1, 3] {
+        programs[one].logs("aggregator m2 is not heard");
+    }
+    expect_all(&mut governors);
+}
+
+#[test]
+fn what_is_missing_is_marked_and_shown_in_metrics() {
+    let (discovery, mut governor) = (discovery(), Governor::start());
+    let file = file(&[governor.address], &[absent("m0", 7)]);
+    let mut program = Program::start("m0", &file, &discovery, &["--metrics", "127.0.0.1:0"]);
+    let metrics = program.logs("metrics at").rsplit(' ').next().unwrap().to_string();
+    let mut all = collectors(&[program.address], 2);
+    governor.heard.wait("a whole line", |line| line.text.contains("s-0") && !line.text.contains("missing"));
+    drop(all.pop());
+    program.logs("zone b is missing");
+    governor.hears(r#""missing":1"#);
+    let text = get(&metrics, "/metrics");
+    let figures: BTreeMap<_, _> = text.lines().filter_map(|line| line.split_once(' ')).collect();
+    let figure = |name: &str| figures[format!("whinwall_aggregator_{name}").as_str()];
+    assert_eq!(figure("zones_missing"), "1", "{text}");
+    assert_eq!(figure("governors_connected"), "1");
+    assert!(figure("bytes_in_total").parse::<u64>().unwrap() > 0);
+    assert!(figure("lines_out_total").parse::<u64>().unwrap() > 0);
+    assert!(get(&metrics, "/other").starts_with("HTTP/1.1 404"));
+}
+
+#[test]
+fn strangers_are_let_go_and_cost_no_collector_its_place() {
+    let (discovery, mut governor) = (discovery(), Governor::start());
+    let file = file(&[governor.address], &[absent("m0", 7)]);
+    let program = Program::start("m0", &file, &discovery, &[]);
+    let _collectors = collectors(&[program.address], 2);
+    governor.hears("s-0");
+    let mut asks = program.connect();
+    asks.says(r#"{"@type":"PING"}"#);
+    assert_eq!(asks.hears(), "{\"@type\":\"PONG\"}\n");
+    let mut garbled = program.connect();
+    garbled.says("GET / HTTP/1.1");
+    assert!(garbled.is_let_go());
+    let mut early = program.connect();
+    early.says(&reports("a", 0)[0]);
+    assert!(early.is_let_go());
+    let mut endless = program.connect();
+    endless.says(&"x".repeat(1 << 16));
+    assert!(endless.is_let_go());
+    // One that never says anything.
+    assert!(program.connect().is_let_go());
+    let mut unknown = program.connect();
+    unknown
+        .says(r#"{"@type":"HEARTBEAT","name":"m9","ready":true,"list_age_ms":0,"version":1,"zones":["x"]}"#);
+    governor.heard.forget();
+    let line = governor.hears("s-0").text;
+    assert!(!line.contains("missing"), "{line}");
+}
+
+#[test]
+fn a_faulty_file_is_refused_and_one_read_anew_leaves_the_former_in_force() {
+    let discovery = discovery();
+    let governor = Governor::start();
+    let good = file(&[governor.address], &[absent("m0", 7)]);
+    let mut program = Program::launch("m9", &good, &discovery, &[]);
+    program.logs("\"m9\" is not among the aggregators");
+    assert_eq!(program.ends().code(), Some(2));
+    let mut program = Program::launch("m0", "<operators version=\"1\"/>", &discovery, &[]);
+    program.logs("no element <subsetting>");
+    assert_eq!(program.ends().code(), Some(2));
+    let small = good.replace("27000", "600");
+    let mut program = Program::launch("m0", &small, &discovery, &[]);
+    program.logs("what one line may take");
+    assert_eq!(program.ends().code(), Some(2));
+    let mut program = Program::start("m0", &good, &discovery, &[]);
+    program.reads_anew(&small);
+    program.logs("the former one stays");
+    program.reads_anew(&good);
+    program.logs("the file is read anew");
+    program.signal(Signal::TERM);
+    assert_eq!(program.ends().code(), Some(0));
+}
--- a/governor/src/program/logger.rs
+++ b/governor/src/program/logger.rs
@@ -77,6 +77,7 @@
     }
 }
 
+/// Takes all that is logged from now on.
 pub fn start(level: LevelFilter, lines_a_second: u32) -> Form {
     let form = Form::default();
     let (start, seconds) = (Instant::now(), Mutex::default());
--- a/governor/src/program/mod.rs
+++ b/governor/src/program/mod.rs
@@ -4,10 +4,10 @@
 pub mod configuration;
 mod event_loop;
 mod fronts;
-mod logger;
+pub mod logger;
 pub mod meters;
 pub mod readers;
-mod signals;
+pub mod signals;
 
 use clap::Parser;
 use configuration::Surroundings;
--- a/governor/src/transport/mod.rs
+++ b/governor/src/transport/mod.rs
@@ -167,7 +167,8 @@
     Err(Broken::Silent)
 }
 
-async fn connect(to: SocketAddr) -> Result<TcpStream, Broken> {
+/// Dials until one attempt succeeds, for a bounded time.
+pub async fn connect(to: SocketAddr) -> Result<TcpStream, Broken> {
     let unreachable = |why: std::io::Error| Broken::Unreachable(why.to_string());
     let dial = async || TcpStream::connect(to).await.map_err(unreachable);
     let stream = earliest(limits::CONNECT, limits::DIALS, dial).await?;
