Aggregation: a bench, zones that strangers make up, a watch that misses a change

A zone counts once its collector has reported; a watch is asked anew where a peer's list is later for 6 s, or no change came for 30 s. The bench measures an aggregator at the target's size in process and as the real program.

--- a/aggregation/src/aggregator.rs
+++ b/aggregation/src/aggregator.rs
@@ -85,7 +85,10 @@
     follow_at: Option<Moment>,
     sharing: Vec<String>,
     was_fresh: bool,
-    was_behind: bool,
+    /// Since when a peer has a later version of the list.
+    behind_since: Option<Moment>,
+    /// When discovery is asked anew although its watch goes on.
+    renew_at: Moment,
 }
 
 impl Aggregator {
@@ -112,7 +115,8 @@
             follow_at: Some(now),
             sharing: Vec::new(),
             was_fresh: true,
-            was_behind: false,
+            behind_since: None,
+            renew_at: now + limits::REGISTRY_RENEWED,
         };
         aggregator.apply_members(now);
         aggregator
@@ -260,6 +264,7 @@
 
     fn listed(&mut self, now: Moment, list: List, effects: &mut Vec<Effect>) {
         let applied = self.registry.apply(now, list);
+        self.renew_at = now + limits::REGISTRY_RENEWED;
         if applied.is_old {
             self.follow_at = Some(now + limits::RETRY);
         }
@@ -282,9 +287,9 @@
     fn governor_connected(&mut self, now: Moment, governor: &str, effects: &mut Vec<Effect>) {
         let index = self.configuration.membership.index(governor).unwrap_or_default();
         let phase = limits::REPORT_PERIOD.times(index as f64 / self.configuration.membership.len() as f64);
-        let Some(zone) = self.zone.clone().or_else(|| self.coverage.present().next().map(str::to_string))
-        else {
-            return;
+        let Some(zone) = self.zone.clone().or_else(|| self.coverage.first().map(str::to_string)) else {
+            effects.push(Effect::Disconnect { governor: governor.into() });
+            return self.governor_lost(now, governor, effects);
         };
         let Some(feed) = self.feeds.get_mut(governor).filter(|feed| feed.owned) else { return };
         if feed.pause > limits::RETRY {
@@ -343,11 +348,20 @@
         if fresh != self.was_fresh {
             effects.push(Effect::Log(Note::RegistryStale(!fresh)));
         }
+        self.was_fresh = fresh;
         let (own, peer) = (self.registry.version(), self.peers.latest_version());
-        if own < peer && !self.was_behind && self.registry.is_known() {
+        if own >= peer || !self.registry.is_known() {
+            self.behind_since = None;
+        } else if self.behind_since.is_none() {
+            self.behind_since = Some(now);
             effects.push(Effect::Log(Note::RegistryBehind { own, peer }));
         }
-        (self.was_fresh, self.was_behind) = (fresh, own < peer);
+        let is_behind = self.behind_since.is_some_and(|since| now - since >= limits::REGISTRY_BEHIND);
+        if is_behind || now >= self.renew_at {
+            // Its signs of life may go on while it missed a change.
+            self.behind_since = self.behind_since.map(|_| now);
+            (self.follow_at, self.renew_at) = (Some(now), now + limits::REGISTRY_RENEWED);
+        }
     }
 
     fn compute_subsets(&mut self, now: Moment) {
--- /dev/null
+++ b/aggregation/src/bin/aggregation-bench/main.rs
@@ -0,0 +1,79 @@
+//! Measures what one aggregator costs at a given size: in process, or the real program on loopback sockets.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod in_process;
+mod load;
+mod sockets;
+
+use clap::{Parser, ValueEnum};
+use load::Size;
+use std::path::PathBuf;
+
+/// What is measured.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum Way {
+    /// Decoding and the reducer, in virtual time, in this process.
+    InProcess,
+    /// The real program, its collectors, peers and governors on loopback sockets, in real time.
+    Sockets,
+}
+
+/// What the command line says; the defaults are the target's size.
+#[derive(Parser)]
+#[command(name = "aggregation-bench", about = "What one aggregator costs at a given size")]
+struct Arguments {
+    /// What is measured
+    #[arg(value_enum)]
+    way: Way,
+    /// Replicas in the list
+    #[arg(long, default_value_t = 2_200)]
+    replicas: usize,
+    /// Zones, each with a collector that reports each second
+    #[arg(long, default_value_t = 9)]
+    zones: usize,
+    /// Governors of the fleet
+    #[arg(long, default_value_t = 650)]
+    governors: usize,
+    /// Slices of each governor
+    #[arg(long, default_value_t = 20)]
+    slices: usize,
+    /// Request classes of each slice
+    #[arg(long, default_value_t = 2)]
+    classes: usize,
+    /// Replicas that each governor is to steer
+    #[arg(long, default_value_t = 48)]
+    subset: usize,
+    /// A governor's budget, in bytes a second
+    #[arg(long, default_value_t = 27_000)]
+    budget: u64,
+    /// Aggregators that share the governors
+    #[arg(long, default_value_t = 4)]
+    sharing: usize,
+    /// Seconds that are measured, after those until the aggregator is ready
+    #[arg(long, default_value_t = 20)]
+    seconds: u64,
+    /// The program, for sockets
+    #[arg(long, default_value = "target/release/whinwall-aggregator")]
+    program: PathBuf,
+}
+
+fn main() -> Result<(), String> {
+    let all = Arguments::parse();
+    let size = Size {
+        replicas: all.replicas,
+        zones: all.zones,
+        governors: all.governors,
+        slices: all.slices,
+        classes: all.classes,
+        subset: all.subset,
+        budget: all.budget,
+        sharing: all.sharing,
+    };
+    let figures = match all.way {
+        Way::InProcess => in_process::measure(&size, all.seconds)?,
+        Way::Sockets => sockets::measure(&size, all.seconds, &all.program)?,
+    };
+    println!("{}", serde_json::to_string_pretty(&figures).map_err(|why| why.to_string())?);
+    Ok(())
+}
--- a/aggregation/src/coverage.rs
+++ b/aggregation/src/coverage.rs
@@ -1,5 +1,5 @@
-//! Which zones' collectors are heard. A zone that was heard before and is not heard now is *missing*: sums made
-//! meanwhile lack its part.
+//! Which zones' collectors are heard. A zone that was heard before, here or by a peer, and is not heard now is
+//! *missing*: sums made meanwhile lack its part.
 
 use crate::limits;
 use crate::messages::{ConnectionId, Note};
@@ -12,6 +12,8 @@
 struct Zone {
     /// Collectors that are connected.
     collectors: usize,
+    /// It reported once, here or to a peer: a zone that a stranger made up never does.
+    is_known: bool,
     last_heard: Moment,
     missing_since: Option<Moment>,
     /// When it was last missing, the end of that.
@@ -26,16 +28,11 @@
 }
 
 impl Coverage {
-    /// A collector says for which zone it speaks; false where there is no room for the zone. A zone is heard only
-    /// once its collector reports.
+    /// A collector says for which zone it speaks; false where there is no room for the zone.
     pub fn join(&mut self, now: Moment, connection: ConnectionId, zone: &str) -> bool {
         self.end(connection);
-        if !self.zones.contains_key(zone) && !self.expect(now, zone) {
-            return false;
-        }
-        if let Some(known) = self.zones.get_mut(zone) {
-            known.collectors += 1;
-        }
+        let Some(known) = self.zone(now, zone) else { return false };
+        known.collectors += 1;
         self.collectors.insert(connection, zone.into());
         true
     }
@@ -43,27 +40,33 @@
     /// A peer hears this zone, so it is there; false where there is no room for it. Until it is heard here it is
     /// missing.
     pub fn expect(&mut self, now: Moment, zone: &str) -> bool {
-        if self.zones.contains_key(zone) {
-            return true;
-        }
-        if self.zones.len() >= limits::MAX_ZONES || zone.len() > limits::MAX_NAME {
-            return false;
-        }
-        let new = Zone { collectors: 0, last_heard: now, missing_since: Some(now), was_missing_until: None };
-        self.zones.insert(zone.into(), new);
+        let Some(known) = self.zone(now, zone) else { return false };
+        known.is_known = true;
         true
     }
 
-    /// A collector reports; false where it has not said for which zone.
+    fn zone(&mut self, now: Moment, name: &str) -> Option<&mut Zone> {
+        let has_room = self.zones.len() < limits::MAX_ZONES && name.len() <= limits::MAX_NAME;
+        if !self.zones.contains_key(name) && has_room {
+            let (missing_since, was_missing_until) = (Some(now), None);
+            let new =
+                Zone { collectors: 0, is_known: false, last_heard: now, missing_since, was_missing_until };
+            self.zones.insert(name.into(), new);
+        }
+        self.zones.get_mut(name)
+    }
+
+    /// A collector reports.
     pub fn heard(&mut self, now: Moment, connection: ConnectionId) -> Result<Option<Note>, UnknownCollector> {
         let name = self.collectors.get(&connection).ok_or(UnknownCollector)?;
         let Some(zone) = self.zones.get_mut(name) else { return Ok(None) };
         zone.last_heard = now;
+        let was_known = std::mem::replace(&mut zone.is_known, true);
         if zone.missing_since.take().is_none() {
             return Ok(None);
         }
         zone.was_missing_until = Some(now);
-        Ok(Some(Note::ZoneBack(name.clone())))
+        Ok(was_known.then(|| Note::ZoneBack(name.clone())))
     }
 
     /// A connection ended: the zone is missing at once where it was its last.
@@ -71,6 +74,10 @@
         let name = self.collectors.remove(&connection)?;
         let zone = self.zones.get_mut(&name)?;
         zone.collectors = zone.collectors.saturating_sub(1);
+        if zone.collectors == 0 && !zone.is_known {
+            self.zones.remove(&name);
+            return None;
+        }
         if zone.collectors > 0 || zone.missing_since.is_some() {
             return None;
         }
@@ -111,12 +118,21 @@
         let lacks = |zone: &&Zone| {
             zone.missing_since.is_some() || zone.was_missing_until.is_some_and(|until| until > begins)
         };
-        self.zones.values().filter(lacks).count()
+        self.known().filter(lacks).count()
     }
 
     /// How many zones are missing now.
     pub fn missing(&self) -> usize {
-        self.zones.values().filter(|zone| zone.missing_since.is_some()).count()
+        self.known().filter(|zone| zone.missing_since.is_some()).count()
+    }
+
+    fn known(&self) -> impl Iterator<Item = &Zone> {
+        self.zones.values().filter(|zone| zone.is_known)
+    }
+
+    /// The first by name of the zones that reported once.
+    pub fn first(&self) -> Option<&str> {
+        self.zones.iter().find(|(_, zone)| zone.is_known).map(|(name, _)| name.as_str())
     }
 
     /// The zones that are heard now.
--- a/aggregation/src/limits.rs
+++ b/aggregation/src/limits.rs
@@ -30,6 +30,8 @@
 pub const REGISTRY_STALE: Span = Span::ms(6000);
 /// A list below the version that is held comes from an agent that is behind, for so long; then it is a new count.
 pub const REGISTRY_BEHIND: Span = Span::ms(6000);
+/// A watch that told no change for so long is asked for anew: it may have missed one.
+pub const REGISTRY_RENEWED: Span = Span::ms(30_000);
 /// Before discovery is asked again, and before the first new dial to a governor.
 pub const RETRY: Span = Span::ms(1000);
 /// The longest pause between dials to a governor that can't be reached.
--- a/aggregation/tests/failures.rs
+++ b/aggregation/tests/failures.rs
@@ -156,6 +156,43 @@
     assert_budget(&fleet);
 }
 
+#[test]
+fn one_of_four_misses_a_change_while_its_watch_seems_well() {
+    let mut fleet = fleet();
+    let from = fleet.now_ms as f64;
+    fleet.list(|replicas| _ = replicas.insert("s-new".into(), replica("s-new", 0)));
+    let new = fleet.governors.iter().find(|governor| fleet.subset(&governor.name).contains("s-new"));
+    let serves_it = fleet.owners(&new.unwrap().name)[0];
+    fleet.stick_list(serves_it);
+    fleet.run(15_000);
+    let told = fleet.governors.iter().flat_map(|governor| {
+        let own = fleet.subset(&governor.name).contains("s-new").then_some(&governor.name);
+        own.map(|name| {
+            let mut reports = fleet.reports(name);
+            let first = reports.find(|(_, told)| told.host.as_deref() == Some("s-new"));
+            first.unwrap().0.at_ms
+        })
+    });
+    let recovered = told.fold(0.0, f64::max) - from;
+    record("one of four misses a change of the list, until all are told of the new replica", recovered);
+    assert!(recovered <= 9_500.0, "{recovered} ms");
+    assert_exact(&fleet);
+}
+
+#[test]
+fn a_zone_that_a_stranger_made_up_is_not_missing() {
+    let mut fleet = fleet();
+    let from = fleet.now_ms as f64;
+    for machine in 0..4 {
+        fleet.stranger(machine, "a-zone-that-is-none");
+    }
+    fleet.run(5_000);
+    for governor in &fleet.governors {
+        let mut after = fleet.reports(&governor.name).filter(|(heard, _)| heard.at_ms > from);
+        assert!(after.all(|(_, told)| told.missing == 0));
+    }
+}
+
 #[test]
 fn where_all_lists_are_old_all_go_on() {
     let mut fleet = fleet();
--- a/aggregation/tests/virtual_fleet/mod.rs
+++ b/aggregation/tests/virtual_fleet/mod.rs
@@ -89,6 +89,8 @@
     unreachable: BTreeSet<String>,
     /// Discovery's watch tells it nothing.
     list_silent: bool,
+    /// Discovery's watch gives signs of life and tells no change, until it is asked anew.
+    list_stuck: bool,
     list_version: u64,
     /// Open connections to governors.
     connections: BTreeMap<String, u64>,
@@ -203,6 +205,7 @@
                 deaf_to: BTreeSet::new(),
                 unreachable: BTreeSet::new(),
                 list_silent: false,
+                list_stuck: false,
                 list_version: 0,
                 connections: BTreeMap::new(),
                 queue: Vec::new(),
@@ -299,6 +302,16 @@
         }
     }
 
+    /// Somebody says for which zone it speaks, and nothing else.
+    pub fn stranger(&mut self, index: usize, zone: &str) {
+        let connection = 5000 + index as u64;
+        self.event(index, Event::CollectorJoined { connection, zone });
+    }
+
+    pub fn stick_list(&mut self, index: usize) {
+        self.machines[index].list_stuck = true;
+    }
+
     /// The registry changes.
     pub fn list(&mut self, change: impl FnOnce(&mut BTreeMap<String, Entry>)) {
         change(&mut self.replicas);
@@ -439,12 +452,14 @@
             }
         }
         if !self.machines[index].list_silent {
-            let held = std::mem::replace(&mut self.machines[index].list_version, self.version);
-            match held == self.version {
+            let machine = &mut self.machines[index];
+            let tells_none = machine.list_stuck || machine.list_version == self.version;
+            match tells_none {
                 true => self.event(index, Event::RegistryAlive),
                 false => {
                     let entries = self.replicas.values().cloned().collect();
                     let list = List { version: self.version, whole: true, entries };
+                    machine.list_version = self.version;
                     self.event(index, Event::RegistryListed(list));
                 }
             }
@@ -489,7 +504,8 @@
                 }
             }
             Effect::Log(note) => self.machines[index].notes.push(note),
-            Effect::RefuseCollector(_) | Effect::FollowRegistry { .. } => {}
+            Effect::FollowRegistry { .. } => self.machines[index].list_stuck = false,
+            Effect::RefuseCollector(_) => {}
         }
     }
 
