--- a/aggregation/src/feed.rs
+++ b/aggregation/src/feed.rs
@@ -186,9 +186,13 @@
     ) -> (Vec<Candidate>, Vec<Line>) {
         let mut readings = std::mem::take(&mut self.readings);
         let (mut candidates, mut lines) = (Vec::new(), Vec::new());
+        let is_heard = coverage.present().next().is_some();
         let mut consider = |key: Key, series: &Series| {
             let reading = known_reading(&mut readings, &key, series, now);
-            let portion = series.since(&reading.cursor, now);
+            let mut portion = series.since(&reading.cursor, now);
+            if is_heard && matches!(key, Key::Replica(_)) {
+                portion = portion.or_else(|| series.idle_since(&reading.cursor, now));
+            }
             self.readings.insert(key.clone(), reading);
             let Some(Portion { begins, sum }) = portion else { return };
             let window = (now - begins).max(Span::ms(1));
--- a/aggregation/src/limits.rs
+++ b/aggregation/src/limits.rs
@@ -6,6 +6,9 @@
 pub const REPORT_PERIOD: Span = Span::ms(1000);
 /// No key that has news waits longer than this for its line.
 pub const MAX_WINDOW: Span = Span::ms(5000);
+/// A replica that no collector speaks of for so long gets a line that says so, with a count of 0: a governor takes no
+/// silence for a verdict. Two reports that are late are no silence.
+pub const IDLE_REPLICA: Span = Span::ms(2500);
 /// The first line about a key on a new connection reaches back at most this far: past the suspicion of a dead
 /// owner, and the dial.
 pub const LATE_START: Span = Span::ms(5000);
--- a/aggregation/src/sums.rs
+++ b/aggregation/src/sums.rs
@@ -154,6 +154,13 @@
         (sum.lines > 0 && is_whole).then_some(Portion { begins: cursor.since.max(self.began), sum })
     }
 
+    /// Nothing came since, for so long that this is worth a line.
+    pub fn idle_since(&self, cursor: &Cursor, now: Moment) -> Option<Portion> {
+        let (begins, sum) = (cursor.since.max(self.began), Sum::default());
+        let is_idle = self.total.lines == cursor.read.lines && now - begins >= limits::IDLE_REPLICA;
+        is_idle.then_some(Portion { begins, sum })
+    }
+
     /// The cursor of who has read everything.
     pub fn read_at(&self, now: Moment) -> Cursor {
         Cursor { series: self.id, since: now, read: self.total }
--- a/aggregation/tests/failures.rs
+++ b/aggregation/tests/failures.rs
@@ -271,6 +271,56 @@
     assert_exact(&fleet);
 }
 
+/// Two regions: the first has half of the machines, zone 0 and half of the governors, the second has the rest.
+fn set_regions_apart(fleet: &mut Fleet, apart: bool) {
+    let names: Vec<_> = fleet.governors.iter().map(|governor| governor.name.clone()).collect();
+    for machine in 0..4 {
+        let region = machine / 2;
+        for zone in (0..fleet.zones).filter(|zone| (*zone).min(1) != region) {
+            match apart {
+                true => fleet.mute_zone(machine, zone),
+                false => fleet.join_zone(machine, zone),
+            }
+        }
+        for (_, name) in names.iter().enumerate().filter(|(n, _)| n % 2 != region) {
+            fleet.set_reachable_from(machine, name, !apart);
+        }
+        for other in (0..4).filter(|other| apart && other / 2 != region) {
+            fleet.deafen(machine, other);
+        }
+    }
+    if !apart {
+        fleet.undeafen();
+    }
+}
+
+#[test]
+fn regions_lose_each_other_for_an_hour() {
+    let mut fleet = Fleet::settled(4, 9, 3, 4, BUDGET);
+    let cut = fleet.now_ms as f64;
+    set_regions_apart(&mut fleet, true);
+    fleet.run(3_600_000);
+    // Each governor is told all the time, by its own side alone and of what that hears: the rest is marked.
+    for (n, governor) in fleet.governors.iter().enumerate() {
+        let during = fleet.reports(&governor.name).filter(|(heard, _)| heard.at_ms > cut + 10_000.0);
+        let during: Vec<_> = during.collect();
+        let lacks = if n % 2 == 0 { 2 } else { 1 };
+        assert!(during.iter().all(|(heard, told)| heard.aggregator / 2 == n % 2 && told.missing == lacks));
+        assert!(during.len() > 3_500 * 4, "{} is told too little", governor.name);
+    }
+    let back = fleet.now_ms;
+    set_regions_apart(&mut fleet, false);
+    fleet.run(15_000);
+    let alone = fleet.served_alone_at_ms(back);
+    let last_marked = fleet.governors.iter().flat_map(|governor| {
+        let lines = fleet.reports(&governor.name).filter(|(_, told)| told.missing > 0);
+        lines.map(|(heard, _)| heard.at_ms).collect::<Vec<_>>()
+    });
+    let recovered = last_marked.fold(alone, f64::max) - back as f64;
+    record("regions lose each other for an hour, until each is told by one of all zones", recovered);
+    assert!(recovered <= 10_000.0, "{recovered} ms");
+}
+
 #[test]
 fn a_zone_that_is_gone_for_good_is_missing_for_a_time_only() {
     let mut fleet = Fleet::settled(1, 2, 2, 2, BUDGET);
--- a/aggregation/tests/steady.rs
+++ b/aggregation/tests/steady.rs
@@ -56,6 +56,41 @@
     }
 }
 
+#[test]
+fn a_replica_that_no_collector_speaks_of_is_told_with_a_count_of_0() {
+    let mut fleet = Fleet::settled(4, 20, 3, 8, BUDGET);
+    let id = fleet.subset("g0").pop_first().unwrap();
+    fleet.untried.insert(id.clone());
+    fleet.run(1_100);
+    let from = fleet.now_ms as f64;
+    fleet.run(20_000);
+    let of_it = |told: &virtual_fleet::Told| told.host.as_ref() == Some(&id);
+    let lines = fleet.reports("g0").filter(|(heard, told)| heard.at_ms > from && of_it(told));
+    let lines: Vec<_> = lines.map(|(_, told)| (told.n, told.window)).collect();
+    assert!(lines.len() >= 6, "{lines:?}");
+    assert!(lines.iter().all(|(n, window)| *n == 0.0 && (2_500.0..=3_000.0).contains(window)), "{lines:?}");
+    // Where it is tried again, its window is the time since the last line.
+    fleet.untried.clear();
+    fleet.run(5_000);
+    let (gap, _) = fleet.gaps_and_overlaps_ms(20_000);
+    assert!(gap < 0.01, "{gap} ms of gaps");
+    let zones = fleet.all_zones();
+    fleet.assert_counts_exact(|_| zones.clone());
+}
+
+#[test]
+fn nothing_is_told_while_no_collector_is_heard() {
+    let mut fleet = Fleet::settled(4, 20, 3, 8, BUDGET);
+    fleet.reporting = false;
+    fleet.run(8_000);
+    let from = fleet.now_ms as f64;
+    fleet.run(20_000);
+    for governor in 0..4 {
+        let after = fleet.reports(&format!("g{governor}")).filter(|(heard, _)| heard.at_ms > from);
+        assert_eq!(after.count(), 0);
+    }
+}
+
 #[test]
 fn budgets_hold_over_any_second_and_no_key_waits_longer_than_the_maximum_window() {
     // About two fifths of what would be told without a bound.
--- a/aggregation/tests/virtual_fleet/mod.rs
+++ b/aggregation/tests/virtual_fleet/mod.rs
@@ -132,6 +132,8 @@
     random: u64,
     /// Collectors report.
     pub reporting: bool,
+    /// Replicas that no proxy tries.
+    pub untried: BTreeSet<String>,
     /// Slices that are reported, and the classes of each.
     pub classes: Vec<&'static str>,
 }
@@ -194,6 +196,7 @@
             next_connection: 0,
             random: 0x9E37_79B9_7F4A_7C15,
             reporting: true,
+            untried: BTreeSet::new(),
             classes: vec!["lookup", "write"],
         };
         for _ in 0..4 {
@@ -283,6 +286,11 @@
         self.machines[to].deaf_to.insert(from);
     }
 
+    /// All heartbeats arrive again.
+    pub fn undeafen(&mut self) {
+        self.machines.iter_mut().for_each(|machine| machine.deaf_to.clear());
+    }
+
     pub fn silence_list(&mut self, index: usize, silent: bool) {
         self.machines[index].list_silent = silent;
         if !silent {
@@ -291,14 +299,18 @@
     }
 
     pub fn set_reachable(&mut self, governor: &str, reachable: bool) {
-        for machine in &mut self.machines {
-            match reachable {
-                true => _ = machine.unreachable.remove(governor),
-                false => _ = machine.unreachable.insert(governor.into()),
-            }
-            if !reachable && machine.connections.remove(governor).is_some() {
-                machine.queue.push(Answer::Lost(governor.into()));
-            }
+        (0..self.machines.len()).for_each(|machine| self.set_reachable_from(machine, governor, reachable));
+    }
+
+    /// Whether a machine reaches a governor; where it does not, what is open is reset.
+    pub fn set_reachable_from(&mut self, index: usize, governor: &str, reachable: bool) {
+        let machine = &mut self.machines[index];
+        match reachable {
+            true => _ = machine.unreachable.remove(governor),
+            false => _ = machine.unreachable.insert(governor.into()),
+        }
+        if !reachable && machine.connections.remove(governor).is_some() {
+            machine.queue.push(Answer::Lost(governor.into()));
         }
     }
 
@@ -394,7 +406,8 @@
 
     fn zone_reports(&mut self, zone: usize, at_ms: f64) {
         let place = zone_name(zone);
-        for id in self.replicas.keys().cloned().collect::<Vec<_>>() {
+        let tried: Vec<_> = self.replicas.keys().filter(|id| !self.untried.contains(*id)).cloned().collect();
+        for id in tried {
             let (n, avg) = (1.0 + self.draw(500) as f64, 1.0 + self.draw(400) as f64 / 8.0);
             let bad = self.draw(n as u64 + 1) as f64;
             let said = Said { at_ms, zone, n, bad, avg };
