--- a/aggregation/src/aggregator.rs
+++ b/aggregation/src/aggregator.rs
@@ -237,14 +237,15 @@
         if !self.coverage.join(now, connection, zone) {
             effects.push(Effect::Log(Note::BoundReached("zones")));
             effects.push(Effect::RefuseCollector(connection));
-            return;
         }
-        self.hold_until.get_or_insert(now + limits::START_HOLD);
     }
 
     fn reported(&mut self, now: Moment, connection: ConnectionId, report: Report, effects: &mut Vec<Effect>) {
         match self.coverage.heard(now, connection) {
-            Ok(note) => effects.extend(note.map(Effect::Log)),
+            Ok(note) => {
+                effects.extend(note.map(Effect::Log));
+                self.hold_until.get_or_insert(now + limits::START_HOLD);
+            }
             Err(_) => {
                 effects.push(Effect::RefuseCollector(connection));
                 return;
