Subsets are computed from the registry's zones, also where the settings do not name them

Need: aggregators know no settings, so a governor that lumped unnamed zones together computed other subsets than they. The registry's zone is kept beside a server's name where the settings lack it, and ends with the name. The new test fails without the change; the 11 tests of subsets pass.

--- a/governor/src/routing/names.rs
+++ b/governor/src/routing/names.rs
@@ -6,6 +6,8 @@
 pub struct Names {
     numbers: BTreeMap<String, ServerId>,
     names: BTreeMap<ServerId, String>,
+    /// Zones of servers, as the registry has them, where the settings do not name the zone.
+    unnamed_zones: BTreeMap<ServerId, String>,
     /// No number is given twice: a server must not come back under another's.
     next: ServerId,
     /// Grows with each change.
@@ -15,7 +17,13 @@
 impl Default for Names {
     fn default() -> Self {
         // Whoever knows of no change knows nothing yet.
-        Names { numbers: BTreeMap::new(), names: BTreeMap::new(), next: 0, changes: 1 }
+        Names {
+            numbers: BTreeMap::new(),
+            names: BTreeMap::new(),
+            unnamed_zones: BTreeMap::new(),
+            next: 0,
+            changes: 1,
+        }
     }
 }
 
@@ -42,6 +50,19 @@
         self.names.get(&number).cloned()
     }
 
+    /// Remembers the registry's zone of a server where the settings do not name that zone; none where they do.
+    pub fn set_unnamed_zone(&mut self, number: ServerId, zone: Option<&str>) {
+        match zone {
+            Some(zone) => _ = self.unnamed_zones.insert(number, zone.to_string()),
+            None => _ = self.unnamed_zones.remove(&number),
+        }
+    }
+
+    /// The registry's zone of a server, where the settings do not name that zone.
+    pub fn unnamed_zone(&self, number: ServerId) -> Option<&str> {
+        self.unnamed_zones.get(&number).map(String::as_str)
+    }
+
     pub fn len(&self) -> usize {
         self.names.len()
     }
@@ -58,6 +79,7 @@
     pub fn keep(&mut self, needed: impl Fn(ServerId) -> bool) {
         self.changes += 1;
         self.names.retain(|number, _| needed(*number));
+        self.unnamed_zones.retain(|number, _| needed(*number));
         self.numbers.retain(|_, number| needed(*number));
     }
 }
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -478,6 +478,11 @@
     }
 
     fn listings(&mut self, list: &List) -> Vec<Listing> {
+        for entry in &list.entries {
+            let is_named = self.settings.zones.contains(&entry.place);
+            let server = self.names.number(&entry.server);
+            self.names.set_unnamed_zone(server, (!is_named).then_some(entry.place.as_str()));
+        }
         let listing = |entry: &Entry| Listing {
             place: self.place(&entry.place),
             server: self.names.number(&entry.server),
--- a/governor/src/routing/reducer/subsets.rs
+++ b/governor/src/routing/reducer/subsets.rs
@@ -10,9 +10,6 @@
 use whinwall::time::Moment;
 use whinwall_subsetting::Replica;
 
-/// Replicas of zones that the settings do not name are in one zone together.
-const UNNAMED_ZONE: &str = "";
-
 impl Reducer {
     /// Which governors steer each replica, as the decisions were told last.
     pub fn shares(&self) -> BTreeMap<&str, Share> {
@@ -85,13 +82,15 @@
     }
 }
 
-/// The replicas that are listed and not gone.
+/// The replicas that are listed and not gone, in the registry's zones: aggregators, which know no settings, compute the
+/// same subsets from these.
 fn registry<'a>(names: &'a Names, governor: &'a Governor, zones: &'a [String]) -> Vec<Replica<'a>> {
     let replica = |(name, server): (&'a String, &ServerId)| {
         let listed = governor.listed_server(*server)?;
+        let named = zones.get(listed.place).map(String::as_str);
         Some(Replica {
             id: name,
-            zone: zones.get(listed.place).map_or(UNNAMED_ZONE, String::as_str),
+            zone: names.unnamed_zone(*server).or(named).unwrap_or_default(),
             group: &listed.machine,
             weight: listed.size,
         })
--- a/governor/tests/subsets.rs
+++ b/governor/tests/subsets.rs
@@ -204,6 +204,21 @@
     assert_eq!(told(&rig, &expected), expected);
 }
 
+/// Aggregators compute the same subsets from the registry alone.
+#[test]
+fn zones_that_the_settings_do_not_name_count_by_the_registrys_names() {
+    let mut rig = rig();
+    let mut replicas = registry();
+    for (number, listed) in replicas.iter_mut().enumerate().filter(|(number, _)| number % 2 == 0) {
+        listed.zone = ["islands", "harbour"][number / 2 % 2];
+    }
+    list(&mut rig, 42, true, &replicas);
+    let names = names(GOVERNORS);
+    rig.tell(Event::SubsettingConfigured(Some(fleet(&names))));
+    let expected = expected(&names, &replicas);
+    assert_eq!(told(&rig, &expected), expected);
+}
+
 #[test]
 fn a_zone_lost_and_back_leaves_the_shares_as_they_were() {
     let fleet_names = names(GOVERNORS);
