--- a/governor/tests/subsets.rs
+++ b/governor/tests/subsets.rs
@@ -210,10 +210,14 @@
     let mut rig = rig();
     let mut replicas = registry();
     for (number, listed) in replicas.iter_mut().enumerate().filter(|(number, _)| number % 2 == 0) {
-        listed.zone = ["islands", "harbour"][number / 2 % 2];
+        listed.zone = ["islands", "harbour", "valley", "coast", "hills"][number / 2 % 5];
     }
     list(&mut rig, 42, true, &replicas);
     let names = names(GOVERNORS);
+    let mut together = replicas.clone();
+    let unnamed = |listed: &&mut Listed| !ZONES.contains(&listed.zone);
+    together.iter_mut().filter(unnamed).for_each(|listed| listed.zone = "");
+    assert_ne!(expected(&names, &replicas), expected(&names, &together), "the zones make a difference");
     rig.tell(Event::SubsettingConfigured(Some(fleet(&names))));
     let expected = expected(&names, &replicas);
     assert_eq!(told(&rig, &expected), expected);
