Lines that nobody will ack no longer stop a returning governor's orders

(2) n3: the news was silent from 11.516 to 14.018 s and the acks of three messages with it: '14.800 waiting 46122 ... toshut 75', '31.004 waiting 46122 ... toshut 88': no line fitted under 47,280, so no later message could show that they had left, and no call was made from 13.039 s to the end.

Ruled out: message cap (none here), what is believed of a mute list (all versions came within 0.2 s), an open call or a store in doubt (trace: clear true, doubt false), the channel's pace (others' acks within 0.4 s).

Mend: where slices are shared out, lifts wait for one of ours; where unacked lines are in the way and their acks are lost with the news or 3 s overdue, a mark by itself asks all proxies, from the fifth of the cap that orders leave.

--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -596,6 +596,7 @@
         let Some(named) = self.snapshot.ended() else { return };
         self.first_given.clear();
         self.in_doubt = false;
+        self.governor.acks_lost();
         let gone: Vec<_> = self.proxies.difference(&named.proxies).copied().collect();
         gone.into_iter().for_each(|proxy| self.left(now, proxy));
         let taken = self.tables.keys().copied().filter(|slice| !named.slices.contains(slice));
--- a/governor/tests/crossings.rs
+++ b/governor/tests/crossings.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use stand_ins::rig::*;
 use std::collections::{BTreeMap, BTreeSet};
-use whinwall::time::Span;
+use whinwall::time::{Moment, Span};
 use whinwall_governor::protocol::discovery;
 use whinwall_governor::protocol::relay::Answer;
 use whinwall_governor::routing::{Effect, Event};
@@ -130,6 +130,89 @@
     assert!(!rig.calls.iter().any(|call| call.contains("IN,")), "{:?}", rig.calls);
 }
 
+/// Acks that come while the news is silent are told to nobody. The lines that they were for took the room of all further
+/// orders for ever (regina-rating, roll+silent+mass 524: a governor that had come back ordered nothing from 13.0 s to the
+/// end of the day).
+#[test]
+fn acks_lost_with_the_news_leave_room_for_what_drains() {
+    let grace = 1500;
+    let mut rig = Rig::with(300, |settings| {
+        settings["familyInfo"]["queueCap"] = json!(400);
+        settings["obligations"]["drainGraceNs"] = json!(Span::ms(grace).as_ns());
+    })
+    .set_going();
+    rig.pass(20_000);
+    let proxies = std::mem::take(&mut rig.proxies);
+    for server in ["s-0", "s-1", "s-2", "s-3"] {
+        rig.drain(server);
+        rig.pass(600);
+    }
+    rig.proxies = proxies;
+    rig.tell(Event::NewsLost(Broken::Silent));
+    rig.pass(200);
+    assert!(rig.renew(), "the news is asked for anew");
+    let before = rig.calls.len();
+    rig.drain("s-4");
+    rig.pass(grace);
+    let withdrawn = rig.calls[before..].iter().any(|call| call.contains("OUT,s-4"));
+    assert!(withdrawn, "nothing is ordered any more: {:?}", &rig.calls[before..]);
+    rig.pass(10_000);
+    assert_eq!(rig.owners().into_iter().collect::<Vec<_>>(), ["s-5"]);
+}
+
+/// A governor that comes back lifts what its former life withdrew. Before it has slices that reaches no proxy, and none
+/// acks it; a call for it whose outcome was unknown held up all orders for three seconds, for it did not fit twice any more
+/// once further proxies had joined (regina-rating, roll+silent+mass 524: no call from 15.8 s to 18.8 s).
+#[test]
+fn lifts_of_a_governor_without_slices_hold_up_no_drain() {
+    let grace = Span::ms(1500);
+    let mut rig = Rig::with(20, |settings| {
+        settings["familyInfo"]["partitionsN"] = json!(100);
+        settings["familyInfo"]["queueCap"] = json!(150);
+        settings["obligations"]["drainGraceNs"] = json!(grace.as_ns());
+    });
+    rig.servers = (0..20).map(|n| (format!("s-{n}"), "active")).collect();
+    rig.store = (0..20).map(|n| (n, BTreeMap::from([(format!("s-{n}"), 1.0)]))).collect();
+    rig.list();
+    for line in ["OK", "* SUBSCRIBE 0 north 21.5 0", "*"] {
+        rig.news(line);
+    }
+    let step = |rig: &mut Rig, until: Moment, is_mute: bool| {
+        while rig.now < until {
+            rig.now = rig.now + Span::ms(50);
+            rig.quiet();
+            match &rig.open {
+                Some(call) if is_mute && call.contains("IN,") => {
+                    rig.open = None;
+                    rig.tell(UNKNOWN);
+                }
+                _ => rig.answer(),
+            }
+        }
+    };
+    let joined = rig.now + Span::ms(2000);
+    step(&mut rig, joined, true);
+    assert!(!rig.calls.iter().any(|call| call.contains("IN,")), "it reaches nobody: {:?}", rig.calls);
+    for proxy in 1..rig.proxies {
+        rig.news(&format!("* SUBSCRIBE {proxy} north 21.5 0"));
+    }
+    for slice in 0..20 {
+        rig.news(&format!("* GRANT {slice} 1"));
+        rig.news(&format!("* ROW {slice} s-{slice} 1.0"));
+    }
+    rig.news("*");
+    rig.drain("s-2");
+    let due = rig.now + grace;
+    step(&mut rig, due, false);
+    assert!(rig.calls.iter().any(|call| call.contains("OUT,s-2")), "{:?}", rig.calls);
+    let later = rig.now + Span::ms(10_000);
+    step(&mut rig, later, false);
+    for server in (0..20).filter(|n| *n != 2) {
+        let lifts = |call: &String| call.contains(&format!("IN,s-{server};"));
+        assert!(rig.calls.iter().any(lifts), "s-{server} is let in: {:?}", rig.calls);
+    }
+}
+
 fn entry(id: &str, state: &str, started_ms: u64) -> serde_json::Value {
     json!({"id": id, "zone": "north", "state": state, "started_ms": started_ms})
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -62,10 +62,10 @@
 const TRIES_ONLY: f64 = 0.001;
 /// Stands for a slice whose ops are all held back while its owner changes.
 const HALTED: f64 = 2.0;
-const QUEUE_PART: f64 = 0.8;
-const CALM_PART: f64 = 0.5;
+pub(crate) const QUEUE_PART: f64 = 0.8;
+pub(crate) const CALM_PART: f64 = 0.5;
 const HEADS_PART: f64 = 0.25;
-const NO_ACKS: Span = Span::ms(3000);
+pub(crate) const NO_ACKS: Span = Span::ms(3000);
 const MOST_PULLS: f64 = 12.0;
 const PULLS: &str = "its slices come";
 pub(crate) const WAITS: f64 = 0.75; // The part of the grace that an order may wait for its message.
@@ -291,7 +291,7 @@
     /// written anew (rule 3); the oldest first, or what joiners have to hear again starves what nobody heard.
     /// Lifting waits a round for whoever joins late, and never fills the channel; until then it is not used.
     fn withdraw(&mut self) -> bool {
-        let lifts = self.due.lift.is_none_or(|at| at <= self.now) && self.has_room(1.0, Haste::Calm);
+        let lifts = self.lifts_are_due() && self.has_room(1.0, Haste::Calm);
         let due = self.to_shut.iter().filter(|(_, at)| **at <= self.now).min_by_key(|(_, at)| **at);
         let shut = due.filter(|_| self.has_room(1.0, Haste::Bare)).map(|(id, _)| (*id, true));
         let lift = || self.to_lift.first().filter(|_| lifts).map(|id| (*id, false));
@@ -333,7 +333,7 @@
         }
         let long = single && self.now - self.channel.written >= ACK_WAIT;
         let asks = long && self.channel.marks.values().any(late) && self.has_room(0.0, Haste::Calm);
-        asks.then(|| self.write(0.0)).is_some()
+        (asks || (self.replying && self.lacks_acks())).then(|| self.write(0.0)).is_some()
     }
 
     fn beat(&mut self) -> bool {
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -1,7 +1,7 @@
 //! What a governor works out from its records: sums, rates and means, no decisions.
 
 use crate::interface::{PlaceId, ServerId, SliceId, Step};
-use crate::logic::{BEAT, WAITS};
+use crate::logic::{BEAT, CALM_PART, NO_ACKS, QUEUE_PART, WAITS};
 use crate::ring::Ring;
 use crate::state::{Governor, Lately, Picture, Server, Slice};
 use crate::time::{Moment, Span};
@@ -53,6 +53,17 @@
         }
     }
 
+    /// Messages that are not acked take the room of further orders, and their acks are lost or long overdue. A mark by
+    /// itself fits into the part of the queue cap that orders leave; its acks show that all before it has left.
+    pub(crate) fn lacks_acks(&self) -> bool {
+        let all = self.channel.proxies.len() as f64;
+        let (waiting, mark) = (self.channel.lines_waiting(), (self.site.message_head + 1.0) * all);
+        let is_overdue = self.channel.acks_lost || self.now - self.channel.heard > NO_ACKS;
+        let is_in_the_way = waiting + mark + all > self.site.queue_cap * QUEUE_PART * CALM_PART;
+        let fits = waiting + mark <= self.site.queue_cap && self.messages_left(self.now, 1.0) > 1.0;
+        is_overdue && is_in_the_way && fits && waiting > 0.0 && self.channel.open_mark.is_none()
+    }
+
     /// The same way for all servers of a kind, where the list tells kinds apart by size.
     fn kind<'a>(&self, s: &'a Server) -> &'a str {
         if self.site.sizes_known {
--- a/src/news.rs
+++ b/src/news.rs
@@ -78,6 +78,11 @@
         self.settle(now);
     }
 
+    /// The news was told anew: acks that came before are told to nobody.
+    pub fn acks_lost(&mut self) {
+        self.channel.acks_lost = true;
+    }
+
     /// Steps that need no way to the proxies: they can be taken while no order can be made, lest one broken
     /// way break the others (against a list lost while orders wait).
     pub fn asides(&mut self) -> Vec<Step> {
--- a/src/state.rs
+++ b/src/state.rs
@@ -198,6 +198,13 @@
         !self.site.single_writer
     }
 
+    /// A round has passed for whoever joins late; and where slices are shared out, one is ours: without tables of ours
+    /// at the proxies, what is lifted reaches none of them, and none acks it.
+    pub(crate) fn lifts_are_due(&self) -> bool {
+        let reaches_proxies = self.site.slices == 0 || !self.slices.is_empty();
+        reaches_proxies && self.due.lift.is_none_or(|at| at <= self.now)
+    }
+
     /// Changes a slice's table, and what its servers carry with it.
     pub(crate) fn retable(&mut self, n: SliceId, change: impl FnOnce(&mut Slice)) {
         self.weigh(n, -1.0);
@@ -697,6 +704,8 @@
     pub last_through: Moment,
     /// When an ack last came, or a message was last ordered.
     pub heard: Moment,
+    /// The news was told anew since: acks that came while it was broken are lost.
+    pub acks_lost: bool,
     pub messages: Ring,
     pub written: Moment,
 }
@@ -711,6 +720,7 @@
             last_mark,
             last_through: Moment::default(),
             heard: Moment::default(),
+            acks_lost: false,
             written: Moment::default(),
             messages: Ring::new(bucket, window.as_ns().div_ceil(bucket.as_ns()) as usize + 1),
         }
@@ -733,7 +743,7 @@
     /// It has applied all that was sent up to this mark, and so up to when: an ack that was lost on its way is
     /// made up for by the next one. Of a message that was ordered again only one copy has come so far.
     pub fn acked(&mut self, now: Moment, proxy: ProxyId, mark: u16) -> Option<Moment> {
-        self.heard = now;
+        (self.heard, self.acks_lost) = (now, false);
         let at = self.marks.get(&mark)?.at;
         let before = self.marks.iter_mut().filter(|(_, sent)| sent.at <= at);
         before.for_each(|(n, sent)| sent.arrived(proxy, if *n == mark { 1 } else { u32::MAX }));
@@ -768,7 +778,7 @@
         let number = self.open_mark.unwrap_or_else(|| {
             self.last_mark = self.last_mark.wrapping_add(1);
             self.messages.add(now, 1.0);
-            (self.written, self.heard) = (now, now);
+            (self.written, self.heard, self.acks_lost) = (now, now, false);
             let (waiting, slices) = (BTreeMap::new(), Vec::new());
             let mut sent = Sent { waiting, copies: 0, times: 0, lines_each: head, at: now, slices };
             sent.again(&self.proxies);
