--- a/cli/tests/command.rs
+++ b/cli/tests/command.rs
@@ -66,6 +66,7 @@
                         orders_open: true,
                         standing: clerk.book().standing().count(),
                         listed: clerk.book().listed().count(),
+                        reports: None,
                     }),
                 };
                 let kept_back =
--- a/fleet/src/day.rs
+++ b/fleet/src/day.rs
@@ -644,13 +644,13 @@
 fn say(wire: &mut dyn Wire, event: Event) {
     match event {
         Event::Message { from, message: Message::Met(met) } => {
-            let Met { place, server, tries, aborted, mean_latency_ms, covers_ms } = met;
+            let Met { place, server, tries, aborted, mean_latency_ms, covers_ms, missing: _ } = met;
             let line = serde_json::json!({"@type": "LOAD", "az": place, "host": server, "n": tries, "bad": aborted,
                 "avg": mean_latency_ms, "window": covers_ms});
             wire.report(from as usize, &line.to_string());
         }
         Event::Message { from, message: Message::Asked(asked) } => {
-            let Asked { slice, op_type, came, aborted, covers_ms } = asked;
+            let Asked { slice, op_type, came, aborted, covers_ms, missing: _ } = asked;
             let line = serde_json::json!({"@type": "SHARD", "partition": slice, "kind": op_type, "n": came,
                 "bad": aborted, "window": covers_ms});
             wire.report(from as usize, &line.to_string());
@@ -1056,12 +1056,13 @@
                 aborted: seen.aborted,
                 mean_latency_ms: seen.busy * 1000.0 / answered,
                 covers_ms,
+                missing: 0,
             };
             messages.push((None, place, Message::Met(met)));
         }
         for ((slice, kind), (came, aborted)) in asked {
             let op_type = self.sizes.kinds[kind].name.to_string();
-            let asked = Asked { slice: slice as u32, op_type, came, aborted, covers_ms };
+            let asked = Asked { slice: slice as u32, op_type, came, aborted, covers_ms, missing: 0 };
             messages.push((Some(slice), slice % self.sizes.places, Message::Asked(asked)));
         }
         for at in 0..self.governors.len() {
--- a/governor/benches/scale.rs
+++ b/governor/benches/scale.rs
@@ -136,6 +136,7 @@
                     aborted: 0.0,
                     mean_latency_ms: 250.0,
                     covers_ms: 1000.0,
+                    missing: 0,
                 };
                 events.push(Event::Message { from: (n % PLACES) as u64, message: Message::Met(met) });
             }
--- a/governor/src/protocol/collector.rs
+++ b/governor/src/protocol/collector.rs
@@ -38,6 +38,9 @@
     pub mean_latency_ms: f64,
     #[serde(rename = "window")]
     pub covers_ms: f64,
+    /// The number of zones whose reports are not in the sum, where an aggregator made the line.
+    #[serde(default)]
+    pub missing: u32,
 }
 
 #[derive(Deserialize)]
@@ -66,6 +69,9 @@
     pub aborted: f64,
     #[serde(rename = "window")]
     pub covers_ms: f64,
+    /// The number of zones whose reports are not in the sum, where an aggregator made the line.
+    #[serde(default)]
+    pub missing: u32,
 }
 
 /// What we say there.
@@ -86,8 +92,23 @@
 /// A report that is as it should be, in the words of its line.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Report<'a> {
-    Met { place: &'a str, server: &'a str, tries: f64, aborted: f64, mean_latency_ms: f64, covers_ms: f64 },
-    Asked { slice: u32, op_type: &'a str, came: f64, aborted: f64, covers_ms: f64 },
+    Met {
+        place: &'a str,
+        server: &'a str,
+        tries: f64,
+        aborted: f64,
+        mean_latency_ms: f64,
+        covers_ms: f64,
+        missing: u32,
+    },
+    Asked {
+        slice: u32,
+        op_type: &'a str,
+        came: f64,
+        aborted: f64,
+        covers_ms: f64,
+        missing: u32,
+    },
 }
 
 /// All that any report has, in one pass.
@@ -111,6 +132,8 @@
     mean_latency_ms: Option<f64>,
     #[serde(rename = "window", default)]
     covers_ms: Option<f64>,
+    #[serde(default)]
+    missing: u32,
     #[serde(rename = "report", default)]
     own: Option<Own>,
 }
@@ -119,17 +142,26 @@
 /// once. All else is for `decode`, which says what is wrong.
 pub fn quick(line: &str) -> Option<Report<'_>> {
     let fields: Fields = serde_json::from_str(line).ok()?;
-    let (many, aborted, covers_ms) = (fields.many?, fields.aborted?, fields.covers_ms?);
+    let (many, aborted, covers_ms, missing) =
+        (fields.many?, fields.aborted?, fields.covers_ms?, fields.missing);
     match fields.kind {
         "LOAD" => {
             let (place, server, mean_latency_ms) = (fields.place?, fields.server?, fields.mean_latency_ms?);
             let sane = met_is_sane(many, aborted, mean_latency_ms, covers_ms, fields.own.as_ref());
-            sane.then_some(Report::Met { place, server, tries: many, aborted, mean_latency_ms, covers_ms })
+            sane.then_some(Report::Met {
+                place,
+                server,
+                tries: many,
+                aborted,
+                mean_latency_ms,
+                covers_ms,
+                missing,
+            })
         }
         "SHARD" => {
             let (slice, op_type) = (fields.slice?, fields.op_type?);
             let sane = asked_is_sane(many, aborted, covers_ms);
-            sane.then_some(Report::Asked { slice, op_type, came: many, aborted, covers_ms })
+            sane.then_some(Report::Asked { slice, op_type, came: many, aborted, covers_ms, missing })
         }
         _ => None,
     }
@@ -138,16 +170,19 @@
 impl From<Report<'_>> for Message {
     fn from(report: Report) -> Message {
         match report {
-            Report::Met { place, server, tries, aborted, mean_latency_ms, covers_ms } => Message::Met(Met {
-                place: place.into(),
-                server: server.into(),
-                tries,
-                aborted,
-                mean_latency_ms,
-                covers_ms,
-            }),
-            Report::Asked { slice, op_type, came, aborted, covers_ms } => {
-                Message::Asked(Asked { slice, op_type: op_type.into(), came, aborted, covers_ms })
+            Report::Met { place, server, tries, aborted, mean_latency_ms, covers_ms, missing } => {
+                Message::Met(Met {
+                    place: place.into(),
+                    server: server.into(),
+                    tries,
+                    aborted,
+                    mean_latency_ms,
+                    covers_ms,
+                    missing,
+                })
+            }
+            Report::Asked { slice, op_type, came, aborted, covers_ms, missing } => {
+                Message::Asked(Asked { slice, op_type: op_type.into(), came, aborted, covers_ms, missing })
             }
         }
     }
--- a/governor/src/routing/known.rs
+++ b/governor/src/routing/known.rs
@@ -37,16 +37,18 @@
         self.op_types.iter().position(|known| known == name)
     }
 
-    /// The report in numbers; none where it names what is not known here.
+    /// The report in numbers; none where it names what is not known here. Neither is there one where zones are missing
+    /// in it: such a line is never summed with others, and goes to the reducer as the message that it is.
     pub fn numbered(&self, report: &Report) -> Option<Reported> {
         match *report {
-            Report::Met { place, server, tries, aborted, mean_latency_ms, covers_ms } => {
+            Report::Met { missing: 1.., .. } | Report::Asked { missing: 1.., .. } => None,
+            Report::Met { place, server, tries, aborted, mean_latency_ms, covers_ms, missing: 0 } => {
                 let (place, server) = (self::place(&self.places, place)?, *self.servers.get(server)?);
                 let (covers, mean_latency) = (span(covers_ms), span(mean_latency_ms));
                 let met = Met { place, covers, tries, aborted, mean_latency };
                 Some(Reported::Met { server, met, latest: mean_latency })
             }
-            Report::Asked { slice, op_type, came, aborted, covers_ms } => {
+            Report::Asked { slice, op_type, came, aborted, covers_ms, missing: 0 } => {
                 let asked = Asked { op_type: self.op_type(op_type)?, covers: span(covers_ms), came, aborted };
                 Some(Reported::Asked { slice, asked })
             }
--- a/governor/src/routing/mod.rs
+++ b/governor/src/routing/mod.rs
@@ -5,6 +5,8 @@
 mod outbox;
 pub mod overrides;
 mod reducer;
+pub mod report_coverage;
+pub mod report_feed;
 mod snapshot;
 
 pub use reducer::{Effect, Event, Reducer};
--- a/governor/src/routing/names.rs
+++ b/governor/src/routing/names.rs
@@ -42,6 +42,11 @@
         self.names.get(&number).cloned()
     }
 
+    /// Whether the number stands for a server that is known.
+    pub fn has(&self, number: ServerId) -> bool {
+        self.names.contains_key(&number)
+    }
+
     pub fn len(&self) -> usize {
         self.names.len()
     }
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -1,16 +1,19 @@
 //! `apply` takes one event after another, feeds the decisions with it, and asks for effects. Orders are made
 //! only once all that had arrived is in, and only while no call is open: then they rest on the newest view.
 
-use super::known::{self, span, Known};
+mod reports;
+
+use super::known::{self, Known};
 use super::names::Names;
 use super::outbox::Outbox;
 use super::overrides::{Overrides, Wanted};
 use super::snapshot::{Snapshot, Table};
-use crate::protocol::collector::{self, Message};
+use crate::protocol::collector::Message;
 use crate::protocol::discovery::{Entry, List};
 use crate::protocol::relay::{Answer, News, Order};
 use crate::protocol::Wrong;
 use crate::transport::{limits, Broken, CallError, ConnectionId, Targets};
+use reports::Aggregated;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
@@ -41,6 +44,8 @@
         from: ConnectionId,
         reports: Vec<Report>,
     },
+    /// So many bytes came from collectors.
+    ReportBytes(u64),
     /// What came at our address is no message.
     Wrong {
         from: ConnectionId,
@@ -186,6 +191,8 @@
     agenda: BTreeSet<(Moment, Due)>,
     /// There where the operators' file is.
     overrides: Option<Overrides>,
+    /// There where aggregators report.
+    aggregated: Option<Aggregated>,
     started: Moment,
     effects: Vec<Effect>,
 }
@@ -212,6 +219,7 @@
             failures: BTreeMap::new(),
             agenda: BTreeSet::new(),
             overrides: None,
+            aggregated: None,
             started: now,
             effects: Vec::new(),
         };
@@ -242,14 +250,11 @@
                     self.effects.push(Effect::LetGo { to: from, why });
                 }
             },
-            Event::Reports { from, mut reports } if self.collectors.contains(&from) => {
-                reports.retain(|report| match report.what {
-                    Reported::Met { .. } => true,
-                    Reported::Asked { slice, .. } => self.tables.contains_key(&slice),
-                });
-                self.governor.reported(now, &reports);
+            Event::Reports { from, reports } if self.collectors.contains(&from) => {
+                self.reports(now, from, reports);
             }
             Event::Reports { from, .. } => self.pass_over(from, "reports"),
+            Event::ReportBytes(bytes) => self.report_bytes(now, bytes),
             Event::Ended(from) => _ = self.collectors.remove(&from),
             Event::News(news) => self.news(now, news),
             Event::NewsLost(why) => {
@@ -426,6 +431,7 @@
                     orders_open: !self.outbox.is_clear(),
                     standing: book.map_or(0, |book| book.standing().count()),
                     listed: book.map_or(0, |book| book.listed().count()),
+                    reports: self.report_freshness(now),
                 })
             }
         };
@@ -477,16 +483,6 @@
         list.entries.iter().map(listing).collect()
     }
 
-    /// A message that is spoilt, or names what does not exist, changes nothing; whoever has not joined goes.
-    fn pass_over(&mut self, from: ConnectionId, why: impl fmt::Display) {
-        match self.collectors.contains(&from) {
-            true => self.note(format!("a report is passed over: {why}")),
-            false => self
-                .effects
-                .push(Effect::LetGo { to: from, why: Some("of no use from whoever has not joined") }),
-        }
-    }
-
     fn message(&mut self, now: Moment, from: ConnectionId, message: Message) {
         let joined = self.collectors.contains(&from);
         match message {
@@ -495,31 +491,8 @@
                 self.collectors.insert(from);
                 self.effects.push(Effect::Keep { to: from });
             }
-            Message::Met(collector::Met { place, server, tries, aborted, mean_latency_ms, covers_ms })
-                if joined =>
-            {
-                let (covers, mean_latency) = (span(covers_ms), span(mean_latency_ms));
-                // Reports invent neither places nor servers.
-                match (self.known_place(&place), self.names.known(&server)) {
-                    (Some(place), Some(server)) => {
-                        let met = Met { place, covers, tries, aborted, mean_latency };
-                        self.governor.met(now, server, met);
-                    }
-                    _ => self.pass_over(from, format!("met at {server:?} from {place:?}")),
-                }
-            }
-            Message::Asked(collector::Asked { slice, op_type, came, aborted, covers_ms }) if joined => {
-                let known = self.settings.request_classes.iter().position(|known| *known == op_type);
-                let Some(known) = known else {
-                    return self.pass_over(from, format!("{op_type:?} asked of slice {slice}"));
-                };
-                // One that has just changed hands is still reported on for a while, and one of this number
-                // may never have been: nobody's ops count for nothing.
-                if self.tables.contains_key(&slice) {
-                    let asked = Asked { op_type: known, covers: span(covers_ms), came, aborted };
-                    self.governor.asked(now, slice, asked);
-                }
-            }
+            Message::Met(met) if joined => self.met(now, from, &met),
+            Message::Asked(asked) if joined => self.asked_of_slice(now, from, &asked),
             other => self.pass_over(from, format!("{other:?}")),
         }
     }
@@ -565,6 +538,7 @@
     fn revoked(&mut self, now: Moment, slice: SliceId) {
         self.snapshot.revoked(slice);
         self.tables.remove(&slice);
+        self.drop_reports_on(slice);
         self.outbox.changed_hands(slice);
         self.governor.slice_taken(now, slice);
     }
@@ -708,6 +682,7 @@
         if self.overrides.as_ref().and_then(Overrides::due).is_some_and(|at| at <= now) {
             self.with_overrides(now, |overrides| overrides.clerk.tick(now));
         }
+        self.follow_reports(now);
         let (tables, again) = (self.snapshot.settled(now), self.snapshot.is_whole());
         self.given(now, tables, again);
         if self.outbox.is_clear() && self.snapshot.settles().is_none() && !self.in_doubt {
@@ -736,6 +711,7 @@
         if self.names.len() > self.governor.servers_known() {
             let needed = |server| self.governor.knows(server) || self.snapshot.mentions(server);
             self.names.keep(needed);
+            self.drop_reports_on_unknown();
             self.with_overrides(now, |_| {});
         }
     }
--- /dev/null
+++ b/governor/src/routing/reducer/reports.rs
@@ -0,0 +1,214 @@
+//! Reports on their way to the decisions: checked against what is known, and where aggregators report against what
+//! is covered already.
+
+use super::{Effect, Reducer};
+use crate::protocol::collector;
+use crate::routing::known::span;
+use crate::routing::report_coverage::{Before, Counted, Line, ReportCoverage, Subject};
+use crate::routing::report_feed::{FeedChange, ReportFeed};
+use crate::transport::ConnectionId;
+use std::fmt;
+use whinwall::interface::{Asked, Met, Report, ReportFlow, Reported, ReportedOn, SliceId};
+use whinwall::logic::Governor;
+use whinwall::time::Moment;
+use whinwall_management::ask::ReportFreshness;
+
+/// What is kept where aggregators report; it ends when that is switched off.
+pub(super) struct Aggregated {
+    coverage: ReportCoverage,
+    feed: ReportFeed,
+    /// What the decisions were told last.
+    told: ReportFlow,
+}
+
+impl Reducer {
+    /// Whether reports are made by aggregators: what two of them tell is counted once, and what is missing is known.
+    pub fn aggregate_reports(&mut self, now: Moment, on: bool) {
+        if on == self.aggregated.is_some() {
+            return;
+        }
+        self.aggregated = on.then(|| Aggregated {
+            coverage: ReportCoverage::default(),
+            feed: ReportFeed::start(now),
+            told: ReportFlow::Direct,
+        });
+        if !on {
+            self.governor.reports_flow(now, ReportFlow::Direct);
+        }
+        self.follow_reports(now);
+    }
+
+    /// How many replicas and classes of slices have covered time.
+    pub fn covered_subjects(&self) -> usize {
+        self.aggregated.as_ref().map_or(0, |aggregated| aggregated.coverage.len())
+    }
+
+    /// The load that reports show of a replica, in requests a second, as of the last survey.
+    pub fn measured_load(&self, server: &str) -> Option<f64> {
+        self.governor.measured_load(self.names.known(server)?)
+    }
+
+    /// Reports that a reader took apart.
+    pub(super) fn reports(&mut self, now: Moment, from: ConnectionId, mut reports: Vec<Report>) {
+        reports.retain_mut(|report| {
+            let known = match report.what {
+                Reported::Met { .. } => true,
+                Reported::Asked { slice, .. } => self.tables.contains_key(&slice),
+            };
+            known && self.counts(from, report, 0)
+        });
+        self.governor.reported(now, &reports);
+    }
+
+    /// Reports invent neither places nor servers.
+    pub(super) fn met(&mut self, now: Moment, from: ConnectionId, line: &collector::Met) {
+        let known = (self.known_place(&line.place), self.names.known(&line.server));
+        let (Some(place), Some(server)) = known else {
+            return self.pass_over(from, format!("met at {:?} from {:?}", line.server, line.place));
+        };
+        let mean_latency = span(line.mean_latency_ms);
+        let met = Met {
+            place,
+            covers: span(line.covers_ms),
+            tries: line.tries,
+            aborted: line.aborted,
+            mean_latency,
+        };
+        self.report(now, from, Reported::Met { server, met, latest: mean_latency }, line.missing);
+    }
+
+    pub(super) fn asked_of_slice(&mut self, now: Moment, from: ConnectionId, line: &collector::Asked) {
+        let (slice, class) = (line.slice, &line.op_type);
+        let Some(op_type) = self.settings.request_classes.iter().position(|known| known == class) else {
+            return self.pass_over(from, format!("{class:?} asked of slice {slice}"));
+        };
+        // One that has just changed hands is still reported on for a while, and one of this number may never have been:
+        // nobody's ops count for nothing.
+        if self.tables.contains_key(&slice) {
+            let covers = span(line.covers_ms);
+            let asked = Asked { op_type, covers, came: line.came, aborted: line.aborted };
+            self.report(now, from, Reported::Asked { slice, asked }, line.missing);
+        }
+    }
+
+    fn report(&mut self, now: Moment, from: ConnectionId, what: Reported, missing: u32) {
+        let mut report = Report { at: now, lines: 1.0, what };
+        if self.counts(from, &mut report, missing) {
+            self.governor.reported(now, &[report]);
+        }
+    }
+
+    /// Whether any of the report counts; where only a part does it is cut down to that.
+    fn counts(&mut self, from: ConnectionId, report: &mut Report, missing: u32) -> bool {
+        let Some(aggregated) = &mut self.aggregated else { return true };
+        // A reader may know a server that was dropped meanwhile: nothing would drop what is covered of it.
+        if matches!(report.what, Reported::Met { server, .. } if !self.names.has(server)) {
+            return false;
+        }
+        aggregated.counts(from, report, missing, &mut self.governor)
+    }
+
+    /// Tells the decisions, and whoever reads the log, how reports come.
+    pub(super) fn follow_reports(&mut self, now: Moment) {
+        let Some(aggregated) = &mut self.aggregated else { return };
+        let change = aggregated.feed.look(now);
+        let flow = aggregated.feed.flow();
+        if flow != aggregated.told {
+            aggregated.told = flow;
+            self.governor.reports_flow(now, flow);
+        }
+        match change {
+            Some(FeedChange::Stale(silent)) => self.note(format!(
+                "reports are stale: none for {:.0} s; tables and levels stay as they are, drains are obeyed",
+                silent.seconds()
+            )),
+            Some(FeedChange::Fresh(silent)) => {
+                self.note(format!("reports are fresh again, after {:.0} s", silent.seconds()));
+            }
+            None => {}
+        }
+    }
+
+    pub(super) fn report_bytes(&mut self, now: Moment, bytes: u64) {
+        self.aggregated.iter_mut().for_each(|aggregated| aggregated.feed.received(now, bytes));
+    }
+
+    pub(super) fn report_freshness(&self, now: Moment) -> Option<ReportFreshness> {
+        let feed = &self.aggregated.as_ref()?.feed;
+        Some(ReportFreshness {
+            bytes_per_second: feed.bytes_per_second(now),
+            age: feed.age(now),
+            stale: feed.is_stale(),
+            partial_replicas: self.governor.partly_observed(),
+        })
+    }
+
+    pub(super) fn drop_reports_on(&mut self, slice: SliceId) {
+        self.aggregated.iter_mut().for_each(|aggregated| aggregated.coverage.drop_slice(slice));
+    }
+
+    pub(super) fn drop_reports_on_unknown(&mut self) {
+        let names = &self.names;
+        let aggregated = self.aggregated.iter_mut();
+        aggregated.for_each(|aggregated| aggregated.coverage.keep_servers(|server| names.has(server)));
+    }
+
+    /// A message that is spoilt, or names what does not exist, changes nothing; whoever has not joined goes.
+    pub(super) fn pass_over(&mut self, from: ConnectionId, why: impl fmt::Display) {
+        match self.collectors.contains(&from) {
+            true => self.note(format!("a report is passed over: {why}")),
+            false => self
+                .effects
+                .push(Effect::LetGo { to: from, why: Some("of no use from whoever has not joined") }),
+        }
+    }
+}
+
+impl Aggregated {
+    fn counts(
+        &mut self,
+        from: ConnectionId,
+        report: &mut Report,
+        missing: u32,
+        governor: &mut Governor,
+    ) -> bool {
+        let (subject, about, window) = match report.what {
+            Reported::Met { server, met, .. } => {
+                (Subject::Server(server), ReportedOn::Server(server), met.covers)
+            }
+            Reported::Asked { slice, asked } => {
+                (Subject::Slice(slice, asked.op_type), ReportedOn::Slice(slice), asked.covers)
+            }
+        };
+        if self.feed.heard(report.at, window) {
+            self.coverage.resume();
+        }
+        let line = Line { subject, from, at: report.at, window, lines: report.lines };
+        let Some(counted) = self.coverage.take(&line) else { return false };
+        if counted.before == Before::Unknown {
+            governor.observed_since(about, report.at - window);
+        }
+        let lacks = match counted.before {
+            Before::Seamless => false,
+            Before::Gap(_) => true,
+            Before::Unknown => matches!(about, ReportedOn::Server(_)),
+        };
+        if lacks || missing > 0 {
+            governor.reported_incompletely(report.at, about);
+        }
+        cut_down(report, &counted);
+        true
+    }
+}
+
+fn cut_down(report: &mut Report, counted: &Counted) {
+    let Counted { share, window, .. } = *counted;
+    match &mut report.what {
+        Reported::Met { met, .. } => {
+            (met.tries, met.aborted, met.covers) = (met.tries * share, met.aborted * share, window);
+        }
+        Reported::Asked { asked, .. } => {
+            (asked.came, asked.aborted, asked.covers) = (asked.came * share, asked.aborted * share, window);
+        }
+    }
+}
--- /dev/null
+++ b/governor/tests/report_coverage.rs
@@ -0,0 +1,571 @@
+//! Reports that aggregators make: what two of them tell counts once, what is missing is known as missing and no replica
+//! is judged by it, and where nothing comes the governor goes on with what it has.
+
+mod stand_ins;
+
+use serde_json::{json, Value};
+use stand_ins::rig::*;
+use std::collections::{BTreeMap, BTreeSet};
+use whinwall::interface::Report;
+use whinwall::time::{Moment, Span};
+use whinwall_cores::sums::Sums;
+use whinwall_governor::protocol::collector;
+use whinwall_governor::protocol::collector::Message;
+use whinwall_governor::routing::known::Known;
+use whinwall_governor::routing::report_coverage::{Before, Line, ReportCoverage, Subject, LONGEST_WINDOW};
+use whinwall_governor::routing::report_feed::STALE_AFTER;
+use whinwall_governor::routing::Event;
+use whinwall_management::ask::{Reply, ReportFreshness, Request};
+
+/// Requests a second for each slice, of one class.
+const RATE: f64 = 30.0;
+/// Time passes by so much.
+const STEP_MS: u64 = 250;
+/// Half of that for classes: a line is told of each.
+const CLASS: &str = "lookup";
+
+/// What becomes of the requests at a replica.
+#[derive(Clone, Copy, PartialEq)]
+enum Fate {
+    Answered,
+    FailsQuickly,
+    /// Nothing comes back, and so nothing is told of it.
+    Hangs,
+}
+
+/// One aggregator's connection: each subject is told of once a window, at a time of its own within it.
+#[derive(Clone, Copy)]
+struct Feed {
+    connection: u64,
+    window_ms: u64,
+    missing: u32,
+}
+
+impl Feed {
+    fn of(connection: u64, window_ms: u64) -> Self {
+        Feed { connection, window_ms, missing: 0 }
+    }
+
+    fn is_due(&self, at_ms: u64, subject: usize) -> bool {
+        let phase = subject as u64 * STEP_MS % self.window_ms;
+        (at_ms + phase + self.connection * STEP_MS).is_multiple_of(self.window_ms)
+    }
+
+    fn line(&self, mut fields: Value) -> String {
+        fields["window"] = json!(self.window_ms as f64);
+        if self.missing > 0 {
+            fields["missing"] = json!(self.missing);
+        }
+        fields.to_string()
+    }
+
+    /// The lines that are due: those of a slice's classes and of its replica at one time. Whoever is not well has not been
+    /// for so long.
+    fn lines(&self, rig: &Rig, at_ms: u64, fate: impl Fn(&str) -> Fate, ill_ms: u64) -> Vec<String> {
+        let seconds = self.window_ms as f64 / 1000.0;
+        let ill = (ill_ms as f64 / self.window_ms as f64).min(1.0);
+        let mut lines = Vec::new();
+        let servers: Vec<_> = rig.servers.iter().filter(|(_, state)| **state == "active").collect();
+        for (_, (server, _)) in servers.iter().enumerate().filter(|(at, _)| self.is_due(at_ms, *at)) {
+            let is_owner =
+                |table: &&BTreeMap<String, f64>| table.get(*server).is_some_and(|weight| *weight >= 1.0);
+            let tries = rig.store.values().filter(is_owner).count() as f64 * RATE * seconds;
+            let (tries, bad) = match fate(server) {
+                Fate::Answered => (tries, 0.0),
+                Fate::FailsQuickly => (tries, tries * ill),
+                Fate::Hangs => (tries * (1.0 - ill), 0.0),
+            };
+            lines.push(self.line(
+                json!({"@type": "LOAD", "az": "north", "host": server, "n": tries, "bad": bad, "avg": 41.7}),
+            ));
+        }
+        for (slice, table) in rig.store.iter().filter(|(slice, _)| self.is_due(at_ms, **slice as usize % 6)) {
+            let owner = table.iter().find(|(_, weight)| **weight >= 1.0).map_or("", |(server, _)| server);
+            let came = RATE * seconds;
+            let bad = if fate(owner) == Fate::Answered { 0.0 } else { came * ill };
+            lines.push(
+                self.line(
+                    json!({"@type": "SHARD", "partition": slice, "kind": CLASS, "n": came, "bad": bad}),
+                ),
+            );
+        }
+        lines
+    }
+}
+
+/// A governor that aggregators report to, and the milliseconds since it began.
+struct Served {
+    rig: Rig,
+    at_ms: u64,
+    /// Since when some replica is not well.
+    ill_since: Option<u64>,
+}
+
+impl Served {
+    fn new() -> Self {
+        let mut rig = Rig::serving();
+        rig.reducer.aggregate_reports(rig.now, true);
+        let mut served = Served { rig, at_ms: 0, ill_since: None };
+        (0..8).for_each(|connection| served.joins(connection));
+        served
+    }
+
+    fn joins(&mut self, connection: u64) {
+        self.rig.says(connection, r#"{"@type":"SOURCE","az":"north"}"#);
+    }
+
+    fn run(&mut self, seconds: u64, feeds: &[Feed], fate: impl Fn(&str) -> Fate + Copy) {
+        for _ in 0..seconds * 1000 / STEP_MS {
+            self.step(feeds, fate);
+        }
+    }
+
+    fn step(&mut self, feeds: &[Feed], fate: impl Fn(&str) -> Fate + Copy) {
+        self.rig.pass(STEP_MS);
+        self.at_ms += STEP_MS;
+        let is_ill = self.rig.servers.keys().any(|server| fate(server) != Fate::Answered);
+        self.ill_since = self.ill_since.or(Some(self.at_ms - STEP_MS)).filter(|_| is_ill);
+        let ill_ms = self.ill_since.map_or(0, |since| self.at_ms - since);
+        for feed in feeds {
+            for line in feed.lines(&self.rig, self.at_ms, fate, ill_ms) {
+                self.rig.says(feed.connection, &line);
+            }
+        }
+        self.rig.pass(0);
+    }
+
+    fn loads(&self) -> Vec<f64> {
+        let active = self.rig.servers.iter().filter(|(_, state)| **state == "active");
+        active.map(|(server, _)| self.rig.reducer.measured_load(server).unwrap()).collect()
+    }
+
+    /// The load of each active replica is what is asked of it, within this part.
+    #[track_caller]
+    fn loads_are_right(&self, within: f64) {
+        for (at, load) in self.loads().iter().enumerate() {
+            let right = 2.0 * RATE;
+            assert!((load / right - 1.0).abs() <= within, "{at}: {load} of {right} at {} ms", self.at_ms);
+        }
+    }
+
+    fn notes_with(&self, with: &str) -> usize {
+        self.rig.notes.iter().filter(|note| note.contains(with)).count()
+    }
+
+    fn sick(&self) -> usize {
+        self.notes_with("taken for sick")
+    }
+
+    fn freshness(&mut self) -> ReportFreshness {
+        self.rig.tell(Event::Asked { ticket: 1, request: Request::Status });
+        match self.rig.replies.pop() {
+            Some(Reply::Status(status)) => status.reports.unwrap(),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+fn well(_: &str) -> Fate {
+    Fate::Answered
+}
+
+fn third_fails(server: &str) -> Fate {
+    if server == "s-3" {
+        Fate::FailsQuickly
+    } else {
+        Fate::Answered
+    }
+}
+
+fn third_hangs(server: &str) -> Fate {
+    if server == "s-3" {
+        Fate::Hangs
+    } else {
+        Fate::Answered
+    }
+}
+
+fn at(ms: u64) -> Moment {
+    Moment::default() + Span::ms(1_000_000 + ms)
+}
+
+fn line(from: u64, at_ms: u64, window_ms: u64) -> Line {
+    Line { subject: Subject::Server(7), from, at: at(at_ms), window: Span::ms(window_ms), lines: 1.0 }
+}
+
+#[test]
+fn what_another_connection_told_is_cut_off() {
+    let mut coverage = ReportCoverage::default();
+    let first = coverage.take(&line(1, 1000, 1000)).unwrap();
+    assert_eq!((first.share, first.before), (1.0, Before::Unknown));
+    let second = coverage.take(&line(2, 1250, 1000)).unwrap();
+    assert_eq!((second.share, second.window, second.before), (0.25, Span::ms(250), Before::Seamless));
+    assert_eq!(coverage.take(&line(1, 1250, 1000)), None, "all of it is covered");
+    assert_eq!(coverage.take(&line(1, 1200, 1000)), None, "it comes late");
+    let next = coverage.take(&line(2, 2150, 1000)).unwrap();
+    assert_eq!((next.share, next.window), (1.0, Span::ms(1000)), "one connection's lines do not overlap");
+    let third = coverage.take(&line(1, 2500, 1000)).unwrap();
+    assert_eq!((third.share, third.window), (0.25, Span::ms(250)));
+    assert_eq!(coverage.len(), 1);
+}
+
+#[test]
+fn a_gap_is_known_and_filled_at_the_rate_of_the_line_that_ends_it() {
+    let mut coverage = ReportCoverage::default();
+    coverage.take(&line(1, 1000, 1000));
+    let jitter = coverage.take(&line(2, 2250, 1000)).unwrap();
+    assert_eq!((jitter.share, jitter.before), (1.25, Before::Seamless));
+    let gap = coverage.take(&line(1, 6250, 1000)).unwrap();
+    assert_eq!((gap.share, gap.window, gap.before), (4.0, Span::ms(4000), Before::Gap(Span::ms(3000))));
+    let long = coverage.take(&line(2, 60_000, 1000)).unwrap();
+    assert_eq!((long.share, long.window, long.before), (1.0, Span::ms(1000), Before::Unknown));
+    let same = coverage.take(&line(2, 90_000, 1000)).unwrap();
+    assert_eq!((same.share, same.before), (1.0, Before::Gap(Span::ms(29_000))));
+    let slice = |from, at_ms| Line { subject: Subject::Slice(3, 0), ..line(from, at_ms, 1000) };
+    coverage.take(&slice(1, 1000));
+    let same = coverage.take(&slice(1, 90_000)).unwrap();
+    assert_eq!(same.before, Before::Seamless, "nobody asked for the slice, and so nothing was told of it");
+}
+
+/// Whoever tells, in whatever order and with whatever delay: an even rate adds up to itself, but for the delays at both
+/// ends.
+#[test]
+fn an_even_rate_adds_up_to_itself_whoever_tells_of_it() {
+    fn holds(turns: Vec<(u8, u8)>) -> bool {
+        let (window, jitter) = (1000, 100);
+        let mut coverage = ReportCoverage::default();
+        // Each connection tells each second, at a phase of its own; some lines are lost with their connection.
+        let mut lines = Vec::new();
+        for (second, (who, delay)) in turns.iter().enumerate() {
+            for connection in 0..2u64 {
+                let told = second as u64 * window + connection * 400 + u64::from(*delay) % jitter;
+                // One at least tells.
+                if who % 3 != connection as u8 {
+                    lines.push(line(connection, told, window));
+                }
+            }
+        }
+        lines.sort_by_key(|line| line.at);
+        let (Some(first), Some(last)) = (lines.first(), lines.last()) else { return true };
+        let time = (last.at - first.at).seconds() + 1.0;
+        let counted: f64 = lines.iter().filter_map(|line| coverage.take(line)).map(|c| c.share).sum();
+        (counted - time).abs() <= 0.2 + 1e-6
+    }
+    quickcheck::QuickCheck::new().tests(2000).quickcheck(holds as fn(Vec<(u8, u8)>) -> bool);
+}
+
+#[test]
+fn two_that_serve_at_once_count_as_one() {
+    for window in [1000, 4000] {
+        let (mut one, mut two) = (Served::new(), Served::new());
+        let feeds = [Feed::of(1, window), Feed::of(2, window)];
+        one.run(30, &feeds[..1], well);
+        two.run(10, &feeds[..1], well);
+        let calls = two.rig.calls.len();
+        for _ in 0..20 {
+            two.run(1, &feeds, well);
+            two.loads_are_right(0.07);
+        }
+        two.run(20, &feeds[1..], well);
+        two.loads_are_right(0.07);
+        assert_eq!((two.sick(), two.rig.calls.len()), (0, calls), "windows of {window} ms");
+        let sums = |served: &Served| served.loads().iter().sum::<f64>();
+        assert!((sums(&one) / sums(&two) - 1.0).abs() < 0.03, "{} and {}", sums(&one), sums(&two));
+    }
+}
+
+/// Without coverage the same lines count twice: what the test above holds is no accident of the stand-ins.
+#[test]
+fn without_coverage_two_count_twice() {
+    let mut two = Served::new();
+    two.rig.reducer.aggregate_reports(two.rig.now, false);
+    two.run(20, &[Feed::of(1, 1000), Feed::of(2, 1000)], well);
+    two.loads().iter().for_each(|load| assert!(*load > 3.8 * RATE, "{load}"));
+}
+
+#[test]
+fn no_load_falls_and_nobody_is_judged_where_one_takes_over_after_a_gap() {
+    for (window, gap) in [(1000, 3), (1000, 7), (4000, 3), (8000, 3)] {
+        let mut served = Served::new();
+        served.run(30, &[Feed::of(1, window)], well);
+        let calls = served.rig.calls.len();
+        served.rig.tell(Event::Ended(1));
+        served.run(gap, &[], well);
+        for _ in 0..40 {
+            served.run(1, &[Feed::of(2, window)], well);
+            served.loads_are_right(0.15);
+        }
+        assert_eq!((served.sick(), served.rig.calls.len()), (0, calls), "{window} ms, {gap} s");
+    }
+}
+
+/// The replica is well, but whoever takes over tells of what was asked before telling of what was answered.
+#[test]
+fn a_replica_that_was_not_told_of_yet_does_not_look_silent() {
+    let mut served = Served::new();
+    served.run(20, &[Feed::of(1, 1000)], well);
+    for at_ms in (0..16_000).step_by(1000) {
+        served.rig.pass(1000);
+        let asked = Feed::of(2, 1000).lines(&served.rig, at_ms, well, 0).into_iter();
+        for line in asked.filter(|line| line.contains("SHARD") || at_ms > 8000) {
+            served.rig.says(2, &line);
+        }
+    }
+    assert_eq!(served.sick(), 0, "{:?}", served.rig.notes);
+}
+
+#[test]
+fn a_sick_replica_is_known_by_aggregated_reports_too() {
+    for window in [1000, 4000, 8000] {
+        for fate in [third_fails, third_hangs] {
+            let mut served = Served::new();
+            served.run(30, &[Feed::of(1, window)], well);
+            assert_eq!(served.sick(), 0);
+            let mut seconds = 0;
+            while served.sick() == 0 {
+                served.run(1, &[Feed::of(1, window)], fate);
+                seconds += 1;
+                assert!(seconds < 40, "windows of {window} ms");
+            }
+            println!("windows of {window} ms: sick after {seconds} s");
+            assert!(seconds * 1000 <= 4000 + window, "{seconds} s with windows of {window} ms");
+            assert!(served.rig.notes.iter().any(|note| note.contains("s-3 is taken for sick")));
+        }
+    }
+}
+
+#[test]
+fn nobody_is_judged_by_lines_that_lack_zones() {
+    for fate in [third_fails, third_hangs] {
+        let mut served = Served::new();
+        let (whole, partial) = (Feed::of(1, 1000), Feed { missing: 2, ..Feed::of(1, 1000) });
+        served.run(20, &[whole], well);
+        served.run(2, &[partial], well);
+        served.run(30, &[partial], fate);
+        assert_eq!(served.sick(), 0, "{:?}", served.rig.notes);
+        assert_eq!(served.freshness().partial_replicas, 6);
+        // The zones are back: it is judged once the judging window has only whole lines.
+        served.run(3, &[whole], fate);
+        assert_eq!(served.sick(), 0, "{:?}", served.rig.notes);
+        served.run(3, &[whole], fate);
+        assert_eq!(served.sick(), 1, "{:?}", served.rig.notes);
+        assert_eq!(served.freshness().partial_replicas, 0);
+    }
+}
+
+/// Where no aggregators are, the field says nothing: all is as it was.
+#[test]
+fn without_aggregators_the_field_changes_nothing() {
+    let mut with = Served::new();
+    with.rig.reducer.aggregate_reports(with.rig.now, false);
+    with.run(10, &[Feed { missing: 2, ..Feed::of(1, 1000) }], third_fails);
+    assert_eq!(with.sick(), 1);
+}
+
+#[test]
+fn an_hour_without_reports_changes_no_table_and_ends_by_itself() {
+    for window in [1000, 8000] {
+        let mut served = Served::new();
+        served.run(40, &[Feed::of(1, window)], well);
+        let (calls, before, loads) = (served.rig.calls.len(), served.rig.store.clone(), served.loads());
+        served.run(STALE_AFTER.as_ns() / 1_000_000_000 - 2, &[], well);
+        assert!(!served.freshness().stale);
+        served.run(4, &[], well);
+        let freshness = served.freshness();
+        assert!(freshness.stale && freshness.age > STALE_AFTER && freshness.bytes_per_second == 0.0);
+        served.run(1770, &[], well);
+        assert_eq!(
+            (&served.rig.store, served.rig.calls.len()),
+            (&before, calls),
+            "{:?}",
+            served.rig.calls.last()
+        );
+        assert_eq!(served.loads(), loads);
+        // The registry is obeyed.
+        served.rig.drain("s-2");
+        served.run(2, &[], well);
+        assert!(!served.rig.owners().contains("s-2"));
+        served.run(1800, &[], well);
+        let calls = served.rig.calls.len();
+        assert_eq!((served.notes_with("reports are stale"), served.sick()), (1, 0));
+        // Back: nothing rests on them until each replica and slice was told of.
+        let mut recovered = 0;
+        while served.freshness().stale {
+            served.run(1, &[Feed::of(2, window)], well);
+            recovered += 1;
+            assert!(recovered < 60);
+        }
+        println!("windows of {window} ms: {recovered} s after the first line");
+        assert!(recovered <= LONGEST_WINDOW.as_ns() / 1_000_000_000 + 2, "{recovered} s");
+        assert_eq!((served.notes_with("reports are stale"), served.notes_with("fresh again")), (1, 1));
+        let total: f64 = served.loads().iter().sum();
+        assert!((total / (12.0 * RATE) - 1.0).abs() < 0.1, "{:?}", served.loads());
+        served.run(30, &[Feed::of(2, window)], well);
+        assert_eq!(served.sick(), 0);
+        // It decides again.
+        served.run(30, &[Feed::of(2, window)], third_fails);
+        assert_eq!(served.sick(), 1, "{:?}", served.rig.notes);
+        assert!(served.rig.calls.len() > calls);
+    }
+}
+
+/// Shorter than what is worth an alarm, and longer than between two lines: nothing is said, and nothing decided.
+#[test]
+fn a_short_silence_only_holds_the_decisions() {
+    let mut served = Served::new();
+    served.run(30, &[Feed::of(1, 1000)], well);
+    let (calls, loads) = (served.rig.calls.len(), served.loads());
+    served.run(20, &[], well);
+    served.run(30, &[Feed::of(2, 1000)], well);
+    served.loads_are_right(0.05);
+    assert_eq!((served.rig.calls.len(), served.sick(), served.notes_with("stale")), (calls, 0, 0));
+    assert_eq!(loads.len(), served.loads().len());
+}
+
+#[test]
+fn what_a_connection_told_stands_after_its_end_and_what_comes_later_does_not() {
+    let mut served = Served::new();
+    served.run(20, &[Feed::of(1, 1000)], well);
+    served.rig.tell(Event::Ended(1));
+    // Its lines come on; whoever has not joined is nobody's collector.
+    served.run(1, &[Feed::of(1, 1000)], well);
+    served.rig.follows.clear();
+    served.run(1, &[Feed::of(1, 1000), Feed::of(2, 1000)], well);
+    assert!(served.rig.follows.iter().any(|effect| format!("{effect:?}").contains("LetGo { to: 1")));
+    for _ in 0..15 {
+        served.run(1, &[Feed::of(2, 1000)], well);
+        served.loads_are_right(0.1);
+    }
+    // It comes again as another, while the second goes on.
+    served.joins(9);
+    for _ in 0..15 {
+        served.run(1, &[Feed::of(2, 1000), Feed::of(9, 1000)], well);
+        served.loads_are_right(0.1);
+    }
+    assert_eq!(served.sick(), 0);
+}
+
+#[test]
+fn entries_end_with_their_replica_and_slice() {
+    let mut served = Served::new();
+    let feed = Feed::of(1, 1000);
+    served.run(3, &[feed], well);
+    assert_eq!(served.rig.reducer.covered_subjects(), 6 + 12);
+    // What nobody knows leaves nothing, however much of it comes.
+    for n in 100..2000 {
+        served.rig.says(
+            1,
+            &feed.line(
+                json!({"@type": "LOAD", "az": "north", "host": format!("s-{n}"), "n": 1, "bad": 0, "avg": 1}),
+            ),
+        );
+        served
+            .rig
+            .says(1, &feed.line(json!({"@type": "SHARD", "partition": n, "kind": CLASS, "n": 1, "bad": 0})));
+        served.rig.says(
+            1,
+            &feed.line(json!({"@type": "SHARD", "partition": 1, "kind": format!("k-{n}"), "n": 1, "bad": 0})),
+        );
+    }
+    assert_eq!(served.rig.reducer.covered_subjects(), 6 + 12);
+    for slice in [2, 8] {
+        served.rig.store.remove(&slice);
+        served.rig.news(&format!("* GRANT {slice} 0"));
+    }
+    served.rig.quiet();
+    assert_eq!(served.rig.reducer.covered_subjects(), 6 + 10);
+    served.rig.drain("s-2");
+    served.run(5, &[feed], well);
+    served.rig.servers.remove("s-2");
+    served.rig.list();
+    served.run(30, &[feed], well);
+    assert_eq!(served.rig.reducer.covered_subjects(), 5 + 10);
+    // A reader that does not know yet that the replica is gone makes no entry of it.
+    let known = known();
+    let met = r#"{"@type":"LOAD","az":"north","host":"s-2","n":9,"bad":0,"avg":41.7,"window":1000.0}"#;
+    let what = known.numbered(&collector::quick(met).unwrap()).unwrap();
+    served
+        .rig
+        .tell(Event::Reports { from: 1, reports: vec![Report { at: served.rig.now, lines: 1.0, what }] });
+    assert_eq!(served.rig.reducer.covered_subjects(), 5 + 10);
+    served.rig.reducer.aggregate_reports(served.rig.now, false);
+    assert_eq!(served.rig.reducer.covered_subjects(), 0);
+}
+
+/// As the rig's governor numbers its servers.
+fn known() -> Known {
+    let servers: BTreeMap<_, _> = (0..6).map(|n| (format!("s-{n}"), n)).collect();
+    Known { places: vec!["north".into()], op_types: vec![CLASS.into()], servers, changes: 1 }
+}
+
+/// A reader's chunk is one connection's: what it adds up was told by one, and it counts as its lines do one by one.
+#[test]
+fn what_readers_sum_counts_as_its_lines_do() {
+    let (mut lines, mut sums) = (Served::new(), Served::new());
+    let known = known();
+    let feeds = [Feed::of(1, 1000), Feed::of(2, 1000)];
+    for step in 0..160 {
+        let both = &feeds[usize::from(step > 120)..if step > 40 { 2 } else { 1 }];
+        lines.step(both, well);
+        sums.rig.pass(STEP_MS);
+        sums.at_ms += STEP_MS;
+        for feed in both {
+            let mut chunk = Sums::at(sums.rig.now);
+            for line in feed.lines(&sums.rig, sums.at_ms, well, 0) {
+                chunk.add(known.numbered(&collector::quick(&line).unwrap()).unwrap());
+            }
+            sums.rig.tell(Event::Reports { from: feed.connection, reports: chunk.summed() });
+        }
+        sums.rig.pass(0);
+        for (one, other) in lines.loads().iter().zip(sums.loads()) {
+            assert!((one - other).abs() < 1e-6, "{one} and {other}");
+        }
+    }
+    sums.loads_are_right(0.05);
+}
+
+#[test]
+fn several_lines_at_once_count_alike_one_by_one_and_summed() {
+    let (mut one_by_one, mut summed) = (ReportCoverage::default(), ReportCoverage::default());
+    for coverage in [&mut one_by_one, &mut summed] {
+        coverage.take(&line(1, 1000, 1000));
+    }
+    let late = line(2, 1300, 1000);
+    let shares: f64 = (0..3).filter_map(|_| one_by_one.take(&late)).map(|counted| counted.share).sum();
+    let counted = summed.take(&Line { lines: 3.0, ..late }).unwrap();
+    assert!((3.0 * counted.share - shares).abs() < 1e-9, "{counted:?} and {shares}");
+}
+
+/// Lines that lack zones are not summed with others, and reach the reducer as the messages that they are.
+#[test]
+fn readers_leave_lines_that_lack_zones_as_they_are() {
+    let known = known();
+    let mut fields: BTreeSet<u32> = BTreeSet::new();
+    for (text, lacks) in [("", 0), (r#","missing":0"#, 0), (r#","missing":3"#, 3)] {
+        let met = format!(
+            r#"{{"@type":"LOAD","az":"north","host":"s-1","n":9,"bad":0,"avg":1.5,"window":1000.0{text}}}"#
+        );
+        let asked = format!(
+            r#"{{"@type":"SHARD","partition":1,"kind":"{CLASS}","n":9,"bad":0,"window":1000.0{text}}}"#
+        );
+        for line in [met, asked] {
+            let report = collector::quick(&line).unwrap();
+            assert_eq!(known.numbered(&report).is_none(), lacks > 0, "{line}");
+            assert_eq!(collector::decode_slowly(&line), collector::decode(&line));
+            match collector::decode(&line).unwrap() {
+                Message::Met(met) => assert_eq!(met.missing, lacks),
+                Message::Asked(asked) => assert_eq!(asked.missing, lacks),
+                other => panic!("{other:?}"),
+            }
+            fields.insert(lacks);
+        }
+    }
+    assert_eq!(fields.len(), 2);
+    for absurd in ["-1", "1.5", "\"two\"", "5000000000", "null"] {
+        let line = format!(
+            r#"{{"@type":"SHARD","partition":1,"kind":"{CLASS}","n":9,"bad":0,"window":1000.0,"missing":{absurd}}}"#
+        );
+        assert_eq!(collector::quick(&line), None);
+        assert!(collector::decode(&line).is_err(), "{line}");
+    }
+}
--- a/management/src/ask.rs
+++ b/management/src/ask.rs
@@ -32,6 +32,21 @@
     pub orders_open: bool,
     pub standing: usize,
     pub listed: usize,
+    /// There where aggregators report.
+    pub reports: Option<ReportFreshness>,
+}
+
+/// What becomes of the reports that aggregators make.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReportFreshness {
+    /// Bytes of reports that came of late, each second.
+    pub bytes_per_second: f64,
+    /// How long ago the last of them came.
+    pub age: Span,
+    /// Nothing came for so long that the governor goes on with what it has.
+    pub stale: bool,
+    /// On so many replicas reports are not whole, so that nobody judges them.
+    pub partial_replicas: usize,
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/management/tests/front.rs
+++ b/management/tests/front.rs
@@ -72,6 +72,7 @@
                     orders_open: false,
                     standing: 1,
                     listed: 2,
+                    reports: None,
                 }),
             });
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -128,6 +128,25 @@
     },
 }
 
+/// How reports reach the governor.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ReportFlow {
+    /// As the collectors make them, each second.
+    #[default]
+    Direct,
+    /// Summed by aggregators; the longest time that a line of late covers.
+    Aggregated { longest_window: Span },
+    /// They are to be aggregated, but nothing comes, or it has come again only just now: what was known last stays.
+    Interrupted,
+}
+
+/// What reports are on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportedOn {
+    Server(ServerId),
+    Slice(SliceId),
+}
+
 /// A step of a reply. Steps take effect in order: a withdrawal never overtakes the line that replaces it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,7 +25,7 @@
 use Heeded::{Absent, InForce, Suspended, Waiting};
 
 // The ordinary path; the design leaves these open.
-const ROUND: Span = Span::ms(1000);
+pub(crate) const ROUND: Span = Span::ms(1000);
 const LOAD_OVER: Span = Span::ms(8000);
 const BAND: f64 = 0.35;
 const OMEGA: f64 = 0.8;
@@ -35,7 +35,7 @@
 const ROUNDS_OUTSIDE: i32 = 3;
 const ACK_WAIT: Span = Span::ms(5000);
 const FRESH_START: Span = Span::ms(30_000);
-const JUDGED_OVER: Span = Span::ms(3000);
+pub(crate) const JUDGED_OVER: Span = Span::ms(3000);
 const SICK_FOR: Span = Span::ms(8000);
 const ENOUGH: f64 = 6.0;
 const FAILING_SHARE: f64 = 0.3;
@@ -342,13 +342,13 @@
         }
         self.due.beat = self.now + BEAT;
         _ = (self.now - self.channel.heard > NO_ACKS).then(|| self.channel.drop_copies());
-        self.agenda.open();
+        self.agenda.open(self.report_flow);
         true
     }
 
     /// Loads, powers and averages, worked out once a beat; each change of a table corrects them.
     fn survey(&mut self) -> bool {
-        if !take(&mut self.agenda.survey) {
+        if !take(&mut self.agenda.survey) || self.holds_last_survey() {
             return false;
         }
         self.forget_gone();
@@ -383,7 +383,7 @@
             let quick = failing && s.seen.answered > 0.0 && s.strain < EASED;
             silent.then_some("answers nothing").or(quick.then_some("fails quickly"))
         };
-        let there = |s: &Server| !self.is_lost(s) && !self.is_sick(s);
+        let there = |s: &Server| !self.is_lost(s) && !self.is_sick(s) && self.is_observed(s);
         let watched = self.servers.iter().filter(|(_, s)| there(s) && !s.lines.is_empty());
         let ill: Vec<_> = watched.filter_map(|(id, s)| cause(s).map(|why| (*id, why))).collect();
         let around = self.servers.values().filter(|s| !self.is_lost(s));
@@ -649,7 +649,7 @@
     }
 
     fn open_round(&mut self) -> bool {
-        if self.due.round > self.now {
+        if self.due.round > self.now || self.report_flow == ReportFlow::Interrupted {
             return false;
         }
         self.due.round = self.now + ROUND;
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -1,7 +1,7 @@
 //! What a governor works out from its records: sums, rates and means, no decisions.
 
-use crate::interface::{PlaceId, ServerId, SliceId, Step};
-use crate::logic::{BEAT, WAITS};
+use crate::interface::{PlaceId, ReportFlow, ServerId, SliceId, Step};
+use crate::logic::{BEAT, JUDGED_OVER, WAITS};
 use crate::ring::Ring;
 use crate::state::{Governor, Lately, Picture, Server, Slice};
 use crate::time::{Moment, Span};
@@ -62,8 +62,12 @@
         }
     }
 
-    /// How much more than a period the reports of late cover: they fall behind by that.
+    /// How much more than a period the reports of late cover: they fall behind by that. Aggregated ones differ in that,
+    /// and the longest counts, as what is told of seldom would else look silent; and a period more, for lines that are late.
     pub(crate) fn lag(&self, over: Span) -> Span {
+        if let ReportFlow::Aggregated { longest_window } = self.report_flow {
+            return longest_window;
+        }
         let lines = self.reports.sum(self.now, over).max(1.0);
         Span::ms(1000).times(self.covered.sum(self.now, over) / lines) - self.site.report_period
     }
@@ -77,6 +81,39 @@
         ring.sum(end, over) / over.seconds().max(0.001)
     }
 
+    /// Whether reports on it are whole and reach far enough to be held against what was asked of it. A replica that they
+    /// were not whole on is judged again once the judging window has left that behind.
+    pub(crate) fn is_observed(&self, s: &Server) -> bool {
+        match self.report_flow {
+            ReportFlow::Direct => true,
+            ReportFlow::Aggregated { .. } => {
+                let reaches = s.tries.newest() >= self.now - self.behind - self.site.report_period;
+                reaches && !self.is_partly_observed(s)
+            }
+            ReportFlow::Interrupted => false,
+        }
+    }
+
+    /// Whether the judging window has reports on it that are not whole.
+    pub(crate) fn is_partly_observed(&self, s: &Server) -> bool {
+        s.incomplete.is_some_and(|at| self.now - at <= JUDGED_OVER + self.behind)
+    }
+
+    /// While no reports come the last loads, powers and averages stay; a server that is new since then counts for what it
+    /// is listed as.
+    pub(crate) fn holds_last_survey(&mut self) -> bool {
+        if self.report_flow != ReportFlow::Interrupted {
+            return false;
+        }
+        self.forget_gone();
+        for s in self.servers.values_mut() {
+            s.able = if s.tries.newest() < self.born { s.size.clamp(0.01, 1e6) } else { s.able };
+            s.power = s.able * s.factor * s.part.max(1.0);
+        }
+        self.rank_all();
+        true
+    }
+
     /// What the way between two places adds to an answer's time, beyond what a server's own place finds.
     pub(crate) fn way_delays(&self, over: Span, enough: f64) -> BTreeMap<(PlaceId, PlaceId), f64> {
         let mean = |way: (PlaceId, PlaceId)| {
@@ -125,8 +162,9 @@
     /// too, is what a server feels.
     pub(crate) fn see_slices(&mut self, long: Span, short: Span, repeated: f64) {
         let measured = |s: &Slice| {
-            let came = |over| self.rate(&s.came, over, s.given);
-            let load = |over| (came(over) - repeated * self.rate(&s.aborted, over, s.given)).max(0.0);
+            let since = s.given.max(s.observed);
+            let came = |over| self.rate(&s.came, over, since);
+            let load = |over| (came(over) - repeated * self.rate(&s.aborted, over, since)).max(0.0);
             (load(long), load(short), came(short).max(came(long)))
         };
         let measures: Vec<_> = self.slices.values().map(measured).collect();
@@ -159,7 +197,7 @@
         let sure = || counted().filter(|s| !some_warm || !self.is_cold(s));
         let able = sure().map(|s| s.able).sum::<f64>().max(0.01);
         let carried: f64 = sure().map(|s| s.load).sum();
-        let answered: f64 = sure().map(|s| self.rate(&s.answered, long, self.born)).sum();
+        let answered: f64 = sure().map(|s| self.rate(&s.answered, long, self.born.max(s.observed))).sum();
         let average = load / power;
         Picture {
             average,
--- a/src/news.rs
+++ b/src/news.rs
@@ -1,7 +1,7 @@
 //! Takes what a governor is told into its records, and decides nothing.
 
 use crate::interface::*;
-use crate::logic::TOLD_AGAIN;
+use crate::logic::{ROUND, TOLD_AGAIN};
 use crate::pins::Pins;
 use crate::state::{Governor, Haste, Slice, Wished, UNKNOWN};
 use crate::time::{Moment, Span};
@@ -125,6 +125,44 @@
         self.settle(now);
     }
 
+    /// How reports come from now on. Where that was or is interrupted, rounds outside the band begin anew: those before
+    /// rest on what was known then.
+    pub fn reports_flow(&mut self, now: Moment, flow: ReportFlow) {
+        let former = std::mem::replace(&mut self.report_flow, flow);
+        if former != flow && [former, flow].contains(&ReportFlow::Interrupted) {
+            self.servers.values_mut().for_each(|s| s.outside = 0);
+            (self.agenda.shift, self.agenda.ration) = (false, false);
+            self.due.round = now + ROUND;
+        }
+        self.settle(now);
+    }
+
+    /// Figures on it up to now were lost on the way, or left out of a sum: no server is judged by them.
+    pub fn reported_incompletely(&mut self, now: Moment, about: ReportedOn) {
+        let servers: Vec<_> = match about {
+            ReportedOn::Server(server) => vec![server],
+            ReportedOn::Slice(slice) => {
+                self.slices.get(&slice).map_or_else(Vec::new, |s| s.wanted.keys().copied().collect())
+            }
+        };
+        for id in servers {
+            self.servers.get_mut(&id).into_iter().for_each(|s| s.incomplete = Some(now));
+        }
+    }
+
+    /// Reports on it say nothing of what was before.
+    pub fn observed_since(&mut self, about: ReportedOn, since: Moment) {
+        match about {
+            ReportedOn::Server(id) => _ = self.servers.get_mut(&id).map(|s| s.observed = since),
+            ReportedOn::Slice(n) => _ = self.slices.get_mut(&n).map(|s| s.observed = since),
+        }
+    }
+
+    /// On how many servers reports are not whole.
+    pub fn partly_observed(&self) -> usize {
+        self.many(|s| self.is_partly_observed(s))
+    }
+
     fn note_met(&mut self, at: Moment, server: ServerId, met: &Met, latest: Span) {
         if let Some(s) = self.servers.get_mut(&server) {
             let way = (met.place, s.place);
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,8 @@
 use crate::chance::Chance;
 use crate::deployment::Deployment;
 use crate::interface::{
-    Heeded, Listing, Met, PlaceId, ProxyId, ServerId, Share, SliceId, Standing, Step, Wish, WishId,
+    Heeded, Listing, Met, PlaceId, ProxyId, ReportFlow, ServerId, Share, SliceId, Standing, Step, Wish,
+    WishId,
 };
 use crate::pins::Pins;
 use crate::ring::Ring;
@@ -33,6 +34,9 @@
     pub answered: Ring,
     pub busy: Ring,
     pub asked: Ring,
+    /// When its reports were last known not to be whole, and since when there are any, where there were none before.
+    pub incomplete: Option<Moment>,
+    pub observed: Moment,
     /// Seconds that its latest answers took.
     pub last_took: f64,
     pub sick_until: Option<Moment>,
@@ -100,6 +104,7 @@
     pub(crate) cut: f64,
     pub(crate) cut_at: Moment,
     pub(crate) cut_told: Option<f64>,
+    pub(crate) report_flow: ReportFlow,
     /// Seconds covered by the reports' lines, and their number.
     pub(crate) covered: Ring,
     pub(crate) reports: Ring,
@@ -150,6 +155,7 @@
             cut: 0.0,
             cut_at: now,
             cut_told: None,
+            report_flow: ReportFlow::default(),
             covered: ring(),
             reports: ring(),
             behind: Span::default(),
@@ -172,6 +178,11 @@
         self.servers.get(&server).map(|s| (s.standing, s.started))
     }
 
+    /// What its slices ask for a second, as of the last survey.
+    pub fn measured_load(&self, server: ServerId) -> Option<f64> {
+        self.servers.get(&server).map(|s| s.load)
+    }
+
     pub fn servers_known(&self) -> usize {
         self.servers.len()
     }
@@ -445,6 +456,8 @@
             answered: ring(),
             busy: ring(),
             asked: ring(),
+            incomplete: None,
+            observed: Moment::default(),
             last_took: 0.0,
             sick_until: None,
             strikes: 0,
@@ -568,6 +581,8 @@
     pub untold: Option<(Haste, Moment)>,
     /// Since when it is in our charge.
     pub given: Moment,
+    /// Since when reports on it are known, where they were not before.
+    pub observed: Moment,
     pub moves: u32,
     pub cut: f64,
     pub cut_held: f64,
@@ -593,6 +608,7 @@
             press: 0.0,
             untold: None,
             given: now,
+            observed: Moment::default(),
             moves: 0,
             cut: 0.0,
             cut_held: 0.0,
@@ -812,9 +828,11 @@
 }
 
 impl Agenda {
-    pub fn open(&mut self) {
+    /// What rests on how reports change has no place there while none come.
+    pub fn open(&mut self, flow: ReportFlow) {
         let (ration, shift) = (self.ration, self.shift);
-        let (survey, judge, flee, spread, gather) = (true, true, true, true, true);
+        let follows = flow != ReportFlow::Interrupted;
+        let (survey, judge, flee, spread, gather) = (true, follows, true, follows, follows);
         *self = Agenda { survey, judge, flee, spread, gather, stand_by: true, heed: true, ration, shift };
     }
 }
