Bytes, age and completeness of aggregated reports in status and metrics

Operators have to see that reports are stale or lack zones. The loop counts bytes once a turn; the metrics text has the gauges where aggregators report, and is as before where none do.

--- a/governor/src/program/event_loop.rs
+++ b/governor/src/program/event_loop.rs
@@ -4,7 +4,7 @@
 use super::configuration::Start;
 use super::fronts::{self, Fronts};
 use super::logger::Form;
-use super::meters::Meters;
+use super::meters::{self, Meters};
 use super::readers::{self, Batch, Hand, Heard, Item, Pool};
 use super::signals::{Signal, Signals};
 use crate::protocol::collector;
@@ -152,6 +152,7 @@
         turn.watch_wall();
         turn.look_after();
         turn.read_again(start);
+        turn.count_bytes();
         turn.apply(Event::Quiet);
         turn.backs.clear();
         turn.next();
@@ -234,6 +235,8 @@
     wake: Option<Moment>,
     /// The ways back of those who spoke in this turn.
     backs: BTreeMap<ConnectionId, Sender<Back>>,
+    /// Bytes that came at our address in this turn.
+    received: u64,
 }
 
 impl<'a> Loop<'a> {
@@ -271,6 +274,7 @@
             follows,
             wake,
             backs,
+            received: 0,
         }
     }
 
@@ -361,6 +365,14 @@
         }
     }
 
+    /// The reducer is told once a turn, and not with each line.
+    fn count_bytes(&mut self) {
+        let bytes = std::mem::take(&mut self.received);
+        if bytes > 0 {
+            self.apply(Event::ReportBytes(bytes));
+        }
+    }
+
     /// A new turn: from here on all stands under its number.
     fn next(&mut self) {
         self.turns += 1;
@@ -387,8 +399,13 @@
     fn asked(&mut self, (request, back): Asked) {
         let ticket = self.fronts.ticket(back);
         tracing::debug!("asked: {request:?}");
-        if let (Request::Metrics, Some((_, meters))) = (&request, &self.pool) {
-            return self.fronts.reply(ticket, Reply::Metrics(meters.text()));
+        if request == Request::Metrics {
+            let readers = self.pool.as_ref().map(|(_, meters)| &**meters);
+            let reports = self.reducer.report_freshness(self.clock.now());
+            if readers.is_some() || reports.is_some() {
+                let text = meters::text(readers, reports.as_ref());
+                return self.fronts.reply(ticket, Reply::Metrics(text));
+            }
         }
         self.apply(Event::Asked { ticket, request });
     }
@@ -434,6 +451,7 @@
         Some(match input {
             Input::Line { from, line, back, .. } => {
                 tracing::debug!("from {from}: {line}");
+                self.received += line.len() as u64 + 1;
                 self.backs.insert(from, back);
                 match collector::decode(&line) {
                     Ok(message) => Event::Message { from, message },
@@ -498,6 +516,7 @@
     fn due(&mut self, from: ConnectionId, due: Due<Batch>) {
         for batch in due.chunks {
             tracing::debug!("chunk {} of {from}, by reader {}", batch.told.number, batch.core);
+            self.received += batch.told.bytes as u64;
             self.backs.insert(from, batch.back);
             for item in batch.items {
                 self.apply(match item {
--- a/governor/src/program/meters.rs
+++ b/governor/src/program/meters.rs
@@ -1,15 +1,17 @@
-//! Figures of the readers, for whoever looks for the one that is behind and why: counted where the work is
-//! done, read at the management front, in the text form that Prometheus reads.
+//! Figures of the readers, for whoever looks for the one that is behind and why, counted where the work is done; and of the
+//! reports that aggregators make. Read at the management front, in the text form that Prometheus reads.
 
-use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::text::{encode_eof, encode_registry};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::Registry;
+use std::sync::atomic::AtomicU64;
 use std::time::{Duration, Instant};
 use whinwall_cores::watch::Found;
 use whinwall_cores::CoreId;
+use whinwall_management::ask::ReportFreshness;
 
 type OfCore = [(&'static str, String); 1];
 
@@ -117,9 +119,42 @@
         self.lag.observe(lag.as_secs_f64());
     }
 
+    /// The figures of the readers alone.
     pub fn text(&self) -> String {
-        let mut text = String::new();
-        _ = encode(&mut text, &self.registry);
-        text
+        text(Some(self), None)
     }
 }
+
+/// All figures that there are.
+pub fn text(readers: Option<&Meters>, reports: Option<&ReportFreshness>) -> String {
+    let of_reports = reports.map(registry_of);
+    let registries = [readers.map(|meters| &meters.registry), of_reports.as_ref()];
+    let mut text = String::new();
+    for registry in registries.into_iter().flatten() {
+        _ = encode_registry(&mut text, registry);
+    }
+    _ = encode_eof(&mut text);
+    text
+}
+
+fn registry_of(reports: &ReportFreshness) -> Registry {
+    let mut registry = Registry::with_prefix("whinwall");
+    let mut gauge = |name: &str, help: &str, value: f64| {
+        let gauge = Gauge::<f64, AtomicU64>::default();
+        gauge.set(value);
+        registry.register(name, help, gauge);
+    };
+    gauge(
+        "aggregated_report_bytes_per_second",
+        "Bytes of reports that came of late",
+        reports.bytes_per_second,
+    );
+    if let Some(age) = reports.age {
+        gauge("aggregated_report_age_seconds", "Time since the last report came", age.seconds());
+    }
+    let stale = f64::from(u8::from(reports.stale));
+    gauge("aggregated_reports_stale", "1 while the governor goes on with what it has", stale);
+    let partial = reports.partial_replicas as f64;
+    gauge("partially_observed_replicas", "Replicas that no verdict is given on", partial);
+    registry
+}
--- a/governor/src/routing/reducer/reports.rs
+++ b/governor/src/routing/reducer/reports.rs
@@ -133,7 +133,8 @@
         self.aggregated.iter_mut().for_each(|aggregated| aggregated.feed.received(now, bytes));
     }
 
-    pub(super) fn report_freshness(&self, now: Moment) -> Option<ReportFreshness> {
+    /// What becomes of the reports that aggregators make; none where none do.
+    pub fn report_freshness(&self, now: Moment) -> Option<ReportFreshness> {
         let feed = &self.aggregated.as_ref()?.feed;
         Some(ReportFreshness {
             bytes_per_second: feed.bytes_per_second(now),
--- a/governor/src/routing/report_feed.rs
+++ b/governor/src/routing/report_feed.rs
@@ -43,8 +43,9 @@
 #[derive(Debug)]
 pub struct ReportFeed {
     state: State,
-    /// When a line last came, or reports were switched on.
-    last: Moment,
+    /// When reports were switched on, and when a line last came.
+    started: Moment,
+    last: Option<Moment>,
     /// When a line last came before the present or last interruption.
     interrupted: Moment,
     recent: Recent,
@@ -56,7 +57,8 @@
     pub fn start(now: Moment) -> Self {
         ReportFeed {
             state: State::Flowing,
-            last: now,
+            started: now,
+            last: None,
             interrupted: now,
             recent: Recent::default(),
             bytes: Ring::new(Span::ms(500), 40),
@@ -67,9 +69,9 @@
     pub fn heard(&mut self, now: Moment, window: Span) -> bool {
         // The line may come before anybody looked.
         self.look_for_silence(now);
-        let silent = now - self.last;
+        let silent = self.silent(now);
         let is_long = silent > LONGEST_WINDOW;
-        self.last = now.max(self.last);
+        self.last = self.last.max(Some(now));
         // A long silence is no pause between lines; one of a window may come again and again, where lines come in heaps.
         self.recent.note(now, window, if is_long { Span::default() } else { silent });
         let State::Silent { stale } = self.state else { return false };
@@ -84,11 +86,13 @@
             State::Returning { .. } => LONGEST_WINDOW,
             _ => self.recent.pause(),
         };
-        if now - self.last <= pause + LATE {
+        if self.silent(now) <= pause + LATE {
             return;
         }
         match self.state {
-            State::Flowing => (self.state, self.interrupted) = (State::Silent { stale: false }, self.last),
+            State::Flowing => {
+                (self.state, self.interrupted) = (State::Silent { stale: false }, self.last_or_start())
+            }
             State::Returning { stale, .. } => self.state = State::Silent { stale },
             State::Silent { .. } => {}
         }
@@ -103,9 +107,9 @@
     pub fn look(&mut self, now: Moment) -> Option<FeedChange> {
         self.look_for_silence(now);
         match self.state {
-            State::Silent { stale: false } if now - self.last > STALE_AFTER => {
+            State::Silent { stale: false } if self.silent(now) > STALE_AFTER => {
                 self.state = State::Silent { stale: true };
-                Some(FeedChange::Stale(now - self.last))
+                Some(FeedChange::Stale(self.silent(now)))
             }
             State::Returning { until, stale } if now >= until => {
                 self.state = State::Flowing;
@@ -128,9 +132,17 @@
         matches!(self.state, State::Silent { stale: true } | State::Returning { stale: true, .. })
     }
 
-    /// How long ago a line last came.
-    pub fn age(&self, now: Moment) -> Span {
-        now - self.last
+    /// How long ago a line last came; none where none did.
+    pub fn age(&self, now: Moment) -> Option<Span> {
+        self.last.map(|last| now - last)
+    }
+
+    fn last_or_start(&self) -> Moment {
+        self.last.unwrap_or(self.started)
+    }
+
+    fn silent(&self, now: Moment) -> Span {
+        now - self.last_or_start()
     }
 
     /// Bytes a second of late.
--- a/governor/tests/report_coverage.rs
+++ b/governor/tests/report_coverage.rs
@@ -372,7 +372,7 @@
         assert!(!served.freshness().stale);
         served.run(4, &[], well);
         let freshness = served.freshness();
-        assert!(freshness.stale && freshness.age > STALE_AFTER && freshness.bytes_per_second == 0.0);
+        assert!(freshness.stale && freshness.age > Some(STALE_AFTER) && freshness.bytes_per_second == 0.0);
         served.run(1770, &[], well);
         assert_eq!(
             (&served.rig.store, served.rig.calls.len()),
--- a/management/src/ask.rs
+++ b/management/src/ask.rs
@@ -41,8 +41,8 @@
 pub struct ReportFreshness {
     /// Bytes of reports that came of late, each second.
     pub bytes_per_second: f64,
-    /// How long ago the last of them came.
-    pub age: Span,
+    /// The time since the latest report; none where there was none.
+    pub age: Option<Span>,
     /// Nothing came for so long that the governor goes on with what it has.
     pub stale: bool,
     /// On so many replicas reports are not whole, so that nobody judges them.
