--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -431,6 +431,7 @@
                     orders_open: !self.outbox.is_clear(),
                     standing: book.map_or(0, |book| book.standing().count()),
                     listed: book.map_or(0, |book| book.listed().count()),
+                    subsetting: None,
                     reports: self.report_freshness(now),
                 })
             }
