--- a/governor/src/program/event_loop.rs
+++ b/governor/src/program/event_loop.rs
@@ -4,7 +4,7 @@
 use super::configuration::Start;
 use super::fronts::{self, Fronts};
 use super::logger::Form;
-use super::meters::{self, Meters};
+use super::meters::{self, Meters, ReportFigures};
 use super::readers::{self, Batch, Hand, Heard, Item, Pool};
 use super::signals::{Signal, Signals};
 use crate::protocol::collector;
@@ -401,7 +401,9 @@
         tracing::debug!("asked: {request:?}");
         if request == Request::Metrics {
             let readers = self.pool.as_ref().map(|(_, meters)| &**meters);
-            let reports = self.reducer.report_freshness(self.clock.now());
+            let freshness = self.reducer.report_freshness(self.clock.now());
+            let measured_load = self.reducer.measured_load_in_all();
+            let reports = freshness.map(|freshness| ReportFigures { freshness, measured_load });
             if readers.is_some() || reports.is_some() {
                 let text = meters::text(readers, reports.as_ref());
                 return self.fronts.reply(ticket, Reply::Metrics(text));
--- a/governor/src/program/meters.rs
+++ b/governor/src/program/meters.rs
@@ -125,8 +125,15 @@
     }
 }
 
+/// What becomes of aggregated reports.
+pub struct ReportFigures {
+    pub freshness: ReportFreshness,
+    /// Requests a second that they show for the governor's slices.
+    pub measured_load: f64,
+}
+
 /// All figures that there are.
-pub fn text(readers: Option<&Meters>, reports: Option<&ReportFreshness>) -> String {
+pub fn text(readers: Option<&Meters>, reports: Option<&ReportFigures>) -> String {
     let of_reports = reports.map(registry_of);
     let registries = [readers.map(|meters| &meters.registry), of_reports.as_ref()];
     let mut text = String::new();
@@ -137,7 +144,8 @@
     text
 }
 
-fn registry_of(reports: &ReportFreshness) -> Registry {
+fn registry_of(figures: &ReportFigures) -> Registry {
+    let reports = &figures.freshness;
     let mut registry = Registry::with_prefix("whinwall");
     let mut gauge = |name: &str, help: &str, value: f64| {
         let gauge = Gauge::<f64, AtomicU64>::default();
@@ -156,5 +164,6 @@
     gauge("aggregated_reports_stale", "1 while the governor goes on with what it has", stale);
     let partial = reports.partial_replicas as f64;
     gauge("partially_observed_replicas", "Replicas that no verdict is given on", partial);
+    gauge("measured_requests_per_second", "Requests for the governor's slices", figures.measured_load);
     registry
 }
--- a/governor/src/routing/reducer/reports.rs
+++ b/governor/src/routing/reducer/reports.rs
@@ -48,6 +48,11 @@
         self.governor.measured_load(self.names.known(server)?)
     }
 
+    /// The same for all slices together.
+    pub fn measured_load_in_all(&self) -> f64 {
+        self.governor.measured_load_in_all()
+    }
+
     /// Reports that a reader took apart.
     pub(super) fn reports(&mut self, now: Moment, from: ConnectionId, mut reports: Vec<Report>) {
         reports.retain_mut(|report| {
--- /dev/null
+++ b/governor/tests/aggregated.rs
@@ -0,0 +1,112 @@
+//! The program over loopback, where aggregators report to it: on one core and on several.
+
+mod stand_ins;
+
+use stand_ins::managed::Managed;
+use stand_ins::Peer;
+use std::io::Write;
+use std::net::Shutdown;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const SERVERS: u32 = 4;
+const SLICES: u32 = 12;
+/// Requests a second for each slice.
+const RATE: f64 = 30.0;
+const ALL: f64 = RATE * SLICES as f64;
+const PACE: Duration = Duration::from_millis(100);
+
+fn with_aggregators(cores: usize) -> Managed {
+    let mut managed = Managed::start(SERVERS as usize, SLICES as usize);
+    managed.program = None;
+    managed.operators(&format!(
+        "<cores most=\"{cores}\"/><overrides/>\n<subsetting subset=\"{SERVERS}\" bytes-per-second=\"27000\">\
+         <governor name=\"n0\"/><aggregator name=\"m1\" address=\"127.0.0.1:7001\"/></subsetting>"
+    ));
+    managed.restart();
+    managed
+}
+
+/// One that tells each time what came since it told last.
+struct Aggregator {
+    peer: Peer,
+    told: Instant,
+}
+
+impl Aggregator {
+    fn joins(managed: &mut Managed) -> Self {
+        let mut peer = managed.program().connect();
+        peer.joins();
+        Aggregator { peer, told: Instant::now() }
+    }
+
+    fn tells(&mut self) {
+        let window = self.told.elapsed();
+        self.told += window;
+        let (seconds, ms) = (window.as_secs_f64(), window.as_secs_f64() * 1000.0);
+        let mut lines = String::new();
+        for server in 0..SERVERS {
+            let tries = seconds * RATE * f64::from(SLICES / SERVERS);
+            lines += &format!("{{\"@type\":\"LOAD\",\"az\":\"north\",\"host\":\"s-{server}\",\"n\":{tries},\"bad\":0,\"avg\":41.7,\"window\":{ms}}}\n");
+        }
+        for slice in 0..SLICES {
+            let came = seconds * RATE;
+            lines += &format!("{{\"@type\":\"SHARD\",\"partition\":{slice},\"kind\":\"lookup\",\"n\":{came},\"bad\":0,\"window\":{ms}}}\n");
+        }
+        self.peer.stream.write_all(lines.as_bytes()).unwrap();
+    }
+}
+
+fn metric(managed: &Managed, name: &str) -> f64 {
+    let metrics = managed.ask(async |client| client.metrics().await).unwrap();
+    let line =
+        metrics.lines().find(|line| line.starts_with(name)).unwrap_or_else(|| panic!("{name}: {metrics}"));
+    line.rsplit(' ').next().unwrap().parse().unwrap()
+}
+
+fn measured(managed: &Managed) -> f64 {
+    metric(managed, "whinwall_measured_requests_per_second")
+}
+
+fn tell_for(time: Duration, aggregators: &mut [&mut Aggregator]) {
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        aggregators.iter_mut().for_each(|aggregator| aggregator.tells());
+        thread::sleep(PACE);
+    }
+}
+
+/// Two serve at once, then one alone after a gap; beside it a governor that only ever has one.
+fn two_count_as_one(cores: usize) {
+    let (mut two, mut one) = (with_aggregators(cores), with_aggregators(cores));
+    let (mut first, mut second) = (Aggregator::joins(&mut two), Aggregator::joins(&mut two));
+    let mut only = Aggregator::joins(&mut one);
+    tell_for(Duration::from_secs(10), &mut [&mut first, &mut second, &mut only]);
+    let both = (measured(&two), measured(&one));
+    println!("{cores} cores: {:.1} and {:.1} of {ALL}", both.0, both.1);
+    assert!((both.0 / both.1 - 1.0).abs() < 0.1, "{both:?}");
+    assert!((both.0 / ALL - 1.0).abs() < 0.15, "{both:?} of {ALL}");
+    first.peer.stream.shutdown(Shutdown::Both).unwrap();
+    second.peer.stream.shutdown(Shutdown::Both).unwrap();
+    thread::sleep(Duration::from_secs(2));
+    let mut third = Aggregator::joins(&mut two);
+    tell_for(Duration::from_secs(4), &mut [&mut third, &mut only]);
+    let after = (measured(&two), measured(&one));
+    println!("{cores} cores: {:.1} and {:.1} of {ALL} after a gap", after.0, after.1);
+    assert!((after.0 / ALL - 1.0).abs() < 0.15, "{after:?} of {ALL}");
+    assert_eq!(metric(&two, "whinwall_aggregated_reports_stale"), 0.0);
+    assert!(metric(&two, "whinwall_aggregated_report_bytes_per_second") > 1000.0);
+    let mut notes = two.program().log.kept.iter().cloned().collect::<Vec<_>>();
+    notes.extend(two.program().log.arrives.try_iter());
+    assert!(!notes.iter().any(|note| note.contains("taken for sick")), "{notes:?}");
+}
+
+#[test]
+fn two_aggregators_count_as_one_on_one_core() {
+    two_count_as_one(1);
+}
+
+#[test]
+fn two_aggregators_count_as_one_on_several_cores() {
+    two_count_as_one(3);
+}
--- a/governor/tests/report_coverage.rs
+++ b/governor/tests/report_coverage.rs
@@ -304,10 +304,10 @@
 fn a_replica_that_was_not_told_of_yet_does_not_look_silent() {
     let mut served = Served::new();
     served.run(20, &[Feed::of(1, 1000)], well);
-    for at_ms in (0..16_000).step_by(1000) {
-        served.rig.pass(1000);
+    for at_ms in (20_000..36_000).step_by(STEP_MS as usize) {
+        served.rig.pass(STEP_MS);
         let asked = Feed::of(2, 1000).lines(&served.rig, at_ms, well, 0).into_iter();
-        for line in asked.filter(|line| line.contains("SHARD") || at_ms > 8000) {
+        for line in asked.filter(|line| line.contains("SHARD") || at_ms > 28_000) {
             served.rig.says(2, &line);
         }
     }
@@ -353,6 +353,23 @@
     }
 }
 
+/// An aggregator that goes by an old list tells nothing of a replica, and all else as it should.
+#[test]
+fn a_replica_that_nobody_tells_of_is_known_as_missing() {
+    let mut served = Served::new();
+    served.run(20, &[Feed::of(1, 1000)], well);
+    assert_eq!(served.freshness().partial_replicas, 0);
+    for at_ms in (20_000..50_000).step_by(STEP_MS as usize) {
+        served.rig.pass(STEP_MS);
+        for line in Feed::of(1, 1000).lines(&served.rig, at_ms + STEP_MS, well, 0) {
+            if !line.contains("s-3") {
+                served.rig.says(1, &line);
+            }
+        }
+    }
+    assert_eq!((served.freshness().partial_replicas, served.sick()), (1, 0), "{:?}", served.rig.notes);
+}
+
 /// Where no aggregators are, the field says nothing: all is as it was.
 #[test]
 fn without_aggregators_the_field_changes_nothing() {
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -88,17 +88,12 @@
             ReportFlow::Direct => true,
             ReportFlow::Aggregated { .. } => {
                 let reaches = s.tries.newest() >= self.now - self.behind - self.site.report_period;
-                reaches && !self.is_partly_observed(s)
+                reaches && s.incomplete.is_none_or(|at| self.now - at > JUDGED_OVER + self.behind)
             }
             ReportFlow::Interrupted => false,
         }
     }
 
-    /// Whether the judging window has reports on it that are not whole.
-    pub(crate) fn is_partly_observed(&self, s: &Server) -> bool {
-        s.incomplete.is_some_and(|at| self.now - at <= JUDGED_OVER + self.behind)
-    }
-
     /// While no reports come the last loads, powers and averages stay; a server that is new since then counts for what it
     /// is listed as.
     pub(crate) fn holds_last_survey(&mut self) -> bool {
--- a/src/news.rs
+++ b/src/news.rs
@@ -158,9 +158,15 @@
         }
     }
 
-    /// On how many servers reports are not whole.
+    /// How many of the listed servers that this governor steers can't be judged, as reports on them are not whole, or none
+    /// have come of late.
     pub fn partly_observed(&self) -> usize {
-        self.many(|s| self.is_partly_observed(s))
+        self.many(|s| s.is_ready() && s.share != Share::Others && !self.is_observed(s))
+    }
+
+    /// What is asked of all slices a second, as of the last survey.
+    pub fn measured_load_in_all(&self) -> f64 {
+        self.slices.values().map(|s| s.load).sum()
     }
 
     fn note_met(&mut self, at: Moment, server: ServerId, met: &Met, latest: Span) {
