--- a/governor/src/routing/mod.rs
+++ b/governor/src/routing/mod.rs
@@ -8,5 +8,6 @@
 pub mod report_coverage;
 pub mod report_feed;
 mod snapshot;
+pub mod subset;
 
 pub use reducer::{Effect, Event, Reducer};
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -2,12 +2,14 @@
 //! only once all that had arrived is in, and only while no call is open: then they rest on the newest view.
 
 mod reports;
+mod subsets;
 
 use super::known::{self, Known};
 use super::names::Names;
 use super::outbox::Outbox;
 use super::overrides::{Overrides, Wanted};
 use super::snapshot::{Snapshot, Table};
+use super::subset::{Fleet, Subsets};
 use crate::protocol::collector::Message;
 use crate::protocol::discovery::{Entry, List};
 use crate::protocol::relay::{Answer, News, Order};
@@ -35,6 +37,8 @@
     Started,
     /// The configuration was read anew.
     Configured(Targets),
+    /// The operators' file names the fleet in which each governor steers a subset of the replicas, or none.
+    SubsettingConfigured(Option<Fleet>),
     Message {
         from: ConnectionId,
         message: Message,
@@ -138,6 +142,8 @@
     List,
     /// The list has told no change for a while.
     Renewal,
+    /// Subsets are computed for the registry as it is by then.
+    Subsets,
 }
 
 /// Where all we know comes from; of each the first failure is noted, and its end.
@@ -193,6 +199,8 @@
     overrides: Option<Overrides>,
     /// There where aggregators report.
     aggregated: Option<Aggregated>,
+    /// There where the operators' file names a fleet.
+    subsets: Option<Subsets>,
     started: Moment,
     effects: Vec<Effect>,
 }
@@ -220,6 +228,7 @@
             agenda: BTreeSet::new(),
             overrides: None,
             aggregated: None,
+            subsets: None,
             started: now,
             effects: Vec::new(),
         };
@@ -237,6 +246,11 @@
                 }
             }
             Event::Configured(targets) => self.configured(now, targets),
+            Event::SubsettingConfigured(fleet) => {
+                // Wherever there is a fleet there are aggregators, and governors are told by them alone.
+                self.aggregate_reports(now, fleet.is_some());
+                self.subsetting_configured(now, fleet);
+            }
             Event::Message { from, message } => self.message(now, from, message),
             Event::Wrong { from, wrong } => match wrong {
                 Wrong::Spoilt(why) => self.pass_over(from, why),
@@ -370,6 +384,7 @@
             (self.list_version, self.behind_since) = (list.version, None);
         }
         self.governor.listed(now, scope, &listings);
+        self.subsets_due(now, list);
         if !list.entries.is_empty() {
             self.skipped.clear();
         }
@@ -431,7 +446,7 @@
                     orders_open: !self.outbox.is_clear(),
                     standing: book.map_or(0, |book| book.standing().count()),
                     listed: book.map_or(0, |book| book.listed().count()),
-                    subsetting: None,
+                    subsetting: self.subsets.as_ref().map(Subsets::status),
                     reports: self.report_freshness(now),
                 })
             }
@@ -479,7 +494,7 @@
             size: entry.size,
             started: (entry.started_ms > 0).then(|| Moment::default() + Span::ms(entry.started_ms)),
             lot: known::lot(&entry.server),
-            share: Share::Everyone,
+            share: self.share(&entry.server),
         };
         list.entries.iter().map(listing).collect()
     }
@@ -678,6 +693,7 @@
                 Due::News => self.follow_news(),
                 Due::List => self.follow_list(now),
                 Due::Renewal => self.renew_list(now),
+                Due::Subsets => self.compute_subsets(now),
             }
         }
         if self.overrides.as_ref().and_then(Overrides::due).is_some_and(|at| at <= now) {
--- a/governor/src/routing/reducer/reports.rs
+++ b/governor/src/routing/reducer/reports.rs
@@ -23,7 +23,7 @@
 
 impl Reducer {
     /// Whether reports are made by aggregators: what two of them tell is counted once, and what is missing is known.
-    pub fn aggregate_reports(&mut self, now: Moment, on: bool) {
+    pub(super) fn aggregate_reports(&mut self, now: Moment, on: bool) {
         if on == self.aggregated.is_some() {
             return;
         }
--- a/governor/tests/report_coverage.rs
+++ b/governor/tests/report_coverage.rs
@@ -14,8 +14,10 @@
 use whinwall_governor::routing::known::Known;
 use whinwall_governor::routing::report_coverage::{Before, Line, ReportCoverage, Subject, LONGEST_WINDOW};
 use whinwall_governor::routing::report_feed::STALE_AFTER;
+use whinwall_governor::routing::subset::Fleet;
 use whinwall_governor::routing::Event;
 use whinwall_management::ask::{Reply, ReportFreshness, Request};
+use whinwall_operators::{AggregatorMember, GovernorMember, SubsettingConfig};
 
 /// Requests a second for each slice, of one class.
 const RATE: f64 = 30.0;
@@ -104,7 +106,7 @@
 impl Served {
     fn new() -> Self {
         let mut rig = Rig::serving();
-        rig.reducer.aggregate_reports(rig.now, true);
+        rig.tell(Event::SubsettingConfigured(Some(fleet())));
         let mut served = Served { rig, at_ms: 0, ill_since: None };
         (0..8).for_each(|connection| served.joins(connection));
         served
@@ -165,6 +167,14 @@
     }
 }
 
+/// This governor alone, which steers all replicas.
+fn fleet() -> Fleet {
+    let governors = vec![GovernorMember { name: "n0".into(), address: None, slices: vec![] }];
+    let aggregators = vec![AggregatorMember { name: "m1".into(), address: ([127, 0, 0, 1], 7001).into() }];
+    let config = SubsettingConfig { subset_size: 6, bytes_per_second: 27_000, governors, aggregators };
+    Fleet::new(&config, "n0").expect("it is one of the fleet")
+}
+
 fn well(_: &str) -> Fate {
     Fate::Answered
 }
@@ -278,7 +288,7 @@
 #[test]
 fn without_coverage_two_count_twice() {
     let mut two = Served::new();
-    two.rig.reducer.aggregate_reports(two.rig.now, false);
+    two.rig.tell(Event::SubsettingConfigured(None));
     two.run(20, &[Feed::of(1, 1000), Feed::of(2, 1000)], well);
     two.loads().iter().for_each(|load| assert!(*load > 3.8 * RATE, "{load}"));
 }
@@ -374,7 +384,7 @@
 #[test]
 fn without_aggregators_the_field_changes_nothing() {
     let mut with = Served::new();
-    with.rig.reducer.aggregate_reports(with.rig.now, false);
+    with.rig.tell(Event::SubsettingConfigured(None));
     with.run(10, &[Feed { missing: 2, ..Feed::of(1, 1000) }], third_fails);
     assert_eq!(with.sick(), 1);
 }
@@ -505,7 +515,7 @@
         .rig
         .tell(Event::Reports { from: 1, reports: vec![Report { at: served.rig.now, lines: 1.0, what }] });
     assert_eq!(served.rig.reducer.covered_subjects(), 5 + 10);
-    served.rig.reducer.aggregate_reports(served.rig.now, false);
+    served.rig.tell(Event::SubsettingConfigured(None));
     assert_eq!(served.rig.reducer.covered_subjects(), 0);
 }
 
