--- /dev/null
+++ b/governor/benches/report_coverage.rs
@@ -0,0 +1,89 @@
+//! What the covered time of reports costs: a line's look-up alone, and lines on their way through the reducer, where
+//! collectors report and where one or two aggregators do.
+
+use divan::counter::ItemsCount;
+use divan::Bencher;
+use serde_json::json;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use whinwall::time::{Moment, Span};
+use whinwall_governor::protocol::{collector, discovery};
+use whinwall_governor::routing::report_coverage::{Line, ReportCoverage, Subject};
+use whinwall_governor::routing::subset::Fleet;
+use whinwall_governor::routing::{Event, Reducer};
+use whinwall_governor::transport::Targets;
+use whinwall_operators::{AggregatorMember, GovernorMember, SubsettingConfig};
+
+const REPLICAS: u32 = 2200;
+
+fn main() {
+    divan::main();
+}
+
+/// Lines on each replica in turn, by one connection and by two.
+#[divan::bench(args = [1, 2])]
+fn take(bencher: Bencher, connections: u64) {
+    let mut coverage = ReportCoverage::default();
+    let mut seconds = 0;
+    bencher.counter(ItemsCount::new(REPLICAS as usize * connections as usize)).bench_local(|| {
+        seconds += 1;
+        for from in 0..connections {
+            let at = Moment::default() + Span::ms(1_000_000 + seconds * 1000 + from * 300);
+            for server in 0..REPLICAS {
+                let subject = Subject::Server(server);
+                let line = Line { subject, from, at, window: Span::ms(1000), lines: 1.0 };
+                divan::black_box(coverage.take(&line));
+            }
+        }
+    });
+}
+
+fn governor(replicas: u32, fleet: Option<Fleet>) -> (Reducer, Moment) {
+    let example = include_str!("../../deploy/example.json");
+    let example: serde_json::Value = serde_json::from_str(example).unwrap();
+    let settings = whinwall_settings::read(&example["settings"]).unwrap();
+    let now = Moment::default() + Span::ms(1_800_000_000_000);
+    let here = |port| SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port);
+    let targets = Targets { discovery: here(8500), relay: here(6400) };
+    let mut reducer = Reducer::start(settings, targets, 7, &discovery::List::default(), now);
+    reducer.apply(now, Event::Started);
+    let entry = |n| json!({"id": format!("s-{n}"), "zone": "north", "state": "active"});
+    let list = json!({"version": 1, "full": true, "servers": (0..replicas).map(entry).collect::<Vec<_>>()});
+    reducer.apply(now, Event::List(discovery::decode(&list.to_string()).unwrap().unwrap()));
+    reducer.apply(now, Event::SubsettingConfigured(fleet));
+    for from in 0..2 {
+        let message = collector::Message::Source { place: "north".into() };
+        reducer.apply(now, Event::Message { from, message });
+    }
+    (reducer, now)
+}
+
+fn alone() -> Fleet {
+    let governors = vec![GovernorMember { name: "n0".into(), address: None, slices: vec![] }];
+    let aggregators = vec![AggregatorMember { name: "m1".into(), address: ([127, 0, 0, 1], 7001).into() }];
+    let config = SubsettingConfig { subset_size: 100, bytes_per_second: 27_000, governors, aggregators };
+    Fleet::new(&config, "n0").expect("it is one of the fleet")
+}
+
+/// Decoded lines on a hundred replicas, each second: 0 stands for collectors, else so many aggregators tell.
+#[divan::bench(args = [0, 1, 2])]
+fn line(bencher: Bencher, aggregators: u64) {
+    let (mut reducer, mut now) = governor(100, (aggregators > 0).then(alone));
+    let lines: Vec<_> = (0..100)
+        .map(|n| {
+            format!(
+                r#"{{"@type":"LOAD","az":"north","host":"s-{n}","n":60,"bad":0,"avg":41.7,"window":1000.0}}"#
+            )
+        })
+        .collect();
+    let connections = aggregators.max(1);
+    bencher.counter(ItemsCount::new(lines.len() * connections as usize)).bench_local(|| {
+        for from in 0..connections {
+            now = now + Span::ms(1000 / connections);
+            for line in &lines {
+                let message = collector::decode(line).unwrap();
+                divan::black_box(reducer.apply(now, Event::Message { from, message }));
+            }
+        }
+        divan::black_box(reducer.apply(now, Event::Quiet));
+    });
+}
--- a/governor/tests/report_coverage.rs
+++ b/governor/tests/report_coverage.rs
@@ -41,11 +41,12 @@
     connection: u64,
     window_ms: u64,
     missing: u32,
+    mean_latency_ms: f64,
 }
 
 impl Feed {
     fn of(connection: u64, window_ms: u64) -> Self {
-        Feed { connection, window_ms, missing: 0 }
+        Feed { connection, window_ms, missing: 0, mean_latency_ms: 41.7 }
     }
 
     fn is_due(&self, at_ms: u64, subject: usize) -> bool {
@@ -78,7 +79,7 @@
                 Fate::Hangs => (tries * (1.0 - ill), 0.0),
             };
             lines.push(self.line(
-                json!({"@type": "LOAD", "az": "north", "host": server, "n": tries, "bad": bad, "avg": 41.7}),
+                json!({"@type": "LOAD", "az": "north", "host": server, "n": tries, "bad": bad, "avg": self.mean_latency_ms}),
             ));
         }
         for (slice, table) in rig.store.iter().filter(|(slice, _)| self.is_due(at_ms, **slice as usize % 6)) {
@@ -436,6 +437,22 @@
     }
 }
 
+/// Answers are late, so levels are cut: how far is decided by reports alone.
+#[test]
+fn levels_stay_as_they_are_while_nothing_comes() {
+    let late = Feed { mean_latency_ms: 900.0, ..Feed::of(1, 1000) };
+    let mut served = Served::new();
+    served.run(20, &[late], well);
+    let orders = |served: &Served| served.rig.calls.iter().filter(|call| call.contains("LIMIT")).count();
+    let before = orders(&served);
+    assert!(before > 3, "{:?}", served.rig.calls);
+    served.run(600, &[], well);
+    assert_eq!(orders(&served), before, "{:?}", served.rig.calls.last());
+    // Quick answers lift the cut again.
+    served.run(60, &[Feed::of(1, 1000)], well);
+    assert!(orders(&served) > before);
+}
+
 /// Shorter than what is worth an alarm, and longer than between two lines: nothing is said, and nothing decided.
 #[test]
 fn a_short_silence_only_holds_the_decisions() {
