--- a/aggregation/src/aggregator.rs
+++ b/aggregation/src/aggregator.rs
@@ -241,6 +241,10 @@
     }
 
     fn reported(&mut self, now: Moment, connection: ConnectionId, report: Report, effects: &mut Vec<Effect>) {
+        if is_partial(&report) {
+            effects.push(Effect::RefuseCollector(connection));
+            return;
+        }
         match self.coverage.heard(now, connection) {
             Ok(note) => {
                 effects.extend(note.map(Effect::Log));
@@ -256,7 +260,7 @@
                 let sum = Sum::of(tries, aborted, mean_latency_ms);
                 self.sums.add_load(now, server, Span::ms(1).times(covers_ms), sum)
             }
-            Report::Asked { slice, op_type, came, aborted, covers_ms } => {
+            Report::Asked { slice, op_type, came, aborted, covers_ms, .. } => {
                 let sum = Sum::of(came, aborted, 0.0);
                 self.sums.add_shard(now, slice, op_type, Span::ms(1).times(covers_ms), sum)
             }
@@ -473,3 +477,11 @@
         }
     }
 }
+
+/// Collectors tell what their own zone saw; a line that says which zones it lacks is another aggregator's sum, and would
+/// be counted twice.
+fn is_partial(report: &Report) -> bool {
+    match report {
+        Report::Met { missing, .. } | Report::Asked { missing, .. } => *missing > 0,
+    }
+}
--- a/aggregation/src/program/event_loop.rs
+++ b/aggregation/src/program/event_loop.rs
@@ -244,6 +244,7 @@
                     aborted: met.aborted,
                     mean_latency_ms: met.mean_latency_ms,
                     covers_ms: met.covers_ms,
+                    missing: met.missing,
                 },
             ),
             Ok(Message::Asked(asked)) => self.report(
@@ -254,6 +255,7 @@
                     came: asked.came,
                     aborted: asked.aborted,
                     covers_ms: asked.covers_ms,
+                    missing: asked.missing,
                 },
             ),
             Ok(Message::Unknown) => match wire::decode_heartbeat(line) {
--- a/aggregation/tests/bounds.rs
+++ b/aggregation/tests/bounds.rs
@@ -26,7 +26,7 @@
 }
 
 fn shard(slice: u32, class: &str) -> Report<'_> {
-    Report::Asked { slice, op_type: class, came: 1.0, aborted: 0.0, covers_ms: 1000.0 }
+    Report::Asked { slice, op_type: class, came: 1.0, aborted: 0.0, covers_ms: 1000.0, missing: 0 }
 }
 
 fn report<'a>(aggregator: &mut Aggregator, now: Moment, report: Report<'a>) -> Vec<Effect> {
@@ -71,6 +71,16 @@
     assert_eq!(aggregator.state().zones, 1);
 }
 
+#[test]
+fn sums_of_another_aggregator_are_not_counted_again() {
+    let mut aggregator = aggregator();
+    let partial =
+        Report::Asked { slice: 0, op_type: "lookup", came: 1.0, aborted: 0.0, covers_ms: 1000.0, missing: 2 };
+    let effects = report(&mut aggregator, moment(START_MS + 100.0), partial);
+    assert_eq!(effects, vec![Effect::RefuseCollector(1)]);
+    assert_eq!(aggregator.counters().reports, 0);
+}
+
 #[test]
 fn whoever_reports_without_a_zone_is_let_go() {
     let mut aggregator = aggregator();
--- a/governor/src/program/event_loop.rs
+++ b/governor/src/program/event_loop.rs
@@ -4,7 +4,7 @@
 use super::configuration::Start;
 use super::fronts::{self, Fronts};
 use super::logger::Form;
-use super::meters::Meters;
+use super::meters::{self, Meters, ReportFigures};
 use super::readers::{self, Batch, Hand, Heard, Item, Pool};
 use super::signals::{Signal, Signals};
 use crate::protocol::collector;
@@ -153,6 +153,7 @@
         turn.watch_wall();
         turn.look_after();
         turn.read_again(start);
+        turn.count_bytes();
         turn.apply(Event::Quiet);
         turn.backs.clear();
         turn.next();
@@ -235,6 +236,8 @@
     wake: Option<Moment>,
     /// The ways back of those who spoke in this turn.
     backs: BTreeMap<ConnectionId, Sender<Back>>,
+    /// Bytes that came at our address in this turn.
+    received: u64,
 }
 
 impl<'a> Loop<'a> {
@@ -272,6 +275,7 @@
             follows,
             wake,
             backs,
+            received: 0,
         }
     }
 
@@ -363,6 +367,14 @@
         }
     }
 
+    /// The reducer is told once a turn, and not with each line.
+    fn count_bytes(&mut self) {
+        let bytes = std::mem::take(&mut self.received);
+        if bytes > 0 {
+            self.apply(Event::ReportBytes(bytes));
+        }
+    }
+
     /// A new turn: from here on all stands under its number.
     fn next(&mut self) {
         self.turns += 1;
@@ -389,8 +401,15 @@
     fn asked(&mut self, (request, back): Asked) {
         let ticket = self.fronts.ticket(back);
         tracing::debug!("asked: {request:?}");
-        if let (Request::Metrics, Some((_, meters))) = (&request, &self.pool) {
-            return self.fronts.reply(ticket, Reply::Metrics(meters.text()));
+        if request == Request::Metrics {
+            let readers = self.pool.as_ref().map(|(_, meters)| &**meters);
+            let freshness = self.reducer.report_freshness(self.clock.now());
+            let measured_load = self.reducer.measured_load_in_all();
+            let reports = freshness.map(|freshness| ReportFigures { freshness, measured_load });
+            if readers.is_some() || reports.is_some() {
+                let text = meters::text(readers, reports.as_ref());
+                return self.fronts.reply(ticket, Reply::Metrics(text));
+            }
         }
         self.apply(Event::Asked { ticket, request });
     }
@@ -436,6 +455,7 @@
         Some(match input {
             Input::Line { from, line, back, .. } => {
                 tracing::debug!("from {from}: {line}");
+                self.received += line.len() as u64 + 1;
                 self.backs.insert(from, back);
                 match collector::decode(&line) {
                     Ok(message) => Event::Message { from, message },
@@ -500,6 +520,7 @@
     fn due(&mut self, from: ConnectionId, due: Due<Batch>) {
         for batch in due.chunks {
             tracing::debug!("chunk {} of {from}, by reader {}", batch.told.number, batch.core);
+            self.received += batch.told.bytes as u64;
             self.backs.insert(from, batch.back);
             for item in batch.items {
                 self.apply(match item {
