--- a/src/measures.rs
+++ b/src/measures.rs
@@ -1,7 +1,7 @@
 //! What a governor works out from its records: sums, rates and means, no decisions.
 
-use crate::interface::{PlaceId, ServerId, SliceId, Step};
-use crate::logic::{BEAT, WAITS};
+use crate::interface::{PlaceId, ReportFlow, ServerId, SliceId, Step};
+use crate::logic::{BEAT, CALM_PART, JUDGED_OVER, NO_ACKS, QUEUE_PART, WAITING_PART, WAITS};
 use crate::ring::Ring;
 use crate::state::{Governor, Lately, Picture, Server, Slice};
 use crate::time::{Moment, Span};
@@ -38,19 +38,43 @@
         }
     }
 
-    /// How far apart messages are, lest they use up their cap and leave none for what can't wait: those that are left
-    /// are spread over the time until one is given back. What can't wait goes at once for as long as each that is left
-    /// could wait so much of the grace.
-    pub(crate) fn message_gap(&self, can_wait: bool) -> Span {
+    /// How many more messages may be opened where we use this part of the cap, and how long until one is given back.
+    /// None while the window is empty, or where there is no cap.
+    fn messages_to_open(&self, part: f64) -> Option<(f64, Span)> {
         let window = self.site.message_window + BEAT;
-        let Some(oldest) = self.channel.messages.oldest(self.now, window) else { return Span::default() };
-        let (left, frees) = (self.messages_left(self.now, 1.0) - 1.0, window - (self.now - oldest));
-        let is_ample = self.site.drain_grace.times(WAITS * (left - 1.0)) >= frees;
-        if left.is_infinite() || (!can_wait && is_ample) {
-            Span::default()
-        } else {
-            frees.times(1.0 / left.max(1.0))
-        }
+        let oldest = self.channel.messages.oldest(self.now, window)?;
+        let left = self.messages_left(self.now, part) - 1.0;
+        left.is_finite().then(|| (left, window - (self.now - oldest)))
+    }
+
+    /// Whether each message that is left could wait so much of the grace until one is given back.
+    pub(crate) fn messages_are_ample(&self) -> bool {
+        let to_open = self.messages_to_open(1.0);
+        to_open.is_none_or(|(left, frees)| self.site.drain_grace.times(WAITS * (left - 1.0)) >= frees)
+    }
+
+    /// Whether a message may be opened, so long after the one before: messages are so far apart that they do not use up
+    /// their cap and leave none for what can't wait. Those that are left are spread over the time until one is given
+    /// back, and what can wait leaves some of them. What can't wait goes at once while they are ample.
+    pub(crate) fn may_open(&self, part: f64, gap: Span, can_wait: bool) -> bool {
+        let most = if can_wait { WAITING_PART } else { 1.0 };
+        let spread = match self.messages_to_open(most) {
+            Some((left, frees)) if can_wait || !self.messages_are_ample() => frees.times(1.0 / left.max(1.0)),
+            _ => Span::default(),
+        };
+        let has_waited = self.now - self.channel.written >= gap.max(spread);
+        has_waited && self.messages_left(self.now, part.min(most)) > 1.0
+    }
+
+    /// Messages that are not acked take the room of further orders, and their acks are lost or long overdue. A mark by
+    /// itself fits into the part of the queue cap that orders leave; its acks show that all before it has left.
+    pub(crate) fn lacks_acks(&self) -> bool {
+        let all = self.channel.proxies.len() as f64;
+        let (waiting, mark) = (self.channel.lines_waiting(), (self.site.message_head + 1.0) * all);
+        let is_overdue = self.channel.acks_lost || self.now - self.channel.heard > NO_ACKS;
+        let is_in_the_way = waiting + mark + all > self.site.queue_cap * QUEUE_PART * CALM_PART;
+        let fits = waiting + mark <= self.site.queue_cap && self.messages_left(self.now, 1.0) > 1.0;
+        is_overdue && is_in_the_way && fits && waiting > 0.0 && self.channel.open_mark.is_none()
     }
 
     /// The same way for all servers of a kind, where the list tells kinds apart by size.
@@ -62,8 +86,12 @@
         }
     }
 
-    /// How much more than a period the reports of late cover: they fall behind by that.
+    /// How much more than a period the reports of late cover: they fall behind by that. Aggregated ones differ in that,
+    /// and the longest counts, as what is told of seldom would else look silent; and a period more, for lines that are late.
     pub(crate) fn lag(&self, over: Span) -> Span {
+        if let ReportFlow::Aggregated { longest_window } = self.report_flow {
+            return longest_window;
+        }
         let lines = self.reports.sum(self.now, over).max(1.0);
         Span::ms(1000).times(self.covered.sum(self.now, over) / lines) - self.site.report_period
     }
@@ -77,6 +105,34 @@
         ring.sum(end, over) / over.seconds().max(0.001)
     }
 
+    /// Whether reports on it are whole and reach far enough to be held against what was asked of it. A replica that they
+    /// were not whole on is judged again once the judging window has left that behind.
+    pub(crate) fn is_observed(&self, s: &Server) -> bool {
+        match self.report_flow {
+            ReportFlow::Direct => true,
+            ReportFlow::Aggregated { .. } => {
+                let reaches = s.tries.newest() >= self.now - self.behind - self.site.report_period;
+                reaches && s.incomplete.is_none_or(|at| self.now - at > JUDGED_OVER + self.behind)
+            }
+            ReportFlow::Interrupted => false,
+        }
+    }
+
+    /// While no reports come the last loads, powers and averages stay; a server that is new since then counts for what it
+    /// is listed as.
+    pub(crate) fn holds_last_survey(&mut self) -> bool {
+        if self.report_flow != ReportFlow::Interrupted {
+            return false;
+        }
+        self.forget_gone();
+        for s in self.servers.values_mut() {
+            s.able = if s.tries.newest() < self.born { s.size.clamp(0.01, 1e6) } else { s.able };
+            s.power = s.able * s.factor * s.part.max(1.0);
+        }
+        self.rank_all();
+        true
+    }
+
     /// What the way between two places adds to an answer's time, beyond what a server's own place finds.
     pub(crate) fn way_delays(&self, over: Span, enough: f64) -> BTreeMap<(PlaceId, PlaceId), f64> {
         let mean = |way: (PlaceId, PlaceId)| {
@@ -125,8 +181,9 @@
     /// too, is what a server feels.
     pub(crate) fn see_slices(&mut self, long: Span, short: Span, repeated: f64) {
         let measured = |s: &Slice| {
-            let came = |over| self.rate(&s.came, over, s.given);
-            let load = |over| (came(over) - repeated * self.rate(&s.aborted, over, s.given)).max(0.0);
+            let since = s.given.max(s.observed);
+            let came = |over| self.rate(&s.came, over, since);
+            let load = |over| (came(over) - repeated * self.rate(&s.aborted, over, since)).max(0.0);
             (load(long), load(short), came(short).max(came(long)))
         };
         let measures: Vec<_> = self.slices.values().map(measured).collect();
@@ -159,7 +216,7 @@
         let sure = || counted().filter(|s| !some_warm || !self.is_cold(s));
         let able = sure().map(|s| s.able).sum::<f64>().max(0.01);
         let carried: f64 = sure().map(|s| s.load).sum();
-        let answered: f64 = sure().map(|s| self.rate(&s.answered, long, self.born)).sum();
+        let answered: f64 = sure().map(|s| self.rate(&s.answered, long, self.born.max(s.observed))).sum();
         let average = load / power;
         Picture {
             average,
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,8 @@
 use crate::chance::Chance;
 use crate::deployment::Deployment;
 use crate::interface::{
-    Heeded, Listing, Met, PlaceId, ProxyId, ServerId, Share, SliceId, Standing, Step, Wish, WishId,
+    Heeded, Listing, Met, PlaceId, ProxyId, ReportFlow, ServerId, Share, SliceId, Standing, Step, Wish,
+    WishId,
 };
 use crate::pins::Pins;
 use crate::ring::Ring;
@@ -33,6 +34,9 @@
     pub answered: Ring,
     pub busy: Ring,
     pub asked: Ring,
+    /// When its reports were last known not to be whole, and since when there are any, where there were none before.
+    pub incomplete: Option<Moment>,
+    pub observed: Moment,
     /// Seconds that its latest answers took.
     pub last_took: f64,
     pub sick_until: Option<Moment>,
@@ -100,6 +104,7 @@
     pub(crate) cut: f64,
     pub(crate) cut_at: Moment,
     pub(crate) cut_told: Option<f64>,
+    pub(crate) report_flow: ReportFlow,
     /// Seconds covered by the reports' lines, and their number.
     pub(crate) covered: Ring,
     pub(crate) reports: Ring,
@@ -150,6 +155,7 @@
             cut: 0.0,
             cut_at: now,
             cut_told: None,
+            report_flow: ReportFlow::default(),
             covered: ring(),
             reports: ring(),
             behind: Span::default(),
@@ -172,6 +178,32 @@
         self.servers.get(&server).map(|s| (s.standing, s.started))
     }
 
+    /// What its slices ask for a second, as of the last survey.
+    pub fn measured_load(&self, server: ServerId) -> Option<f64> {
+        self.servers.get(&server).map(|s| s.load)
+    }
+
+    /// A server that the list names and does not call gone.
+    pub fn listed_server(&self, server: ServerId) -> Option<&Server> {
+        self.servers.get(&server).filter(|s| s.listed)
+    }
+
+    /// Which governors steer a server, as the decisions were told last.
+    pub fn share(&self, server: ServerId) -> Option<Share> {
+        self.servers.get(&server).map(|s| s.share)
+    }
+
+    /// Other governors steer these servers now; nothing else that the list says of them changed.
+    pub fn shares_changed(&mut self, now: Moment, shares: &[(ServerId, Share)]) {
+        for (server, share) in shares {
+            if let Some(known) = self.servers.get_mut(server) {
+                known.share = *share;
+            }
+        }
+        self.alarm = true;
+        self.settle(now);
+    }
+
     pub fn servers_known(&self) -> usize {
         self.servers.len()
     }
@@ -200,6 +232,13 @@
         !self.site.single_writer
     }
 
+    /// A round has passed for whoever joins late; and where slices are shared out, one is ours: without tables of ours
+    /// at the proxies, what is lifted reaches none of them, and none acks it.
+    pub(crate) fn lifts_are_due(&self) -> bool {
+        let reaches_proxies = self.site.slices == 0 || !self.slices.is_empty();
+        reaches_proxies && self.due.lift.is_none_or(|at| at <= self.now)
+    }
+
     /// Changes a slice's table, and what its servers carry with it.
     pub(crate) fn retable(&mut self, n: SliceId, change: impl FnOnce(&mut Slice)) {
         self.weigh(n, -1.0);
@@ -445,6 +484,8 @@
             answered: ring(),
             busy: ring(),
             asked: ring(),
+            incomplete: None,
+            observed: Moment::default(),
             last_took: 0.0,
             sick_until: None,
             strikes: 0,
@@ -568,6 +609,8 @@
     pub untold: Option<(Haste, Moment)>,
     /// Since when it is in our charge.
     pub given: Moment,
+    /// Since when reports on it are known, where they were not before.
+    pub observed: Moment,
     pub moves: u32,
     pub cut: f64,
     pub cut_held: f64,
@@ -593,6 +636,7 @@
             press: 0.0,
             untold: None,
             given: now,
+            observed: Moment::default(),
             moves: 0,
             cut: 0.0,
             cut_held: 0.0,
@@ -700,6 +744,8 @@
     pub last_through: Moment,
     /// When an ack last came, or a message was last ordered.
     pub heard: Moment,
+    /// The news was told anew since: acks that came while it was broken are lost.
+    pub acks_lost: bool,
     pub messages: Ring,
     pub written: Moment,
 }
@@ -714,6 +760,7 @@
             last_mark,
             last_through: Moment::default(),
             heard: Moment::default(),
+            acks_lost: false,
             written: Moment::default(),
             messages: Ring::new(bucket, window.as_ns().div_ceil(bucket.as_ns()) as usize + 1),
         }
@@ -736,7 +783,7 @@
     /// It has applied all that was sent up to this mark, and so up to when: an ack that was lost on its way is
     /// made up for by the next one. Of a message that was ordered again only one copy has come so far.
     pub fn acked(&mut self, now: Moment, proxy: ProxyId, mark: u16) -> Option<Moment> {
-        self.heard = now;
+        (self.heard, self.acks_lost) = (now, false);
         let at = self.marks.get(&mark)?.at;
         let before = self.marks.iter_mut().filter(|(_, sent)| sent.at <= at);
         before.for_each(|(n, sent)| sent.arrived(proxy, if *n == mark { 1 } else { u32::MAX }));
@@ -771,7 +818,7 @@
         let number = self.open_mark.unwrap_or_else(|| {
             self.last_mark = self.last_mark.wrapping_add(1);
             self.messages.add(now, 1.0);
-            (self.written, self.heard) = (now, now);
+            (self.written, self.heard, self.acks_lost) = (now, now, false);
             let (waiting, slices) = (BTreeMap::new(), Vec::new());
             let mut sent = Sent { waiting, copies: 0, times: 0, lines_each: head, at: now, slices };
             sent.again(&self.proxies);
@@ -812,9 +859,11 @@
 }
 
 impl Agenda {
-    pub fn open(&mut self) {
+    /// What rests on how reports change has no place there while none come.
+    pub fn open(&mut self, flow: ReportFlow) {
         let (ration, shift) = (self.ration, self.shift);
-        let (survey, judge, flee, spread, gather) = (true, true, true, true, true);
+        let follows = flow != ReportFlow::Interrupted;
+        let (survey, judge, flee, spread, gather) = (true, follows, true, follows, follows);
         *self = Agenda { survey, judge, flee, spread, gather, stand_by: true, heed: true, ration, shift };
     }
 }
