--- /dev/null
+++ b/scale/tests/aggregated.rs
@@ -0,0 +1,33 @@
+//! One real governor behind two real aggregators at small size: it is told of its subset only, each replica and slice
+//! in lines that it reads, and by both programs as their file says. Nothing here depends on how fast the machine is.
+
+use std::time::Duration;
+use whinwall_scale::one::aggregated::{measure, Subsetting};
+use whinwall_scale::one::rig::Setup;
+use whinwall_scale::one::steady::Times;
+use whinwall_scale::process::{governor_program, program};
+use whinwall_scale::stand_ins::fleet::FleetSize;
+
+const MEMORY_BOUND: u64 = 64 << 20;
+/// Aggregators tell nothing for some seconds after their start; the measurement begins well after that.
+const TIMES: Times = Times { warm_up: Duration::from_secs(8), measured: Duration::from_secs(6) };
+
+#[test]
+fn a_governor_behind_aggregators_is_told_less_than_collectors_tell() {
+    let size =
+        FleetSize { replicas: 60, zones: 3, slices: 6, proxies: 5, governors: 20, ..FleetSize::target() };
+    let setup = Setup::reported(size);
+    let subsetting = Subsetting { aggregators: 2, subset: 8, bytes_per_second: 27_000 };
+    let aggregator = program("whinwall-aggregation", "whinwall-aggregator").unwrap();
+    let measured = measure(&governor_program().unwrap(), &aggregator, &setup, &subsetting, TIMES).unwrap();
+    assert!(measured.lines > 0 && measured.told > 0, "{measured:?}");
+    // 3 zones and 60 replicas become one line each for about 8 replicas: a small part, whatever came late.
+    assert!(measured.reports * 2 * 2 < measured.told, "{measured:?}");
+    assert!(measured.rate(measured.reports) < 27_000.0, "{measured:?}");
+    assert!(measured.usage.resident_peak < MEMORY_BOUND, "{measured:?}");
+    assert_eq!(measured.aggregators.len(), 2);
+    assert!(
+        !measured.log.iter().any(|line| line.contains(" warn ") || line.contains(" error ")),
+        "{measured:?}"
+    );
+}
