--- a/src/news.rs
+++ b/src/news.rs
@@ -1,7 +1,7 @@
 //! Takes what a governor is told into its records, and decides nothing.
 
 use crate::interface::*;
-use crate::logic::{ROUND, TOLD_AGAIN};
+use crate::logic::{JUDGED_OVER, ROUND, TOLD_AGAIN};
 use crate::pins::Pins;
 use crate::state::{Governor, Haste, Slice, Wished, UNKNOWN};
 use crate::time::{Moment, Span};
@@ -134,6 +134,9 @@
             (self.agenda.shift, self.agenda.ration) = (false, false);
             self.due.round = now + ROUND;
         }
+        if matches!(flow, ReportFlow::Aggregated { .. }) {
+            self.behind = self.lag(JUDGED_OVER);
+        }
         self.settle(now);
     }
 
