--- a/scale/src/one/mod.rs
+++ b/scale/src/one/mod.rs
@@ -1,1 +1,116 @@
-//! One real governor process at size, against paced stand-ins on loopback.
+//! One real governor process at size, against paced stand-ins on loopback: `rig` sets it up, `steady` measures it at
+//! rest, `events` in events, `aggregated` behind real aggregators, `sweep` says which cases are played, `report` turns them into fits, tables and charts.
+
+pub mod aggregated;
+pub mod events;
+pub mod report;
+pub mod rig;
+pub mod steady;
+pub mod sweep;
+
+use crate::process::{governor_program, ProcessError};
+use crate::results::{Folder, ResultsError};
+use crate::stand_ins::fleet::FleetSize;
+use aggregated::Subsetting;
+use rig::Setup;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use steady::Times;
+
+/// Arguments of the subcommand.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Args {
+    /// The folder for rows, tables and charts
+    #[arg(long)]
+    pub out: PathBuf,
+    /// The governor's program [default: whinwall-governor beside this one, built first under cargo]
+    #[arg(long)]
+    pub program: Option<PathBuf>,
+    /// Seconds before each measurement
+    #[arg(long, default_value_t = 12.0)]
+    pub warm_up: f64,
+    /// Seconds of each measurement
+    #[arg(long, default_value_t = 10.0)]
+    pub measured: f64,
+    /// The aggregator's program: with it the governor is measured behind aggregators, too
+    #[arg(long)]
+    pub aggregator: Option<PathBuf>,
+    /// Aggregators that run, where there is a program for them
+    #[arg(long, default_value_t = 4)]
+    pub aggregators: usize,
+    /// Replicas of a governor's subset, behind aggregators; several are played in turn
+    #[arg(long, value_delimiter = ',', default_values_t = [25, 50, 100, 200])]
+    pub subset: Vec<usize>,
+    /// What a governor may be told, in bytes a second, behind aggregators
+    #[arg(long, default_value_t = 27_000)]
+    pub bytes_per_second: u64,
+    /// Plays of each case at rest and of each subset
+    #[arg(long, default_value_t = 1)]
+    pub plays: usize,
+    /// Only these sweeps: target, size, slices, proxies, churn, writes, summed, silent, events, flood, aggregated
+    #[arg(long, value_delimiter = ',')]
+    pub only: Vec<String>,
+}
+
+/// Why a measurement failed.
+#[derive(Debug, thiserror::Error)]
+pub enum MeasureError {
+    /// A process could not be started or observed.
+    #[error(transparent)]
+    Process(#[from] ProcessError),
+    /// A stand-in could not be started, or a connection failed.
+    #[error("a stand-in: {0}")]
+    StandIn(#[from] std::io::Error),
+    /// Results could not be written.
+    #[error(transparent)]
+    Results(#[from] ResultsError),
+}
+
+/// Plays all sweeps and writes what came of them.
+pub fn run(args: Args) -> Result<(), MeasureError> {
+    let program = args.program.clone().map_or_else(governor_program, Ok)?;
+    let folder = Folder::create(&args.out)?;
+    let times = Times {
+        warm_up: Duration::from_secs_f64(args.warm_up),
+        measured: Duration::from_secs_f64(args.measured),
+    };
+    let wanted = |sweep: &str| args.only.is_empty() || args.only.iter().any(|only| only == sweep);
+    let mut points = Vec::new();
+    let cases: Vec<_> = sweep::steady_cases().into_iter().filter(|case| wanted(case.sweep)).collect();
+    for case in (0..args.plays).flat_map(|_| &cases) {
+        let point = steady::measure(&program, case, times)?;
+        eprintln!("{}", report::line(&point));
+        points.push(point);
+        report::write_steady(&folder, &points)?;
+    }
+    if wanted("events") {
+        let outcomes = sweep::play_events(&program, times)?;
+        report::write_events(&folder, &outcomes)?;
+    }
+    if wanted("flood") {
+        let floods = sweep::play_floods(&program)?;
+        report::write_floods(&folder, &floods)?;
+    }
+    if let Some(aggregator) = args.aggregator.as_ref().filter(|_| wanted("aggregated")) {
+        measure_aggregated(&args, &program, aggregator, &folder, times)?;
+    }
+    Ok(())
+}
+
+fn measure_aggregated(
+    args: &Args,
+    governor: &Path,
+    aggregator: &Path,
+    folder: &Folder,
+    times: Times,
+) -> Result<(), MeasureError> {
+    let setup = Setup::reported(FleetSize::target());
+    let mut measured = Vec::new();
+    for subset in (0..args.plays).flat_map(|_| &args.subset) {
+        let Args { aggregators, bytes_per_second, .. } = *args;
+        let subsetting = Subsetting { aggregators, subset: *subset, bytes_per_second };
+        measured.push(aggregated::measure(governor, aggregator, &setup, &subsetting, times)?);
+        report::write_aggregated(folder, &measured)?;
+    }
+    Ok(())
+}
