--- /dev/null
+++ b/scale/src/many/cost.rs
@@ -0,0 +1,70 @@
+//! Processor time and memory of processes, as the kernel counts them.
+
+use rustix::param::clock_ticks_per_second;
+use rustix::time::{clock_gettime, ClockId};
+use std::ops::{AddAssign, Sub};
+use std::time::Duration;
+
+/// What a process, or several, have cost.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Cost {
+    /// Processor time since the start.
+    pub processor: Duration,
+    /// Resident memory.
+    pub memory_kb: u64,
+    /// Threads.
+    pub threads: u64,
+}
+
+impl AddAssign for Cost {
+    fn add_assign(&mut self, more: Cost) {
+        self.processor += more.processor;
+        self.memory_kb += more.memory_kb;
+        self.threads += more.threads;
+    }
+}
+
+/// Processor time spent since an earlier reading; memory and threads as they are now.
+impl Sub for Cost {
+    type Output = Cost;
+    fn sub(self, earlier: Cost) -> Cost {
+        Cost { processor: self.processor.saturating_sub(earlier.processor), ..self }
+    }
+}
+
+/// The cost of this process.
+pub fn of_self() -> Cost {
+    of_process(std::process::id()).unwrap_or_default()
+}
+
+/// The cost of a process; none where it is gone.
+pub fn of_process(process: u32) -> Option<Cost> {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    // The name in brackets may hold spaces; user and system time are the 12th and 13th fields behind it.
+    let fields: Vec<_> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+    let ticks: u64 = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+    let figure = |key: &str| -> Option<u64> {
+        let line = status.lines().find_map(|line| line.strip_prefix(key))?;
+        line.split_whitespace().next()?.parse().ok()
+    };
+    Some(Cost {
+        processor: Duration::from_secs_f64(ticks as f64 / clock_ticks_per_second() as f64),
+        memory_kb: figure("VmRSS:")?,
+        threads: figure("Threads:")?,
+    })
+}
+
+/// Processor time of the calling thread.
+pub fn of_thread() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec.max(0) as u64, time.tv_nsec.max(0) as u32)
+}
+
+/// Half of the machine's memory.
+pub fn half_of_memory_kb() -> u64 {
+    let text = std::fs::read_to_string("/proc/meminfo").unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("MemTotal:"));
+    let total: u64 = line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0);
+    total / 2
+}
--- /dev/null
+++ b/scale/src/many/events.rs
@@ -0,0 +1,367 @@
+//! The events of a run, one after another, and what each has cost.
+
+use super::catalog::Catalog;
+use super::cost::{self, Cost};
+use super::hollow::Surroundings;
+use super::plan::{GovernorId, Plan, CUT_REGION, DRAINED_AT_REST, DRAINED_DURING_CUT};
+use super::process::Process;
+use super::stand_ins::{self, Addresses, Link, Seat};
+use super::tracker::{Condition, Reached, Site, Tracker};
+use super::workers::Workers;
+use super::ManyError;
+use rustix::process::Signal;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::runtime::Builder;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+/// Threads for the stand-ins' sockets.
+const SOCKET_THREADS: usize = 2;
+/// Memory is looked at so often.
+const MEMORY_LOOK: Duration = Duration::from_millis(200);
+/// Replicas that start again while a region is cut off: one in so many.
+const RESTARTED_REPLICAS: usize = 100;
+
+/// What governors and harness have cost in a period.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Costs {
+    /// How long the period was.
+    pub elapsed: Duration,
+    /// All real governors together.
+    pub real: Cost,
+    /// This process: stand-ins, and the reducers of the in-process governors.
+    pub harness: Cost,
+    /// Processor time of these reducers.
+    pub hollow: Duration,
+}
+
+/// One event.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Its name.
+    pub event: &'static str,
+    /// How long whoever caused it took to do so: to write files and signal, or to end processes.
+    pub caused_in: Duration,
+    /// When governors had come to its end, and what was sent.
+    pub reached: Reached,
+    /// What it has cost.
+    pub costs: Costs,
+}
+
+/// All events of a run.
+#[derive(Debug)]
+pub struct Results {
+    /// In their order.
+    pub outcomes: Vec<Outcome>,
+    /// What the governors cost while nothing happened.
+    pub rest: Costs,
+    /// Memory of this process before the in-process governors were started.
+    pub bare_harness: Cost,
+    /// Bytes of the whole list.
+    pub list_bytes: usize,
+    /// Real governors that had a slice on the replica that was drained at rest, just before that.
+    pub holders: usize,
+}
+
+/// Plays all events. When it returns, every process that it started has ended.
+pub fn play(plan: &Plan) -> Result<Results, ManyError> {
+    let runtime = Builder::new_multi_thread().worker_threads(SOCKET_THREADS).enable_all().build();
+    let runtime = runtime.map_err(ManyError::io("runtime"))?;
+    let limit_kb = plan.memory_limit_kb;
+    let result = runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate()).map_err(ManyError::io("signals"))?;
+        let mut interrupt = signal(SignalKind::interrupt()).map_err(ManyError::io("signals"))?;
+        tokio::select! {
+            result = run(plan) => result,
+            taken_kb = memory_beyond(limit_kb) => Err(ManyError::Memory { taken_kb, limit_kb }),
+            _ = terminate.recv() => Err(ManyError::Signal),
+            _ = interrupt.recv() => Err(ManyError::Signal),
+        }
+    });
+    // Whatever serves sockets ends here.
+    runtime.shutdown_background();
+    result
+}
+
+/// Returns once this process holds more than it may.
+async fn memory_beyond(limit_kb: u64) -> u64 {
+    loop {
+        let taken = cost::of_self().memory_kb;
+        if taken > limit_kb {
+            return taken;
+        }
+        sleep(MEMORY_LOOK).await;
+    }
+}
+
+async fn run(plan: &Plan) -> Result<Results, ManyError> {
+    let mut fleet = Fleet::open(plan).await?;
+    let results = fleet.play().await;
+    fleet.end().await;
+    results
+}
+
+/// Everything that runs.
+struct Fleet {
+    plan: Arc<Plan>,
+    catalog: Arc<Catalog>,
+    tracker: Arc<Tracker>,
+    /// The link to the region that is cut off.
+    region: watch::Sender<Link>,
+    /// The link to all others.
+    elsewhere: watch::Sender<Link>,
+    seats: Vec<Arc<Seat>>,
+    sites: Vec<BTreeMap<Site, Addresses>>,
+    processes: Vec<Process>,
+    workers: Workers,
+    /// Holds the configuration files.
+    folder: tempfile::TempDir,
+}
+
+impl Fleet {
+    /// Opens all stand-ins; no governor runs yet.
+    async fn open(plan: &Plan) -> Result<Self, ManyError> {
+        let (catalog, tracker) = (Arc::new(Catalog::new(plan)), Arc::new(Tracker::new(plan.real)));
+        let mut fleet = Fleet {
+            plan: Arc::new(plan.clone()),
+            catalog,
+            tracker,
+            region: watch::Sender::new(Link::Up),
+            elsewhere: watch::Sender::new(Link::Up),
+            seats: Vec::new(),
+            sites: Vec::new(),
+            processes: Vec::new(),
+            workers: Workers::default(),
+            folder: tempfile::tempdir().map_err(ManyError::io("temporary folder"))?,
+        };
+        let load = stand_ins::load_reports(plan);
+        for governor in 0..plan.real {
+            let cut = plan.region(governor) == CUT_REGION;
+            let link = if cut { &fleet.region } else { &fleet.elsewhere };
+            let seat =
+                Seat::new(plan, governor, link.subscribe(), fleet.catalog.clone(), fleet.tracker.clone());
+            let seat = Arc::new(seat);
+            let mut sites = BTreeMap::new();
+            for site in [Site::First, Site::Second] {
+                sites.insert(site, stand_ins::open(&seat, site).await.map_err(ManyError::io("listen"))?);
+            }
+            let process = Process::new(governor, fleet.folder.path());
+            for (zone, load) in load.iter().enumerate() {
+                let (plan, seat) = (fleet.plan.clone(), seat.clone());
+                tokio::spawn(stand_ins::collect(plan, seat, zone, load.clone(), process.address()));
+            }
+            fleet.seats.push(seat);
+            fleet.sites.push(sites);
+            fleet.processes.push(process);
+        }
+        Ok(fleet)
+    }
+
+    async fn play(&mut self) -> Result<Results, ManyError> {
+        let list_bytes = self.catalog.since(0).line.len();
+        let bare_harness = cost::of_self();
+        let mut outcomes = vec![self.start().await?];
+        let before = self.costs();
+        sleep(self.plan.rest).await;
+        let rest = self.costs_since(&before);
+        outcomes.push(self.configure().await?);
+        let holders = self.holders();
+        outcomes.push(self.drain().await?);
+        outcomes.push(self.restart().await?);
+        outcomes.extend(self.cut_region().await?);
+        self.all_run()?;
+        Ok(Results { outcomes, rest, bare_harness, list_bytes, holders })
+    }
+
+    /// All governors start together, and know nothing.
+    async fn start(&mut self) -> Result<Outcome, ManyError> {
+        let before = self.costs();
+        for (process, sites) in self.processes.iter().zip(&self.sites) {
+            write_configuration(process, &self.plan, sites, Site::First)?;
+        }
+        let ready = [Condition::Ponged, Condition::NewsFrom(Site::First), Condition::ListVersion(1)];
+        self.tracker.begin(0..self.plan.governors(), &ready);
+        let began = Instant::now();
+        let around = Surroundings::new(self.plan.clone(), self.catalog.clone(), self.tracker.clone());
+        self.workers = Workers::start(&Arc::new(around))?;
+        self.start_processes(|_| true).await?;
+        let caused_in = began.elapsed();
+        self.outcome("all start together", caused_in, &before).await
+    }
+
+    /// Starts these processes at once and waits until they serve.
+    async fn start_processes(&mut self, which: impl Fn(GovernorId) -> bool) -> Result<(), ManyError> {
+        for (governor, process) in self.processes.iter_mut().enumerate() {
+            if which(governor) {
+                process.start(&self.plan)?;
+            }
+        }
+        let mut serving = JoinSet::new();
+        for (governor, mut process) in std::mem::take(&mut self.processes).into_iter().enumerate() {
+            let (tracker, starts, patience) = (self.tracker.clone(), which(governor), self.plan.patience);
+            serving.spawn(async move {
+                let served = match starts {
+                    true => timeout(patience, process.serves(&tracker)).await,
+                    false => Ok(Ok(())),
+                };
+                let served = served.unwrap_or(Err(ManyError::NotServing { governor }));
+                (governor, process, served)
+            });
+        }
+        let mut processes = BTreeMap::new();
+        let mut failed = None;
+        while let Some(Ok((governor, process, served))) = serving.join_next().await {
+            failed = failed.or(served.err());
+            processes.insert(governor, process);
+        }
+        self.processes = processes.into_values().collect();
+        failed.map_or(Ok(()), Err)
+    }
+
+    /// A change of the configuration that reaches all: relay and discovery are elsewhere from now on.
+    async fn configure(&mut self) -> Result<Outcome, ManyError> {
+        let before = self.costs();
+        let moved = [Condition::NewsFrom(Site::Second), Condition::ListFrom(Site::Second)];
+        self.tracker.begin(0..self.plan.governors(), &moved);
+        let began = Instant::now();
+        self.workers.configure(Site::Second);
+        for (process, sites) in self.processes.iter().zip(&self.sites) {
+            write_configuration(process, &self.plan, sites, Site::Second)?;
+            process.signal(Signal::HUP);
+        }
+        let caused_in = began.elapsed();
+        self.outcome("configuration change", caused_in, &before).await
+    }
+
+    /// Real governors with a slice on the replica that is drained at rest.
+    fn holders(&self) -> usize {
+        let replica = self.plan.replica(DRAINED_AT_REST);
+        self.seats.iter().filter(|seat| seat.store().names(&replica)).count()
+    }
+
+    /// A replica is drained, and the list told to all.
+    async fn drain(&mut self) -> Result<Outcome, ManyError> {
+        let before = self.costs();
+        self.tracker.drain(self.plan.replica(DRAINED_AT_REST));
+        self.tracker.begin(0..self.plan.governors(), &[Condition::Withdrawn]);
+        self.catalog.change(DRAINED_AT_REST, 0..0, 0);
+        self.outcome("replica drained", Duration::ZERO, &before).await
+    }
+
+    /// Nine in ten governors end and start again at once.
+    async fn restart(&mut self) -> Result<Outcome, ManyError> {
+        let before = self.costs();
+        let (began, plan) = (Instant::now(), self.plan.clone());
+        let restarted = |governor| plan.is_restarted(governor);
+        let ending = || self.processes.iter().enumerate().filter(|(governor, _)| restarted(*governor));
+        ending().for_each(|(_, process)| process.signal(Signal::TERM));
+        for (governor, process) in self.processes.iter_mut().enumerate() {
+            if restarted(governor) {
+                process.ended().await;
+            }
+        }
+        let caused_in = began.elapsed();
+        let version = self.catalog.version();
+        let ready = [Condition::Ponged, Condition::NewsFrom(Site::Second), Condition::ListVersion(version)];
+        self.tracker.begin((0..plan.governors()).filter(|governor| restarted(*governor)), &ready);
+        self.workers.restart();
+        self.start_processes(restarted).await?;
+        self.outcome("nine in ten restarted", caused_in, &before).await
+    }
+
+    /// A region is cut off; meanwhile a replica is drained and others start again; then the region is back.
+    async fn cut_region(&mut self) -> Result<Vec<Outcome>, ManyError> {
+        let plan = self.plan.clone();
+        let is_cut = |governor: &GovernorId| plan.region(*governor) == CUT_REGION;
+        let inside = || (0..plan.governors()).filter(is_cut);
+        let outside = || (0..plan.governors()).filter(|governor| !is_cut(governor));
+        let before = self.costs();
+        let began = Instant::now();
+        self.tracker.begin(inside(), &[Condition::CutNoticed]);
+        self.region.send_replace(Link::Cut);
+        self.workers.cut();
+        let cut = self.outcome("region cut off: noticed", Duration::ZERO, &before).await?;
+
+        let before = self.costs();
+        let version = self.catalog.version() + 1;
+        let agreed = [Condition::ListVersion(version), Condition::Withdrawn];
+        self.tracker.drain(plan.replica(DRAINED_DURING_CUT));
+        self.tracker.begin(outside(), &agreed);
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let restarted = 2..2 + plan.replicas / RESTARTED_REPLICAS;
+        self.catalog.change(DRAINED_DURING_CUT, restarted, wall);
+        let others =
+            self.outcome("replica drained meanwhile: other regions", Duration::ZERO, &before).await?;
+
+        sleep(plan.cut.saturating_sub(began.elapsed())).await;
+        let before = self.costs();
+        let news = Condition::NewsFrom(Site::Second);
+        self.tracker.begin(inside(), &[news, agreed[0], agreed[1]]);
+        self.region.send_replace(Link::Up);
+        self.workers.reconnect();
+        let back = self.outcome("region back: all agree", Duration::ZERO, &before).await?;
+        Ok(vec![cut, others, back])
+    }
+
+    async fn outcome(
+        &mut self,
+        event: &'static str,
+        caused_in: Duration,
+        before: &Costs,
+    ) -> Result<Outcome, ManyError> {
+        let reached = self.tracker.wait(self.plan.patience).await;
+        let costs = self.costs_since(before);
+        let (taken_kb, limit_kb) =
+            (costs.real.memory_kb + costs.harness.memory_kb, self.plan.memory_limit_kb);
+        if taken_kb > limit_kb {
+            return Err(ManyError::Memory { taken_kb, limit_kb });
+        }
+        Ok(Outcome { event, caused_in, reached, costs })
+    }
+
+    /// All that was spent so far.
+    fn costs(&self) -> Costs {
+        let mut real = Cost::default();
+        self.processes.iter().for_each(|process| real += process.cost());
+        Costs { elapsed: self.tracker.age(), real, harness: cost::of_self(), hollow: self.workers.cost() }
+    }
+
+    fn costs_since(&self, before: &Costs) -> Costs {
+        let now = self.costs();
+        Costs {
+            elapsed: now.elapsed.saturating_sub(before.elapsed),
+            real: now.real - before.real,
+            harness: now.harness - before.harness,
+            hollow: now.hollow.saturating_sub(before.hollow),
+        }
+    }
+
+    fn all_run(&mut self) -> Result<(), ManyError> {
+        match self.processes.iter_mut().position(|process| !process.runs()) {
+            Some(governor) => Err(ManyError::Ended { governor }),
+            None => Ok(()),
+        }
+    }
+
+    /// Ends all governors.
+    async fn end(mut self) {
+        self.processes.iter().for_each(|process| process.signal(Signal::TERM));
+        for process in &mut self.processes {
+            process.ended().await;
+        }
+        self.workers.end();
+    }
+}
+
+fn write_configuration(
+    process: &Process,
+    plan: &Plan,
+    sites: &BTreeMap<Site, Addresses>,
+    site: Site,
+) -> Result<(), ManyError> {
+    process.configure(plan, sites[&site]).map_err(ManyError::io("configuration"))
+}
--- /dev/null
+++ b/scale/src/many/hollow.rs
@@ -0,0 +1,382 @@
+//! An in-process governor: the real reducer behind stand-ins that answer at once, with a clock of its own that can be
+//! moved forward. It has no sockets; silence and refusals are told to it as the transport would tell them.
+
+use super::catalog::Catalog;
+use super::cost;
+use super::plan::{GovernorId, Plan, REQUEST_CLASS};
+use super::store::Store;
+use super::tracker::{Condition, Site, Tracker, Traffic};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use whinwall::interface::Report;
+use whinwall::time::{Moment, Span};
+use whinwall_governor::protocol::collector::{Message, Report as ReportLine};
+use whinwall_governor::protocol::discovery::List;
+use whinwall_governor::protocol::relay::{decode_news, Answer};
+use whinwall_governor::routing::known::Known;
+use whinwall_governor::routing::{Effect, Event, Reducer};
+use whinwall_governor::transport::{limits, Broken, CallError, ConnectionId, Targets};
+use whinwall_settings::Settings;
+
+/// The one connection that its reports come on.
+const COLLECTOR: ConnectionId = 1;
+/// A step of a governor whose clock is moved forward.
+const CUT_STEP: Duration = Duration::from_secs(5);
+/// It wakes so often at least, as the program's loop does.
+const LONGEST_SLEEP: Duration = Duration::from_secs(1);
+/// Of a governor's seed, the part that all have in common.
+const SEED: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// What the in-process governors of a run share.
+pub struct Surroundings {
+    /// Sizes of the run.
+    pub plan: Arc<Plan>,
+    /// The list.
+    pub catalog: Arc<Catalog>,
+    /// Who is told what was reached.
+    pub tracker: Arc<Tracker>,
+    /// When the run began, and what the wall's clock said then.
+    pub began: (Instant, Moment),
+}
+
+impl Surroundings {
+    /// The run begins now.
+    pub fn new(plan: Arc<Plan>, catalog: Arc<Catalog>, tracker: Arc<Tracker>) -> Self {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Surroundings {
+            plan,
+            catalog,
+            tracker,
+            began: (Instant::now(), Moment::at_ns(wall.as_nanos() as u64)),
+        }
+    }
+}
+
+/// An answer that is still out, and when the transport gives up waiting for it.
+struct Waiting {
+    gives_up: Moment,
+    event: Event,
+}
+
+/// How its region is doing.
+#[derive(Clone, Copy, PartialEq)]
+enum Reach {
+    Connected,
+    /// Cut off, for so long yet by its own clock.
+    Cut {
+        left: Duration,
+    },
+}
+
+/// One in-process governor.
+pub struct Hollow {
+    governor: GovernorId,
+    around: Arc<Surroundings>,
+    settings: Settings,
+    reducer: Reducer,
+    starts: u64,
+    site: Site,
+    store: Store,
+    known: Known,
+    /// The version of the list that it was told.
+    told: u64,
+    /// How far its clock is ahead of the others'.
+    ahead: Span,
+    reach: Reach,
+    news: Option<Waiting>,
+    list: Option<Waiting>,
+    call: Option<Waiting>,
+    wakes: Moment,
+    reports: Moment,
+    /// Processor time of its turns.
+    pub processor: Duration,
+}
+
+/// Stands for the relay and discovery of a site; nobody listens there.
+fn targets(site: Site) -> Targets {
+    let port = |port| SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port);
+    match site {
+        Site::First => Targets { relay: port(1), discovery: port(2) },
+        Site::Second => Targets { relay: port(3), discovery: port(4) },
+    }
+}
+
+fn span(time: Duration) -> Span {
+    Span::ns(time.as_nanos() as u64)
+}
+
+impl Hollow {
+    /// A governor that has just started.
+    pub fn start(governor: GovernorId, around: Arc<Surroundings>) -> Result<Self, String> {
+        let settings = whinwall_settings::read(&around.plan.configuration(governor)["settings"])?;
+        let now = around.began.1 + span(around.began.0.elapsed());
+        let site = Site::First;
+        let reducer =
+            Reducer::start(settings.clone(), targets(site), SEED ^ governor as u64, &List::default(), now);
+        let share = around.plan.report_period.mul_f64(governor as f64 / around.plan.governors() as f64);
+        let mut hollow = Hollow {
+            governor,
+            settings,
+            reducer,
+            starts: 1,
+            site,
+            store: Store::new(&around.plan, governor),
+            around,
+            known: Known::default(),
+            told: 0,
+            ahead: Span::default(),
+            reach: Reach::Connected,
+            news: None,
+            list: None,
+            call: None,
+            wakes: now,
+            reports: now + span(share),
+            processor: Duration::ZERO,
+        };
+        hollow.begin(now);
+        Ok(hollow)
+    }
+
+    /// Its number.
+    pub fn governor(&self) -> GovernorId {
+        self.governor
+    }
+
+    /// Starts again from nothing, as a restarted process does; the store keeps its tables.
+    pub fn restart(&mut self) {
+        let now = self.now();
+        self.starts += 1;
+        let seed = (SEED ^ self.governor as u64).wrapping_mul(self.starts);
+        let (settings, targets) = (self.settings.clone(), targets(self.site));
+        self.reducer = Reducer::start(settings, targets, seed, &List::default(), now);
+        (self.told, self.known) = (0, Known::default());
+        (self.news, self.list, self.call) = (None, None, None);
+        self.begin(now);
+    }
+
+    fn begin(&mut self, now: Moment) {
+        let place = self.around.plan.zone(0);
+        let joins = Event::Message { from: COLLECTOR, message: Message::Source { place } };
+        let ping = Event::Message { from: COLLECTOR, message: Message::Ping };
+        self.turn(now, vec![Event::Started, joins, ping]);
+    }
+
+    fn now(&self) -> Moment {
+        let (began, wall) = self.around.began;
+        wall + span(began.elapsed()) + self.ahead
+    }
+
+    /// Its configuration names another site.
+    pub fn configure(&mut self, site: Site) {
+        self.site = site;
+        self.turn(self.now(), vec![Event::Configured(targets(site))]);
+    }
+
+    /// Its region is cut off for so long by its own clock.
+    pub fn cut(&mut self) {
+        let now = self.now();
+        self.reach = Reach::Cut { left: self.around.plan.virtual_cut };
+        let (news, list) = (Event::NewsLost(Broken::Silent), Event::ListLost(Broken::Silent));
+        self.news = Some(Waiting { gives_up: now + span(limits::NEWS_SILENCE), event: news });
+        self.list = Some(Waiting { gives_up: now + span(limits::LIST_SILENCE), event: list });
+    }
+
+    /// Its region is back: what it waits for is reset, and it asks anew.
+    pub fn reconnect(&mut self) {
+        self.reach = Reach::Connected;
+        let reset = || Broken::Cut("reset".into());
+        let mut events = Vec::new();
+        events.extend(self.news.take().map(|_| Event::NewsLost(reset())));
+        events.extend(self.list.take().map(|_| Event::ListLost(reset())));
+        events.extend(self.call.take().map(|_| Event::Answer(Err(CallError::NotSent(reset())))));
+        self.turn(self.now(), events);
+    }
+
+    /// Whether its region is cut off.
+    pub fn is_cut(&self) -> bool {
+        self.reach != Reach::Connected
+    }
+
+    /// Does what is due; true where it is to be called again at once.
+    pub fn step(&mut self) -> bool {
+        if let Reach::Cut { left } = self.reach {
+            return self.step_through_cut(left);
+        }
+        let now = self.now();
+        let mut events = Vec::new();
+        let news = self.told < self.around.catalog.version() && self.told > 0;
+        if news {
+            let told = self.list_told(self.told);
+            events.push(told);
+        }
+        if self.reports <= now {
+            self.reports = now + span(self.around.plan.report_period);
+            events.push(self.load(now));
+        }
+        if !events.is_empty() || self.wakes <= now {
+            self.turn(now, events);
+            self.told_list();
+        }
+        false
+    }
+
+    /// One step of its clock while its region is cut off; nothing arrives but what the transport gives up.
+    fn step_through_cut(&mut self, left: Duration) -> bool {
+        let step = CUT_STEP.min(left);
+        if step.is_zero() {
+            return false;
+        }
+        self.ahead = self.ahead + span(step);
+        self.reach = Reach::Cut { left: left - step };
+        let now = self.now();
+        let mut events = Vec::new();
+        for slot in [&mut self.news, &mut self.list, &mut self.call] {
+            if slot.as_ref().is_some_and(|waiting| waiting.gives_up <= now) {
+                events.extend(slot.take().map(|waiting| waiting.event));
+            }
+        }
+        self.turn(now, events);
+        if step == left {
+            self.around.tracker.reached(self.governor, Condition::CutNoticed);
+        }
+        step < left
+    }
+
+    /// When it next has something to do, from now on.
+    pub fn due_in(&self) -> Duration {
+        let next = match self.reach {
+            Reach::Connected => self.wakes.min(self.reports),
+            Reach::Cut { .. } => return LONGEST_SLEEP,
+        };
+        Duration::from_nanos((next - self.now()).as_ns())
+    }
+
+    /// Takes what has arrived, then follows up on what that leads to until nothing more is to be done.
+    fn turn(&mut self, now: Moment, events: Vec<Event>) {
+        let mut events = events;
+        let mut reached = Vec::new();
+        self.wakes = now + span(LONGEST_SLEEP);
+        loop {
+            let began = cost::of_thread();
+            let mut effects: Vec<_> =
+                events.drain(..).flat_map(|event| self.reducer.apply(now, event)).collect();
+            effects.extend(self.reducer.apply(now, Event::Quiet));
+            self.processor += cost::of_thread().saturating_sub(began);
+            reached.drain(..).for_each(|condition| self.around.tracker.reached(self.governor, condition));
+            for effect in effects {
+                self.carry_out(now, effect, &mut events, &mut reached);
+            }
+            if events.is_empty() {
+                break;
+            }
+        }
+        reached.into_iter().for_each(|condition| self.around.tracker.reached(self.governor, condition));
+    }
+
+    fn carry_out(
+        &mut self,
+        now: Moment,
+        effect: Effect,
+        events: &mut Vec<Event>,
+        reached: &mut Vec<Condition>,
+    ) {
+        let after = |time: Duration| now + span(time);
+        match effect {
+            Effect::Pong { .. } => reached.push(Condition::Ponged),
+            Effect::WakeAt(at) => self.wakes = self.wakes.min(at),
+            Effect::FollowNews { .. } if self.is_cut() => {
+                let event = Event::NewsLost(Broken::Silent);
+                self.news = Some(Waiting { gives_up: after(limits::NEWS_ANSWER), event });
+            }
+            Effect::FollowNews { .. } => {
+                self.news = None;
+                events.extend(self.news_told());
+                reached.push(Condition::NewsFrom(self.site));
+            }
+            Effect::FollowList { .. } if self.is_cut() => {
+                let gives_up = after(limits::LIST_ANSWER * limits::DIALS as u32);
+                self.list = Some(Waiting { gives_up, event: Event::ListLost(Broken::Silent) });
+            }
+            // Beside a watch that is silent as well.
+            Effect::RenewList { .. } if self.is_cut() => {}
+            Effect::FollowList { since, .. } | Effect::RenewList { since, .. } => {
+                self.list = None;
+                events.push(self.list_told(since));
+                reached.extend([Condition::ListFrom(self.site), Condition::ListVersion(self.told)]);
+            }
+            Effect::Call { .. } if self.is_cut() => {
+                let event = Event::Answer(Err(CallError::NotSent(Broken::Silent)));
+                self.call = Some(Waiting { gives_up: after(limits::ANSWER), event });
+            }
+            Effect::Call { line, .. } => {
+                events.extend(self.called(&line));
+                let drained = self.around.tracker.drained();
+                if drained.is_some_and(|replica| self.store.has_left(&replica)) {
+                    reached.push(Condition::Withdrawn);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn called(&mut self, line: &str) -> Vec<Event> {
+        let Some(applied) = self.store.apply(line) else {
+            return vec![Event::Answer(Ok(Answer::Unusable("bad_request".into())))];
+        };
+        let mut events = vec![Event::Answer(Ok(Answer::Taken(applied.orders)))];
+        events.extend(self.news_lines(&applied.acks));
+        events
+    }
+
+    fn news_told(&self) -> Vec<Event> {
+        self.news_lines(&self.store.snapshot())
+    }
+
+    fn news_lines(&self, lines: &[String]) -> Vec<Event> {
+        // Each ends in CRLF on the wire.
+        let bytes = lines.iter().map(|line| line.len() + 2).sum();
+        self.around.tracker.sent(self.governor, Traffic::News, bytes);
+        lines.iter().filter_map(|line| decode_news(line).ok()).map(Event::News).collect()
+    }
+
+    fn list_told(&mut self, since: u64) -> Event {
+        let told = self.around.catalog.since(since);
+        self.around.tracker.sent(self.governor, Traffic::List, told.line.len());
+        self.told = told.version;
+        Event::List(told.list.clone())
+    }
+
+    fn told_list(&self) {
+        self.around.tracker.reached(self.governor, Condition::ListVersion(self.told));
+    }
+
+    /// What the collectors tell in one period, taken apart as a reader does.
+    fn load(&mut self, now: Moment) -> Event {
+        let plan = self.around.plan.clone();
+        if let Some(known) = self.reducer.known(Some(self.known.changes)) {
+            self.known = known;
+        }
+        let covers_ms = plan.report_period.as_secs_f64() * 1e3;
+        let zones: Vec<_> = (0..plan.zones).map(|zone| plan.zone(zone)).collect();
+        let hosts: Vec<_> = (0..plan.replicas).map(|replica| plan.replica(replica)).collect();
+        let met = hosts.iter().enumerate().map(|(replica, server)| ReportLine::Met {
+            place: &zones[plan.zone_of(replica)],
+            server,
+            tries: 26.0,
+            aborted: 0.0,
+            mean_latency_ms: 41.7,
+            covers_ms,
+        });
+        let asked = self.store.slices().map(|slice| ReportLine::Asked {
+            slice,
+            op_type: REQUEST_CLASS,
+            came: 4.0,
+            aborted: 0.0,
+            covers_ms,
+        });
+        let lines = met.chain(asked).filter_map(|line| self.known.numbered(&line));
+        let reports = lines.map(|what| Report { at: now, lines: 1.0, what }).collect();
+        Event::Reports { from: COLLECTOR, reports }
+    }
+}
--- a/scale/src/many/mod.rs
+++ b/scale/src/many/mod.rs
@@ -1,1 +1,205 @@
-//! Many governors: real processes beside in-process ones, and fleet-wide events.
+//! Many governors: real processes beside in-process ones, and events that concern all of them. Relay, discovery and
+//! collectors are stand-ins inside this process, on loopback sockets for the real governors and as calls for the
+//! in-process ones.
+
+mod catalog;
+mod cost;
+mod events;
+mod hollow;
+mod plan;
+mod process;
+mod report;
+mod stand_ins;
+mod store;
+mod tracker;
+mod workers;
+
+pub use cost::Cost;
+pub use events::{play, Costs, Outcome, Results};
+pub use plan::Plan;
+pub use process::find_program;
+pub use report::table;
+pub use tracker::{Condition, Demand, Reached, Site, Traffic};
+
+use std::path::PathBuf;
+use std::time::Duration;
+use thiserror::Error;
+
+/// More processes than this are not started.
+const MOST_REAL: usize = 290;
+/// The report's file.
+const REPORT: &str = "many.md";
+
+/// Sizes of a run, from the command line.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Args {
+    /// Folder for the report; made where it is missing
+    #[arg(long, value_name = "DIR")]
+    out: PathBuf,
+    /// Governors that run as processes
+    #[arg(long, default_value_t = 60)]
+    real: usize,
+    /// Governors in all; the others run inside this process
+    #[arg(long, default_value_t = 650)]
+    governors: usize,
+    /// Replicas in the list
+    #[arg(long, default_value_t = 2200)]
+    replicas: usize,
+    /// Zones, each with a collector
+    #[arg(long, default_value_t = 9)]
+    zones: usize,
+    /// Regions; one of them is cut off
+    #[arg(long, default_value_t = 4)]
+    regions: usize,
+    /// Slices of each governor
+    #[arg(long, default_value_t = 20)]
+    slices: usize,
+    /// Proxies of each governor
+    #[arg(long, default_value_t = 20)]
+    proxies: usize,
+    /// Threads for the in-process governors
+    #[arg(long, default_value_t = 3)]
+    workers: usize,
+    /// Seconds between the reports about a replica
+    #[arg(long, default_value_t = 1.0)]
+    report_seconds: f64,
+    /// Seconds for which the costs at rest are measured
+    #[arg(long, default_value_t = 15.0)]
+    rest_seconds: f64,
+    /// Seconds for which a region is cut off from its real governors
+    #[arg(long, default_value_t = 10.0)]
+    cut_seconds: f64,
+    /// Seconds for which it is cut off from its in-process governors, by their own clocks
+    #[arg(long, default_value_t = 3600.0)]
+    virtual_cut_seconds: f64,
+    /// Seconds after which an event has failed
+    #[arg(long, default_value_t = 90.0)]
+    patience_seconds: f64,
+    /// The governor program, where it is not beside this one
+    #[arg(long, value_name = "FILE")]
+    program: Option<PathBuf>,
+}
+
+/// Why a run could not be made, or has failed.
+#[derive(Debug, Error)]
+pub enum ManyError {
+    /// The governor program was not built.
+    #[error("no whinwall-governor beside this program: cargo build --release --locked -p whinwall-governor")]
+    NoProgram,
+    /// It can't be started.
+    #[error("{}: {why}", program.display())]
+    Start {
+        /// Its path.
+        program: PathBuf,
+        /// What the system says.
+        why: std::io::Error,
+    },
+    /// It ended, or closed its log, before it had named its address.
+    #[error("governor n{governor} does not serve")]
+    NotServing {
+        /// Its number.
+        governor: usize,
+    },
+    /// A process ended that nobody had ended.
+    #[error("governor n{governor} has ended by itself")]
+    Ended {
+        /// Its number.
+        governor: usize,
+    },
+    /// A thread can't be started.
+    #[error("a thread: {0}")]
+    Thread(std::io::Error),
+    /// A file, a folder or a socket.
+    #[error("{what}: {why}")]
+    Io {
+        /// What was done.
+        what: String,
+        /// What the system says.
+        why: std::io::Error,
+    },
+    /// The sizes make no sense.
+    #[error("{0}")]
+    Sizes(String),
+    /// Governors and harness took more memory than they may.
+    #[error("{taken_kb} kB of memory are taken, {limit_kb} may be")]
+    Memory {
+        /// What they took.
+        taken_kb: u64,
+        /// What they may take.
+        limit_kb: u64,
+    },
+    /// A signal ended the run.
+    #[error("ended by a signal")]
+    Signal,
+    /// An event did not come to its end at all governors.
+    #[error("{event}: {missing} governors did not come to its end; the report says which")]
+    Missing {
+        /// The event's name.
+        event: &'static str,
+        /// How many.
+        missing: usize,
+    },
+}
+
+impl ManyError {
+    fn io(what: impl Into<String>) -> impl FnOnce(std::io::Error) -> ManyError {
+        let what = what.into();
+        move |why| ManyError::Io { what, why }
+    }
+}
+
+impl TryFrom<&Args> for Plan {
+    type Error = ManyError;
+
+    fn try_from(args: &Args) -> Result<Plan, ManyError> {
+        let wrong = |what: &str| Err(ManyError::Sizes(what.into()));
+        if args.real == 0 || args.real > MOST_REAL {
+            return wrong("--real: from 1 to 290");
+        }
+        if args.governors < args.real {
+            return wrong("--governors: no fewer than --real");
+        }
+        if args.replicas < 4 || args.slices < 2 || args.zones == 0 || args.proxies == 0 || args.workers == 0 {
+            return wrong("--replicas 4, --slices 2, --zones, --proxies and --workers 1 at the least");
+        }
+        let time = |seconds: f64| {
+            Duration::try_from_secs_f64(seconds)
+                .map_err(|why| ManyError::Sizes(format!("{seconds} s: {why}")))
+        };
+        let program = args.program.clone().map_or_else(find_program, Ok)?;
+        Ok(Plan {
+            real: args.real,
+            hollow: args.governors - args.real,
+            replicas: args.replicas,
+            zones: args.zones,
+            regions: args.regions,
+            slices: args.slices,
+            proxies: args.proxies,
+            workers: args.workers,
+            report_period: time(args.report_seconds)?,
+            rest: time(args.rest_seconds)?,
+            cut: time(args.cut_seconds)?,
+            virtual_cut: time(args.virtual_cut_seconds)?,
+            patience: time(args.patience_seconds)?,
+            memory_limit_kb: cost::half_of_memory_kb(),
+            program,
+        })
+    }
+}
+
+/// Plays all events and writes the report; an event that some governor did not come to the end of is an error.
+pub fn run(args: Args) -> Result<(), ManyError> {
+    let plan = Plan::try_from(&args)?;
+    let file = args.out.join(REPORT);
+    std::fs::create_dir_all(&args.out).map_err(ManyError::io(args.out.display().to_string()))?;
+    let results = play(&plan)?;
+    let text = table(&plan, &results);
+    std::fs::write(&file, &text).map_err(ManyError::io(file.display().to_string()))?;
+    println!("{text}");
+    match results.outcomes.iter().find(|outcome| !outcome.reached.missing.is_empty()) {
+        Some(outcome) => {
+            Err(ManyError::Missing { event: outcome.event, missing: outcome.reached.missing.len() })
+        }
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/scale/src/many/process.rs
@@ -0,0 +1,156 @@
+//! Governors as processes: each is started with a configuration file of its own, and ended by its process id.
+
+use super::cost::{self, Cost};
+use super::plan::{GovernorId, Plan};
+use super::stand_ins::Addresses;
+use super::tracker::{Condition, Tracker};
+use super::ManyError;
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
+use tokio::net::TcpStream;
+use tokio::process::{Child, ChildStderr, Command};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// The name of the governor program.
+const PROGRAM: &str = "whinwall-governor";
+/// A governor that has not ended so long after SIGTERM gets SIGKILL.
+const GRACE: Duration = Duration::from_secs(5);
+/// Before a governor that does not answer yet is asked again.
+const PING_AGAIN: Duration = Duration::from_millis(2);
+
+/// One governor's process, or its place while none runs.
+pub struct Process {
+    governor: GovernorId,
+    file: PathBuf,
+    child: Option<Child>,
+    /// Where collectors find it.
+    address: watch::Sender<Option<SocketAddr>>,
+    /// What earlier processes of this governor have cost.
+    former: Cost,
+}
+
+impl Process {
+    /// A governor whose configuration file is in this folder; it is not started yet.
+    pub fn new(governor: GovernorId, folder: &Path) -> Self {
+        let (file, address) = (folder.join(format!("n{governor}.json")), watch::Sender::new(None));
+        Process { governor, file, child: None, address, former: Cost::default() }
+    }
+
+    /// Where collectors find it, and when that changes.
+    pub fn address(&self) -> watch::Receiver<Option<SocketAddr>> {
+        self.address.subscribe()
+    }
+
+    /// Writes its configuration.
+    pub fn configure(&self, plan: &Plan, at: Addresses) -> std::io::Result<()> {
+        let mut file = plan.configuration(self.governor);
+        file["distributor"]["address"] = json!(at.relay.to_string());
+        file["discovery"] = json!(at.discovery.to_string());
+        std::fs::write(&self.file, file.to_string())
+    }
+
+    /// Starts the program.
+    pub fn start(&mut self, plan: &Plan) -> Result<(), ManyError> {
+        let mut command = Command::new(&plan.program);
+        command.env_clear().env("PROXY_CONFIG", &self.file).kill_on_drop(true);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        let child = command.spawn().map_err(|why| ManyError::Start { program: plan.program.clone(), why })?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Waits until it has answered a ping, and gives its address to the collectors.
+    pub async fn serves(&mut self, tracker: &Arc<Tracker>) -> Result<(), ManyError> {
+        let silent = ManyError::NotServing { governor: self.governor };
+        let stderr = self.child.as_mut().and_then(|child| child.stderr.take());
+        let Some(stderr) = stderr else { return Err(silent) };
+        let mut lines = BufReader::new(stderr).lines();
+        let address = loop {
+            match lines.next_line().await {
+                Ok(Some(line)) if line.contains("serves at") => break line,
+                Ok(Some(_)) => {}
+                _ => return Err(silent),
+            }
+        };
+        let address = address.rsplit(' ').next().and_then(|address| address.parse::<SocketAddr>().ok());
+        let Some(address) = address else { return Err(silent) };
+        tokio::spawn(drain(lines));
+        while ping(address).await.is_err() {
+            sleep(PING_AGAIN).await;
+        }
+        tracker.reached(self.governor, Condition::Ponged);
+        self.address.send_replace(Some(address));
+        Ok(())
+    }
+
+    /// Sends a signal to the process, where one runs.
+    pub fn signal(&self, signal: Signal) {
+        let process = self.child.as_ref().and_then(Child::id).and_then(|id| Pid::from_raw(id as i32));
+        if let Some(process) = process {
+            // It may have ended by itself, which whoever waits for it will see.
+            _ = kill_process(process, signal);
+        }
+    }
+
+    /// Waits for its end after SIGTERM; one that does not end is killed.
+    pub async fn ended(&mut self) {
+        self.former += Cost { memory_kb: 0, threads: 0, ..self.running() };
+        self.address.send_replace(None);
+        let Some(mut child) = self.child.take() else { return };
+        if timeout(GRACE, child.wait()).await.is_err() {
+            _ = child.kill().await;
+        }
+    }
+
+    fn running(&self) -> Cost {
+        let process = self.child.as_ref().and_then(Child::id);
+        process.and_then(cost::of_process).unwrap_or_default()
+    }
+
+    /// What this governor has cost since its first start.
+    pub fn cost(&self) -> Cost {
+        let running = self.running();
+        Cost { processor: self.former.processor + running.processor, ..running }
+    }
+
+    /// Whether its process still runs.
+    pub fn runs(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+}
+
+/// Reads the rest of the log, so that the governor never waits for its reader.
+async fn drain(mut lines: Lines<BufReader<ChildStderr>>) {
+    while let Ok(Some(_)) = lines.next_line().await {}
+}
+
+async fn ping(address: SocketAddr) -> std::io::Result<()> {
+    let mut stream = BufReader::new(TcpStream::connect(address).await?);
+    stream.write_all(b"{\"@type\":\"PING\"}\n").await?;
+    let mut answer = String::new();
+    stream.read_line(&mut answer).await?;
+    match answer.contains("PONG") {
+        true => Ok(()),
+        false => Err(std::io::ErrorKind::UnexpectedEof.into()),
+    }
+}
+
+/// The governor program beside this one, or in the other profile's folder: the one that was built last.
+pub fn find_program() -> Result<PathBuf, ManyError> {
+    let this = std::env::current_exe().map_err(|_| ManyError::NoProgram)?;
+    let folders = this.ancestors().skip(1).take(3);
+    let places =
+        folders.flat_map(|folder| ["", "debug", "release"].map(|profile| folder.join(profile).join(PROGRAM)));
+    let built = places.filter_map(|path| {
+        let time = std::fs::metadata(&path).ok().filter(|file| file.is_file())?.modified().ok()?;
+        Some((time, path))
+    });
+    built.max().map(|(_, path)| path).ok_or(ManyError::NoProgram)
+}
--- /dev/null
+++ b/scale/src/many/report.rs
@@ -0,0 +1,146 @@
+//! The results as tables in Markdown.
+
+use super::events::{Costs, Outcome, Results};
+use super::plan::{GovernorId, Plan};
+use super::tracker::{Demand, Traffic};
+use hdrhistogram::Histogram;
+use std::fmt::Write;
+use std::time::Duration;
+
+/// Times are kept in microseconds, to three digits.
+const DIGITS: u8 = 3;
+
+/// The whole report.
+pub fn table(plan: &Plan, results: &Results) -> String {
+    let mut text = String::new();
+    _ = write_report(&mut text, plan, results);
+    text
+}
+
+fn write_report(text: &mut String, plan: &Plan, results: &Results) -> std::fmt::Result {
+    writeln!(
+        text,
+        "{} governors: {} processes, {} in-process. {} replicas in {} zones, {} regions; {} slices and {} proxies a \
+         governor; one report about each replica every {:.1} s; the whole list has {} bytes. Region cut off for {:.0} s \
+         (processes) and {:.0} s of their own clocks (in-process). {} of {} processes had a slice on the replica that is \
+         drained at rest.\n",
+        plan.governors(),
+        plan.real,
+        plan.hollow,
+        plan.replicas,
+        plan.zones,
+        plan.regions,
+        plan.slices,
+        plan.proxies,
+        plan.report_period.as_secs_f64(),
+        results.list_bytes,
+        plan.cut.as_secs_f64(),
+        plan.virtual_cut.as_secs_f64(),
+        results.holders,
+        plan.real,
+    )?;
+    write_times(text, plan, &results.outcomes)?;
+    write_demand(text, &results.outcomes)?;
+    write_costs(text, plan, results)
+}
+
+fn write_times(text: &mut String, plan: &Plan, outcomes: &[Outcome]) -> std::fmt::Result {
+    writeln!(text, "| event | governors | came to its end | p50 ms | p99 ms | last ms | caused in ms |")?;
+    writeln!(text, "| --- | --- | --- | --- | --- | --- | --- |")?;
+    for outcome in outcomes {
+        let kinds: [(&str, fn(&Plan, GovernorId) -> bool); 2] =
+            [("processes", Plan::is_real), ("in-process", |plan, governor| !plan.is_real(governor))];
+        for (name, is_of_kind) in kinds {
+            let times = outcome.reached.times.iter().filter(|(governor, _)| is_of_kind(plan, **governor));
+            let times: Vec<_> = times.map(|(_, time)| *time).collect();
+            let missing =
+                outcome.reached.missing.keys().filter(|governor| is_of_kind(plan, **governor)).count();
+            if times.is_empty() && missing == 0 {
+                continue;
+            }
+            let [median, high, last] = percentiles(&times).map(milliseconds);
+            let (came, all) = (times.len(), times.len() + missing);
+            let caused = milliseconds(outcome.caused_in);
+            writeln!(
+                text,
+                "| {} | {name} | {came} of {all} | {median:.1} | {high:.1} | {last:.1} | {caused:.1} |",
+                outcome.event
+            )?;
+        }
+    }
+    writeln!(text)
+}
+
+/// The median, the 99th percentile and the last.
+fn percentiles(times: &[Duration]) -> [Duration; 3] {
+    let Ok(mut histogram) = Histogram::<u64>::new(DIGITS) else { return [Duration::ZERO; 3] };
+    times.iter().for_each(|time| _ = histogram.record(time.as_micros() as u64));
+    [histogram.value_at_quantile(0.5), histogram.value_at_quantile(0.99), histogram.max()]
+        .map(Duration::from_micros)
+}
+
+fn milliseconds(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e3
+}
+
+fn write_demand(text: &mut String, outcomes: &[Outcome]) -> std::fmt::Result {
+    writeln!(text, "| event | governors | lists KB | peak KB/s | news KB | peak KB/s |")?;
+    writeln!(text, "| --- | --- | --- | --- | --- | --- |")?;
+    for outcome in outcomes {
+        for (name, demand) in [("processes", &outcome.reached.real), ("in-process", &outcome.reached.hollow)]
+        {
+            let [lists, list_peak] = kilobytes(demand, Traffic::List);
+            let [news, news_peak] = kilobytes(demand, Traffic::News);
+            let event = outcome.event;
+            writeln!(
+                text,
+                "| {event} | {name} | {lists:.1} | {list_peak:.0} | {news:.1} | {news_peak:.0} |"
+            )?;
+        }
+    }
+    writeln!(text)
+}
+
+/// Kilobytes in all, and a second at the peak.
+fn kilobytes(demand: &Demand, traffic: Traffic) -> [f64; 2] {
+    [demand.bytes(traffic) as f64 / 1e3, demand.peak(traffic) / 1e3]
+}
+
+fn write_costs(text: &mut String, plan: &Plan, results: &Results) -> std::fmt::Result {
+    writeln!(
+        text,
+        "| period | seconds | processor a process, % of a core | memory a process, MB | processor an in-process \
+         governor, % of a core | stand-ins and harness, cores | harness with in-process governors, MB | threads |"
+    )?;
+    writeln!(text, "| --- | --- | --- | --- | --- | --- | --- | --- |")?;
+    let events = results.outcomes.iter().map(|outcome| (outcome.event, &outcome.costs));
+    let mut rows: Vec<_> = events.collect();
+    rows.insert(1, ("at rest", &results.rest));
+    for (name, costs) in rows {
+        write_cost(text, plan, name, costs)?;
+    }
+    let bare = results.bare_harness.memory_kb;
+    let each = results.rest.harness.memory_kb.saturating_sub(bare) as f64 / plan.hollow.max(1) as f64;
+    writeln!(
+        text,
+        "\nThe harness without in-process governors holds {:.1} MB; each of them adds {:.2} MB at rest.",
+        bare as f64 / 1e3,
+        each / 1e3,
+    )
+}
+
+fn write_cost(text: &mut String, plan: &Plan, name: &str, costs: &Costs) -> std::fmt::Result {
+    let seconds = costs.elapsed.as_secs_f64().max(1e-9);
+    let share = |time: Duration, many: usize| time.as_secs_f64() / seconds / many.max(1) as f64;
+    let own = costs.harness.processor.saturating_sub(costs.hollow);
+    writeln!(
+        text,
+        "| {name} | {seconds:.2} | {:.2} | {:.1} | {:.2} | {:.2} | {:.0} | {} |",
+        share(costs.real.processor, plan.real) * 1e2,
+        costs.real.memory_kb as f64 / plan.real.max(1) as f64 / 1e3,
+        share(costs.hollow, plan.hollow) * 1e2,
+        share(own, 1),
+        costs.harness.memory_kb as f64 / 1e3,
+        costs.harness.threads,
+    )
+}
--- /dev/null
+++ b/scale/src/many/stand_ins.rs
@@ -0,0 +1,297 @@
+//! Relay, discovery and collectors for the real processes, on loopback sockets: for each governor a relay and a
+//! discovery at two sites, and one collector for each zone. All of them run as tasks of this process.
+
+use super::catalog::Catalog;
+use super::plan::{GovernorId, Plan, REQUEST_CLASS};
+use super::store::Store;
+use super::tracker::{Condition, Site, Tracker, Traffic};
+use serde_json::json;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncBufRead, AsyncBufReadExt, AsyncWrite, AsyncWriteExt, BufReader, Lines};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{broadcast, watch};
+use tokio::time::{interval, sleep, MissedTickBehavior};
+
+/// The relay's sign of life.
+const RELAY_ALIVE: Duration = Duration::from_secs(1);
+/// Discovery's sign of life.
+const DISCOVERY_ALIVE: Duration = Duration::from_secs(2);
+/// Acks that wait for a relay's news connection.
+const ACKS: usize = 4096;
+/// Before a collector connects anew.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Whether a region is cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Link {
+    /// Bytes pass.
+    Up,
+    /// Nothing is said, and connections stay open.
+    Cut,
+}
+
+/// Where one governor finds its relay and its discovery.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// The relay.
+    pub relay: SocketAddr,
+    /// Discovery.
+    pub discovery: SocketAddr,
+}
+
+/// What the stand-ins of one governor share.
+pub struct Seat {
+    governor: GovernorId,
+    store: Mutex<Store>,
+    acks: broadcast::Sender<String>,
+    link: watch::Receiver<Link>,
+    catalog: Arc<Catalog>,
+    tracker: Arc<Tracker>,
+}
+
+impl Seat {
+    /// The stand-ins of a governor before anybody has come to them.
+    pub fn new(
+        plan: &Plan,
+        governor: GovernorId,
+        link: watch::Receiver<Link>,
+        catalog: Arc<Catalog>,
+        tracker: Arc<Tracker>,
+    ) -> Self {
+        let store = Mutex::new(Store::new(plan, governor));
+        Seat { governor, store, acks: broadcast::Sender::new(ACKS), link, catalog, tracker }
+    }
+
+    /// The store of its relay.
+    pub fn store(&self) -> MutexGuard<'_, Store> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn reached(&self, condition: Condition) {
+        self.tracker.reached(self.governor, condition);
+    }
+
+    fn sent(&self, traffic: Traffic, bytes: usize) {
+        self.tracker.sent(self.governor, traffic, bytes);
+    }
+
+    fn is_cut(&self) -> bool {
+        *self.link.borrow() == Link::Cut
+    }
+}
+
+/// Opens relay and discovery of one site; they serve as long as the runtime does.
+pub async fn open(seat: &Arc<Seat>, site: Site) -> io::Result<Addresses> {
+    let relay = TcpListener::bind("127.0.0.1:0").await?;
+    let discovery = TcpListener::bind("127.0.0.1:0").await?;
+    let addresses = Addresses { relay: relay.local_addr()?, discovery: discovery.local_addr()? };
+    tokio::spawn(accept(relay, seat.clone(), Service::Relay, site));
+    tokio::spawn(accept(discovery, seat.clone(), Service::Discovery, site));
+    Ok(addresses)
+}
+
+/// What a listener stands in for.
+#[derive(Clone, Copy)]
+enum Service {
+    Relay,
+    Discovery,
+}
+
+async fn accept(listener: TcpListener, seat: Arc<Seat>, service: Service, site: Site) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => _ = tokio::spawn(connection(seat.clone(), service, site, stream)),
+            // No descriptor is free, for instance.
+            Err(_) => sleep(PAUSE).await,
+        }
+    }
+}
+
+/// Serves a connection until it ends or its region is cut off. One that was open or came during the cut says nothing,
+/// and is closed once the region is back.
+async fn connection(seat: Arc<Seat>, service: Service, site: Site, mut stream: TcpStream) {
+    let mut link = seat.link.clone();
+    if *link.borrow() == Link::Cut {
+        seat.reached(Condition::CutNoticed);
+    }
+    _ = stream.set_nodelay(true);
+    tokio::select! {
+        biased;
+        _ = link.wait_for(|link| *link == Link::Cut) => {}
+        _ = serve(&seat, service, site, &mut stream) => return,
+    }
+    _ = link.wait_for(|link| *link == Link::Up).await;
+}
+
+async fn serve(seat: &Seat, service: Service, site: Site, stream: &mut TcpStream) -> io::Result<()> {
+    match service {
+        Service::Relay => serve_relay(seat, site, stream).await,
+        Service::Discovery => serve_discovery(seat, site, stream).await,
+    }
+}
+
+async fn serve_relay(seat: &Seat, site: Site, stream: &mut TcpStream) -> io::Result<()> {
+    let (read, mut write) = stream.split();
+    let mut lines = BufReader::new(read).lines();
+    while let Some(line) = lines.next_line().await? {
+        if line == "WATCH" {
+            return tell_news(seat, site, &mut lines, &mut write).await;
+        }
+        let applied = seat.store().apply(&line);
+        let Some(applied) = applied else {
+            write.write_all(b"ERR bad_request\r\n").await?;
+            continue;
+        };
+        write.write_all(format!("OK {}\r\n", applied.orders).as_bytes()).await?;
+        if !applied.acks.is_empty() {
+            // Nobody may be listening.
+            _ = seat.acks.send(format!("{}\r\n", applied.acks.join("\r\n")));
+        }
+        if seat.tracker.drained().is_some_and(|replica| seat.store().has_left(&replica)) {
+            seat.reached(Condition::Withdrawn);
+        }
+    }
+    Ok(())
+}
+
+async fn tell_news<R: AsyncBufRead + Unpin, W: AsyncWrite + Unpin>(
+    seat: &Seat,
+    site: Site,
+    lines: &mut Lines<R>,
+    write: &mut W,
+) -> io::Result<()> {
+    let mut acks = seat.acks.subscribe();
+    let snapshot = format!("{}\r\n", seat.store().snapshot().join("\r\n"));
+    write.write_all(snapshot.as_bytes()).await?;
+    seat.sent(Traffic::News, snapshot.len());
+    seat.reached(Condition::NewsFrom(site));
+    let mut alive = interval(RELAY_ALIVE);
+    loop {
+        let text = tokio::select! {
+            line = lines.next_line() => match line? {
+                Some(_) => continue,
+                None => return Ok(()),
+            },
+            said = acks.recv() => match said {
+                Ok(said) => said,
+                Err(broadcast::error::RecvError::Lagged(_)) => continue,
+                Err(broadcast::error::RecvError::Closed) => return Ok(()),
+            },
+            _ = alive.tick() => "*\r\n".to_string(),
+        };
+        write.write_all(text.as_bytes()).await?;
+        seat.sent(Traffic::News, text.len());
+    }
+}
+
+async fn serve_discovery(seat: &Seat, site: Site, stream: &mut TcpStream) -> io::Result<()> {
+    let (read, mut write) = stream.split();
+    let mut lines = BufReader::new(read).lines();
+    let request = lines.next_line().await?.unwrap_or_default();
+    while lines.next_line().await?.is_some_and(|line| !line.is_empty()) {}
+    let mut since = request_version(&request);
+    let mut versions = seat.catalog.versions();
+    write.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n").await?;
+    loop {
+        versions.mark_unchanged();
+        let told = seat.catalog.since(since);
+        write.write_all(chunk(&told.line).as_bytes()).await?;
+        since = told.version;
+        seat.sent(Traffic::List, told.line.len());
+        seat.reached(Condition::ListFrom(site));
+        seat.reached(Condition::ListVersion(told.version));
+        let mut alive = interval(DISCOVERY_ALIVE);
+        alive.reset();
+        loop {
+            tokio::select! {
+                line = lines.next_line() => match line? {
+                    Some(_) => continue,
+                    None => return Ok(()),
+                },
+                changed = versions.changed() => match changed {
+                    Ok(()) => break,
+                    Err(_) => return Ok(()),
+                },
+                _ = alive.tick() => write.write_all(chunk("\n").as_bytes()).await?,
+            }
+        }
+    }
+}
+
+/// The version in `GET /registry/instances?follow=1&since=41 HTTP/1.1`; 0 where none is named.
+fn request_version(request: &str) -> u64 {
+    let version = request.split_once("since=").and_then(|(_, rest)| rest.split([' ', '&']).next());
+    version.and_then(|version| version.parse().ok()).unwrap_or(0)
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// What each zone's collector says of its replicas in one period; the same for all governors.
+pub fn load_reports(plan: &Plan) -> Vec<Arc<str>> {
+    let window = plan.report_period.as_secs_f64() * 1e3;
+    let line = |replica: usize| {
+        let (zone, host) = (plan.zone(plan.zone_of(replica)), plan.replica(replica));
+        let report = json!({"inflight": 7, "util": 0.61});
+        let line = json!({"@type": "LOAD", "az": zone, "host": host, "n": 26, "bad": 0, "avg": 41.7,
+            "window": window, "report": report});
+        format!("{line}\n")
+    };
+    let of_zone =
+        |zone: usize| (zone..plan.replicas).step_by(plan.zones.max(1)).map(line).collect::<String>();
+    (0..plan.zones).map(|zone| of_zone(zone).into()).collect()
+}
+
+fn slice_reports(plan: &Plan, seat: &Seat) -> String {
+    let window = plan.report_period.as_secs_f64() * 1e3;
+    let line = |slice: u32| {
+        let line = json!({"@type": "SHARD", "partition": slice, "kind": REQUEST_CLASS, "n": 4, "bad": 0,
+            "window": window});
+        format!("{line}\n")
+    };
+    seat.store().slices().map(line).collect()
+}
+
+/// The collector of one zone: it reports as long as the governor has an address, and connects anew when it must. The
+/// first zone's also reports on the governor's slices.
+pub async fn collect(
+    plan: Arc<Plan>,
+    seat: Arc<Seat>,
+    zone: usize,
+    load: Arc<str>,
+    mut address: watch::Receiver<Option<SocketAddr>>,
+) {
+    loop {
+        let Ok(at) = address.wait_for(Option::is_some).await.map(|at| *at) else { return };
+        if let Some(at) = at.filter(|_| !seat.is_cut()) {
+            // The connection's end says no more than that it is over.
+            _ = report(&plan, &seat, zone, &load, at).await;
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+async fn report(plan: &Plan, seat: &Seat, zone: usize, load: &str, at: SocketAddr) -> io::Result<()> {
+    let mut stream = TcpStream::connect(at).await?;
+    let source = json!({"@type": "SOURCE", "az": plan.zone(zone)});
+    stream.write_all(format!("{source}\n").as_bytes()).await?;
+    let slices = if zone == 0 { slice_reports(plan, seat) } else { String::new() };
+    let mut link = seat.link.clone();
+    let mut due = interval(plan.report_period);
+    due.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        due.tick().await;
+        if *link.borrow() == Link::Cut {
+            // Silent for as long as the cut lasts, and then gone.
+            _ = link.wait_for(|link| *link == Link::Up).await;
+            return Ok(());
+        }
+        stream.write_all(load.as_bytes()).await?;
+        stream.write_all(slices.as_bytes()).await?;
+        seat.sent(Traffic::Reports, load.len() + slices.len());
+    }
+}
--- /dev/null
+++ b/scale/src/many/tracker.rs
@@ -0,0 +1,168 @@
+//! What an event waits for at each governor, when it was reached, and what was asked for meanwhile.
+
+use super::plan::GovernorId;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+
+/// Demand is summed over periods of this length; the highest sum is the peak.
+const BIN: Duration = Duration::from_millis(100);
+
+/// Something that a governor has come to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Condition {
+    /// It has answered a ping since its start.
+    Ponged,
+    /// The news that stands was told to it by the relay of this site.
+    NewsFrom(Site),
+    /// The list was told to it by the discovery of this site.
+    ListFrom(Site),
+    /// It was told this version of the list, or a newer one.
+    ListVersion(u64),
+    /// It has ordered that its proxies leave the drained replica.
+    Withdrawn,
+    /// It has noticed that it is cut off, and tries again.
+    CutNoticed,
+}
+
+/// Where relay and discovery of a governor are: before and after a change of the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Site {
+    /// As the first configuration says.
+    First,
+    /// As the changed configuration says.
+    Second,
+}
+
+/// What governors are sent on request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Traffic {
+    /// Discovery's lists.
+    List,
+    /// The relay's news.
+    News,
+    /// The collectors' reports.
+    Reports,
+}
+
+/// What was sent during an event.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    bins: BTreeMap<(Traffic, u128), u64>,
+}
+
+impl Demand {
+    /// All bytes of this kind.
+    pub fn bytes(&self, traffic: Traffic) -> u64 {
+        self.of(traffic).sum()
+    }
+
+    /// The highest rate of this kind, in bytes a second.
+    pub fn peak(&self, traffic: Traffic) -> f64 {
+        self.of(traffic).max().unwrap_or(0) as f64 / BIN.as_secs_f64()
+    }
+
+    fn of(&self, traffic: Traffic) -> impl Iterator<Item = u64> + '_ {
+        self.bins.iter().filter(move |((kind, _), _)| *kind == traffic).map(|(_, bytes)| *bytes)
+    }
+}
+
+/// What came of an event.
+#[derive(Clone, Debug, Default)]
+pub struct Reached {
+    /// From the event's beginning until a governor had come to all that was waited for.
+    pub times: BTreeMap<GovernorId, Duration>,
+    /// Who had not by the end.
+    pub missing: BTreeMap<GovernorId, BTreeSet<Condition>>,
+    /// What was sent meanwhile, to the real processes and to the others.
+    pub real: Demand,
+    /// The same for the in-process governors.
+    pub hollow: Demand,
+}
+
+struct Phase {
+    began: Instant,
+    drained: Option<String>,
+    reached: Reached,
+}
+
+/// Shared by all stand-ins: they say what was reached, and whoever runs the event waits for it.
+pub struct Tracker {
+    real: usize,
+    made: Instant,
+    phase: Mutex<Phase>,
+    done: Notify,
+}
+
+impl Tracker {
+    /// The first `real` governors are processes.
+    pub fn new(real: usize) -> Self {
+        let phase = Phase { began: Instant::now(), drained: None, reached: Reached::default() };
+        Tracker { real, made: Instant::now(), phase: Mutex::new(phase), done: Notify::new() }
+    }
+
+    /// Time since it was made.
+    pub fn age(&self) -> Duration {
+        self.made.elapsed()
+    }
+
+    fn phase(&self) -> MutexGuard<'_, Phase> {
+        self.phase.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// An event begins now; each of these governors is to come to all of these conditions.
+    pub fn begin(&self, governors: impl IntoIterator<Item = GovernorId>, conditions: &[Condition]) {
+        let waited: BTreeSet<_> = conditions.iter().copied().collect();
+        let missing = governors.into_iter().map(|governor| (governor, waited.clone())).collect();
+        let mut phase = self.phase();
+        phase.reached = Reached { missing, ..Reached::default() };
+        phase.began = Instant::now();
+    }
+
+    /// From now on this replica is to be left.
+    pub fn drain(&self, replica: String) {
+        self.phase().drained = Some(replica);
+    }
+
+    /// The replica that is to be left.
+    pub fn drained(&self) -> Option<String> {
+        self.phase().drained.clone()
+    }
+
+    /// A governor has come to this.
+    pub fn reached(&self, governor: GovernorId, condition: Condition) {
+        let mut phase = self.phase();
+        let took = phase.began.elapsed();
+        let Some(waited) = phase.reached.missing.get_mut(&governor) else { return };
+        waited.retain(|waited| match (*waited, condition) {
+            (Condition::ListVersion(waited), Condition::ListVersion(told)) => told < waited,
+            (waited, condition) => waited != condition,
+        });
+        if waited.is_empty() {
+            phase.reached.missing.remove(&governor);
+            phase.reached.times.insert(governor, took);
+            self.done.notify_one();
+        }
+    }
+
+    /// A governor was sent so much.
+    pub fn sent(&self, governor: GovernorId, traffic: Traffic, bytes: usize) {
+        let mut phase = self.phase();
+        let bin = phase.began.elapsed().as_nanos() / BIN.as_nanos();
+        let reached = &mut phase.reached;
+        let demand = if governor < self.real { &mut reached.real } else { &mut reached.hollow };
+        *demand.bins.entry((traffic, bin)).or_default() += bytes as u64;
+    }
+
+    /// Waits until all have come to all, no longer than `patience`, and says how it went.
+    pub async fn wait(&self, patience: Duration) -> Reached {
+        let end = tokio::time::Instant::now() + patience;
+        while !self.phase().reached.missing.is_empty() {
+            if tokio::time::timeout_at(end, self.done.notified()).await.is_err() {
+                break;
+            }
+        }
+        self.phase().reached.clone()
+    }
+}
--- /dev/null
+++ b/scale/src/many/workers.rs
@@ -0,0 +1,130 @@
+//! Threads that share the in-process governors between them.
+
+use super::hollow::{Hollow, Surroundings};
+use super::plan::{GovernorId, CUT_REGION};
+use super::tracker::Site;
+use super::ManyError;
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// A change of the list is looked for so often.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// What all in-process governors of a thread are told.
+#[derive(Clone)]
+enum Command {
+    Configure(Site),
+    /// Nine in ten of them start again.
+    Restart,
+    /// The region is cut off.
+    Cut,
+    /// It is back.
+    Reconnect,
+    /// Says what the turns have cost so far.
+    Cost(Sender<Duration>),
+}
+
+struct Worker {
+    commands: Sender<Command>,
+    thread: JoinHandle<()>,
+}
+
+/// All in-process governors.
+#[derive(Default)]
+pub struct Workers {
+    workers: Vec<Worker>,
+}
+
+impl Workers {
+    /// Starts the threads; each starts its governors at once.
+    pub fn start(around: &Arc<Surroundings>) -> Result<Self, ManyError> {
+        let (plan, mut workers) = (&around.plan, Vec::new());
+        for worker in 0..plan.workers {
+            let all = plan.real..plan.governors();
+            let own: Vec<GovernorId> = all.skip(worker).step_by(plan.workers).collect();
+            let (commands, told) = channel();
+            let around = around.clone();
+            let thread = std::thread::Builder::new().name(format!("hollow-{worker}"));
+            let thread = thread.spawn(move || run(&own, &around, &told)).map_err(ManyError::Thread)?;
+            workers.push(Worker { commands, thread });
+        }
+        Ok(Workers { workers })
+    }
+
+    fn tell(&self, command: &Command) {
+        // One that has ended is missed by whoever waits for its governors.
+        self.workers.iter().for_each(|worker| _ = worker.commands.send(command.clone()));
+    }
+
+    /// The configuration of all names another site.
+    pub fn configure(&self, site: Site) {
+        self.tell(&Command::Configure(site));
+    }
+
+    /// Nine in ten start again.
+    pub fn restart(&self) {
+        self.tell(&Command::Restart);
+    }
+
+    /// The region that is to be cut off is.
+    pub fn cut(&self) {
+        self.tell(&Command::Cut);
+    }
+
+    /// It is back.
+    pub fn reconnect(&self) {
+        self.tell(&Command::Reconnect);
+    }
+
+    /// Processor time of all reducers so far.
+    pub fn cost(&self) -> Duration {
+        let (say, costs) = channel();
+        self.tell(&Command::Cost(say));
+        costs.iter().sum()
+    }
+
+    /// Ends the threads.
+    pub fn end(self) {
+        for Worker { commands, thread } in self.workers {
+            drop(commands);
+            // Where it panicked the event has failed for want of its governors.
+            _ = thread.join();
+        }
+    }
+}
+
+fn run(governors: &[GovernorId], around: &Arc<Surroundings>, commands: &Receiver<Command>) {
+    let start = |governor: &GovernorId| Hollow::start(*governor, around.clone());
+    let Ok(mut governors) = governors.iter().map(start).collect::<Result<Vec<_>, _>>() else { return };
+    loop {
+        let busy = governors.iter_mut().fold(false, |busy, governor| governor.step() | busy);
+        let due = governors.iter().map(Hollow::due_in).min().unwrap_or(LOOK);
+        let wait = if busy { Duration::ZERO } else { due.min(LOOK) };
+        match commands.recv_timeout(wait) {
+            Ok(command) => carry_out(&mut governors, around, command),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+    }
+}
+
+fn carry_out(governors: &mut [Hollow], around: &Surroundings, command: Command) {
+    let plan = &around.plan;
+    match command {
+        Command::Configure(site) => governors.iter_mut().for_each(|governor| governor.configure(site)),
+        Command::Restart => {
+            let restarted = governors.iter_mut().filter(|governor| plan.is_restarted(governor.governor()));
+            restarted.for_each(Hollow::restart);
+        }
+        Command::Cut => {
+            let cut = governors.iter_mut().filter(|governor| plan.region(governor.governor()) == CUT_REGION);
+            cut.for_each(Hollow::cut);
+        }
+        Command::Reconnect => {
+            governors.iter_mut().filter(|governor| governor.is_cut()).for_each(Hollow::reconnect);
+        }
+        Command::Cost(say) => _ = say.send(governors.iter().map(|governor| governor.processor).sum()),
+    }
+}
--- /dev/null
+++ b/scale/tests/many.rs
@@ -0,0 +1,58 @@
+//! A few governor processes beside some tens of in-process ones: every event comes to its end at all of them. Times
+//! are measured and printed, and not judged.
+
+use std::time::Duration;
+use whinwall_scale::many::{find_program, play, table, Plan, Results, Traffic};
+
+fn plan() -> Plan {
+    Plan {
+        real: 3,
+        hollow: 27,
+        replicas: 60,
+        zones: 3,
+        regions: 3,
+        slices: 4,
+        proxies: 3,
+        workers: 2,
+        report_period: Duration::from_secs(1),
+        rest: Duration::ZERO,
+        cut: Duration::ZERO,
+        virtual_cut: Duration::from_secs(3600),
+        patience: Duration::from_secs(120),
+        memory_limit_kb: 4 << 20,
+        program: find_program().unwrap(),
+    }
+}
+
+fn came(results: &Results, event: &str) -> usize {
+    let outcome = results.outcomes.iter().find(|outcome| outcome.event == event);
+    outcome.unwrap_or_else(|| panic!("no event {event:?}")).reached.times.len()
+}
+
+#[test]
+fn every_event_comes_to_its_end_at_all_governors() {
+    let plan = plan();
+    let results = play(&plan).unwrap();
+    println!("{}", table(&plan, &results));
+    for outcome in &results.outcomes {
+        assert!(outcome.reached.missing.is_empty(), "{}: {:?}", outcome.event, outcome.reached.missing);
+    }
+    assert_eq!(came(&results, "all start together"), 30);
+    assert_eq!(came(&results, "configuration change"), 30);
+    assert_eq!(came(&results, "replica drained"), 30);
+    // All but numbers 0, 10 and 20.
+    assert_eq!(came(&results, "nine in ten restarted"), 27);
+    assert_eq!(came(&results, "region cut off: noticed"), 10);
+    assert_eq!(came(&results, "replica drained meanwhile: other regions"), 20);
+    assert_eq!(came(&results, "region back: all agree"), 10);
+    let started = &results.outcomes[0].reached;
+    let [real, hollow] = [&started.real, &started.hollow].map(|demand| demand.bytes(Traffic::List) as usize);
+    assert!(real >= 3 * results.list_bytes && hollow >= 27 * results.list_bytes, "{real} and {hollow} bytes");
+}
+
+#[test]
+fn a_program_that_is_missing_is_named() {
+    let plan = Plan { program: "/nowhere/whinwall-governor".into(), ..plan() };
+    let failure = play(&plan).unwrap_err().to_string();
+    assert!(failure.contains("/nowhere/whinwall-governor"), "{failure}");
+}
