--- a/scale/src/many/events.rs
+++ b/scale/src/many/events.rs
@@ -65,6 +65,8 @@
     pub list_bytes: usize,
     /// Real governors that had a slice on the replica that was drained at rest, just before that.
     pub holders: usize,
+    /// The machine's load over a minute, before the run and after it.
+    pub machine_load: [f64; 2],
 }
 
 /// Plays all events. When it returns, every process that it started has ended.
@@ -163,7 +165,7 @@
 
     async fn play(&mut self) -> Result<Results, ManyError> {
         let list_bytes = self.catalog.since(0).line.len();
-        let bare_harness = cost::of_self();
+        let (bare_harness, load_before) = (cost::of_self(), cost::machine_load());
         let mut outcomes = vec![self.start().await?];
         let before = self.costs();
         sleep(self.plan.rest).await;
@@ -174,7 +176,8 @@
         outcomes.push(self.restart().await?);
         outcomes.extend(self.cut_region().await?);
         self.all_run()?;
-        Ok(Results { outcomes, rest, bare_harness, list_bytes, holders })
+        let machine_load = [load_before, cost::machine_load()];
+        Ok(Results { outcomes, rest, bare_harness, list_bytes, holders, machine_load })
     }
 
     /// All governors start together, and know nothing.
@@ -320,6 +323,11 @@
         if taken_kb > limit_kb {
             return Err(ManyError::Memory { taken_kb, limit_kb });
         }
+        let (came, missing) = (reached.times.len(), reached.missing.len());
+        eprintln!(
+            "{event}: {came} governors, {missing} missing, after {:.1} s",
+            self.tracker.age().as_secs_f64()
+        );
         Ok(Outcome { event, caused_in, reached, costs })
     }
 
--- a/scale/src/many/hollow.rs
+++ b/scale/src/many/hollow.rs
@@ -7,6 +7,7 @@
 use super::store::Store;
 use super::tracker::{Condition, Site, Tracker, Traffic};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use whinwall::interface::Report;
@@ -22,7 +23,10 @@
 /// The one connection that its reports come on.
 const COLLECTOR: ConnectionId = 1;
 /// A step of a governor whose clock is moved forward.
-const CUT_STEP: Duration = Duration::from_secs(5);
+const CUT_STEP: Duration = Duration::from_secs(60);
+/// A governor that no event waits for does what it has planned in turns no closer than this: each of its plans costs a
+/// look at all replicas, and hundreds of governors share a few threads here.
+const REST_TURN: Duration = Duration::from_secs(10);
 /// It wakes so often at least, as the program's loop does.
 const LONGEST_SLEEP: Duration = Duration::from_secs(1);
 /// Of a governor's seed, the part that all have in common.
@@ -88,9 +92,12 @@
     list: Option<Waiting>,
     call: Option<Waiting>,
     wakes: Moment,
+    last_turn: Moment,
+    /// An event has come to it and may not have come to its end: its plans are not put off.
+    in_event: bool,
     reports: Moment,
-    /// Processor time of its turns.
-    pub processor: Duration,
+    /// Nanoseconds of processor time that the turns of all governors have taken.
+    processor: Arc<AtomicU64>,
 }
 
 /// Stands for the relay and discovery of a site; nobody listens there.
@@ -108,13 +115,18 @@
 
 impl Hollow {
     /// A governor that has just started.
-    pub fn start(governor: GovernorId, around: Arc<Surroundings>) -> Result<Self, String> {
+    pub fn start(
+        governor: GovernorId,
+        around: Arc<Surroundings>,
+        processor: Arc<AtomicU64>,
+    ) -> Result<Self, String> {
         let settings = whinwall_settings::read(&around.plan.configuration(governor)["settings"])?;
         let now = around.began.1 + span(around.began.0.elapsed());
         let site = Site::First;
         let reducer =
             Reducer::start(settings.clone(), targets(site), SEED ^ governor as u64, &List::default(), now);
-        let share = around.plan.report_period.mul_f64(governor as f64 / around.plan.governors() as f64);
+        let share =
+            around.plan.hollow_report_period.mul_f64(governor as f64 / around.plan.governors() as f64);
         let mut hollow = Hollow {
             governor,
             settings,
@@ -131,8 +143,10 @@
             list: None,
             call: None,
             wakes: now,
+            last_turn: now,
+            in_event: true,
             reports: now + span(share),
-            processor: Duration::ZERO,
+            processor,
         };
         hollow.begin(now);
         Ok(hollow)
@@ -156,6 +170,7 @@
     }
 
     fn begin(&mut self, now: Moment) {
+        self.in_event = true;
         let place = self.around.plan.zone(0);
         let joins = Event::Message { from: COLLECTOR, message: Message::Source { place } };
         let ping = Event::Message { from: COLLECTOR, message: Message::Ping };
@@ -169,7 +184,7 @@
 
     /// Its configuration names another site.
     pub fn configure(&mut self, site: Site) {
-        self.site = site;
+        (self.site, self.in_event) = (site, true);
         self.turn(self.now(), vec![Event::Configured(targets(site))]);
     }
 
@@ -184,7 +199,7 @@
 
     /// Its region is back: what it waits for is reset, and it asks anew.
     pub fn reconnect(&mut self) {
-        self.reach = Reach::Connected;
+        (self.reach, self.in_event) = (Reach::Connected, true);
         let reset = || Broken::Cut("reset".into());
         let mut events = Vec::new();
         events.extend(self.news.take().map(|_| Event::NewsLost(reset())));
@@ -205,16 +220,18 @@
         }
         let now = self.now();
         let mut events = Vec::new();
-        let news = self.told < self.around.catalog.version() && self.told > 0;
-        if news {
+        let is_new = self.told < self.around.catalog.version() && self.told > 0;
+        if is_new {
             let told = self.list_told(self.told);
             events.push(told);
+            self.in_event = true;
         }
         if self.reports <= now {
-            self.reports = now + span(self.around.plan.report_period);
+            self.reports = now + span(self.around.plan.hollow_report_period);
             events.push(self.load(now));
         }
-        if !events.is_empty() || self.wakes <= now {
+        self.in_event = self.in_event && self.around.tracker.waits_for(self.governor);
+        if !events.is_empty() || self.next_turn() <= now {
             self.turn(now, events);
             self.told_list();
         }
@@ -243,10 +260,18 @@
         step < left
     }
 
+    /// When its next turn is, if nothing comes before.
+    fn next_turn(&self) -> Moment {
+        match self.in_event {
+            true => self.wakes,
+            false => self.wakes.max(self.last_turn + span(REST_TURN)),
+        }
+    }
+
     /// When it next has something to do, from now on.
     pub fn due_in(&self) -> Duration {
         let next = match self.reach {
-            Reach::Connected => self.wakes.min(self.reports),
+            Reach::Connected => self.next_turn().min(self.reports),
             Reach::Cut { .. } => return LONGEST_SLEEP,
         };
         Duration::from_nanos((next - self.now()).as_ns())
@@ -256,13 +281,14 @@
     fn turn(&mut self, now: Moment, events: Vec<Event>) {
         let mut events = events;
         let mut reached = Vec::new();
-        self.wakes = now + span(LONGEST_SLEEP);
+        (self.wakes, self.last_turn) = (now + span(LONGEST_SLEEP), now);
         loop {
             let began = cost::of_thread();
             let mut effects: Vec<_> =
                 events.drain(..).flat_map(|event| self.reducer.apply(now, event)).collect();
             effects.extend(self.reducer.apply(now, Event::Quiet));
-            self.processor += cost::of_thread().saturating_sub(began);
+            let took = cost::of_thread().saturating_sub(began);
+            self.processor.fetch_add(took.as_nanos() as u64, Ordering::Relaxed);
             reached.drain(..).for_each(|condition| self.around.tracker.reached(self.governor, condition));
             for effect in effects {
                 self.carry_out(now, effect, &mut events, &mut reached);
@@ -357,7 +383,7 @@
         if let Some(known) = self.reducer.known(Some(self.known.changes)) {
             self.known = known;
         }
-        let covers_ms = plan.report_period.as_secs_f64() * 1e3;
+        let covers_ms = plan.hollow_report_period.as_secs_f64() * 1e3;
         let zones: Vec<_> = (0..plan.zones).map(|zone| plan.zone(zone)).collect();
         let hosts: Vec<_> = (0..plan.replicas).map(|replica| plan.replica(replica)).collect();
         let met = hosts.iter().enumerate().map(|(replica, server)| ReportLine::Met {
--- a/scale/src/many/mod.rs
+++ b/scale/src/many/mod.rs
@@ -60,9 +60,12 @@
     /// Threads for the in-process governors
     #[arg(long, default_value_t = 3)]
     workers: usize,
-    /// Seconds between the reports about a replica
+    /// Seconds between the reports about a replica to a process
     #[arg(long, default_value_t = 1.0)]
     report_seconds: f64,
+    /// Seconds between the reports about a replica to an in-process governor
+    #[arg(long, default_value_t = 10.0)]
+    hollow_report_seconds: f64,
     /// Seconds for which the costs at rest are measured
     #[arg(long, default_value_t = 15.0)]
     rest_seconds: f64,
@@ -177,6 +180,7 @@
             proxies: args.proxies,
             workers: args.workers,
             report_period: time(args.report_seconds)?,
+            hollow_report_period: time(args.hollow_report_seconds)?,
             rest: time(args.rest_seconds)?,
             cut: time(args.cut_seconds)?,
             virtual_cut: time(args.virtual_cut_seconds)?,
--- a/scale/src/many/plan.rs
+++ b/scale/src/many/plan.rs
@@ -38,8 +38,10 @@
     pub proxies: usize,
     /// Threads that the in-process governors share.
     pub workers: usize,
-    /// Time between the reports about one replica.
+    /// Time between the reports about one replica to a process.
     pub report_period: Duration,
+    /// Time between the reports about one replica to an in-process governor.
+    pub hollow_report_period: Duration,
     /// How long resting costs are measured.
     pub rest: Duration,
     /// How long the region is cut off, at least, for the real processes.
--- a/scale/src/many/report.rs
+++ b/scale/src/many/report.rs
@@ -21,9 +21,10 @@
     writeln!(
         text,
         "{} governors: {} processes, {} in-process. {} replicas in {} zones, {} regions; {} slices and {} proxies a \
-         governor; one report about each replica every {:.1} s; the whole list has {} bytes. Region cut off for {:.0} s \
+         governor; one report about each replica every {:.1} s \
+         (processes) and {:.1} s (in-process); the whole list has {} bytes. Region cut off for {:.0} s \
          (processes) and {:.0} s of their own clocks (in-process). {} of {} processes had a slice on the replica that is \
-         drained at rest.\n",
+         drained at rest. The machine's load over a minute, of all that ran on it: {:.1} before, {:.1} after.\n",
         plan.governors(),
         plan.real,
         plan.hollow,
@@ -33,11 +34,14 @@
         plan.slices,
         plan.proxies,
         plan.report_period.as_secs_f64(),
+        plan.hollow_report_period.as_secs_f64(),
         results.list_bytes,
         plan.cut.as_secs_f64(),
         plan.virtual_cut.as_secs_f64(),
         results.holders,
         plan.real,
+        results.machine_load[0],
+        results.machine_load[1],
     )?;
     write_times(text, plan, &results.outcomes)?;
     write_demand(text, &results.outcomes)?;
@@ -109,10 +113,10 @@
 fn write_costs(text: &mut String, plan: &Plan, results: &Results) -> std::fmt::Result {
     writeln!(
         text,
-        "| period | seconds | processor a process, % of a core | memory a process, MB | processor an in-process \
-         governor, % of a core | stand-ins and harness, cores | harness with in-process governors, MB | threads |"
+        "| period | seconds | processor a process, ms | % of a core | memory a process, MB | processor an in-process \
+         governor, ms | % of a core | stand-ins and harness, cores | harness with in-process governors, MB | threads |"
     )?;
-    writeln!(text, "| --- | --- | --- | --- | --- | --- | --- | --- |")?;
+    writeln!(text, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")?;
     let events = results.outcomes.iter().map(|outcome| (outcome.event, &outcome.costs));
     let mut rows: Vec<_> = events.collect();
     rows.insert(1, ("at rest", &results.rest));
@@ -131,15 +135,18 @@
 
 fn write_cost(text: &mut String, plan: &Plan, name: &str, costs: &Costs) -> std::fmt::Result {
     let seconds = costs.elapsed.as_secs_f64().max(1e-9);
-    let share = |time: Duration, many: usize| time.as_secs_f64() / seconds / many.max(1) as f64;
+    let each = |time: Duration, many: usize| milliseconds(time) / many.max(1) as f64;
+    let (real, hollow) = (each(costs.real.processor, plan.real), each(costs.hollow, plan.hollow));
+    // Milliseconds in a period of so many seconds, as a part of a core in hundredths.
+    let percent = |each: f64| each / seconds / 10.0;
     let own = costs.harness.processor.saturating_sub(costs.hollow);
     writeln!(
         text,
-        "| {name} | {seconds:.2} | {:.2} | {:.1} | {:.2} | {:.2} | {:.0} | {} |",
-        share(costs.real.processor, plan.real) * 1e2,
+        "| {name} | {seconds:.2} | {real:.1} | {:.2} | {:.1} | {hollow:.1} | {:.2} | {:.2} | {:.0} | {} |",
+        percent(real),
         costs.real.memory_kb as f64 / plan.real.max(1) as f64 / 1e3,
-        share(costs.hollow, plan.hollow) * 1e2,
-        share(own, 1),
+        percent(hollow),
+        own.as_secs_f64() / seconds,
         costs.harness.memory_kb as f64 / 1e3,
         costs.harness.threads,
     )
--- a/scale/src/many/stand_ins.rs
+++ b/scale/src/many/stand_ins.rs
@@ -114,7 +114,8 @@
 /// and is closed once the region is back.
 async fn connection(seat: Arc<Seat>, service: Service, site: Site, mut stream: TcpStream) {
     let mut link = seat.link.clone();
-    if *link.borrow() == Link::Cut {
+    // Discovery is also asked now and then by whoever misses nothing.
+    if matches!(service, Service::Relay) && *link.borrow() == Link::Cut {
         seat.reached(Condition::CutNoticed);
     }
     _ = stream.set_nodelay(true);
--- a/scale/src/many/tracker.rs
+++ b/scale/src/many/tracker.rs
@@ -146,6 +146,11 @@
         }
     }
 
+    /// Whether the event waits for this governor yet.
+    pub fn waits_for(&self, governor: GovernorId) -> bool {
+        self.phase().reached.missing.contains_key(&governor)
+    }
+
     /// A governor was sent so much.
     pub fn sent(&self, governor: GovernorId, traffic: Traffic, bytes: usize) {
         let mut phase = self.phase();
--- a/scale/src/many/workers.rs
+++ b/scale/src/many/workers.rs
@@ -4,6 +4,7 @@
 use super::plan::{GovernorId, CUT_REGION};
 use super::tracker::Site;
 use super::ManyError;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -22,8 +23,6 @@
     Cut,
     /// It is back.
     Reconnect,
-    /// Says what the turns have cost so far.
-    Cost(Sender<Duration>),
 }
 
 struct Worker {
@@ -35,22 +34,24 @@
 #[derive(Default)]
 pub struct Workers {
     workers: Vec<Worker>,
+    processor: Arc<AtomicU64>,
 }
 
 impl Workers {
     /// Starts the threads; each starts its governors at once.
     pub fn start(around: &Arc<Surroundings>) -> Result<Self, ManyError> {
-        let (plan, mut workers) = (&around.plan, Vec::new());
+        let (plan, mut workers, processor) = (&around.plan, Vec::new(), Arc::new(AtomicU64::new(0)));
         for worker in 0..plan.workers {
             let all = plan.real..plan.governors();
             let own: Vec<GovernorId> = all.skip(worker).step_by(plan.workers).collect();
             let (commands, told) = channel();
-            let around = around.clone();
+            let (around, processor) = (around.clone(), processor.clone());
             let thread = std::thread::Builder::new().name(format!("hollow-{worker}"));
-            let thread = thread.spawn(move || run(&own, &around, &told)).map_err(ManyError::Thread)?;
+            let thread =
+                thread.spawn(move || run(&own, &around, &processor, &told)).map_err(ManyError::Thread)?;
             workers.push(Worker { commands, thread });
         }
-        Ok(Workers { workers })
+        Ok(Workers { workers, processor })
     }
 
     fn tell(&self, command: &Command) {
@@ -80,9 +81,7 @@
 
     /// Processor time of all reducers so far.
     pub fn cost(&self) -> Duration {
-        let (say, costs) = channel();
-        self.tell(&Command::Cost(say));
-        costs.iter().sum()
+        Duration::from_nanos(self.processor.load(Ordering::Relaxed))
     }
 
     /// Ends the threads.
@@ -95,9 +94,14 @@
     }
 }
 
-fn run(governors: &[GovernorId], around: &Arc<Surroundings>, commands: &Receiver<Command>) {
-    let start = |governor: &GovernorId| Hollow::start(*governor, around.clone());
-    let Ok(mut governors) = governors.iter().map(start).collect::<Result<Vec<_>, _>>() else { return };
+fn run(
+    own: &[GovernorId],
+    around: &Arc<Surroundings>,
+    processor: &Arc<AtomicU64>,
+    commands: &Receiver<Command>,
+) {
+    let start = |governor: &GovernorId| Hollow::start(*governor, around.clone(), processor.clone());
+    let Ok(mut governors) = own.iter().map(start).collect::<Result<Vec<_>, _>>() else { return };
     loop {
         let busy = governors.iter_mut().fold(false, |busy, governor| governor.step() | busy);
         let due = governors.iter().map(Hollow::due_in).min().unwrap_or(LOOK);
@@ -125,6 +129,5 @@
         Command::Reconnect => {
             governors.iter_mut().filter(|governor| governor.is_cut()).for_each(Hollow::reconnect);
         }
-        Command::Cost(say) => _ = say.send(governors.iter().map(|governor| governor.processor).sum()),
     }
 }
--- a/scale/tests/many.rs
+++ b/scale/tests/many.rs
@@ -15,6 +15,7 @@
         proxies: 3,
         workers: 2,
         report_period: Duration::from_secs(1),
+        hollow_report_period: Duration::from_secs(1),
         rest: Duration::ZERO,
         cut: Duration::ZERO,
         virtual_cut: Duration::from_secs(3600),
