--- a/scale/src/many/cost.rs
+++ b/scale/src/many/cost.rs
@@ -48,10 +48,11 @@
         let line = status.lines().find_map(|line| line.strip_prefix(key))?;
         line.split_whitespace().next()?.parse().ok()
     };
+    // A process that has ended and was not waited for yet holds no memory.
     Some(Cost {
         processor: Duration::from_secs_f64(ticks as f64 / clock_ticks_per_second() as f64),
-        memory_kb: figure("VmRSS:")?,
-        threads: figure("Threads:")?,
+        memory_kb: figure("VmRSS:").unwrap_or(0),
+        threads: figure("Threads:").unwrap_or(0),
     })
 }
 
--- a/scale/src/many/hollow.rs
+++ b/scale/src/many/hollow.rs
@@ -219,6 +219,8 @@
             return self.step_through_cut(left);
         }
         let now = self.now();
+        // What an event leads to is measured by itself: whoever has no part in it stands still meanwhile.
+        let rests = !self.in_event && self.around.tracker.in_event();
         let mut events = Vec::new();
         let is_new = self.told < self.around.catalog.version() && self.told > 0;
         if is_new {
@@ -226,12 +228,12 @@
             events.push(told);
             self.in_event = true;
         }
-        if self.reports <= now {
+        if self.reports <= now && !rests {
             self.reports = now + span(self.around.plan.hollow_report_period);
             events.push(self.load(now));
         }
         self.in_event = self.in_event && self.around.tracker.waits_for(self.governor);
-        if !events.is_empty() || self.next_turn() <= now {
+        if !events.is_empty() || (self.next_turn() <= now && !rests) {
             self.turn(now, events);
             self.told_list();
         }
--- a/scale/src/many/report.rs
+++ b/scale/src/many/report.rs
@@ -49,7 +49,7 @@
 }
 
 fn write_times(text: &mut String, plan: &Plan, outcomes: &[Outcome]) -> std::fmt::Result {
-    writeln!(text, "| event | governors | came to its end | p50 ms | p99 ms | last ms | caused in ms |")?;
+    writeln!(text, "| event | governors | done | p50 ms | p99 ms | last ms | caused in ms |")?;
     writeln!(text, "| --- | --- | --- | --- | --- | --- | --- |")?;
     for outcome in outcomes {
         let kinds: [(&str, fn(&Plan, GovernorId) -> bool); 2] =
--- a/scale/src/many/tracker.rs
+++ b/scale/src/many/tracker.rs
@@ -151,6 +151,11 @@
         self.phase().reached.missing.contains_key(&governor)
     }
 
+    /// Whether an event goes on: some governor has not come to its end.
+    pub fn in_event(&self) -> bool {
+        !self.phase().reached.missing.is_empty()
+    }
+
     /// A governor was sent so much.
     pub fn sent(&self, governor: GovernorId, traffic: Traffic, bytes: usize) {
         let mut phase = self.phase();
