--- a/scale/src/many/hollow.rs
+++ b/scale/src/many/hollow.rs
@@ -95,6 +95,8 @@
     last_turn: Moment,
     /// An event has come to it and may not have come to its end: its plans are not put off.
     in_event: bool,
+    /// Processor time that its turns have taken since the event came to it.
+    event_processor: Duration,
     reports: Moment,
     /// Nanoseconds of processor time that the turns of all governors have taken.
     processor: Arc<AtomicU64>,
@@ -145,6 +147,7 @@
             wakes: now,
             last_turn: now,
             in_event: true,
+            event_processor: Duration::ZERO,
             reports: now + span(share),
             processor,
         };
@@ -170,7 +173,7 @@
     }
 
     fn begin(&mut self, now: Moment) {
-        self.in_event = true;
+        self.enter_event();
         let place = self.around.plan.zone(0);
         let joins = Event::Message { from: COLLECTOR, message: Message::Source { place } };
         let ping = Event::Message { from: COLLECTOR, message: Message::Ping };
@@ -182,9 +185,20 @@
         wall + span(began.elapsed()) + self.ahead
     }
 
+    fn enter_event(&mut self) {
+        (self.in_event, self.event_processor) = (true, Duration::ZERO);
+    }
+
+    fn reached(&self, condition: Condition) {
+        if self.around.tracker.reached(self.governor, condition) {
+            self.around.tracker.spent(self.governor, self.event_processor);
+        }
+    }
+
     /// Its configuration names another site.
     pub fn configure(&mut self, site: Site) {
-        (self.site, self.in_event) = (site, true);
+        self.site = site;
+        self.enter_event();
         self.turn(self.now(), vec![Event::Configured(targets(site))]);
     }
 
@@ -192,6 +206,7 @@
     pub fn cut(&mut self) {
         let now = self.now();
         self.reach = Reach::Cut { left: self.around.plan.virtual_cut };
+        self.enter_event();
         let (news, list) = (Event::NewsLost(Broken::Silent), Event::ListLost(Broken::Silent));
         self.news = Some(Waiting { gives_up: now + span(limits::NEWS_SILENCE), event: news });
         self.list = Some(Waiting { gives_up: now + span(limits::LIST_SILENCE), event: list });
@@ -199,7 +214,8 @@
 
     /// Its region is back: what it waits for is reset, and it asks anew.
     pub fn reconnect(&mut self) {
-        (self.reach, self.in_event) = (Reach::Connected, true);
+        self.reach = Reach::Connected;
+        self.enter_event();
         let reset = || Broken::Cut("reset".into());
         let mut events = Vec::new();
         events.extend(self.news.take().map(|_| Event::NewsLost(reset())));
@@ -226,7 +242,7 @@
         if is_new {
             let told = self.list_told(self.told);
             events.push(told);
-            self.in_event = true;
+            self.enter_event();
         }
         if self.reports <= now && !rests {
             self.reports = now + span(self.around.plan.hollow_report_period);
@@ -257,7 +273,7 @@
         }
         self.turn(now, events);
         if step == left {
-            self.around.tracker.reached(self.governor, Condition::CutNoticed);
+            self.reached(Condition::CutNoticed);
         }
         step < left
     }
@@ -290,8 +306,9 @@
                 events.drain(..).flat_map(|event| self.reducer.apply(now, event)).collect();
             effects.extend(self.reducer.apply(now, Event::Quiet));
             let took = cost::of_thread().saturating_sub(began);
+            self.event_processor += took;
             self.processor.fetch_add(took.as_nanos() as u64, Ordering::Relaxed);
-            reached.drain(..).for_each(|condition| self.around.tracker.reached(self.governor, condition));
+            reached.drain(..).for_each(|condition| self.reached(condition));
             for effect in effects {
                 self.carry_out(now, effect, &mut events, &mut reached);
             }
@@ -299,7 +316,7 @@
                 break;
             }
         }
-        reached.into_iter().for_each(|condition| self.around.tracker.reached(self.governor, condition));
+        reached.into_iter().for_each(|condition| self.reached(condition));
     }
 
     fn carry_out(
@@ -376,7 +393,7 @@
     }
 
     fn told_list(&self) {
-        self.around.tracker.reached(self.governor, Condition::ListVersion(self.told));
+        self.reached(Condition::ListVersion(self.told));
     }
 
     /// What the collectors tell in one period, taken apart as a reader does.
--- a/scale/src/many/process.rs
+++ b/scale/src/many/process.rs
@@ -85,7 +85,7 @@
         while ping(address).await.is_err() {
             sleep(PING_AGAIN).await;
         }
-        tracker.reached(self.governor, Condition::Ponged);
+        _ = tracker.reached(self.governor, Condition::Ponged);
         self.address.send_replace(Some(address));
         Ok(())
     }
--- a/scale/src/many/report.rs
+++ b/scale/src/many/report.rs
@@ -49,32 +49,39 @@
 }
 
 fn write_times(text: &mut String, plan: &Plan, outcomes: &[Outcome]) -> std::fmt::Result {
-    writeln!(text, "| event | governors | done | p50 ms | p99 ms | last ms | caused in ms |")?;
-    writeln!(text, "| --- | --- | --- | --- | --- | --- | --- |")?;
+    writeln!(
+        text,
+        "| event | governors | done | p50 ms | p99 ms | last ms | caused in ms | own processor time: p50 ms | p99 ms | \
+         last ms |"
+    )?;
+    writeln!(text, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")?;
     for outcome in outcomes {
-        let kinds: [(&str, fn(&Plan, GovernorId) -> bool); 2] =
-            [("processes", Plan::is_real), ("in-process", |plan, governor| !plan.is_real(governor))];
-        for (name, is_of_kind) in kinds {
-            let times = outcome.reached.times.iter().filter(|(governor, _)| is_of_kind(plan, **governor));
-            let times: Vec<_> = times.map(|(_, time)| *time).collect();
-            let missing =
-                outcome.reached.missing.keys().filter(|governor| is_of_kind(plan, **governor)).count();
-            if times.is_empty() && missing == 0 {
-                continue;
-            }
-            let [median, high, last] = percentiles(&times).map(milliseconds);
-            let (came, all) = (times.len(), times.len() + missing);
-            let caused = milliseconds(outcome.caused_in);
-            writeln!(
-                text,
-                "| {} | {name} | {came} of {all} | {median:.1} | {high:.1} | {last:.1} | {caused:.1} |",
-                outcome.event
-            )?;
-        }
+        let reached = &outcome.reached;
+        let is_real = |governor: &GovernorId| plan.is_real(*governor);
+        let of_kind = |real: bool| {
+            let times = reached.times.iter().filter(move |(governor, _)| is_real(governor) == real);
+            let missing = reached.missing.keys().filter(move |governor| is_real(governor) == real).count();
+            (times.map(|(_, time)| *time).collect::<Vec<_>>(), missing)
+        };
+        let (event, caused) = (outcome.event, milliseconds(outcome.caused_in));
+        let (times, missing) = of_kind(true);
+        let row = times_row(&times, missing);
+        writeln!(text, "| {event} | processes | {row} | {caused:.1} | - | - | - |")?;
+        let (times, missing) = of_kind(false);
+        let row = times_row(&times, missing);
+        let processor: Vec<_> = reached.processor.values().copied().collect();
+        let [median, high, last] = percentiles(&processor).map(milliseconds);
+        writeln!(text, "| {event} | in-process | {row} | - | {median:.1} | {high:.1} | {last:.1} |")?;
     }
     writeln!(text)
 }
 
+/// How many were done, and when.
+fn times_row(times: &[Duration], missing: usize) -> String {
+    let [median, high, last] = percentiles(times).map(milliseconds);
+    format!("{} of {} | {median:.1} | {high:.1} | {last:.1}", times.len(), times.len() + missing)
+}
+
 /// The median, the 99th percentile and the last.
 fn percentiles(times: &[Duration]) -> [Duration; 3] {
     let Ok(mut histogram) = Histogram::<u64>::new(DIGITS) else { return [Duration::ZERO; 3] };
--- a/scale/src/many/stand_ins.rs
+++ b/scale/src/many/stand_ins.rs
@@ -71,7 +71,7 @@
     }
 
     fn reached(&self, condition: Condition) {
-        self.tracker.reached(self.governor, condition);
+        _ = self.tracker.reached(self.governor, condition);
     }
 
     fn sent(&self, traffic: Traffic, bytes: usize) {
--- a/scale/src/many/tracker.rs
+++ b/scale/src/many/tracker.rs
@@ -73,6 +73,8 @@
 pub struct Reached {
     /// From the event's beginning until a governor had come to all that was waited for.
     pub times: BTreeMap<GovernorId, Duration>,
+    /// Processor time that it took an in-process governor, from when the event came to it.
+    pub processor: BTreeMap<GovernorId, Duration>,
     /// Who had not by the end.
     pub missing: BTreeMap<GovernorId, BTreeSet<Condition>>,
     /// What was sent meanwhile, to the real processes and to the others.
@@ -130,11 +132,11 @@
         self.phase().drained.clone()
     }
 
-    /// A governor has come to this.
-    pub fn reached(&self, governor: GovernorId, condition: Condition) {
+    /// A governor has come to this; true where the event waits for it no longer.
+    pub fn reached(&self, governor: GovernorId, condition: Condition) -> bool {
         let mut phase = self.phase();
         let took = phase.began.elapsed();
-        let Some(waited) = phase.reached.missing.get_mut(&governor) else { return };
+        let Some(waited) = phase.reached.missing.get_mut(&governor) else { return false };
         waited.retain(|waited| match (*waited, condition) {
             (Condition::ListVersion(waited), Condition::ListVersion(told)) => told < waited,
             (waited, condition) => waited != condition,
@@ -143,7 +145,14 @@
             phase.reached.missing.remove(&governor);
             phase.reached.times.insert(governor, took);
             self.done.notify_one();
+            return true;
         }
+        false
+    }
+
+    /// The event has cost an in-process governor so much processor time.
+    pub fn spent(&self, governor: GovernorId, processor: Duration) {
+        self.phase().reached.processor.insert(governor, processor);
     }
 
     /// Whether the event waits for this governor yet.
