--- a/scale/src/many/hollow.rs
+++ b/scale/src/many/hollow.rs
@@ -347,6 +347,9 @@
             Effect::RenewList { .. } if self.is_cut() => {}
             Effect::FollowList { since, .. } | Effect::RenewList { since, .. } => {
                 self.list = None;
+                if !self.in_event && self.told < self.around.catalog.version() {
+                    self.enter_event();
+                }
                 events.push(self.list_told(since));
                 reached.extend([Condition::ListFrom(self.site), Condition::ListVersion(self.told)]);
             }
