--- a/scale/tests/many.rs
+++ b/scale/tests/many.rs
@@ -57,3 +57,11 @@
     let failure = play(&plan).unwrap_err().to_string();
     assert!(failure.contains("/nowhere/whinwall-governor"), "{failure}");
 }
+
+#[test]
+fn a_governor_that_does_not_serve_ends_the_run() {
+    // It ends at once, without a word.
+    let plan = Plan { program: "/bin/true".into(), ..plan() };
+    let failure = play(&plan).unwrap_err().to_string();
+    assert!(failure.contains("does not serve"), "{failure}");
+}
