--- a/fleet/src/channel.rs
+++ b/fleet/src/channel.rs
@@ -129,6 +129,13 @@
 pub struct Store(pub BTreeMap<SliceIx, Arc<Table>>);
 
 impl Store {
+    /// Whether an order gives a slice a whole line on a server that has none yet.
+    pub fn is_move(&self, order: &Obeyed) -> bool {
+        let Obeyed::Line { slice, server, weight } = order else { return false };
+        let held = self.0.get(slice).and_then(|table| table.get(server)).copied().unwrap_or(0.0);
+        *weight >= 1.0 && held < 1.0
+    }
+
     pub fn carry_out(&mut self, order: &Obeyed) {
         if let Obeyed::Line { slice, server, weight } = order {
             let table = Arc::make_mut(self.0.entry(*slice).or_default());
--- a/fleet/src/day.rs
+++ b/fleet/src/day.rs
@@ -74,6 +74,8 @@
     pub rejected: u64,
     pub aborted: u64,
     pub orders: u64,
+    /// Orders that gave a slice another owner, or one more.
+    pub moves: u64,
     pub most_lines: f64,
     pub verdicts: u64,
     pub violations: Vec<Violation>,
@@ -957,6 +959,7 @@
             orders.iter().for_each(|order| self.line(order, || format!("order {order}")));
         }
         for order in &orders {
+            self.outcome.moves += u64::from(self.store.is_move(order));
             self.store.carry_out(order);
             if let Obeyed::Line { slice, .. } = order {
                 if self.store.0[slice].is_empty() {
--- a/fleet/src/sizes.rs
+++ b/fleet/src/sizes.rs
@@ -27,6 +27,8 @@
     pub slices: usize,
     pub proxies: usize,
     pub governors: usize,
+    /// Replicas that each governor steers; 0 where every governor steers all of them.
+    pub subset: usize,
     pub places: usize,
     pub lasts: Span,
     /// Of what warm servers can do together, so much comes.
@@ -66,6 +68,7 @@
             slices: 60,
             proxies: 30,
             governors: 1,
+            subset: 0,
             places: 3,
             lasts: Span::ms(60_000),
             load: 0.4,
--- /dev/null
+++ b/scale/src/decisions/table.rs
@@ -0,0 +1,142 @@
+//! Tables of a sweep: means over seeds, rules broken, and paired differences.
+
+use super::{DayKind, PlannedDay};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use whinwall_fleet::day::Outcome;
+use whinwall_lab::figures::mean;
+use whinwall_lab::results::Row;
+
+/// A day of the plan, and what it came to.
+#[derive(Clone, Debug)]
+pub struct Played {
+    /// The day as planned.
+    pub day: PlannedDay,
+    /// What it came to.
+    pub outcome: Outcome,
+}
+
+/// Days that differ in nothing but their seed: kind, size of subsets, number of governors.
+type Group = (DayKind, usize, usize);
+
+impl Played {
+    fn group(&self) -> Group {
+        (self.day.kind, self.day.subset, self.day.sizes.governors)
+    }
+
+    /// The lab's row of it; the value varied is the number of governors.
+    pub fn row(&self, commit: &str) -> Row {
+        let Outcome { ops, acked, late, rejected, aborted, orders, verdicts, .. } = self.outcome;
+        Row {
+            experiment: format!("decisions-{}-replicas", self.day.sizes.servers),
+            commit: commit.to_string(),
+            case: self.day.kind.to_string(),
+            way: way(self.day.subset),
+            value: self.day.sizes.governors as f64,
+            seed: self.day.seed as i64,
+            service: self.outcome.service,
+            ops: ops as i64,
+            acked: acked as i64,
+            late: late as i64,
+            rejected: rejected as i64,
+            aborted: aborted as i64,
+            orders: orders as i64,
+            verdicts: verdicts as i64,
+            most_lines: self.outcome.most_lines,
+            broken: broken(&self.outcome) as i64,
+        }
+    }
+}
+
+fn way(subset: usize) -> String {
+    match subset {
+        0 => "everyone".to_string(),
+        size => format!("subsets of {size}"),
+    }
+}
+
+fn broken(outcome: &Outcome) -> usize {
+    outcome.broken.values().sum()
+}
+
+fn rules_text(all: &[&Outcome]) -> String {
+    let mut sums: BTreeMap<u8, usize> = BTreeMap::new();
+    for (rule, count) in all.iter().flat_map(|outcome| &outcome.broken) {
+        *sums.entry(*rule).or_default() += count;
+    }
+    match sums.is_empty() {
+        true => "none".to_string(),
+        false => {
+            let named = sums.iter().map(|(rule, count)| format!("rule {rule}: {count}"));
+            named.collect::<Vec<_>>().join(", ")
+        }
+    }
+}
+
+/// One line that says how far the sweep has come.
+pub(super) fn progress_line(done: usize, of: usize, day: &PlannedDay, outcome: &Outcome) -> String {
+    let PlannedDay { kind, subset, seed, sizes, .. } = day;
+    let (way, rules) = (way(*subset), rules_text(&[outcome]));
+    let Outcome { service, moves, orders, .. } = outcome;
+    let governors = sizes.governors;
+    format!("{done}/{of} {kind}, {governors} governors, {way}, seed {seed}: service {service:.3}, {moves} moves, {orders} orders, broken {rules}")
+}
+
+fn groups(played: &[Played]) -> BTreeMap<Group, Vec<&Played>> {
+    let mut groups: BTreeMap<Group, Vec<&Played>> = BTreeMap::new();
+    for one in played {
+        groups.entry(one.group()).or_default().push(one);
+    }
+    groups
+}
+
+/// Means over seeds by kind of day, size of subsets and number of governors.
+pub fn table(played: &[Played]) -> String {
+    let mut text = String::from(
+        "| day | decisions | governors | seeds | service | least | moves | orders | verdicts | rules broken |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+    );
+    for ((kind, subset, governors), all) in groups(played) {
+        let outcomes: Vec<_> = all.iter().map(|one| &one.outcome).collect();
+        let average = |figure: fn(&Outcome) -> f64| {
+            outcomes.iter().map(|outcome| figure(outcome)).sum::<f64>() / outcomes.len() as f64
+        };
+        let least = outcomes.iter().map(|outcome| outcome.service).fold(f64::INFINITY, f64::min);
+        let (way, many, rules) = (way(subset), all.len(), rules_text(&outcomes));
+        let service = average(|outcome| outcome.service);
+        let moves = average(|outcome| outcome.moves as f64);
+        let orders = average(|outcome| outcome.orders as f64);
+        let verdicts = average(|outcome| outcome.verdicts as f64);
+        _ = writeln!(
+            text,
+            "| {kind} | {way} | {governors} | {many} | {service:.3} | {least:.3} | {moves:.0} | {orders:.0} | {verdicts:.1} | {rules} |"
+        );
+    }
+    text
+}
+
+/// Differences of service against the same seeds with `reference` governors and no subsets (or, where that was not
+/// played, the same subsets), with the 95% interval of their mean.
+pub fn paired_differences(played: &[Played], reference: usize) -> String {
+    let groups = groups(played);
+    let mut text = format!(
+        "| day | decisions | governors | service less that of {reference} governors | 95% within | least | greatest |\n\
+         | --- | --- | --- | --- | --- | --- | --- |\n"
+    );
+    for ((kind, subset, governors), all) in &groups {
+        let others = [0, *subset].iter().find_map(|other| groups.get(&(*kind, *other, reference)));
+        let Some(others) = others.filter(|_| (*subset, *governors) != (0, reference)) else { continue };
+        let service: BTreeMap<_, _> =
+            others.iter().map(|other| (other.day.seed, other.outcome.service)).collect();
+        let paired = all.iter().filter_map(|one| Some(one.outcome.service - service.get(&one.day.seed)?));
+        let differences: Vec<f64> = paired.collect();
+        let Some(figure) = mean(&differences) else { continue };
+        let greatest = differences.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+        let (way, difference, within, least) = (way(*subset), figure.mean, figure.within, figure.least);
+        _ = writeln!(
+            text,
+            "| {kind} | {way} | {governors} | {difference:+.3} | {within:.3} | {least:+.3} | {greatest:+.3} |"
+        );
+    }
+    text
+}
--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -1,4 +1,37 @@
 //! `whinwall-scale`: runs the scale tests; each subcommand writes its results as Parquet, a table and a chart.
 #![forbid(unsafe_code)]
 
-fn main() {}
+use clap::{Parser, Subcommand};
+use std::error::Error;
+use std::process::ExitCode;
+use whinwall_scale::decisions;
+
+/// Measures what governors cost at the size of a large fleet
+#[derive(Parser)]
+#[command(version, after_help = "Exit codes: 0 measured; 2 an argument is faulty or a measurement failed.")]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// The decisions of many governors, in the emulator
+    Decisions(decisions::Args),
+}
+
+fn run(command: Command) -> Result<(), Box<dyn Error>> {
+    match command {
+        Command::Decisions(args) => Ok(decisions::run(args)?),
+    }
+}
+
+fn main() -> ExitCode {
+    match run(Arguments::parse().command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("whinwall-scale: {failure}");
+            ExitCode::from(2)
+        }
+    }
+}
