--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,5 +9,6 @@
 mod news;
 pub mod pins;
 pub mod ring;
+pub mod sharing;
 mod state;
 pub mod time;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -171,7 +171,7 @@
     /// In its place, and so in the averages.
     pub(crate) fn is_fit(&self, s: &Server) -> bool {
         let there = s.listed || (self.site.gone_is_advice && s.seen.answered > 0.0);
-        there && !s.shut && !s.out && s.standing != Standing::Draining && !self.is_sick(s)
+        there && !s.is_foreign() && !s.shut && !s.out && s.standing != Standing::Draining && !self.is_sick(s)
     }
 
     /// What a cold server may be sent now: of what would push it over, a safe part. What the fleet answers is
@@ -200,9 +200,9 @@
         slice.mark.is_none() && self.now - slice.settled > JUDGED_OVER + self.behind
     }
 
-    fn may_take(&self, s: &Server, load: f64) -> bool {
+    pub(crate) fn may_take(&self, s: &Server, load: f64) -> bool {
         let fresh = s.started.is_some_and(|at| self.now - at < FRESH_START);
-        self.is_fit(s) && !(fresh && s.used) && s.press + load <= self.allowance(s)
+        self.is_fit(s) && self.holds_claim(s) && !(fresh && s.used) && s.press + load <= self.allowance(s)
     }
 
     /// Most room under AvgL+phi, else the least loaded; a bad server only where there is no good one.
@@ -213,20 +213,24 @@
         };
         // What comes with repeats, not the load alone, is what would push a cold one over.
         let takes = |s: &Server| self.may_take(s, load.max(slice.press));
-        let roomy = first(&self.ranks.by_room, &takes);
+        let roomy = first(&self.ranks.by_room, &|s| takes(s) && self.has_room_if_shared(s, load));
         if roomy.is_some_and(|id| self.picture.room(&self.servers[&id]) >= load) {
             return roomy;
         }
         let fit = first(&self.ranks.by_level, &takes);
         // With no fit one, a full warm server still beats a cold one, which would fall over (rule 4).
         let well = || first(&self.ranks.by_level, &|s| self.is_good(s));
-        let ready = self.servers.iter().filter(|(id, s)| !owns(id) && s.is_ready() && !s.shut && !s.out);
+        let well = || self.shared_escape(load, &owns).or_else(well);
+        let open = |s: &Server| s.is_ready() && !s.shut && !s.out && !s.is_foreign();
+        let ready = self.servers.iter().filter(|(id, s)| !owns(id) && open(s));
         let pushed = |s: &Server| (s.press + slice.press.max(load)) / self.allowance(s).max(0.001);
         let least = || ready.min_by(|a, b| pushed(a.1).total_cmp(&pushed(b.1))).map(|(id, _)| *id);
         match need {
             Need::Relief => fit,
-            Need::Escape => fit.or_else(well),
-            Need::Any => fit.or_else(well).or_else(least),
+            Need::Escape if !self.sharing.active => fit.or_else(well),
+            Need::Any if !self.sharing.active => fit.or_else(well).or_else(least),
+            Need::Escape => well().or(fit),
+            Need::Any => well().or(fit).or_else(least),
         }
     }
 
@@ -364,6 +368,7 @@
             (s.part, s.power) = (part, s.able * s.factor * part.max(1.0));
         }
         self.see_slices(LOAD_OVER, SPREAD_OVER, REPEATED);
+        self.add_others(REPEATED);
         self.picture = self.sum_up(BAND, LOAD_OVER, |s| self.is_fit(s) && s.part > 0.0);
         self.rank_all();
         true
@@ -383,7 +388,7 @@
             let quick = failing && s.seen.answered > 0.0 && s.strain < EASED;
             silent.then_some("answers nothing").or(quick.then_some("fails quickly"))
         };
-        let there = |s: &Server| !self.is_lost(s) && !self.is_sick(s);
+        let there = |s: &Server| !self.is_lost(s) && !self.is_sick(s) && !s.is_foreign();
         let watched = self.servers.iter().filter(|(_, s)| there(s) && !s.lines.is_empty());
         let ill: Vec<_> = watched.filter_map(|(id, s)| cause(s).map(|why| (*id, why))).collect();
         let around = self.servers.values().filter(|s| !self.is_lost(s));
@@ -571,7 +576,7 @@
         } else if leaves != from {
             // On its way already, but what the proxies hold must not wait among calm orders.
             _ = owner.is_some_and(|s| s.shut || bad).then(|| self.tell(n, Haste::Urgent));
-        } else if bad || owner.is_some_and(|s| s.press > self.allowance(s) * 1.2) {
+        } else if bad || owner.is_some_and(|s| s.press > self.allowance(s) * 1.2 && self.may_relieve(s)) {
             if let Some(to) = self.refuge(slice, slice.load, need) {
                 self.hand_over(n, from.unwrap_or(to), to, Haste::Urgent);
             }
@@ -719,7 +724,7 @@
         if !self.agenda.shift {
             return false;
         }
-        let found = self.find_shift();
+        let found = self.find_return().map(|one| vec![one]).or_else(|| self.find_shift());
         self.agenda.shift = found.is_some();
         for (n, from, to) in found.into_iter().flatten() {
             self.hand_over(n, from, to, Haste::Calm);
@@ -731,7 +736,7 @@
     fn find_shift(&self) -> Option<Vec<(SliceId, ServerId, ServerId)>> {
         let (low, high) = (|s: &Server| self.picture.band(s).0, |s: &Server| self.picture.band(s).1);
         let idle = |s: &Server| self.is_fit(s) && !s.used;
-        let is_heavy = |s: &Server| s.outside >= ROUNDS_OUTSIDE && idle(s) && s.level() > high(s);
+        let is_heavy = |s: &Server| s.outside >= ROUNDS_OUTSIDE && idle(s) && s.level() > high(s) && self.may_shed(s);
         let mut heavy: Vec<_> = self.servers.iter().filter(|(_, s)| is_heavy(s)).collect();
         heavy.sort_by(|a, b| b.1.level().total_cmp(&a.1.level()));
         // One that operators made small is heavy though nobody is light.
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -142,14 +142,18 @@
         }
     }
 
-    /// How much more all governors carry than this one, as far as slices tell.
+    /// How much more all governors carry than this one, as far as slices tell; where replicas are shared, what all
+    /// bring is known.
     pub(crate) fn whole(&self) -> f64 {
-        (f64::from(self.site.slices) / self.slices.len().max(1) as f64).max(1.0)
+        match self.sharing.active {
+            true => 1.0,
+            false => (f64::from(self.site.slices) / self.slices.len().max(1) as f64).max(1.0),
+        }
     }
 
     /// AvgL and what goes with it, over the servers that are counted.
-    pub(crate) fn sum_up(&self, band: f64, long: Span, counted: impl Fn(&Server) -> bool) -> Picture {
-        let counted = || self.servers.values().filter(|s| counted(s));
+    pub(crate) fn sum_up(&self, band: f64, long: Span, is_counted: impl Fn(&Server) -> bool) -> Picture {
+        let counted = || self.servers.values().filter(|s| is_counted(s));
         let power = counted().map(|s| s.power).sum::<f64>().max(0.01);
         let load: f64 = self.slices.values().map(|s| s.load).sum();
         let burst: f64 = self.slices.values().map(|s| s.burst).sum();
@@ -161,13 +165,14 @@
         let carried: f64 = sure().map(|s| s.load).sum();
         let answered: f64 = sure().map(|s| self.rate(&s.answered, long, self.born)).sum();
         let average = load / power;
-        Picture {
+        let own = Picture {
             average,
             phi: band * average * self.whole().sqrt(),
             proven: carried.min(answered) / able,
             rise: burst / load.max(0.01),
             even: burst / self.servers.len().max(1) as f64,
-        }
+        };
+        self.shared_picture(own, band, &is_counted)
     }
 
     /// The slices that a server owns alone and that no change is under way for, in descending load.
--- /dev/null
+++ b/src/sharing.rs
@@ -0,0 +1,239 @@
+//! Decisions among governors that share replicas ([`Share::Subset`]): who may fill a replica now, what the other
+//! governors have laid on it, and how much of an excess is this governor's to take away. Nothing here is shared
+//! between processes: all governors work out the same claims from the replica's lot and the time.
+//!
+//! - *Claims.* In each epoch exactly one of a replica's governors holds the claim on it, in rotation. Only the
+//!   claimant moves slices there of its own accord. It does so in the first part of the epoch; in the rest, reports
+//!   catch up, so that the next claimant sees what was moved.
+//! - *Totals.* A replica's load is what all proxies report for it. Reports lag, so a governor replaces its own part
+//!   of what was reported by what its own slices bring now.
+//! - *Draws.* Escapes can't wait for a claim: they are drawn among the replicas that have room, in proportion to the
+//!   room, and so spread like it however many governors escape at once. A replica that is too full is left by a draw
+//!   too, whose chances add up over all governors to what is too much.
+
+use crate::interface::{ServerId, Share, SliceId};
+use crate::ring::Ring;
+use crate::state::{Governor, Picture, Server};
+use crate::time::{Moment, Span};
+
+/// How long a claim lasts: orders take up to a second to reach all proxies, and reports up to three to tell of it.
+pub const EPOCH: Span = Span::ms(4000);
+/// The part of an epoch in which the claimant may act.
+const CLAIM_ACTIVE: Span = Span::ms(2000);
+/// What other governors bring is averaged over this time; where more came within the shorter time, that counts.
+const OTHERS_OVER: Span = Span::ms(3000);
+const OTHERS_LATELY: Span = Span::ms(1000);
+/// Reports of a moment are complete, and the sample of our own load beside them, one bucket later.
+const SAMPLE_BUCKET: Span = Span::ms(500);
+const SAMPLE_BUCKETS: usize = 16;
+/// How long it takes until a move shows in the reports: excesses are shed over this many rounds.
+const ROUNDS_UNSEEN: f64 = 3.0;
+const DRAW_EVERY: Span = Span::ms(1000);
+/// Keeps draws apart from replicas without room.
+const LEAST_ROOM: f64 = 1e-6;
+
+/// The position that holds the claim on a replica in an epoch.
+pub fn claimant(lot: u64, epoch: u64, governors: u32) -> u32 {
+    let turn = (u128::from(lot) + u128::from(epoch)) % u128::from(governors.max(1));
+    turn as u32
+}
+
+impl Share {
+    /// Whether this governor holds the claim on the replica at this moment, and may act on it.
+    pub fn is_claimed(self, lot: u64, now: Moment) -> bool {
+        match self {
+            Share::Everyone => true,
+            Share::Others => false,
+            Share::Subset { governors: 1, .. } => true,
+            Share::Subset { governors, position } => {
+                let epoch = now.count_of(EPOCH);
+                let since = now - Moment::at_ns(epoch * EPOCH.as_ns());
+                claimant(lot, epoch, governors) == position && since < CLAIM_ACTIVE
+            }
+        }
+    }
+}
+
+/// What is remembered of sharing as a whole.
+#[derive(Default)]
+pub struct Sharing {
+    /// Some replica is not everyone's.
+    pub active: bool,
+    sampled: Option<Moment>,
+    drawn: u64,
+}
+
+/// What is remembered of a replica that several governors steer.
+pub struct SharedLoad {
+    /// What our own slices brought there, by time.
+    own: Ring,
+    /// What other governors' slices bring a second, without and with repeats.
+    others_load: f64,
+    others_press: f64,
+    /// This round's draw.
+    draw: f64,
+}
+
+impl Default for SharedLoad {
+    fn default() -> Self {
+        SharedLoad {
+            own: Ring::new(SAMPLE_BUCKET, SAMPLE_BUCKETS),
+            others_load: 0.0,
+            others_press: 0.0,
+            draw: 1.0,
+        }
+    }
+}
+
+impl Server {
+    /// Steered by other governors only.
+    pub(crate) fn is_foreign(&self) -> bool {
+        self.share == Share::Others
+    }
+
+    /// What other governors brought a second within this time.
+    fn others_rate(&self, end: Moment, over: Span) -> f64 {
+        let residue = self.tries.sum(end, over) - self.shared.own.sum(end, over);
+        residue.max(0.0) / over.seconds()
+    }
+}
+
+impl Governor {
+    /// Adds to each replica's load what other governors' slices bring. Does nothing where all is everyone's.
+    pub(crate) fn add_others(&mut self, repeated: f64) {
+        self.sharing.active = self.servers.values().any(|s| s.share != Share::Everyone);
+        if !self.sharing.active {
+            return;
+        }
+        self.draw_for_round();
+        self.sample_own();
+        let (now, behind) = (self.now, self.behind);
+        let oldest = now - behind - self.site.report_period;
+        for s in self.servers.values_mut() {
+            let end = s.tries.newest().min(now).max(oldest) - SAMPLE_BUCKET;
+            s.shared.others_press = s.others_rate(end, OTHERS_OVER).max(s.others_rate(end, OTHERS_LATELY));
+            s.shared.others_load = s.others_rate(end, OTHERS_OVER) * (1.0 - repeated * s.seen.failed_share());
+            s.press += s.shared.others_press;
+            s.load += s.shared.others_load;
+        }
+    }
+
+    fn draw_for_round(&mut self) {
+        let round = self.now.count_of(DRAW_EVERY);
+        if std::mem::replace(&mut self.sharing.drawn, round) != round {
+            let chance = &mut self.chance;
+            self.servers.values_mut().for_each(|s| s.shared.draw = chance.draw());
+        }
+    }
+
+    /// Notes what our slices have brought, by the tables that proxies were told, since the last time.
+    fn sample_own(&mut self) {
+        let now = self.now;
+        let since = self.sharing.sampled.replace(now).unwrap_or(now);
+        let elapsed = now - since;
+        for slice in self.slices.values() {
+            let whole: f64 = slice.held.values().sum();
+            for (id, weight) in &slice.held {
+                if let Some(s) = self.servers.get_mut(id) {
+                    let amount = slice.press * elapsed.seconds() * weight / whole;
+                    s.shared.own.spread(now, elapsed, amount);
+                }
+            }
+        }
+    }
+
+    /// Averages over the replicas of the subset that are counted: what comes to all of them, also to those that
+    /// must be left, has to find its place on these.
+    pub(crate) fn shared_picture(&self, own: Picture, band: f64, counted: impl Fn(&Server) -> bool) -> Picture {
+        if !self.sharing.active {
+            return own;
+        }
+        let ours = || self.servers.values().filter(|s| !s.is_foreign());
+        let counted = || ours().filter(|s| counted(s));
+        let load: f64 = ours().map(|s| s.load).sum();
+        let power = counted().map(|s| s.power).sum::<f64>().max(0.01);
+        let average = load / power;
+        let even = load * own.rise / counted().count().max(1) as f64;
+        Picture { average, phi: band * average, even, ..own }
+    }
+
+    /// Whether this governor may move slices to a replica of its own accord.
+    pub(crate) fn holds_claim(&self, s: &Server) -> bool {
+        s.share.is_claimed(s.lot, self.now)
+    }
+
+    /// The order by room in which refuges are looked through: claimed ones first, by room; then the others by a draw in
+    /// proportion to their room, so that governors which escape at once spread.
+    pub(crate) fn room_order(&self, s: &Server, room: f64, lot: f64) -> f64 {
+        if !self.sharing.active || self.holds_claim(s) {
+            return -room;
+        }
+        -(1.0 - lot).ln() / room.max(LEAST_ROOM)
+    }
+
+    /// The order by level: among replicas that differ by less than the band, a draw.
+    pub(crate) fn level_order(&self, s: &Server, lot: f64) -> f64 {
+        match self.sharing.active {
+            false => s.level(),
+            true => s.level() + self.picture.phi * lot,
+        }
+    }
+
+    /// Whether a refuge has to have room for all of it, or is taken as it comes.
+    pub(crate) fn has_room_if_shared(&self, s: &Server, load: f64) -> bool {
+        !self.sharing.active || self.picture.room(s) >= load
+    }
+
+    /// A warm replica of the subset with room, or the least loaded by draw, whoever holds the claim on it; where the
+    /// subset has no warm one that is fit, a warm one of other governors.
+    pub(crate) fn shared_escape(&self, load: f64, owns: &dyn Fn(&ServerId) -> bool) -> Option<ServerId> {
+        if !self.sharing.active {
+            return None;
+        }
+        let good = |id: &ServerId| !owns(id) && self.servers.get(id).is_some_and(|s| self.is_good(s));
+        let roomy = |id: &ServerId| good(id) && self.picture.room(&self.servers[id]) >= load;
+        let own = || self.ranks.by_room.first(roomy).or_else(|| self.ranks.by_level.first(good));
+        own().or_else(|| self.foreign_escape(owns))
+    }
+
+    fn foreign_escape(&self, owns: &dyn Fn(&ServerId) -> bool) -> Option<ServerId> {
+        let well = |s: &Server| s.is_foreign() && s.is_ready() && !s.shut && !s.out;
+        let warm = |s: &Server| well(s) && !self.is_sick(s) && !self.is_cold(s);
+        let able = self.servers.iter().filter(|(id, s)| warm(s) && !owns(id));
+        able.min_by(|a, b| a.1.shared.draw.total_cmp(&b.1.shared.draw)).map(|(id, _)| *id)
+    }
+
+    /// Whether it is this governor's turn, by draw, to take a slice from a replica above the average: the chances of all
+    /// governors add up to what is too much, spread over the rounds until it shows.
+    pub(crate) fn may_shed(&self, s: &Server) -> bool {
+        let Share::Subset { governors: 2.., .. } = s.share else { return true };
+        let excess = (1.0 - self.picture.average / s.level().max(f64::MIN_POSITIVE)).max(0.0);
+        s.shared.draw < excess * s.lines.len() as f64 / ROUNDS_UNSEEN
+    }
+
+    /// The same for a cold replica that is sent too much: one of its governors is drawn, in proportion to what its own
+    /// slices bring.
+    pub(crate) fn may_relieve(&self, s: &Server) -> bool {
+        let Share::Subset { governors: 2.., .. } = s.share else { return true };
+        s.shared.draw < 1.0 - s.shared.others_press / s.press.max(f64::MIN_POSITIVE)
+    }
+
+    /// A slice on a replica of other governors, and a claimed replica with room for it: one a replica and round.
+    pub(crate) fn find_return(&self) -> Option<(SliceId, ServerId, ServerId)> {
+        if !self.sharing.active {
+            return None;
+        }
+        let foreign = self.servers.iter().filter(|(_, s)| s.is_foreign() && !s.used && !s.lines.is_empty());
+        let mut owned = foreign.flat_map(|(id, s)| s.lines.iter().map(|n| (*n, *id)));
+        owned.find_map(|(n, from)| {
+            let slice = self.slices.get(&n).filter(|s| s.mark.is_none() && s.wanted == s.held)?;
+            let leaves = slice.owners().any(|owner| owner == from) && !self.is_at_pin(n, slice);
+            let takes = |id: &ServerId| {
+                let fits = |s: &Server| !s.used && self.may_take(s, slice.load.max(slice.press));
+                !slice.wanted.contains_key(id) && self.servers.get(id).is_some_and(fits)
+            };
+            let to = leaves.then(|| self.ranks.by_room.first(takes)).flatten()?;
+            Some((n, from, to))
+        })
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,6 +7,7 @@
 };
 use crate::pins::Pins;
 use crate::ring::Ring;
+use crate::sharing::{SharedLoad, Sharing};
 use crate::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -27,6 +28,7 @@
     pub lot: u64,
     /// Which governors steer it.
     pub share: Share,
+    pub shared: SharedLoad,
     pub listed: bool,
     pub tries: Ring,
     pub aborted: Ring,
@@ -111,6 +113,7 @@
     pub(crate) delays: BTreeMap<(PlaceId, PlaceId), f64>,
     pub(crate) picture: Picture,
     pub(crate) ranks: AllRanks,
+    pub(crate) sharing: Sharing,
     pub(crate) token: u64,
     /// What operators wish, in the order in which they said so, and the slices that they pin.
     pub(crate) wishes: BTreeMap<WishId, Wished>,
@@ -157,6 +160,7 @@
             delays: BTreeMap::new(),
             picture: Picture::default(),
             ranks: AllRanks::default(),
+            sharing: Sharing::default(),
             token: 0,
             wishes: BTreeMap::new(),
             pins: Pins::default(),
@@ -233,9 +237,11 @@
     /// Puts a server where its figures have it now; one that nothing may go to is not looked at for each slice.
     fn rank(&mut self, id: ServerId) {
         let Some(s) = self.servers.get(&id).filter(|s| s.part > 0.0 && self.is_fit(s)) else { return };
-        let (room, level, standing_by) = (self.picture.room(s), s.level(), s.standing_by / s.power);
+        let standing_by = s.standing_by / s.power;
         let lot = self.chance.draw();
-        self.ranks.by_room.put(id, -room, lot);
+        let Some(s) = self.servers.get(&id) else { return };
+        let (room, level) = (self.room_order(s, self.picture.room(s), lot), self.level_order(s, lot));
+        self.ranks.by_room.put(id, room, lot);
         self.ranks.by_level.put(id, level, lot);
         self.ranks.by_standing_by.put(id, standing_by, lot);
     }
@@ -439,6 +445,7 @@
             started: None,
             lot: 0,
             share: Share::default(),
+            shared: SharedLoad::default(),
             listed: false,
             tries: ring(),
             aborted: ring(),
