--- a/fleet/src/day/governors.rs
+++ b/fleet/src/day/governors.rs
@@ -21,7 +21,8 @@
         let targets = Targets { discovery: here(8500), relay: here(6400) };
         let seed = (self.chance.draw() * 1e15) as u64;
         let known = discovery::List::default();
-        let reducer = Reducer::start(settings, targets, seed, &known, self.now);
+        let mut reducer = Reducer::start(settings, targets, seed, &known, self.now);
+        reducer.set_shares(self.subsets.shares(at));
         let governor = &mut self.governors[at];
         governor.life += 1;
         (governor.reducer, governor.follows, governor.quiet) = (Some(reducer), false, None);
--- a/fleet/src/day/mod.rs
+++ b/fleet/src/day/mod.rs
@@ -18,6 +18,7 @@
 use crate::rules::{Rules, Violation};
 use crate::server::{Job, Server};
 use crate::sizes::Sizes;
+use crate::subsets::Subsets;
 use crate::trouble::{Odd, Trouble};
 use crate::{ProxyIx, ServerIx, SliceIx};
 use std::collections::BTreeMap;
@@ -167,6 +168,7 @@
     names: BTreeMap<String, ServerIx>,
     proxies: Vec<Proxy>,
     governors: Vec<Governor>,
+    subsets: Subsets,
     store: Store,
     /// By slice, whose it is.
     holders: Vec<usize>,
@@ -241,8 +243,11 @@
         let now = Moment::default() + MORNING;
         let mut chance = Chance::from_seed(seed);
         let heat = (0..sizes.slices).map(|_| 0.3 + chance.draw() * chance.draw() * 3.0).collect();
-        let table = |slice: SliceIx| Arc::new(BTreeMap::from([(slice % sizes.servers, 1.0)]));
-        let store = Store((0..sizes.slices).map(|slice| (slice, table(slice))).collect());
+        let names: Vec<_> = (0..sizes.servers).map(server_name).collect();
+        let subsets = Subsets::new(&sizes, &names);
+        let holders: Vec<_> = (0..sizes.slices).map(|slice| slice % sizes.governors).collect();
+        let tables = subsets.first_tables(&names, &holders);
+        let store = Store(tables.into_iter().map(|(slice, table)| (slice, Arc::new(table))).collect());
         let mut proxies = vec![Proxy::default(); sizes.proxies];
         for proxy in &mut proxies {
             proxy.joined = true;
@@ -264,11 +269,12 @@
             agenda: BTreeMap::new(),
             steps: 0,
             servers: (0..sizes.servers).map(|_| Server::new()).collect(),
-            names: (0..sizes.servers).map(|at| (server_name(at), at)).collect(),
+            names: names.into_iter().zip(0..).collect(),
             proxies,
             governors: (0..sizes.governors).map(governor).collect(),
             store,
-            holders: (0..sizes.slices).map(|slice| slice % sizes.governors).collect(),
+            subsets,
+            holders,
             given: vec![now; sizes.slices],
             garbled: 0.0,
             odd: None,
--- a/fleet/src/day/reports.rs
+++ b/fleet/src/day/reports.rs
@@ -8,7 +8,22 @@
 use whinwall_governor::protocol::collector::{Asked, Message, Met};
 use whinwall_governor::routing::Event;
 
+/// What a report is about.
+#[derive(Clone, Copy)]
+enum About {
+    Replica(ServerIx),
+    Slice(SliceIx),
+}
+
 impl Day {
+    /// Reports of slices go to the governor in charge, those of replicas to all that steer them.
+    fn is_told_of(&self, about: &About, at: usize) -> bool {
+        match about {
+            About::Replica(server) => self.subsets.is_steered(*server, at),
+            About::Slice(slice) => self.is_of(*slice, at),
+        }
+    }
+
     /// Notes what names whom the time-line is about.
     pub(super) fn line(&mut self, names: &str, text: impl FnOnce() -> String) {
         let Some(about) = &self.about else { return };
@@ -72,20 +87,17 @@
                 mean_latency_ms: seen.busy * 1000.0 / answered,
                 covers_ms,
             };
-            messages.push((None, place, Message::Met(met)));
+            messages.push((About::Replica(server), place, Message::Met(met)));
         }
         for ((slice, kind), (came, aborted)) in asked {
             let op_type = self.sizes.kinds[kind].name.to_string();
             let asked = Asked { slice: slice as u32, op_type, came, aborted, covers_ms };
-            messages.push((Some(slice), slice % self.sizes.places, Message::Asked(asked)));
+            messages.push((About::Slice(slice), slice % self.sizes.places, Message::Asked(asked)));
         }
         for at in 0..self.governors.len() {
             let (life, lag) = (self.governors[at].life, Span::ms(50 + (self.chance.draw() * 200.0) as u64));
-            let mine: Vec<_> = messages
-                .iter()
-                .filter(|(slice, ..)| slice.is_none_or(|slice| self.is_of(slice, at)))
-                .cloned()
-                .collect();
+            let mine: Vec<_> =
+                messages.iter().filter(|(about, ..)| self.is_told_of(about, at)).cloned().collect();
             for (_, place, message) in mine {
                 let event = Event::Message { from: place as u64, message };
                 self.after(lag, Step::To(at, life, Box::new(event)));
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod rules;
 pub mod server;
 pub mod sizes;
+pub mod subsets;
 pub mod trouble;
 
 /// Servers, proxies and slices by their position.
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -187,6 +187,7 @@
     /// There where the operators' file is.
     overrides: Option<Overrides>,
     started: Moment,
+    shares: Option<BTreeMap<String, Share>>,
     effects: Vec<Effect>,
 }
 
@@ -212,6 +213,7 @@
             failures: BTreeMap::new(),
             agenda: BTreeSet::new(),
             overrides: None,
+            shares: None,
             started: now,
             effects: Vec::new(),
         };
@@ -463,6 +465,19 @@
         known::place(&self.settings.zones, name)
     }
 
+    /// How each replica is shared with other governors; nothing where all steer all. For the emulator, before the
+    /// first list.
+    pub fn set_shares(&mut self, shares: Option<BTreeMap<String, Share>>) {
+        self.shares = shares;
+    }
+
+    fn share(&self, replica: &str) -> Share {
+        match &self.shares {
+            None => Share::Everyone,
+            Some(shares) => shares.get(replica).copied().unwrap_or(Share::Others),
+        }
+    }
+
     fn listings(&mut self, list: &List) -> Vec<Listing> {
         let listing = |entry: &Entry| Listing {
             place: self.place(&entry.place),
@@ -472,7 +487,7 @@
             size: entry.size,
             started: (entry.started_ms > 0).then(|| Moment::default() + Span::ms(entry.started_ms)),
             lot: known::lot(&entry.server),
-            share: Share::Everyone,
+            share: self.share(&entry.server),
         };
         list.entries.iter().map(listing).collect()
     }
--- a/src/sharing.rs
+++ b/src/sharing.rs
@@ -144,7 +144,12 @@
 
     /// Averages over the replicas of the subset that are counted: what comes to all of them, also to those that
     /// must be left, has to find its place on these.
-    pub(crate) fn shared_picture(&self, own: Picture, band: f64, counted: impl Fn(&Server) -> bool) -> Picture {
+    pub(crate) fn shared_picture(
+        &self,
+        own: Picture,
+        band: f64,
+        counted: impl Fn(&Server) -> bool,
+    ) -> Picture {
         if !self.sharing.active {
             return own;
         }
