--- a/fleet/src/day/mod.rs
+++ b/fleet/src/day/mod.rs
@@ -192,6 +192,8 @@
     /// Until then a governor, the relay or the list could not be heard: what follows from that is no fault.
     excused: Moment,
     met: BTreeMap<(usize, ServerIx), Seen>,
+    /// Seconds that were reported so far.
+    reports: u32,
     asked: BTreeMap<(SliceIx, usize), (f64, f64)>,
     out: BTreeMap<(ProxyIx, ServerIx), u32>,
     meddler: Option<Meddler>,
@@ -291,6 +293,7 @@
             discovery_away: false,
             excused: now + SETTLING,
             met: BTreeMap::new(),
+            reports: 0,
             asked: BTreeMap::new(),
             out: BTreeMap::new(),
             meddler: None,
--- a/fleet/src/day/reports.rs
+++ b/fleet/src/day/reports.rs
@@ -70,7 +70,11 @@
     /// What the collectors of each place have gathered in a second, a little late.
     pub(super) fn report(&mut self) {
         self.after(Span::ms(1000), Step::Report);
-        let (met, asked) = (std::mem::take(&mut self.met), std::mem::take(&mut self.asked));
+        let window = self.sizes.load_window.max(1);
+        self.reports += 1;
+        let is_due = self.reports.is_multiple_of(window);
+        let met = if is_due { std::mem::take(&mut self.met) } else { BTreeMap::new() };
+        let asked = std::mem::take(&mut self.asked);
         if self.policy != Policy::Governed {
             return;
         }
@@ -85,7 +89,7 @@
                 tries: seen.tries,
                 aborted: seen.aborted,
                 mean_latency_ms: seen.busy * 1000.0 / answered,
-                covers_ms,
+                covers_ms: covers_ms * f64::from(window),
             };
             messages.push((About::Replica(server), place, Message::Met(met)));
         }
--- a/fleet/src/sizes.rs
+++ b/fleet/src/sizes.rs
@@ -27,6 +27,8 @@
     pub slices: usize,
     pub proxies: usize,
     pub governors: usize,
+    /// Seconds that each report of a replica covers: more than one where an aggregator stretches its windows.
+    pub load_window: u32,
     /// Replicas that each governor steers; 0 where every governor steers all of them.
     pub subset: usize,
     pub places: usize,
@@ -68,6 +70,7 @@
             slices: 60,
             proxies: 30,
             governors: 1,
+            load_window: 1,
             subset: 0,
             places: 3,
             lasts: Span::ms(60_000),
--- a/scale/src/decisions/mod.rs
+++ b/scale/src/decisions/mod.rs
@@ -44,6 +44,9 @@
     /// What comes, as a part of what warm replicas can do together
     #[arg(long, default_value_t = 0.5)]
     pub load: f64,
+    /// Seconds that each report of a replica covers, as an aggregator may stretch them
+    #[arg(long, default_value_t = 1)]
+    pub load_window: u32,
     /// Virtual seconds a day lasts
     #[arg(long, default_value_t = 40)]
     pub seconds: u64,
--- a/scale/src/decisions/plan.rs
+++ b/scale/src/decisions/plan.rs
@@ -113,6 +113,7 @@
             slices: args.slices,
             proxies: args.proxies,
             load: args.load,
+            load_window: args.load_window,
             lasts: Span::ms(args.seconds * 1000),
             ..Sizes::large()
         };
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -180,7 +180,13 @@
         if !self.is_cold(s) {
             return f64::INFINITY;
         }
-        s.able * self.picture.proven * self.part(s) * self.site.fall_multiple * self.warmth(s) * COLD_SAFETY
+        s.able
+            * self.picture.proven
+            * self.part(s)
+            * self.site.fall_multiple
+            * self.warmth(s)
+            * COLD_SAFETY
+            * if self.sharing.active { crate::sharing::knob("K_COLD", 1.0) } else { 1.0 }
     }
 
     /// How much more of a server is ours than our part. A cold one is one governor's alone, by a draw that
--- a/src/sharing.rs
+++ b/src/sharing.rs
@@ -25,9 +25,18 @@
 const OTHERS_LATELY: Span = Span::ms(1000);
 /// Reports of a moment are complete, and the sample of our own load beside them, one bucket later.
 const SAMPLE_BUCKET: Span = Span::ms(500);
-const SAMPLE_BUCKETS: usize = 16;
+const SAMPLE_BUCKETS: usize = 40;
+/// A replica of which no report has come for so long, while others' came, gets nothing. Where no reports come at all, what
+/// came last stands.
+const NOTHING_COMES: Span = Span::ms(4000);
 /// How long it takes until a move shows in the reports: excesses are shed over this many rounds.
-const ROUNDS_UNSEEN: f64 = 3.0;
+pub fn knob(name: &str, default: f64) -> f64 {
+    use std::sync::OnceLock;
+    static KNOBS: OnceLock<std::collections::BTreeMap<String, f64>> = OnceLock::new();
+    let all =
+        KNOBS.get_or_init(|| std::env::vars().filter_map(|(k, v)| Some((k, v.parse().ok()?))).collect());
+    all.get(name).copied().unwrap_or(default)
+}
 const DRAW_EVERY: Span = Span::ms(1000);
 /// Keeps draws apart from replicas without room.
 const LEAST_ROOM: f64 = 1e-6;
@@ -48,7 +57,8 @@
             Share::Subset { governors, position } => {
                 let epoch = now.count_of(EPOCH);
                 let since = now - Moment::at_ns(epoch * EPOCH.as_ns());
-                claimant(lot, epoch, governors) == position && since < CLAIM_ACTIVE
+                claimant(lot, epoch, governors) == position
+                    && since < CLAIM_ACTIVE.times(knob("K_ACTIVE", 1.0))
             }
         }
     }
@@ -107,10 +117,10 @@
         }
         self.draw_for_round();
         self.sample_own();
-        let (now, behind) = (self.now, self.behind);
-        let oldest = now - behind - self.site.report_period;
+        let now = self.now;
+        let newest = self.servers.values().map(|s| s.tries.newest()).max().unwrap_or_default();
         for s in self.servers.values_mut() {
-            let end = s.tries.newest().min(now).max(oldest) - SAMPLE_BUCKET;
+            let end = s.tries.newest().max(newest - NOTHING_COMES).min(now) - SAMPLE_BUCKET;
             s.shared.others_press = s.others_rate(end, OTHERS_OVER).max(s.others_rate(end, OTHERS_LATELY));
             s.shared.others_load = s.others_rate(end, OTHERS_OVER) * (1.0 - repeated * s.seen.failed_share());
             s.press += s.shared.others_press;
@@ -170,7 +180,7 @@
     /// The order by room in which refuges are looked through: claimed ones first, by room; then the others by a draw in
     /// proportion to their room, so that governors which escape at once spread.
     pub(crate) fn room_order(&self, s: &Server, room: f64, lot: f64) -> f64 {
-        if !self.sharing.active || self.holds_claim(s) {
+        if !self.sharing.active || (self.holds_claim(s) && knob("K_FIRST", 1.0) > 0.0) {
             return -room;
         }
         -(1.0 - lot).ln() / room.max(LEAST_ROOM)
@@ -180,7 +190,7 @@
     pub(crate) fn level_order(&self, s: &Server, lot: f64) -> f64 {
         match self.sharing.active {
             false => s.level(),
-            true => s.level() + self.picture.phi * lot,
+            true => s.level() + self.picture.phi * lot * knob("K_LEVEL", 1.0),
         }
     }
 
@@ -213,7 +223,7 @@
     pub(crate) fn may_shed(&self, s: &Server) -> bool {
         let Share::Subset { governors: 2.., .. } = s.share else { return true };
         let excess = (1.0 - self.picture.average / s.level().max(f64::MIN_POSITIVE)).max(0.0);
-        s.shared.draw < excess * s.lines.len() as f64 / ROUNDS_UNSEEN
+        s.shared.draw < excess * s.lines.len() as f64 / knob("K_UNSEEN", 3.0)
     }
 
     /// The same for a cold replica that is sent too much: one of its governors is drawn, in proportion to what its own
@@ -242,3 +252,13 @@
         })
     }
 }
+impl Governor {
+    pub fn debug(&self) -> String {
+        let one = |(id, s): (&ServerId, &Server)| {
+            format!("{id}:{:.0}/{:.0}/{}", s.level(), s.shared.others_load, s.outside)
+        };
+        let all: Vec<_> =
+            self.servers.iter().filter(|(id, _)| [0, 1, 24, 25, 30].contains(*id)).map(one).collect();
+        format!("avg {:.1} phi {:.1} {}", self.picture.average, self.picture.phi, all.join(" "))
+    }
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -81,6 +81,9 @@
     pub now_ms: u64,
     pub nodes: BTreeMap<ServerId, Node>,
     pub rates: BTreeMap<SliceId, f64>,
+    /// How servers are shared with other governors, and what those bring a second; where not named, nobody else does.
+    pub shares: BTreeMap<ServerId, Share>,
+    pub others: BTreeMap<ServerId, f64>,
     pub store: BTreeMap<SliceId, BTreeMap<ServerId, f64>>,
     pub lines_a_tick: f64,
     pub slow_ms: u64,
@@ -100,6 +103,8 @@
             now_ms: 1000,
             nodes: (0..servers).map(|s| (s, node.clone())).collect(),
             rates: (0..slices).map(|n| (n, 2.0 + f64::from(n % 3))).collect(),
+            shares: BTreeMap::new(),
+            others: BTreeMap::new(),
             store: (0..slices).map(|n| (n, BTreeMap::from([(n % servers, 1.0)]))).collect(),
             lines_a_tick: 150.0,
             slow_ms: 0,
@@ -118,7 +123,7 @@
         let now = at(self.now_ms);
         self.governor = Governor::start(self.site.clone(), seed, now);
         (self.queue, self.wakes) = (VecDeque::new(), BTreeMap::new());
-        let list: Vec<_> = self.nodes.iter().map(|(id, n)| listing(*id, n.standing, n.started_ms)).collect();
+        let list: Vec<_> = self.nodes.keys().map(|id| self.entry(*id)).collect();
         self.governor.listed(now, ListScope::Remembered, &list);
         self.governor.listed(now, ListScope::Whole, &list);
         self.nodes.values_mut().for_each(|n| n.told_ms = self.now_ms);
@@ -132,6 +137,12 @@
         self.reply();
     }
 
+    fn entry(&self, server: ServerId) -> Listing {
+        let node = &self.nodes[&server];
+        let share = self.shares.get(&server).copied().unwrap_or_default();
+        Listing { share, ..listing(server, node.standing, node.started_ms) }
+    }
+
     pub fn join(&mut self, proxy: ProxyId) {
         let Some(p) = self.proxies.get_mut(&proxy) else { return };
         let shut = std::mem::take(&mut p.shut);
@@ -149,7 +160,7 @@
     pub fn news(&mut self, server: ServerId) {
         let node = self.nodes.get_mut(&server).expect("a known server");
         node.told_ms = self.now_ms;
-        let entry = listing(server, node.standing, node.started_ms);
+        let entry = self.entry(server);
         self.governor.listed(at(self.now_ms), ListScope::Changes, &[entry]);
         self.reply();
     }
@@ -259,7 +270,7 @@
     }
 
     fn report(&mut self) {
-        let mut sent: BTreeMap<ServerId, f64> = BTreeMap::new();
+        let mut sent = self.others.clone();
         let now = at(self.now_ms);
         let covers = Span::ms(1000);
         for (n, came) in &self.rates {
