--- a/fleet/src/day/governors.rs
+++ b/fleet/src/day/governors.rs
@@ -2,7 +2,7 @@
 
 use super::real_time::say;
 use super::{server_name, Day, Step, WAY};
-use crate::{ProxyIx, SliceIx};
+use crate::{subsets, ProxyIx, SliceIx};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use whinwall::time::{Moment, Span};
@@ -21,14 +21,14 @@
         let targets = Targets { discovery: here(8500), relay: here(6400) };
         let seed = (self.chance.draw() * 1e15) as u64;
         let known = discovery::List::default();
-        let mut reducer = Reducer::start(settings, targets, seed, &known, self.now);
-        reducer.set_shares(self.subsets.shares(at));
+        let reducer = Reducer::start(settings, targets, seed, &known, self.now);
         let governor = &mut self.governors[at];
         governor.life += 1;
         (governor.reducer, governor.follows, governor.quiet) = (Some(reducer), false, None);
         (governor.born, governor.told) = (self.now, BTreeMap::new());
         governor.channel.lost();
         self.tell(at, Event::Started);
+        self.tell(at, Event::SubsettingConfigured(subsets::fleet(&self.sizes, at)));
         let wanted = Wanted { bounds: Bounds::default(), orders: Vec::new(), has_store: false };
         let reading = Reading { boot: String::new(), since_boot: Span::default(), wall: self.now };
         self.tell(at, Event::Wanted(wanted, reading));
--- a/fleet/src/day/mod.rs
+++ b/fleet/src/day/mod.rs
@@ -18,7 +18,7 @@
 use crate::rules::{Rules, Violation};
 use crate::server::{Job, Server};
 use crate::sizes::Sizes;
-use crate::subsets::Subsets;
+use crate::subsets;
 use crate::trouble::{Odd, Trouble};
 use crate::{ProxyIx, ServerIx, SliceIx};
 use std::collections::BTreeMap;
@@ -168,7 +168,6 @@
     names: BTreeMap<String, ServerIx>,
     proxies: Vec<Proxy>,
     governors: Vec<Governor>,
-    subsets: Subsets,
     store: Store,
     /// By slice, whose it is.
     holders: Vec<usize>,
@@ -246,9 +245,8 @@
         let mut chance = Chance::from_seed(seed);
         let heat = (0..sizes.slices).map(|_| 0.3 + chance.draw() * chance.draw() * 3.0).collect();
         let names: Vec<_> = (0..sizes.servers).map(server_name).collect();
-        let subsets = Subsets::new(&sizes, &names);
         let holders: Vec<_> = (0..sizes.slices).map(|slice| slice % sizes.governors).collect();
-        let tables = subsets.first_tables(&names, &holders);
+        let tables = subsets::first_tables(&sizes, &names, &holders);
         let store = Store(tables.into_iter().map(|(slice, table)| (slice, Arc::new(table))).collect());
         let mut proxies = vec![Proxy::default(); sizes.proxies];
         for proxy in &mut proxies {
@@ -275,7 +273,6 @@
             proxies,
             governors: (0..sizes.governors).map(governor).collect(),
             store,
-            subsets,
             holders,
             given: vec![now; sizes.slices],
             garbled: 0.0,
--- a/fleet/src/day/reports.rs
+++ b/fleet/src/day/reports.rs
@@ -3,10 +3,11 @@
 use super::{server_name, Day, Seen, Step, MORNING};
 use crate::policy::Policy;
 use crate::{ServerIx, SliceIx};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use whinwall::interface::Share;
 use whinwall::time::{Moment, Span};
 use whinwall_governor::protocol::collector::{Asked, Message, Met};
-use whinwall_governor::routing::Event;
+use whinwall_governor::routing::{Event, Reducer};
 
 /// What a report is about.
 #[derive(Clone, Copy)]
@@ -17,13 +18,19 @@
 
 impl Day {
     /// Reports of slices go to the governor in charge, those of replicas to all that steer them.
-    fn is_told_of(&self, about: &About, at: usize) -> bool {
+    fn is_told_of(&self, about: &About, at: usize, steered: &BTreeSet<ServerIx>) -> bool {
         match about {
-            About::Replica(server) => self.subsets.is_steered(*server, at),
+            About::Replica(server) => self.sizes.subset == 0 || steered.contains(server),
             About::Slice(slice) => self.is_of(*slice, at),
         }
     }
 
+    fn steered(&self, at: usize) -> BTreeSet<ServerIx> {
+        let shares = self.governors[at].reducer.as_ref().map(Reducer::shares).unwrap_or_default();
+        let steered = shares.iter().filter(|(_, share)| **share != Share::Others);
+        steered.filter_map(|(name, _)| self.names.get(*name).copied()).collect()
+    }
+
     /// Notes what names whom the time-line is about.
     pub(super) fn line(&mut self, names: &str, text: impl FnOnce() -> String) {
         let Some(about) = &self.about else { return };
@@ -100,8 +107,9 @@
         }
         for at in 0..self.governors.len() {
             let (life, lag) = (self.governors[at].life, Span::ms(50 + (self.chance.draw() * 200.0) as u64));
+            let steered = self.steered(at);
             let mine: Vec<_> =
-                messages.iter().filter(|(about, ..)| self.is_told_of(about, at)).cloned().collect();
+                messages.iter().filter(|(about, ..)| self.is_told_of(about, at, &steered)).cloned().collect();
             for (_, place, message) in mine {
                 let event = Event::Message { from: place as u64, message };
                 self.after(lag, Step::To(at, life, Box::new(event)));
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -1,11 +1,14 @@
 //! `apply` takes one event after another, feeds the decisions with it, and asks for effects. Orders are made
 //! only once all that had arrived is in, and only while no call is open: then they rest on the newest view.
 
+mod subsets;
+
 use super::known::{self, span, Known};
 use super::names::Names;
 use super::outbox::Outbox;
 use super::overrides::{Overrides, Wanted};
 use super::snapshot::{Snapshot, Table};
+use super::subset::{Fleet, Subsets};
 use crate::protocol::collector::{self, Message};
 use crate::protocol::discovery::{Entry, List};
 use crate::protocol::relay::{Answer, News, Order};
@@ -32,6 +35,8 @@
     Started,
     /// The configuration was read anew.
     Configured(Targets),
+    /// The operators' file names the fleet in which each governor steers a subset of the replicas, or none.
+    SubsettingConfigured(Option<Fleet>),
     Message {
         from: ConnectionId,
         message: Message,
@@ -133,6 +138,8 @@
     List,
     /// The list has told no change for a while.
     Renewal,
+    /// Subsets are computed for the registry as it is by then.
+    Subsets,
 }
 
 /// Where all we know comes from; of each the first failure is noted, and its end.
@@ -186,8 +193,9 @@
     agenda: BTreeSet<(Moment, Due)>,
     /// There where the operators' file is.
     overrides: Option<Overrides>,
+    /// There where the operators' file names a fleet.
+    subsets: Option<Subsets>,
     started: Moment,
-    shares: Option<BTreeMap<String, Share>>,
     effects: Vec<Effect>,
 }
 
@@ -213,7 +221,7 @@
             failures: BTreeMap::new(),
             agenda: BTreeSet::new(),
             overrides: None,
-            shares: None,
+            subsets: None,
             started: now,
             effects: Vec::new(),
         };
@@ -231,6 +239,7 @@
                 }
             }
             Event::Configured(targets) => self.configured(now, targets),
+            Event::SubsettingConfigured(fleet) => self.subsetting_configured(now, fleet),
             Event::Message { from, message } => self.message(now, from, message),
             Event::Wrong { from, wrong } => match wrong {
                 Wrong::Spoilt(why) => self.pass_over(from, why),
@@ -367,6 +376,7 @@
             (self.list_version, self.behind_since) = (list.version, None);
         }
         self.governor.listed(now, scope, &listings);
+        self.subsets_due(now, list);
         if !list.entries.is_empty() {
             self.skipped.clear();
         }
@@ -428,6 +438,8 @@
                     orders_open: !self.outbox.is_clear(),
                     standing: book.map_or(0, |book| book.standing().count()),
                     listed: book.map_or(0, |book| book.listed().count()),
+                    subsetting: self.subsets.as_ref().map(Subsets::status),
+                    reports: None,
                 })
             }
         };
@@ -465,19 +477,6 @@
         known::place(&self.settings.zones, name)
     }
 
-    /// How each replica is shared with other governors; nothing where all steer all. For the emulator, before the
-    /// first list.
-    pub fn set_shares(&mut self, shares: Option<BTreeMap<String, Share>>) {
-        self.shares = shares;
-    }
-
-    fn share(&self, replica: &str) -> Share {
-        match &self.shares {
-            None => Share::Everyone,
-            Some(shares) => shares.get(replica).copied().unwrap_or(Share::Others),
-        }
-    }
-
     fn listings(&mut self, list: &List) -> Vec<Listing> {
         let listing = |entry: &Entry| Listing {
             place: self.place(&entry.place),
@@ -718,6 +717,7 @@
                 Due::News => self.follow_news(),
                 Due::List => self.follow_list(now),
                 Due::Renewal => self.renew_list(now),
+                Due::Subsets => self.compute_subsets(now),
             }
         }
         if self.overrides.as_ref().and_then(Overrides::due).is_some_and(|at| at <= now) {
