--- a/src/logic.rs
+++ b/src/logic.rs
@@ -74,7 +74,7 @@
 
 /// How far a search for another server may go.
 #[derive(Clone, Copy)]
-enum Need {
+pub(crate) enum Need {
     Relief,
     Escape,
     Any,
@@ -180,13 +180,7 @@
         if !self.is_cold(s) {
             return f64::INFINITY;
         }
-        s.able
-            * self.picture.proven
-            * self.part(s)
-            * self.site.fall_multiple
-            * self.warmth(s)
-            * COLD_SAFETY
-            * if self.sharing.active { crate::sharing::knob("K_COLD", 1.0) } else { 1.0 }
+        s.able * self.picture.proven * self.part(s) * self.site.fall_multiple * self.warmth(s) * COLD_SAFETY
     }
 
     /// How much more of a server is ours than our part. A cold one is one governor's alone, by a draw that
@@ -223,20 +217,16 @@
         if roomy.is_some_and(|id| self.picture.room(&self.servers[&id]) >= load) {
             return roomy;
         }
-        let fit = first(&self.ranks.by_level, &takes);
+        let fit = self.fit_or_escape(need, first(&self.ranks.by_level, &takes), load, &owns);
         // With no fit one, a full warm server still beats a cold one, which would fall over (rule 4).
         let well = || first(&self.ranks.by_level, &|s| self.is_good(s));
-        let well = || self.shared_escape(load, &owns).or_else(well);
-        let open = |s: &Server| s.is_ready() && !s.shut && !s.out && !s.is_foreign();
-        let ready = self.servers.iter().filter(|(id, s)| !owns(id) && open(s));
+        let ready = self.servers.iter().filter(|(id, s)| !owns(id) && s.is_open());
         let pushed = |s: &Server| (s.press + slice.press.max(load)) / self.allowance(s).max(0.001);
         let least = || ready.min_by(|a, b| pushed(a.1).total_cmp(&pushed(b.1))).map(|(id, _)| *id);
         match need {
             Need::Relief => fit,
-            Need::Escape if !self.sharing.active => fit.or_else(well),
-            Need::Any if !self.sharing.active => fit.or_else(well).or_else(least),
-            Need::Escape => well().or(fit),
-            Need::Any => well().or(fit).or_else(least),
+            Need::Escape => fit.or_else(well),
+            Need::Any => fit.or_else(well).or_else(least),
         }
     }
 
@@ -374,7 +364,6 @@
             (s.part, s.power) = (part, s.able * s.factor * part.max(1.0));
         }
         self.see_slices(LOAD_OVER, SPREAD_OVER, REPEATED);
-        self.add_others(REPEATED);
         self.picture = self.sum_up(BAND, LOAD_OVER, |s| self.is_fit(s) && s.part > 0.0);
         self.rank_all();
         true
@@ -742,9 +731,9 @@
     fn find_shift(&self) -> Option<Vec<(SliceId, ServerId, ServerId)>> {
         let (low, high) = (|s: &Server| self.picture.band(s).0, |s: &Server| self.picture.band(s).1);
         let idle = |s: &Server| self.is_fit(s) && !s.used;
-        let is_heavy =
-            |s: &Server| s.outside >= ROUNDS_OUTSIDE && idle(s) && s.level() > high(s) && self.may_shed(s);
-        let mut heavy: Vec<_> = self.servers.iter().filter(|(_, s)| is_heavy(s)).collect();
+        let is_heavy = |s: &Server| s.outside >= ROUNDS_OUTSIDE && idle(s) && s.level() > high(s);
+        let mut heavy: Vec<_> =
+            self.servers.iter().filter(|(_, s)| is_heavy(s) && self.may_shed(s)).collect();
         heavy.sort_by(|a, b| b.1.level().total_cmp(&a.1.level()));
         // One that operators made small is heavy though nobody is light.
         let (top, made_small) = heavy.first().map(|(_, s)| (s.level(), s.factor < 1.0))?;
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -65,7 +65,8 @@
     /// How much more than a period the reports of late cover: they fall behind by that.
     pub(crate) fn lag(&self, over: Span) -> Span {
         let lines = self.reports.sum(self.now, over).max(1.0);
-        Span::ms(1000).times(self.covered.sum(self.now, over) / lines) - self.site.report_period
+        let behind = Span::ms(1000).times(self.covered.sum(self.now, over) / lines) - self.site.report_period;
+        behind.max(self.sharing.stretch)
     }
 
     /// What comes a second, over a time that ends with the newest news: news that is merely late is no
@@ -140,6 +141,7 @@
                 }
             }
         }
+        self.add_others(repeated);
     }
 
     /// How much more all governors carry than this one, as far as slices tell; where replicas are shared, what all
--- a/src/news.rs
+++ b/src/news.rs
@@ -129,6 +129,7 @@
         if let Some(s) = self.servers.get_mut(&server) {
             let way = (met.place, s.place);
             // What the way adds is no fault of the server: else a slow link would look like a full site.
+            s.shared.window = met.covers;
             s.record(at, met, latest, self.delays.get(&way).copied().unwrap_or(0.0));
             self.links.entry(way).or_default().record(at, met);
         }
--- a/src/sharing.rs
+++ b/src/sharing.rs
@@ -3,8 +3,8 @@
 //! between processes: all governors work out the same claims from the replica's lot and the time.
 //!
 //! - *Claims.* In each epoch exactly one of a replica's governors holds the claim on it, in rotation. Only the
-//!   claimant moves slices there of its own accord. It does so in the first part of the epoch; in the rest, reports
-//!   catch up, so that the next claimant sees what was moved.
+//!   claimant moves slices there of its own accord. Where reports cover more than a period, it rests in the last part of
+//!   the epoch: reports catch up, so that the next claimant sees what was moved.
 //! - *Totals.* A replica's load is what all proxies report for it. Reports lag, so a governor replaces its own part
 //!   of what was reported by what its own slices bring now.
 //! - *Draws.* Escapes can't wait for a claim: they are drawn among the replicas that have room, in proportion to the
@@ -12,14 +12,15 @@
 //!   too, whose chances add up over all governors to what is too much.
 
 use crate::interface::{ServerId, Share, SliceId};
+use crate::logic::Need;
 use crate::ring::Ring;
 use crate::state::{Governor, Picture, Server};
 use crate::time::{Moment, Span};
 
 /// How long a claim lasts: orders take up to a second to reach all proxies, and reports up to three to tell of it.
 pub const EPOCH: Span = Span::ms(4000);
-/// The part of an epoch in which the claimant may act.
-const CLAIM_ACTIVE: Span = Span::ms(2000);
+/// The least part of an epoch in which the claimant may act, however late reports are.
+const LEAST_ACTIVE: Span = Span::ms(1000);
 /// What other governors bring is averaged over this time; where more came within the shorter time, that counts.
 const OTHERS_OVER: Span = Span::ms(3000);
 const OTHERS_LATELY: Span = Span::ms(1000);
@@ -30,13 +31,7 @@
 /// came last stands.
 const NOTHING_COMES: Span = Span::ms(4000);
 /// How long it takes until a move shows in the reports: excesses are shed over this many rounds.
-pub fn knob(name: &str, default: f64) -> f64 {
-    use std::sync::OnceLock;
-    static KNOBS: OnceLock<std::collections::BTreeMap<String, f64>> = OnceLock::new();
-    let all =
-        KNOBS.get_or_init(|| std::env::vars().filter_map(|(k, v)| Some((k, v.parse().ok()?))).collect());
-    all.get(name).copied().unwrap_or(default)
-}
+const ROUNDS_UNSEEN: f64 = 3.0;
 const DRAW_EVERY: Span = Span::ms(1000);
 /// Keeps draws apart from replicas without room.
 const LEAST_ROOM: f64 = 1e-6;
@@ -48,8 +43,9 @@
 }
 
 impl Share {
-    /// Whether this governor holds the claim on the replica at this moment, and may act on it.
-    pub fn is_claimed(self, lot: u64, now: Moment) -> bool {
+    /// Whether this governor holds the claim on the replica at this moment, and may act on it: the epoch's last part,
+    /// as long as reports cover more than a period, is for them to catch up.
+    pub fn is_claimed(self, lot: u64, now: Moment, stretch: Span) -> bool {
         match self {
             Share::Everyone => true,
             Share::Others => false,
@@ -57,8 +53,7 @@
             Share::Subset { governors, position } => {
                 let epoch = now.count_of(EPOCH);
                 let since = now - Moment::at_ns(epoch * EPOCH.as_ns());
-                claimant(lot, epoch, governors) == position
-                    && since < CLAIM_ACTIVE.times(knob("K_ACTIVE", 1.0))
+                claimant(lot, epoch, governors) == position && since < (EPOCH - stretch).max(LEAST_ACTIVE)
             }
         }
     }
@@ -69,12 +64,16 @@
 pub struct Sharing {
     /// Some replica is not everyone's.
     pub active: bool,
+    /// How much more than a period the longest of the replicas' reports covers.
+    pub stretch: Span,
     sampled: Option<Moment>,
     drawn: u64,
 }
 
 /// What is remembered of a replica that several governors steer.
 pub struct SharedLoad {
+    /// How long a time the latest report of it covers.
+    pub window: Span,
     /// What our own slices brought there, by time.
     own: Ring,
     /// What other governors' slices bring a second, without and with repeats.
@@ -87,6 +86,7 @@
 impl Default for SharedLoad {
     fn default() -> Self {
         SharedLoad {
+            window: Span::default(),
             own: Ring::new(SAMPLE_BUCKET, SAMPLE_BUCKETS),
             others_load: 0.0,
             others_press: 0.0,
@@ -101,6 +101,11 @@
         self.share == Share::Others
     }
 
+    /// A replica that may be chosen at all.
+    pub(crate) fn is_open(&self) -> bool {
+        self.is_ready() && !self.shut && !self.out && !self.is_foreign()
+    }
+
     /// What other governors brought a second within this time.
     fn others_rate(&self, end: Moment, over: Span) -> f64 {
         let residue = self.tries.sum(end, over) - self.shared.own.sum(end, over);
@@ -117,6 +122,8 @@
         }
         self.draw_for_round();
         self.sample_own();
+        let windows = self.servers.values().filter(|s| !s.is_foreign()).map(|s| s.shared.window);
+        self.sharing.stretch = windows.max().unwrap_or_default() - self.site.report_period;
         let now = self.now;
         let newest = self.servers.values().map(|s| s.tries.newest()).max().unwrap_or_default();
         for s in self.servers.values_mut() {
@@ -174,13 +181,13 @@
 
     /// Whether this governor may move slices to a replica of its own accord.
     pub(crate) fn holds_claim(&self, s: &Server) -> bool {
-        s.share.is_claimed(s.lot, self.now)
+        s.share.is_claimed(s.lot, self.now, self.sharing.stretch)
     }
 
     /// The order by room in which refuges are looked through: claimed ones first, by room; then the others by a draw in
     /// proportion to their room, so that governors which escape at once spread.
     pub(crate) fn room_order(&self, s: &Server, room: f64, lot: f64) -> f64 {
-        if !self.sharing.active || (self.holds_claim(s) && knob("K_FIRST", 1.0) > 0.0) {
+        if !self.sharing.active || self.holds_claim(s) {
             return -room;
         }
         -(1.0 - lot).ln() / room.max(LEAST_ROOM)
@@ -190,7 +197,7 @@
     pub(crate) fn level_order(&self, s: &Server, lot: f64) -> f64 {
         match self.sharing.active {
             false => s.level(),
-            true => s.level() + self.picture.phi * lot * knob("K_LEVEL", 1.0),
+            true => s.level() + self.picture.phi * lot,
         }
     }
 
@@ -199,12 +206,21 @@
         !self.sharing.active || self.picture.room(s) >= load
     }
 
+    /// The fit replica that was found, or, where a slice must leave one that is shared, a better way out.
+    pub(crate) fn fit_or_escape(
+        &self,
+        need: Need,
+        fit: Option<ServerId>,
+        load: f64,
+        owns: &dyn Fn(&ServerId) -> bool,
+    ) -> Option<ServerId> {
+        let escapes = self.sharing.active && !matches!(need, Need::Relief);
+        escapes.then(|| self.shared_escape(load, owns)).flatten().or(fit)
+    }
+
     /// A warm replica of the subset with room, or the least loaded by draw, whoever holds the claim on it; where the
     /// subset has no warm one that is fit, a warm one of other governors.
-    pub(crate) fn shared_escape(&self, load: f64, owns: &dyn Fn(&ServerId) -> bool) -> Option<ServerId> {
-        if !self.sharing.active {
-            return None;
-        }
+    fn shared_escape(&self, load: f64, owns: &dyn Fn(&ServerId) -> bool) -> Option<ServerId> {
         let good = |id: &ServerId| !owns(id) && self.servers.get(id).is_some_and(|s| self.is_good(s));
         let roomy = |id: &ServerId| good(id) && self.picture.room(&self.servers[id]) >= load;
         let own = || self.ranks.by_room.first(roomy).or_else(|| self.ranks.by_level.first(good));
@@ -223,7 +239,7 @@
     pub(crate) fn may_shed(&self, s: &Server) -> bool {
         let Share::Subset { governors: 2.., .. } = s.share else { return true };
         let excess = (1.0 - self.picture.average / s.level().max(f64::MIN_POSITIVE)).max(0.0);
-        s.shared.draw < excess * s.lines.len() as f64 / knob("K_UNSEEN", 3.0)
+        s.shared.draw < excess * s.lines.len() as f64 / (ROUNDS_UNSEEN + self.sharing.stretch.seconds())
     }
 
     /// The same for a cold replica that is sent too much: one of its governors is drawn, in proportion to what its own
@@ -252,13 +268,3 @@
         })
     }
 }
-impl Governor {
-    pub fn debug(&self) -> String {
-        let one = |(id, s): (&ServerId, &Server)| {
-            format!("{id}:{:.0}/{:.0}/{}", s.level(), s.shared.others_load, s.outside)
-        };
-        let all: Vec<_> =
-            self.servers.iter().filter(|(id, _)| [0, 1, 24, 25, 30].contains(*id)).map(one).collect();
-        format!("avg {:.1} phi {:.1} {}", self.picture.average, self.picture.phi, all.join(" "))
-    }
-}
--- a/tests/sharing.rs
+++ b/tests/sharing.rs
@@ -7,7 +7,7 @@
 use whinwall::deployment::Deployment;
 use whinwall::interface::*;
 use whinwall::sharing::{claimant, EPOCH};
-use whinwall::time::Moment;
+use whinwall::time::{Moment, Span};
 
 fn subset(governors: u32, position: u32) -> Share {
     Share::Subset { governors, position }
@@ -51,7 +51,8 @@
             let mut turns = BTreeSet::new();
             for epoch in 1000..1000 + u64::from(governors) {
                 let start = Moment::at_ns(epoch * EPOCH.as_ns());
-                let holds = |position: &u32| subset(governors, *position).is_claimed(lot, start);
+                let holds =
+                    |position: &u32| subset(governors, *position).is_claimed(lot, start, Span::default());
                 let holders: Vec<_> = (0..governors).filter(holds).collect();
                 assert_eq!(holders, [claimant(lot, epoch, governors)]);
                 turns.extend(holders);
@@ -61,13 +62,18 @@
     }
 }
 
-/// The next claimant must see in the reports what the last one moved.
+/// The next claimant must see in the reports what the last one moved, also where they cover two seconds more.
 #[test]
-fn a_claim_rests_before_it_passes_on() {
+fn a_claim_rests_before_it_passes_on_where_reports_are_late() {
     let last = Moment::at_ns(1001 * EPOCH.as_ns() - 1);
-    assert!((0..5).all(|position| !subset(5, position).is_claimed(3, last)));
-    assert!(subset(1, 0).is_claimed(3, last), "who shares with nobody need not wait");
-    assert!(Share::Everyone.is_claimed(3, last) && !Share::Others.is_claimed(3, last));
+    let late = Span::ms(2000);
+    assert_eq!(
+        (0..5).filter(|position| subset(5, *position).is_claimed(3, last, Span::default())).count(),
+        1
+    );
+    assert!((0..5).all(|position| !subset(5, position).is_claimed(3, last, late)));
+    assert!(subset(1, 0).is_claimed(3, last, late), "who shares with nobody need not wait");
+    assert!(Share::Everyone.is_claimed(3, last, late) && !Share::Others.is_claimed(3, last, late));
 }
 
 /// Servers 0 to 23 get 60 a second from others, the rest 25: AvgL 45, band 29 to 61. A slice of 30 makes server 0
@@ -82,7 +88,7 @@
     let first = moves.iter().find(|(slice, ..)| *slice == 0);
     let (_, to, when) = first.expect("the hot slice stays");
     assert!(*to >= 24, "it went to server {to}, which is full");
-    assert!(fleet.shares[to].is_claimed(u64::from(*to), *when), "moved without the claim");
+    assert!(fleet.shares[to].is_claimed(u64::from(*to), *when, Span::default()), "moved without the claim");
 }
 
 /// The same, seen without totals and with the band that grows with the root of the number of governors: nothing is ever
@@ -164,7 +170,10 @@
     let cold_until = at(restarted + 10_000);
     let moves = moves(&mut fleet, 20_000);
     let onto_cold: Vec<_> = moves.iter().filter(|(_, to, when)| *to == 3 && *when < cold_until).collect();
-    assert!(onto_cold.iter().all(|(_, to, when)| fleet.shares[to].is_claimed(3, *when)), "{moves:?}");
+    assert!(
+        onto_cold.iter().all(|(_, to, when)| fleet.shares[to].is_claimed(3, *when, Span::default())),
+        "{moves:?}"
+    );
     assert!(!onto_cold.is_empty(), "the claimant did not use its budget: {moves:?}");
 }
 
