--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -478,6 +478,11 @@
     }
 
     fn listings(&mut self, list: &List) -> Vec<Listing> {
+        for entry in &list.entries {
+            let is_named = self.settings.zones.contains(&entry.place);
+            let server = self.names.number(&entry.server);
+            self.names.set_unnamed_zone(server, (!is_named).then_some(entry.place.as_str()));
+        }
         let listing = |entry: &Entry| Listing {
             place: self.place(&entry.place),
             server: self.names.number(&entry.server),
@@ -611,6 +616,7 @@
         let Some(named) = self.snapshot.ended() else { return };
         self.first_given.clear();
         self.in_doubt = false;
+        self.governor.acks_lost();
         let gone: Vec<_> = self.proxies.difference(&named.proxies).copied().collect();
         gone.into_iter().for_each(|proxy| self.left(now, proxy));
         let taken = self.tables.keys().copied().filter(|slice| !named.slices.contains(slice));
