--- a/src/logic.rs
+++ b/src/logic.rs
@@ -730,10 +730,9 @@
 
     fn find_shift(&self) -> Option<Vec<(SliceId, ServerId, ServerId)>> {
         let (low, high) = (|s: &Server| self.picture.band(s).0, |s: &Server| self.picture.band(s).1);
-        let idle = |s: &Server| self.is_fit(s) && !s.used;
+        let idle = |s: &Server| self.is_fit(s) && !s.used && self.may_shed(s);
         let is_heavy = |s: &Server| s.outside >= ROUNDS_OUTSIDE && idle(s) && s.level() > high(s);
-        let mut heavy: Vec<_> =
-            self.servers.iter().filter(|(_, s)| is_heavy(s) && self.may_shed(s)).collect();
+        let mut heavy: Vec<_> = self.servers.iter().filter(|(_, s)| is_heavy(s)).collect();
         heavy.sort_by(|a, b| b.1.level().total_cmp(&a.1.level()));
         // One that operators made small is heavy though nobody is light.
         let (top, made_small) = heavy.first().map(|(_, s)| (s.level(), s.factor < 1.0))?;
--- a/src/sharing.rs
+++ b/src/sharing.rs
@@ -234,12 +234,13 @@
         able.min_by(|a, b| a.1.shared.draw.total_cmp(&b.1.shared.draw)).map(|(id, _)| *id)
     }
 
-    /// Whether it is this governor's turn, by draw, to take a slice from a replica above the average: the chances of all
-    /// governors add up to what is too much, spread over the rounds until it shows.
+    /// Whether it is this governor's turn, by draw, to take a slice from a replica above the average: the chances of
+    /// all governors add up to what is too much, spread over the rounds until it shows. Others take part at any time.
     pub(crate) fn may_shed(&self, s: &Server) -> bool {
         let Share::Subset { governors: 2.., .. } = s.share else { return true };
-        let excess = (1.0 - self.picture.average / s.level().max(f64::MIN_POSITIVE)).max(0.0);
-        s.shared.draw < excess * s.lines.len() as f64 / (ROUNDS_UNSEEN + self.sharing.stretch.seconds())
+        let excess = 1.0 - self.picture.average / s.level().max(f64::MIN_POSITIVE);
+        let rounds_unseen = ROUNDS_UNSEEN + self.sharing.stretch.seconds();
+        excess <= 0.0 || s.shared.draw < excess * s.lines.len() as f64 / rounds_unseen
     }
 
     /// The same for a cold replica that is sent too much: one of its governors is drawn, in proportion to what its own
