--- /dev/null
+++ b/scale/tests/decisions.rs
@@ -0,0 +1,40 @@
+//! The sweep of the number of governors, at small size.
+
+use whinwall::time::Span;
+use whinwall_fleet::sizes::Sizes;
+use whinwall_scale::decisions::{paired_differences, play_all, table, DayKind, Plan};
+
+fn plan(kinds: Vec<DayKind>) -> Plan {
+    let sizes =
+        Sizes { servers: 12, slices: 60, proxies: 20, load: 0.4, lasts: Span::ms(16_000), ..Sizes::small() };
+    Plan { sizes, governors: vec![2, 12], subsets: vec![0, 6], kinds, begins_ms: 8000, seeds: vec![1, 2] }
+}
+
+#[test]
+fn each_combination_is_played_with_the_same_seeds() {
+    let days = plan(DayKind::ALL.to_vec()).days();
+    assert_eq!(days.len(), 5 * 2 * 2 * 2);
+    for pair in days.chunks(2) {
+        assert_eq!([pair[0].seed, pair[1].seed], [1, 2]);
+        assert_eq!((pair[0].kind, pair[0].subset), (pair[1].kind, pair[1].subset));
+    }
+}
+
+#[test]
+fn a_sweep_is_the_same_each_time_and_breaks_no_rule() {
+    let plan = plan(vec![DayKind::Replaced, DayKind::Zone]);
+    let (first, again) = (play_all(&plan, 2).unwrap(), play_all(&plan, 1).unwrap());
+    let outcomes = |played: &[whinwall_scale::decisions::Played]| {
+        played.iter().map(|one| one.outcome.clone()).collect::<Vec<_>>()
+    };
+    assert!(outcomes(&first) == outcomes(&again), "two plays of one plan differ");
+    for one in &first {
+        assert!(one.outcome.broken.is_empty(), "{:?}: {:?}", one.day, one.outcome.violations.first());
+        assert!(one.outcome.ops > 0 && one.outcome.moves > 0);
+    }
+    let text = table(&first);
+    assert_eq!(text.lines().count(), 2 + 2 * 2 * 2, "{text}");
+    assert!(text.contains("| replaced | subsets of 6 | 12 | 2 |"), "{text}");
+    let differences = paired_differences(&first, 2);
+    assert_eq!(differences.lines().count(), 2 + 2 * 3, "{differences}");
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -214,7 +214,7 @@
         };
         // What comes with repeats, not the load alone, is what would push a cold one over.
         let takes = |s: &Server| self.may_take(s, load.max(slice.press));
-        let roomy = first(&self.ranks.by_room, &|s| takes(s) && self.has_room_if_shared(s, load));
+        let roomy = first(&self.ranks.by_room, &|s| takes(s) && self.has_room_if_shared(need, s, load));
         if roomy.is_some_and(|id| self.picture.room(&self.servers[&id]) >= load) {
             return roomy;
         }
--- a/src/sharing.rs
+++ b/src/sharing.rs
@@ -184,10 +184,10 @@
         s.share.is_claimed(s.lot, self.now, self.sharing.stretch)
     }
 
-    /// The order by room in which refuges are looked through: claimed ones first, by room; then the others by a draw in
-    /// proportion to their room, so that governors which escape at once spread.
+    /// The order by room in which refuges are looked through: claimed ones below the average first, by room; then the others by a
+    /// draw in proportion to their room, so that governors which escape at once spread.
     pub(crate) fn room_order(&self, s: &Server, room: f64, lot: f64) -> f64 {
-        if !self.sharing.active || self.holds_claim(s) {
+        if !self.sharing.active || (self.holds_claim(s) && s.level() < self.picture.average) {
             return -room;
         }
         -(1.0 - lot).ln() / room.max(LEAST_ROOM)
@@ -201,9 +201,11 @@
         }
     }
 
-    /// Whether a refuge has to have room for all of it, or is taken as it comes.
-    pub(crate) fn has_room_if_shared(&self, s: &Server, load: f64) -> bool {
-        !self.sharing.active || self.picture.room(s) >= load
+    /// Whether a claimed replica has room for all of it; to escapes it is preferred up to the average only, lest those
+    /// whose claimants have much to place are filled before the others.
+    pub(crate) fn has_room_if_shared(&self, need: Need, s: &Server, load: f64) -> bool {
+        let preferred = || matches!(need, Need::Relief) || s.level() < self.picture.average;
+        !self.sharing.active || (self.picture.room(s) >= load && preferred())
     }
 
     /// The fit replica that was found, or, where a slice must leave one that is shared, a better way out.
