--- a/aggregation/tests/virtual_fleet/mod.rs
+++ b/aggregation/tests/virtual_fleet/mod.rs
@@ -419,6 +419,7 @@
                 aborted: bad,
                 mean_latency_ms: avg,
                 covers_ms: PERIOD_MS as f64,
+                missing: 0,
             };
             self.tell_all(zone, at_ms, report);
         }
@@ -427,7 +428,8 @@
             let said = Said { at_ms, zone, n, bad, avg: 0.0 };
             self.said.entry(format!("{slice}/{class}")).or_default().push(said);
             let covers_ms = PERIOD_MS as f64;
-            let report = Report::Asked { slice, op_type: class, came: n, aborted: bad, covers_ms };
+            let report =
+                Report::Asked { slice, op_type: class, came: n, aborted: bad, covers_ms, missing: 0 };
             self.tell_all(zone, at_ms, report);
         }
     }
--- a/aggregation/tests/wire.rs
+++ b/aggregation/tests/wire.rs
@@ -27,7 +27,7 @@
 }
 
 #[test]
-fn missing_zones_are_a_field_that_todays_reader_leaves_out() {
+fn missing_zones_are_a_field_that_governors_read() {
     let load = wire::load("a", "s-1", &covered(2));
     assert!(load.trim_end().ends_with(r#","missing":2}"#), "{load}");
     let met = Report::Met {
@@ -37,11 +37,12 @@
         aborted: 3.0,
         mean_latency_ms: 41.7,
         covers_ms: 1000.0,
+        missing: 2,
     };
     assert_eq!(quick(load.trim_end()), Some(met));
     let shard = wire::shard(1, "w", &covered(1));
     assert!(shard.trim_end().ends_with(r#","missing":1}"#), "{shard}");
-    assert!(matches!(quick(shard.trim_end()), Some(Report::Asked { slice: 1, .. })));
+    assert!(matches!(quick(shard.trim_end()), Some(Report::Asked { slice: 1, missing: 1, .. })));
 }
 
 #[test]
--- a/fleet/src/day/real_time.rs
+++ b/fleet/src/day/real_time.rs
@@ -32,13 +32,13 @@
 pub(super) fn say(wire: &mut dyn Wire, event: Event) {
     match event {
         Event::Message { from, message: Message::Met(met) } => {
-            let Met { place, server, tries, aborted, mean_latency_ms, covers_ms } = met;
+            let Met { place, server, tries, aborted, mean_latency_ms, covers_ms, missing: _ } = met;
             let line = serde_json::json!({"@type": "LOAD", "az": place, "host": server, "n": tries, "bad": aborted,
                 "avg": mean_latency_ms, "window": covers_ms});
             wire.report(from as usize, &line.to_string());
         }
         Event::Message { from, message: Message::Asked(asked) } => {
-            let Asked { slice, op_type, came, aborted, covers_ms } = asked;
+            let Asked { slice, op_type, came, aborted, covers_ms, missing: _ } = asked;
             let line = serde_json::json!({"@type": "SHARD", "partition": slice, "kind": op_type, "n": came,
                 "bad": aborted, "window": covers_ms});
             wire.report(from as usize, &line.to_string());
--- a/fleet/src/day/reports.rs
+++ b/fleet/src/day/reports.rs
@@ -97,12 +97,13 @@
                 aborted: seen.aborted,
                 mean_latency_ms: seen.busy * 1000.0 / answered,
                 covers_ms: covers_ms * f64::from(window),
+                missing: 0,
             };
             messages.push((About::Replica(server), place, Message::Met(met)));
         }
         for ((slice, kind), (came, aborted)) in asked {
             let op_type = self.sizes.kinds[kind].name.to_string();
-            let asked = Asked { slice: slice as u32, op_type, came, aborted, covers_ms };
+            let asked = Asked { slice: slice as u32, op_type, came, aborted, covers_ms, missing: 0 };
             messages.push((About::Slice(slice), slice % self.sizes.places, Message::Asked(asked)));
         }
         for at in 0..self.governors.len() {
--- a/governor/src/routing/names.rs
+++ b/governor/src/routing/names.rs
@@ -63,6 +63,11 @@
         self.unnamed_zones.get(&number).map(String::as_str)
     }
 
+    /// Whether the number stands for a server that is known.
+    pub fn has(&self, number: ServerId) -> bool {
+        self.names.contains_key(&number)
+    }
+
     pub fn len(&self) -> usize {
         self.names.len()
     }
--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -4,7 +4,7 @@
 use clap::{Parser, Subcommand};
 use std::error::Error;
 use std::process::ExitCode;
-use whinwall_scale::decisions;
+use whinwall_scale::{decisions, many, one};
 
 /// Measures what governors cost at the size of a large fleet
 #[derive(Parser)]
@@ -16,12 +16,18 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// One real governor process at size, against paced stand-ins of relay, discovery and collectors
+    One(one::Args),
+    /// Many governors, real processes beside in-process ones, and events that concern all of them
+    Many(many::Args),
     /// The decisions of many governors, in the emulator
     Decisions(decisions::Args),
 }
 
 fn run(command: Command) -> Result<(), Box<dyn Error>> {
     match command {
+        Command::One(args) => Ok(one::run(args)?),
+        Command::Many(args) => Ok(many::run(args)?),
         Command::Decisions(args) => Ok(decisions::run(args)?),
     }
 }
