--- a/fleet/src/day/mod.rs
+++ b/fleet/src/day/mod.rs
@@ -18,6 +18,7 @@
 use crate::rules::{Rules, Violation};
 use crate::server::{Job, Server};
 use crate::sizes::Sizes;
+use crate::subsets;
 use crate::trouble::{Odd, Trouble};
 use crate::{ProxyIx, ServerIx, SliceIx};
 use std::collections::BTreeMap;
@@ -58,6 +59,8 @@
     pub rejected: u64,
     pub aborted: u64,
     pub orders: u64,
+    /// Orders that gave a slice another owner, or one more.
+    pub moves: u64,
     pub most_lines: f64,
     pub verdicts: u64,
     pub violations: Vec<Violation>,
@@ -188,6 +191,8 @@
     /// Until then a governor, the relay or the list could not be heard: what follows from that is no fault.
     excused: Moment,
     met: BTreeMap<(usize, ServerIx), Seen>,
+    /// Seconds that were reported so far.
+    reports: u32,
     asked: BTreeMap<(SliceIx, usize), (f64, f64)>,
     out: BTreeMap<(ProxyIx, ServerIx), u32>,
     meddler: Option<Meddler>,
@@ -239,8 +244,10 @@
         let now = Moment::default() + MORNING;
         let mut chance = Chance::from_seed(seed);
         let heat = (0..sizes.slices).map(|_| 0.3 + chance.draw() * chance.draw() * 3.0).collect();
-        let table = |slice: SliceIx| Arc::new(BTreeMap::from([(slice % sizes.servers, 1.0)]));
-        let store = Store((0..sizes.slices).map(|slice| (slice, table(slice))).collect());
+        let names: Vec<_> = (0..sizes.servers).map(server_name).collect();
+        let holders: Vec<_> = (0..sizes.slices).map(|slice| slice % sizes.governors).collect();
+        let tables = subsets::first_tables(&sizes, &names, &holders);
+        let store = Store(tables.into_iter().map(|(slice, table)| (slice, Arc::new(table))).collect());
         let mut proxies = vec![Proxy::default(); sizes.proxies];
         for proxy in &mut proxies {
             proxy.joined = true;
@@ -262,11 +269,11 @@
             agenda: BTreeMap::new(),
             steps: 0,
             servers: (0..sizes.servers).map(|_| Server::new()).collect(),
-            names: (0..sizes.servers).map(|at| (server_name(at), at)).collect(),
+            names: names.into_iter().zip(0..).collect(),
             proxies,
             governors: (0..sizes.governors).map(governor).collect(),
             store,
-            holders: (0..sizes.slices).map(|slice| slice % sizes.governors).collect(),
+            holders,
             given: vec![now; sizes.slices],
             garbled: 0.0,
             odd: None,
@@ -283,6 +290,7 @@
             discovery_away: false,
             excused: now + SETTLING,
             met: BTreeMap::new(),
+            reports: 0,
             asked: BTreeMap::new(),
             out: BTreeMap::new(),
             meddler: None,
--- a/fleet/src/day/relay.rs
+++ b/fleet/src/day/relay.rs
@@ -66,6 +66,7 @@
             orders.iter().for_each(|order| self.line(order, || format!("order {order}")));
         }
         for order in &orders {
+            self.outcome.moves += u64::from(self.store.is_move(order));
             self.store.carry_out(order);
             if let Obeyed::Line { slice, .. } = order {
                 if self.store.0[slice].is_empty() {
--- a/fleet/src/day/reports.rs
+++ b/fleet/src/day/reports.rs
@@ -3,12 +3,34 @@
 use super::{server_name, Day, Seen, Step, MORNING};
 use crate::policy::Policy;
 use crate::{ServerIx, SliceIx};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use whinwall::interface::Share;
 use whinwall::time::{Moment, Span};
 use whinwall_governor::protocol::collector::{Asked, Message, Met};
-use whinwall_governor::routing::Event;
+use whinwall_governor::routing::{Event, Reducer};
+
+/// What a report is about.
+#[derive(Clone, Copy)]
+enum About {
+    Replica(ServerIx),
+    Slice(SliceIx),
+}
 
 impl Day {
+    /// Reports of slices go to the governor in charge, those of replicas to all that steer them.
+    fn is_told_of(&self, about: &About, at: usize, steered: &BTreeSet<ServerIx>) -> bool {
+        match about {
+            About::Replica(server) => self.sizes.subset == 0 || steered.contains(server),
+            About::Slice(slice) => self.is_of(*slice, at),
+        }
+    }
+
+    fn steered(&self, at: usize) -> BTreeSet<ServerIx> {
+        let shares = self.governors[at].reducer.as_ref().map(Reducer::shares).unwrap_or_default();
+        let steered = shares.iter().filter(|(_, share)| **share != Share::Others);
+        steered.filter_map(|(name, _)| self.names.get(*name).copied()).collect()
+    }
+
     /// Notes what names whom the time-line is about.
     pub(super) fn line(&mut self, names: &str, text: impl FnOnce() -> String) {
         let Some(about) = &self.about else { return };
@@ -55,7 +77,11 @@
     /// What the collectors of each place have gathered in a second, a little late.
     pub(super) fn report(&mut self) {
         self.after(Span::ms(1000), Step::Report);
-        let (met, asked) = (std::mem::take(&mut self.met), std::mem::take(&mut self.asked));
+        let window = self.sizes.load_window.max(1);
+        self.reports += 1;
+        let is_due = self.reports.is_multiple_of(window);
+        let met = if is_due { std::mem::take(&mut self.met) } else { BTreeMap::new() };
+        let asked = std::mem::take(&mut self.asked);
         if self.policy != Policy::Governed {
             return;
         }
@@ -70,23 +96,21 @@
                 tries: seen.tries,
                 aborted: seen.aborted,
                 mean_latency_ms: seen.busy * 1000.0 / answered,
-                covers_ms,
+                covers_ms: covers_ms * f64::from(window),
                 missing: 0,
             };
-            messages.push((None, place, Message::Met(met)));
+            messages.push((About::Replica(server), place, Message::Met(met)));
         }
         for ((slice, kind), (came, aborted)) in asked {
             let op_type = self.sizes.kinds[kind].name.to_string();
             let asked = Asked { slice: slice as u32, op_type, came, aborted, covers_ms, missing: 0 };
-            messages.push((Some(slice), slice % self.sizes.places, Message::Asked(asked)));
+            messages.push((About::Slice(slice), slice % self.sizes.places, Message::Asked(asked)));
         }
         for at in 0..self.governors.len() {
             let (life, lag) = (self.governors[at].life, Span::ms(50 + (self.chance.draw() * 200.0) as u64));
-            let mine: Vec<_> = messages
-                .iter()
-                .filter(|(slice, ..)| slice.is_none_or(|slice| self.is_of(slice, at)))
-                .cloned()
-                .collect();
+            let steered = self.steered(at);
+            let mine: Vec<_> =
+                messages.iter().filter(|(about, ..)| self.is_told_of(about, at, &steered)).cloned().collect();
             for (_, place, message) in mine {
                 let event = Event::Message { from: place as u64, message };
                 self.after(lag, Step::To(at, life, Box::new(event)));
