Sharing keeps its books over interrupted and stretched reports

Change: the sample reaches back over the ring at most, no others on what is steered alone, the bound follows the windows.

--- a/src/sharing.rs
+++ b/src/sharing.rs
@@ -126,8 +126,12 @@
         self.sharing.stretch = windows.max().unwrap_or_default() - self.site.report_period;
         let now = self.now;
         let newest = self.servers.values().map(|s| s.tries.newest()).max().unwrap_or_default();
-        for s in self.servers.values_mut() {
-            let end = s.tries.newest().max(newest - NOTHING_COMES).min(now) - SAMPLE_BUCKET;
+        // Aggregated reports may have longer windows than that.
+        let oldest = newest - NOTHING_COMES.max(self.behind + self.site.report_period);
+        // Nobody else brings anything to a replica that this governor steers alone.
+        let is_shared = |s: &&mut Server| !matches!(s.share, Share::Subset { governors: 1, .. });
+        for s in self.servers.values_mut().filter(is_shared) {
+            let end = s.tries.newest().max(oldest).min(now) - SAMPLE_BUCKET;
             s.shared.others_press = s.others_rate(end, OTHERS_OVER).max(s.others_rate(end, OTHERS_LATELY));
             s.shared.others_load = s.others_rate(end, OTHERS_OVER) * (1.0 - repeated * s.seen.failed_share());
             s.press += s.shared.others_press;
@@ -146,8 +150,9 @@
     /// Notes what our slices have brought, by the tables that proxies were told, since the last time.
     fn sample_own(&mut self) {
         let now = self.now;
-        let since = self.sharing.sampled.replace(now).unwrap_or(now);
-        let elapsed = now - since;
+        // Before the first sample, and while reports were interrupted, tables were what they are now.
+        let longest = SAMPLE_BUCKET.times(SAMPLE_BUCKETS as f64);
+        let elapsed = self.sharing.sampled.replace(now).map_or(longest, |since| (now - since).min(longest));
         for slice in self.slices.values() {
             let whole: f64 = slice.held.values().sum();
             for (id, weight) in &slice.held {
