What can't wait goes in one message, not in small ones that are mostly heads

Seen on roll, n3 granted its slices at 20.004 s after a restart: calls at 20.106, 21.440, 22.740 and 24.160, each of 12 orders and a mark ('LIMIT,8,*,0,0;..' to 'LIMIT,378,*,0,0'); the last one is too late (first break 24.193, 4.21 s after). Ruled out: the list (version 15 at 18.225), calls (answered in 1 ms), the message cap (four of ten used). At fault: has_room parts what can't wait so that it fits twice: 12 orders beside 25 lines of head to each proxy, and the heads' gap of 1.3 s between.

Rule 5 holds as a repeat is weighed (may_order_again). The harm: a large call of unknown outcome is said again only once acks show room, or after three seconds without any.

--- a/governor/tests/crossings.rs
+++ b/governor/tests/crossings.rs
@@ -615,3 +615,29 @@
         }
     }
 }
+
+/// After a restart, slices are granted whose servers drain, with all messages left: what is held back for them goes in
+/// one message, not in small ones that are mostly heads and wait for each other (edge-meters, roll+mass at full size: 39
+/// orders in four messages 1.3 s apart).
+#[test]
+fn drains_after_a_restart_are_not_parted_into_small_messages() {
+    let mut rig = Rig::with(78, |settings| {
+        settings["familyInfo"]["singleWriter"] = json!(true);
+        settings["familyInfo"]["updateCap"] = json!(10);
+        settings["familyInfo"]["fixedCost"] = json!(25);
+        settings["familyInfo"]["pushRate"] = json!(320);
+        settings["familyInfo"]["queueCap"] = json!(340);
+        settings["obligations"]["drainGraceNs"] = json!(Span::ms(3900).as_ns());
+    });
+    rig.servers = (0..26).map(|n| (format!("s-{n}"), if n < 13 { "leaving" } else { "active" })).collect();
+    rig.store = (0..78).map(|n| (n, BTreeMap::from([(format!("s-{}", n % 26), 1.0)]))).collect();
+    rig.list();
+    rig.standing(&(0..78).collect::<Vec<_>>());
+    rig.pass(1600);
+    rig.standing(&[]);
+    // One proxy's acks are on their way all that time.
+    rig.proxies -= 1;
+    rig.pass(2500);
+    let late = rig.still_sent_to_leaving();
+    assert!(late.is_empty(), "{} of 39 are still sent to servers that drain: {late:?}", late.len());
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -250,9 +250,9 @@
             _ => (1.0, if waiting == 0.0 { Span::default() } else { heads }),
         };
         let (more, most) = (lines * all + head, self.site.queue_cap * QUEUE_PART);
-        // Twice, for a repeat. What can't wait: by itself, and only once where a later message comes too late.
-        let twice = || (if bare { open } else { waiting }) + open + more + more <= most;
-        let fits = || waiting + more <= most * part && (twice() || (bare && !self.messages_are_ample()));
+        // Twice, for a repeat; but parted into small messages what can't wait would come too late, mostly heads.
+        let twice = || waiting + open + more + more <= most;
+        let fits = || waiting + more <= most * part && (bare || twice());
         self.replying && (waiting == 0.0 || fits()) && (!fresh || self.may_open(part, gap, !bare))
     }
 
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -48,7 +48,7 @@
     }
 
     /// Whether each message that is left could wait so much of the grace until one is given back.
-    pub(crate) fn messages_are_ample(&self) -> bool {
+    fn messages_are_ample(&self) -> bool {
         let to_open = self.messages_to_open(1.0);
         to_open.is_none_or(|(left, frees)| self.site.drain_grace.times(WAITS * (left - 1.0)) >= frees)
     }
