--- a/aggregation/src/program/event_loop.rs
+++ b/aggregation/src/program/event_loop.rs
@@ -22,7 +22,7 @@
 use whinwall_governor::program::clock::Clock;
 use whinwall_governor::program::signals::{Signal, Signals};
 use whinwall_governor::protocol::collector::{self, Message, Reply, Report};
-use whinwall_governor::protocol::{discovery, Wrong};
+use whinwall_governor::protocol::{discovery, InvalidMessage};
 use whinwall_governor::transport::{limits, listener, watch, Back, FollowId, Inbox, Input};
 
 /// Connections to our address: collectors of all zones and the other aggregators, each more than once.
@@ -265,8 +265,8 @@
                 }
                 _ => self.pass_over(speaker),
             },
-            Err(Wrong::Spoilt(_)) => self.pass_over(speaker),
-            Err(Wrong::Unreadable(_)) => {
+            Err(InvalidMessage::Spoilt(_)) => self.pass_over(speaker),
+            Err(InvalidMessage::Unreadable(_)) => {
                 self.traffic.lines_spoilt += 1;
                 say(speaker, Back::End(None));
             }
--- a/fleet/src/day/faults.rs
+++ b/fleet/src/day/faults.rs
@@ -6,7 +6,7 @@
 use crate::{ProxyIx, ServerIx};
 use whinwall::time::Span;
 use whinwall_governor::routing::Event;
-use whinwall_governor::transport::Broken;
+use whinwall_governor::transport::StreamError;
 use whinwall_management::ask::Request;
 use whinwall_overrides::{Ask, Kind, Order};
 
@@ -69,7 +69,7 @@
                 self.relay_away = true;
                 for at in 0..self.governors.len() {
                     self.governors[at].follows = false;
-                    self.tell(at, Event::NewsLost(Broken::Silent));
+                    self.tell(at, Event::WatchLost(StreamError::Silent));
                 }
             }
             What::RelayMute => {
@@ -79,7 +79,8 @@
             What::DiscoveryAway => {
                 self.excuse(lasts + aftermath);
                 self.discovery_away = true;
-                (0..self.governors.len()).for_each(|at| self.tell(at, Event::ListLost(Broken::Silent)));
+                (0..self.governors.len())
+                    .for_each(|at| self.tell(at, Event::RegistryLost(StreamError::Silent)));
             }
             What::GovernorKilled { governor } if self.governors[governor].wire.is_some() => {}
             What::GovernorKilled { governor } => {
@@ -114,7 +115,7 @@
                     let order = Order { id, kind, author, reason, lasts };
                     self.tell(
                         governor,
-                        Event::Asked { ticket: 0, request: Request::Change(Ask::Set(order)) },
+                        Event::ManagementRequest { ticket: 0, request: Request::Change(Ask::Set(order)) },
                     );
                 }
             }
--- a/fleet/src/day/governors.rs
+++ b/fleet/src/day/governors.rs
@@ -8,9 +8,9 @@
 use whinwall::time::{Moment, Span};
 use whinwall_governor::protocol::collector::Message;
 use whinwall_governor::protocol::discovery;
-use whinwall_governor::routing::overrides::Wanted;
+use whinwall_governor::routing::overrides::OverrideConfig;
 use whinwall_governor::routing::{Effect, Event, Reducer};
-use whinwall_governor::transport::{Broken, Targets};
+use whinwall_governor::transport::{StreamError, Targets};
 use whinwall_overrides::{Bounds, Reading};
 
 impl Day {
@@ -29,9 +29,9 @@
         governor.channel.lost();
         self.tell(at, Event::Started);
         self.tell(at, Event::SubsettingConfigured(subsets::fleet(&self.sizes, at)));
-        let wanted = Wanted { bounds: Bounds::default(), orders: Vec::new(), has_store: false };
+        let wanted = OverrideConfig { bounds: Bounds::default(), orders: Vec::new(), has_store: false };
         let reading = Reading { boot: String::new(), since_boot: Span::default(), wall: self.now };
-        self.tell(at, Event::Wanted(wanted, reading));
+        self.tell(at, Event::OperatorConfigChanged(wanted, reading));
         for place in 0..self.sizes.places {
             let message = Message::Source { place: self.sizes.place(place) };
             self.tell(at, Event::Message { from: place as u64, message });
@@ -40,9 +40,9 @@
 
     /// Events go in as they come, and `Quiet` once all of a moment are in.
     pub(super) fn tell(&mut self, at: usize, event: Event) {
-        let quiet = matches!(event, Event::Quiet);
+        let quiet = matches!(event, Event::InputDrained);
         if let Some(wire) = &mut self.governors[at].wire {
-            let list = matches!(event, Event::List(_));
+            let list = matches!(event, Event::Registry(_));
             say(wire.as_mut(), event);
             if list {
                 let text = self.list_text();
@@ -55,14 +55,15 @@
         let life = self.governors[at].life;
         for effect in effects {
             match effect {
-                Effect::Call { line, .. } => self.after(WAY, Step::Call(at, life, line)),
-                Effect::FollowNews { .. } => self.follow_news(at),
-                Effect::FollowList { .. } => match self.discovery_away {
-                    true => self.after(WAY, Step::To(at, life, Box::new(Event::ListLost(Broken::Silent)))),
+                Effect::RelayRequest { line, .. } => self.after(WAY, Step::Call(at, life, line)),
+                Effect::WatchRelay { .. } => self.follow_news(at),
+                Effect::WatchRegistry { .. } => match self.discovery_away {
+                    true => self
+                        .after(WAY, Step::To(at, life, Box::new(Event::RegistryLost(StreamError::Silent)))),
                     false => self.after(WAY, Step::Told(at, life, Box::new(self.list()))),
                 },
                 Effect::WakeAt(due) => self.quiet_at(at, due),
-                Effect::Note(text) => {
+                Effect::Log(text) => {
                     self.outcome.verdicts += u64::from(text.contains("is taken for sick"));
                     self.line(&text, || format!("governor {at}: {text}"));
                 }
--- a/fleet/src/day/mod.rs
+++ b/fleet/src/day/mod.rs
@@ -27,7 +27,7 @@
 use whinwall::time::{Moment, Span};
 use whinwall_governor::protocol::discovery;
 use whinwall_governor::routing::{Event, Reducer};
-use whinwall_governor::transport::Broken;
+use whinwall_governor::transport::StreamError;
 
 /// The wall's time at which a day begins.
 const MORNING: Span = Span::ms(1_800_000_000_000);
@@ -372,7 +372,7 @@
             Step::Quiet(at, life) if self.governors[at].life == life => {
                 if self.governors[at].quiet.is_some_and(|due| due <= self.now) {
                     self.governors[at].quiet = None;
-                    self.tell(at, Event::Quiet);
+                    self.tell(at, Event::InputDrained);
                 }
             }
             Step::Call(at, life, line) if self.governors[at].life == life => self.call(at, &line),
@@ -396,7 +396,7 @@
                     let garbled = self.garbled > 0.0 && self.chance.draw() < self.garbled;
                     if garbled && self.governors[at].follows {
                         self.governors[at].follows = false;
-                        self.tell(at, Event::NewsLost(Broken::Unreadable("garbled".into())));
+                        self.tell(at, Event::WatchLost(StreamError::Unreadable("garbled".into())));
                     } else if self.governors[at].follows && !self.relay_away {
                         self.news(at, "*");
                     }
--- a/fleet/src/day/real_time.rs
+++ b/fleet/src/day/real_time.rs
@@ -5,7 +5,7 @@
 use whinwall_governor::protocol::collector::{Asked, Message, Met};
 use whinwall_governor::protocol::relay::Answer;
 use whinwall_governor::routing::Event;
-use whinwall_governor::transport::Broken;
+use whinwall_governor::transport::StreamError;
 
 /// Where a governor is a program of its own: what is said to it goes out as lines, on whatever ways there
 /// are.
@@ -43,13 +43,13 @@
                 "bad": aborted, "window": covers_ms});
             wire.report(from as usize, &line.to_string());
         }
-        Event::Answer(Ok(Answer::Taken(many))) => wire.answer(Some(&format!("OK {many}"))),
-        Event::Answer(Ok(Answer::NotNow(why) | Answer::Unusable(why))) => {
+        Event::RelayReply(Ok(Answer::Taken(many))) => wire.answer(Some(&format!("OK {many}"))),
+        Event::RelayReply(Ok(Answer::NotNow(why) | Answer::Unusable(why))) => {
             wire.answer(Some(&format!("ERR {why}")))
         }
-        Event::Answer(Err(_)) => wire.answer(None),
-        Event::NewsLost(_) => wire.cut_news(),
-        Event::ListLost(_) => wire.cut_list(),
+        Event::RelayReply(Err(_)) => wire.answer(None),
+        Event::WatchLost(_) => wire.cut_news(),
+        Event::RegistryLost(_) => wire.cut_list(),
         _ => {}
     }
 }
@@ -76,7 +76,7 @@
     pub fn heard(&mut self, at: usize, heard: Heard) {
         match heard {
             Heard::Watch => self.follow_news(at),
-            Heard::List if self.discovery_away => self.tell(at, Event::ListLost(Broken::Silent)),
+            Heard::List if self.discovery_away => self.tell(at, Event::RegistryLost(StreamError::Silent)),
             Heard::List => {
                 let text = self.list_text();
                 self.governors[at].wire.iter_mut().for_each(|wire| wire.list(&text));
--- a/fleet/src/day/registry.rs
+++ b/fleet/src/day/registry.rs
@@ -72,6 +72,6 @@
         let told = &mut self.governors[at].told;
         told.retain(|server, _| leaving.contains(server));
         leaving.into_iter().for_each(|server| _ = told.entry(server).or_insert(self.now));
-        self.tell(at, Event::List(list));
+        self.tell(at, Event::Registry(list));
     }
 }
--- a/fleet/src/day/relay.rs
+++ b/fleet/src/day/relay.rs
@@ -6,14 +6,14 @@
 use std::sync::Arc;
 use whinwall_governor::protocol::relay::{decode_news, Answer};
 use whinwall_governor::routing::Event;
-use whinwall_governor::transport::{Broken, CallError};
+use whinwall_governor::transport::{CallError, StreamError};
 
 impl Day {
     pub(super) fn news(&mut self, at: usize, line: &str) {
         if let Some(wire) = &mut self.governors[at].wire {
             return wire.news(line);
         }
-        let event = Event::News(decode_news(line).expect("our own news"));
+        let event = Event::Relay(decode_news(line).expect("our own news"));
         self.tell(at, event);
     }
 
@@ -21,7 +21,7 @@
         let life = self.governors[at].life;
         if self.relay_away {
             self.governors[at].follows = false;
-            let lost = Event::NewsLost(Broken::Unreachable("away".into()));
+            let lost = Event::WatchLost(StreamError::Unreachable("away".into()));
             return self.after(WAY, Step::To(at, life, Box::new(lost)));
         }
         self.governors[at].follows = true;
@@ -45,8 +45,8 @@
     pub(super) fn call(&mut self, at: usize, line: &str) {
         let life = self.governors[at].life;
         if self.relay_away {
-            let outcome = Err(CallError::NotSent(Broken::Unreachable("away".into())));
-            return self.after(WAY, Step::To(at, life, Box::new(Event::Answer(outcome))));
+            let outcome = Err(CallError::NotSent(StreamError::Unreachable("away".into())));
+            return self.after(WAY, Step::To(at, life, Box::new(Event::RelayReply(outcome))));
         }
         let kinds: Vec<_> = self.sizes.kinds.iter().map(|kind| kind.name).collect();
         let many = line.split(';').count();
@@ -57,7 +57,7 @@
         let line = meddled.as_deref().unwrap_or(line);
         let Some((orders, mark)) = channel::read(line, &self.names, &kinds) else {
             let outcome = Ok(Answer::Unusable("bad_request".into()));
-            return self.after(WAY, Step::To(at, life, Box::new(Event::Answer(outcome))));
+            return self.after(WAY, Step::To(at, life, Box::new(Event::RelayReply(outcome))));
         };
         self.outcome.orders += orders.len() as u64;
         self.rules.ordered(self.now, line.trim_start_matches("APPLY ").split(';').map(String::from));
@@ -89,11 +89,11 @@
         next.into_iter().for_each(|due| self.after(due - self.now, Step::Channel(at)));
         let garbled = self.garbled > 0.0 && self.chance.draw() < self.garbled;
         let (pause, outcome) = match () {
-            _ if self.relay_mute => (MUTE, Err(CallError::OutcomeUnknown(Broken::Silent))),
-            _ if garbled => (WAY, Err(CallError::OutcomeUnknown(Broken::Unreadable("garbled".into())))),
+            _ if self.relay_mute => (MUTE, Err(CallError::OutcomeUnknown(StreamError::Silent))),
+            _ if garbled => (WAY, Err(CallError::OutcomeUnknown(StreamError::Unreadable("garbled".into())))),
             _ => (WAY, Ok(Answer::Taken(many))),
         };
-        self.after(pause, Step::To(at, life, Box::new(Event::Answer(outcome))));
+        self.after(pause, Step::To(at, life, Box::new(Event::RelayReply(outcome))));
     }
 
     pub(super) fn channel(&mut self, at: usize) {
--- a/governor/benches/report_coverage.rs
+++ b/governor/benches/report_coverage.rs
@@ -48,7 +48,7 @@
     reducer.apply(now, Event::Started);
     let entry = |n| json!({"id": format!("s-{n}"), "zone": "north", "state": "active"});
     let list = json!({"version": 1, "full": true, "servers": (0..replicas).map(entry).collect::<Vec<_>>()});
-    reducer.apply(now, Event::List(discovery::decode(&list.to_string()).unwrap().unwrap()));
+    reducer.apply(now, Event::Registry(discovery::decode(&list.to_string()).unwrap().unwrap()));
     reducer.apply(now, Event::SubsettingConfigured(fleet));
     for from in 0..2 {
         let message = collector::Message::Source { place: "north".into() };
@@ -84,6 +84,6 @@
                 divan::black_box(reducer.apply(now, Event::Message { from, message }));
             }
         }
-        divan::black_box(reducer.apply(now, Event::Quiet));
+        divan::black_box(reducer.apply(now, Event::InputDrained));
     });
 }
--- a/governor/benches/scale.rs
+++ b/governor/benches/scale.rs
@@ -42,10 +42,10 @@
         let began = Instant::now();
         let mut effects: Vec<_> =
             events.into_iter().flat_map(|event| self.reducer.apply(self.now, event)).collect();
-        effects.extend(self.reducer.apply(self.now, Event::Quiet));
+        effects.extend(self.reducer.apply(self.now, Event::InputDrained));
         self.turns.push(began.elapsed());
         for effect in effects {
-            let Effect::Call { line, .. } = effect else { continue };
+            let Effect::RelayRequest { line, .. } = effect else { continue };
             let orders: Vec<_> = line.trim_start_matches("APPLY ").split(';').collect();
             let lines = (orders.len() as f64 + HEAD) * self.proxies as f64;
             self.lines += lines;
@@ -55,7 +55,7 @@
             self.told = if self.untold.len() < many { self.free + WAY } else { self.told };
             let mark = orders.iter().find_map(|order| order.strip_prefix("SYNC,")?.split(',').next());
             mark.into_iter().for_each(|mark| _ = self.acks.insert(self.free + WAY, mark.to_string()));
-            self.turn(vec![Event::Answer(Ok(Answer::Taken(orders.len())))]);
+            self.turn(vec![Event::RelayReply(Ok(Answer::Taken(orders.len())))]);
         }
     }
 
@@ -66,7 +66,7 @@
         let ack = |mark: &String| {
             let all = proxies.clone();
             let mark = mark.clone();
-            all.map(move |proxy| Event::News(decode_news(&format!("* ACK {proxy} {mark} 200.0")).unwrap()))
+            all.map(move |proxy| Event::Relay(decode_news(&format!("* ACK {proxy} {mark} 200.0")).unwrap()))
         };
         let acks = due.values().flat_map(ack);
         self.turn(acks.chain(more).collect());
@@ -80,11 +80,11 @@
     };
     let servers: Vec<_> = entries.map(entry).collect();
     let list = json!({"version": version, "full": whole, "servers": servers});
-    Event::List(discovery::decode(&list.to_string()).unwrap().unwrap())
+    Event::Registry(discovery::decode(&list.to_string()).unwrap().unwrap())
 }
 
 fn news(lines: impl Iterator<Item = String>) -> Vec<Event> {
-    lines.map(|line| Event::News(decode_news(&line).unwrap())).collect()
+    lines.map(|line| Event::Relay(decode_news(&line).unwrap())).collect()
 }
 
 fn play(times: usize, day: &str) {
--- a/governor/benches/subsets.rs
+++ b/governor/benches/subsets.rs
@@ -69,8 +69,8 @@
             lines.push(format!("* ROW {slice} s-{slice} 1"));
         }
         lines.push("*".into());
-        lines.iter().for_each(|line| governor.tell(Event::News(decode_news(line).unwrap())));
-        governor.tell(Event::Quiet);
+        lines.iter().for_each(|line| governor.tell(Event::Relay(decode_news(line).unwrap())));
+        governor.tell(Event::InputDrained);
         governor
     }
 
@@ -80,7 +80,7 @@
 
     fn list(&mut self, version: usize, whole: bool, servers: Vec<Value>) {
         let line = json!({"version": version, "full": whole, "servers": servers}).to_string();
-        self.tell(Event::List(discovery::decode(&line).unwrap().unwrap()));
+        self.tell(Event::Registry(discovery::decode(&line).unwrap().unwrap()));
     }
 
     /// A replica leaves and another comes.
@@ -91,7 +91,7 @@
         let gone = entry(&format!("s-{number}"), number, "left");
         let new = entry(&format!("new-{number}"), number, "active");
         self.list(1 + self.changes, false, vec![gone, new]);
-        self.tell(Event::Quiet);
+        self.tell(Event::InputDrained);
     }
 }
 
@@ -110,7 +110,7 @@
         governor.changes += 1;
         let fleet = fleet(governors, governor.changes);
         governor.tell(Event::SubsettingConfigured(fleet));
-        governor.tell(Event::Quiet);
+        governor.tell(Event::InputDrained);
     });
 }
 
--- a/governor/benches/turn.rs
+++ b/governor/benches/turn.rs
@@ -8,7 +8,7 @@
 use whinwall::time::{Moment, Span};
 use whinwall_governor::protocol::relay::{decode_news, Answer};
 use whinwall_governor::protocol::{collector, discovery};
-use whinwall_governor::routing::overrides::Wanted;
+use whinwall_governor::routing::overrides::OverrideConfig;
 use whinwall_governor::routing::{Effect, Event, Reducer};
 use whinwall_governor::transport::Targets;
 use whinwall_management::ask::Request;
@@ -42,13 +42,16 @@
         let reducer = Reducer::start(settings, targets, 7, &discovery::List::default(), now);
         let mut fleet = Fleet { reducer, now };
         let reading = Reading { boot: String::new(), since_boot: Span::default(), wall: now };
-        let wanted =
-            Wanted { bounds: Bounds { most: 10_000, ..Bounds::default() }, orders: vec![], has_store: false };
-        fleet.tell(Event::Wanted(wanted, reading));
+        let wanted = OverrideConfig {
+            bounds: Bounds { most: 10_000, ..Bounds::default() },
+            orders: vec![],
+            has_store: false,
+        };
+        fleet.tell(Event::OperatorConfigChanged(wanted, reading));
         let entry = |n| json!({"id": format!("s-{n}"), "zone": "north", "state": "active"});
         let list =
             json!({"version": 1, "full": true, "servers": (0..servers).map(entry).collect::<Vec<_>>()});
-        fleet.tell(Event::List(discovery::decode(&list.to_string()).unwrap().unwrap()));
+        fleet.tell(Event::Registry(discovery::decode(&list.to_string()).unwrap().unwrap()));
         let mut lines = vec!["OK".to_string()];
         lines.extend((0..3).map(|proxy| format!("* SUBSCRIBE {proxy} north 21.5 1")));
         for slice in 0..servers * SLICES {
@@ -56,7 +59,7 @@
             lines.push(format!("* ROW {slice} s-{} 1", slice % servers));
         }
         lines.push("*".into());
-        lines.iter().for_each(|line| fleet.tell(Event::News(decode_news(line).unwrap())));
+        lines.iter().for_each(|line| fleet.tell(Event::Relay(decode_news(line).unwrap())));
         for n in 0..overrides {
             let server = format!("s-{}", (n * 7) % servers);
             let kind = match n % 4 {
@@ -66,7 +69,7 @@
             };
             let (id, author, reason) = (format!("o{n}"), "bench".into(), "bench".into());
             let order = Order { id, kind, author, reason, lasts: Span::ms(3_600_000) };
-            fleet.tell(Event::Asked { ticket: 0, request: Request::Change(Ask::Set(order)) });
+            fleet.tell(Event::ManagementRequest { ticket: 0, request: Request::Change(Ask::Set(order)) });
         }
         // Until all that it has to order at first is out.
         (0..200).for_each(|_| fleet.beat());
@@ -78,21 +81,22 @@
         let mut events = vec![event];
         while let Some(event) = events.pop() {
             for effect in self.reducer.apply(self.now, event) {
-                let Effect::Call { line, .. } = effect else { continue };
+                let Effect::RelayRequest { line, .. } = effect else { continue };
                 for order in line.split(';') {
                     if let Some(mark) = order.strip_prefix("SYNC,").and_then(|rest| rest.split(',').next()) {
-                        let ack = |proxy| Event::News(decode_news(&format!("* ACK {proxy} {mark}")).unwrap());
+                        let ack =
+                            |proxy| Event::Relay(decode_news(&format!("* ACK {proxy} {mark}")).unwrap());
                         events.extend((0..3).map(ack));
                     }
                 }
-                events.push(Event::Answer(Ok(Answer::Taken(line.split(';').count()))));
+                events.push(Event::RelayReply(Ok(Answer::Taken(line.split(';').count()))));
             }
         }
     }
 
     fn beat(&mut self) {
         self.now = self.now + Span::ms(250);
-        self.tell(Event::Quiet);
+        self.tell(Event::InputDrained);
     }
 
     fn report(&mut self) {
--- a/governor/src/program/event_loop.rs
+++ b/governor/src/program/event_loop.rs
@@ -9,10 +9,10 @@
 use super::signals::{Signal, Signals};
 use crate::protocol::collector;
 use crate::protocol::{discovery, relay, Malformed};
-use crate::routing::overrides::Wanted;
+use crate::routing::overrides::OverrideConfig;
 use crate::routing::{Effect, Event, Reducer};
 use crate::transport::{calls, limits, listener, news, watch as watch_list};
-use crate::transport::{Back, Broken, CallError, ConnectionId, FollowId, Inbox, Input};
+use crate::transport::{Back, CallError, ConnectionId, FollowId, Inbox, Input, StreamError};
 use actix_rt::net::TcpListener;
 use actix_rt::task::JoinHandle;
 use actix_rt::time::sleep;
@@ -154,7 +154,7 @@
         turn.look_after();
         turn.read_again(start);
         turn.count_bytes();
-        turn.apply(Event::Quiet);
+        turn.apply(Event::InputDrained);
         turn.backs.clear();
         turn.next();
         let longest = if turn.pool.is_some() { LOOK_EACH } else { LONGEST_SLEEP };
@@ -354,8 +354,8 @@
     fn want(&mut self, start: &Start) {
         if let Some(file) = &start.operators {
             let (bounds, orders) = (file.bounds.clone(), file.overrides.clone());
-            let wanted = Wanted { bounds, orders, has_store: self.fronts.has_store() };
-            self.apply(Event::Wanted(wanted, Clock::reading()));
+            let wanted = OverrideConfig { bounds, orders, has_store: self.fronts.has_store() };
+            self.apply(Event::OperatorConfigChanged(wanted, Clock::reading()));
         }
     }
 
@@ -392,7 +392,7 @@
             }
             Word::NotOpened(why) => Event::StoreNotRead(why.to_string()),
             Word::Done { serial, outcome } => {
-                Event::Kept { serial, outcome: outcome.map_err(|why| why.to_string()) }
+                Event::Saved { serial, outcome: outcome.map_err(|why| why.to_string()) }
             }
         };
         self.apply(event);
@@ -411,7 +411,7 @@
                 return self.fronts.reply(ticket, Reply::Metrics(text));
             }
         }
-        self.apply(Event::Asked { ticket, request });
+        self.apply(Event::ManagementRequest { ticket, request });
     }
 
     /// Of words and requests no more than one turn's worth: neither can hold up the rest.
@@ -451,7 +451,7 @@
     }
 
     fn event(&mut self, input: Input) -> Option<Event> {
-        let unreadable = |wrong: Malformed| Broken::Unreadable(wrong.to_string());
+        let unreadable = |wrong: Malformed| StreamError::Unreadable(wrong.to_string());
         Some(match input {
             Input::Line { from, line, back, .. } => {
                 tracing::debug!("from {from}: {line}");
@@ -459,7 +459,7 @@
                 self.backs.insert(from, back);
                 match collector::decode(&line) {
                     Ok(message) => Event::Message { from, message },
-                    Err(wrong) => Event::Wrong { from, wrong },
+                    Err(error) => Event::Invalid { from, error },
                 }
             }
             Input::Ended(id, chunks) => {
@@ -468,7 +468,7 @@
                     self.due(id, due);
                     return None;
                 }
-                Event::Ended(id)
+                Event::Disconnected(id)
             }
             Input::News(id, _) if self.news.as_ref().is_none_or(|news| news.id != id) => return None,
             Input::List(id, Ok(_)) if self.renewed.as_ref().is_some_and(|renewed| renewed.id == id) => {
@@ -476,34 +476,34 @@
                 return self.event(input);
             }
             Input::List(id, _) if self.list.as_ref().is_none_or(|list| list.id != id) => return None,
-            Input::News(_, Err(why)) => Event::NewsLost(why),
-            Input::List(_, Err(why)) => Event::ListLost(why),
+            Input::News(_, Err(why)) => Event::WatchLost(why),
+            Input::List(_, Err(why)) => Event::RegistryLost(why),
             Input::News(_, Ok(line)) => match relay::decode_news(&line) {
                 Ok(news) => {
                     tracing::debug!("news: {line}");
-                    Event::News(news)
+                    Event::Relay(news)
                 }
                 Err(wrong) => {
                     self.news = None;
-                    Event::NewsLost(unreadable(wrong))
+                    Event::WatchLost(unreadable(wrong))
                 }
             },
             Input::Answer(outcome) => {
                 tracing::debug!("answer: {outcome:?}");
                 self.calling = false;
                 let unclear = |wrong| CallError::OutcomeUnknown(unreadable(wrong));
-                Event::Answer(outcome.and_then(|line| relay::decode_answer(&line).map_err(unclear)))
+                Event::RelayReply(outcome.and_then(|line| relay::decode_answer(&line).map_err(unclear)))
             }
-            Input::Surplus => Event::Surplus,
+            Input::Surplus => Event::UnexpectedReply,
             Input::List(_, Ok(line)) => match discovery::decode(&line) {
                 Ok(list) => {
                     let list = list?; // nothing but a sign of life
                     tracing::debug!("list: version {}, {} entries", list.version, list.entries.len());
-                    Event::List(list)
+                    Event::Registry(list)
                 }
                 Err(wrong) => {
                     self.list = None;
-                    Event::ListLost(unreadable(wrong))
+                    Event::RegistryLost(unreadable(wrong))
                 }
             },
         })
@@ -526,11 +526,11 @@
                 self.apply(match item {
                     Item::Reports(reports) => Event::Reports { from, reports },
                     Item::Message(message) => Event::Message { from, message },
-                    Item::Wrong(wrong) => Event::Wrong { from, wrong },
+                    Item::Invalid(error) => Event::Invalid { from, error },
                     Item::Lost => {
                         tracing::error!("a panic over what {from} said; it is let go");
                         self.back(from, Back::End(None));
-                        Event::Ended(from)
+                        Event::Disconnected(from)
                     }
                 });
             }
@@ -539,7 +539,7 @@
             }
         }
         if due.ended {
-            self.apply(Event::Ended(from));
+            self.apply(Event::Disconnected(from));
         }
     }
 
@@ -559,7 +559,7 @@
         for heard in heard {
             match heard {
                 Heard::Note(text) => tracing::warn!("{text}"),
-                Heard::Lost(ids) => ids.into_iter().for_each(|id| self.apply(Event::Ended(id))),
+                Heard::Lost(ids) => ids.into_iter().for_each(|id| self.apply(Event::Disconnected(id))),
             }
         }
     }
@@ -585,42 +585,44 @@
         let ends = self.relay.borrow().is_none();
         match effect {
             // Who is to end learns nothing more, and orders nothing.
-            Effect::Call { .. }
-            | Effect::FollowNews { .. }
-            | Effect::FollowList { .. }
-            | Effect::RenewList { .. }
+            Effect::RelayRequest { .. }
+            | Effect::WatchRelay { .. }
+            | Effect::WatchRegistry { .. }
+            | Effect::RenewRegistryWatch { .. }
                 if ends => {}
             Effect::Pong { to } => self.back(to, Back::Say(collector::encode(collector::Reply::Pong))),
-            Effect::Keep { to } => self.back(to, Back::Keep),
-            Effect::LetGo { to, why } => {
+            Effect::Admit { to } => self.back(to, Back::Keep),
+            Effect::Disconnect { to, why } => {
                 let last = why.map(|why| collector::encode(collector::Reply::Nack { why }));
                 self.back(to, Back::End(last));
             }
-            Effect::Call { relay, line, afresh } => {
+            Effect::RelayRequest { relay, line, afresh } => {
                 tracing::debug!("call: {line}");
                 // One is made at a time: there is room.
                 self.calling = true;
                 _ = self.calls.try_send(calls::Call { relay, line, afresh });
             }
-            Effect::FollowNews { relay } => {
+            Effect::WatchRelay { relay } => {
                 let inbox = self.inbox.clone();
                 self.news = self.follow(|id| Task::spawn(news::follow(id, relay, relay::WATCH, inbox)));
             }
-            Effect::FollowList { discovery, since } => {
+            Effect::WatchRegistry { discovery, since } => {
                 self.renewed = None;
                 self.list = self.follow_list(discovery, since);
             }
-            Effect::RenewList { discovery, since } => self.renewed = self.follow_list(discovery, since),
+            Effect::RenewRegistryWatch { discovery, since } => {
+                self.renewed = self.follow_list(discovery, since)
+            }
             Effect::Save { serial, puts, drops, line } => {
                 let stamp = Stamp { line: line.on_line(self.clock.now()), reading: Clock::reading() };
                 let job = Job { puts, drops, stamp: saved::write_stamp(&stamp) };
                 if !self.fronts.keep(serial, job) {
-                    self.apply(Event::Kept { serial, outcome: Err("the keeper is busy".into()) });
+                    self.apply(Event::Saved { serial, outcome: Err("the keeper is busy".into()) });
                 }
             }
             Effect::Reply { ticket, reply } => self.fronts.reply(ticket, reply),
             Effect::WakeAt(at) => self.wake = Some(at),
-            Effect::Note(text) => tracing::info!("{text}"),
+            Effect::Log(text) => tracing::info!("{text}"),
         }
     }
 }
--- a/governor/src/program/readers.rs
+++ b/governor/src/program/readers.rs
@@ -6,7 +6,7 @@
 use super::clock::Clock;
 use super::meters::Meters;
 use crate::protocol::collector::{self, Message};
-use crate::protocol::Wrong;
+use crate::protocol::InvalidMessage;
 use crate::routing::known::Known;
 use crate::transport::listener::{self, Arrival, Bounds, Bulk};
 use crate::transport::{limits, Back, Chunk, ConnectionId, Inbox, Told};
@@ -55,7 +55,7 @@
     /// Reports with nothing else between them, those that are alike summed.
     Reports(Vec<Report>),
     Message(Message),
-    Wrong(Wrong),
+    Invalid(InvalidMessage),
     /// By a fault of ours it could not be taken apart; nothing of it counts.
     Lost,
 }
@@ -334,14 +334,14 @@
         let line = line.strip_suffix(b"\n").unwrap_or(line);
         let line = line.strip_suffix(b"\r").unwrap_or(line);
         let item = match std::str::from_utf8(line) {
-            Err(_) => Item::Wrong(Wrong::no_text()),
+            Err(_) => Item::Invalid(InvalidMessage::no_text()),
             Ok(line) => {
                 if let Some(report) = collector::quick(line).and_then(|report| known.numbered(&report)) {
                     sums.add(report);
                     continue;
                 }
                 // What is no report, is wrong, or names what is not known here.
-                collector::decode(line).map_or_else(Item::Wrong, Item::Message)
+                collector::decode(line).map_or_else(Item::Invalid, Item::Message)
             }
         };
         if !sums.is_empty() {
--- a/governor/src/protocol/collector.rs
+++ b/governor/src/protocol/collector.rs
@@ -1,6 +1,6 @@
 //! What comes to the governor's own address: JSON lines, mostly from the collectors of the places.
 
-use super::{is_sane, is_sane_ms, Malformed, Wrong};
+use super::{is_sane, is_sane_ms, InvalidMessage, Malformed};
 use serde::{Deserialize, Serialize};
 use serde_json::error::Category;
 
@@ -188,29 +188,29 @@
     }
 }
 
-pub fn decode(line: &str) -> Result<Message, Wrong> {
+pub fn decode(line: &str) -> Result<Message, InvalidMessage> {
     quick(line).map_or_else(|| decode_slowly(line), |report| Ok(report.into()))
 }
 
 /// Says what is wrong, and takes what is written otherwise than reports mostly are.
-pub fn decode_slowly(line: &str) -> Result<Message, Wrong> {
+pub fn decode_slowly(line: &str) -> Result<Message, InvalidMessage> {
     if !line.trim_start().starts_with('{') {
-        return Err(Wrong::Unreadable(Malformed::new("no JSON object", line)));
+        return Err(InvalidMessage::Unreadable(Malformed::new("no JSON object", line)));
     }
     let message: Message = serde_json::from_str(line).map_err(|why| match why.classify() {
-        Category::Data => Wrong::Spoilt(Malformed::new(why, line)),
-        _ => Wrong::Unreadable(Malformed::new(why, line)),
+        Category::Data => InvalidMessage::Spoilt(Malformed::new(why, line)),
+        _ => InvalidMessage::Unreadable(Malformed::new(why, line)),
     })?;
     // Nothing rests on what a server says of itself, but where it is spoilt so is the message.
     let own = matches!(message, Message::Met(_)).then(|| serde_json::from_str::<WithOwn>(line));
-    let own = own.transpose().map_err(|why| Wrong::Spoilt(Malformed::new(why, line)))?;
+    let own = own.transpose().map_err(|why| InvalidMessage::Spoilt(Malformed::new(why, line)))?;
     let own = own.and_then(|with| with.own);
     let sane = match &message {
         Message::Met(m) => met_is_sane(m.tries, m.aborted, m.mean_latency_ms, m.covers_ms, own.as_ref()),
         Message::Asked(a) => asked_is_sane(a.came, a.aborted, a.covers_ms),
         _ => true,
     };
-    sane.then_some(message).ok_or_else(|| Wrong::Spoilt(Malformed::new("an absurd figure", line)))
+    sane.then_some(message).ok_or_else(|| InvalidMessage::Spoilt(Malformed::new("an absurd figure", line)))
 }
 
 fn met_is_sane(tries: f64, aborted: f64, mean_latency_ms: f64, covers_ms: f64, own: Option<&Own>) -> bool {
--- a/governor/src/protocol/mod.rs
+++ b/governor/src/protocol/mod.rs
@@ -13,15 +13,15 @@
 /// What is wrong with a message: spoilt, it alone is lost, and those around it are good; unreadable, so is
 /// all that comes on its connection.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Wrong {
+pub enum InvalidMessage {
     Spoilt(Malformed),
     Unreadable(Malformed),
 }
 
-impl Wrong {
+impl InvalidMessage {
     /// Bytes that are no text: nothing behind them can be told apart either.
     pub fn no_text() -> Self {
-        Wrong::Unreadable(Malformed("a line is no text".into()))
+        InvalidMessage::Unreadable(Malformed("a line is no text".into()))
     }
 }
 
--- /dev/null
+++ b/governor/src/routing/events.rs
@@ -0,0 +1,165 @@
+//! Inputs and outputs of the reducer, as typed messages.
+
+use super::overrides::OverrideConfig;
+use super::subset::Fleet;
+use crate::protocol::collector::Message;
+use crate::protocol::discovery::List;
+use crate::protocol::relay::{Answer, News};
+use crate::protocol::InvalidMessage;
+use crate::transport::{CallError, ConnectionId, StreamError, Targets};
+use std::net::SocketAddr;
+use whinwall::interface::{Report, WishId};
+use whinwall::time::Moment;
+use whinwall_management::ask::{Reply, Request};
+use whinwall_overrides::{Reading, Ticket, Timeline};
+
+/// What the program tells the reducer.
+#[derive(Debug)]
+pub enum Event {
+    /// The program is ready to carry out effects.
+    Started,
+    /// The configuration file was read anew; these are the addresses it names.
+    Configured(Targets),
+    /// The operators' file names the fleet in which each governor steers a subset of the replicas, or none.
+    SubsettingConfigured(Option<Fleet>),
+    /// A message arrived at the governor's own address.
+    Message {
+        /// The connection that it came on.
+        from: ConnectionId,
+        /// What it says.
+        message: Message,
+    },
+    /// Reports of one connection, decoded by a reader thread.
+    Reports {
+        /// The connection that they came on.
+        from: ConnectionId,
+        /// The reports, in order.
+        reports: Vec<Report>,
+    },
+    /// The number of bytes that arrived from collectors.
+    ReportBytes(u64),
+    /// A line at the governor's own address is not a valid message.
+    Invalid {
+        /// The connection that it came on.
+        from: ConnectionId,
+        /// What is wrong with it.
+        error: InvalidMessage,
+    },
+    /// A connection to the governor's own address has ended.
+    Disconnected(ConnectionId),
+    /// An event of the relay watch.
+    Relay(News),
+    /// The relay watch has failed.
+    WatchLost(StreamError),
+    /// The outcome of the relay request that was in flight.
+    RelayReply(Result<Answer, CallError>),
+    /// The relay sent a reply without a request: an earlier reply may have belonged to another request.
+    UnexpectedReply,
+    /// A registry snapshot, or changes since the last one.
+    Registry(List),
+    /// The registry watch has failed.
+    RegistryLost(StreamError),
+    /// The operators' file as read at the start or anew, and the clocks at that moment.
+    OperatorConfigChanged(OverrideConfig, Reading),
+    /// A request at the management front.
+    ManagementRequest {
+        /// Identifies the reply.
+        ticket: Ticket,
+        /// What is asked for.
+        request: Request,
+    },
+    /// The override store was read.
+    StoreRead {
+        /// The stored overrides.
+        records: Vec<(WishId, Vec<u8>)>,
+        /// The clock stamp that was stored with them.
+        stamp: Option<Vec<u8>>,
+        /// The clocks at that moment.
+        reading: Reading,
+    },
+    /// The override store cannot be read.
+    StoreNotRead(String),
+    /// A write to the override store has ended.
+    Saved {
+        /// The serial number of the write.
+        serial: u64,
+        /// Whether it succeeded.
+        outcome: Result<(), String>,
+    },
+    /// The wall clock was stepped to this time.
+    WallStepped(Moment),
+    /// All input that had arrived was fed; time has advanced.
+    InputDrained,
+}
+
+/// What the reducer asks the program to do.
+#[derive(Debug, PartialEq)]
+pub enum Effect {
+    /// Answer a ping.
+    Pong {
+        /// The connection to answer on.
+        to: ConnectionId,
+    },
+    /// Admit a peer that has named its zone; its connection stays open.
+    Admit {
+        /// Its connection.
+        to: ConnectionId,
+    },
+    /// Close a connection. An unauthenticated peer is told the reason; nothing is ever written to a collector.
+    Disconnect {
+        /// The connection to close.
+        to: ConnectionId,
+        /// The reason, where it is told.
+        why: Option<&'static str>,
+    },
+    /// Send a request to the relay.
+    RelayRequest {
+        /// The relay's address.
+        relay: SocketAddr,
+        /// The encoded request.
+        line: String,
+        /// On a new connection, as the last attempt failed.
+        afresh: bool,
+    },
+    /// Open the relay watch.
+    WatchRelay {
+        /// The relay's address.
+        relay: SocketAddr,
+    },
+    /// Open the registry watch in place of a former one.
+    WatchRegistry {
+        /// Discovery's address.
+        discovery: SocketAddr,
+        /// The version that is known.
+        since: u64,
+    },
+    /// Open a registry watch beside the current one, which goes on until the new one speaks.
+    RenewRegistryWatch {
+        /// Discovery's address.
+        discovery: SocketAddr,
+        /// The version that is known.
+        since: u64,
+    },
+    /// Write to the override store, atomically, with a stamp of this timeline.
+    Save {
+        /// Identifies the outcome.
+        serial: u64,
+        /// Overrides to write.
+        puts: Vec<(WishId, Vec<u8>)>,
+        /// Overrides to remove.
+        drops: Vec<WishId>,
+        /// The timeline to stamp it with.
+        line: Timeline,
+    },
+    /// Reply to a management request.
+    Reply {
+        /// The request's ticket.
+        ticket: Ticket,
+        /// The reply.
+        reply: Reply,
+    },
+    /// Feed `Event::InputDrained` at this time, if not earlier.
+    WakeAt(Moment),
+    /// Write a line to the log.
+    Log(String),
+}
--- a/governor/src/routing/mod.rs
+++ b/governor/src/routing/mod.rs
@@ -1,5 +1,6 @@
 //! All state of the governor, behind one reducer without input, output or clock.
 
+mod events;
 pub mod known;
 mod names;
 mod outbox;
@@ -10,4 +11,5 @@
 mod snapshot;
 pub mod subset;
 
-pub use reducer::{Effect, Event, Reducer};
+pub use events::{Effect, Event};
+pub use reducer::Reducer;
--- a/governor/src/routing/overrides.rs
+++ b/governor/src/routing/overrides.rs
@@ -10,7 +10,7 @@
 
 /// What the operators' file says of overrides.
 #[derive(Clone, Debug)]
-pub struct Wanted {
+pub struct OverrideConfig {
     pub bounds: Bounds,
     pub orders: Vec<FileOrder>,
     /// They are kept on disk, and what is there is told later.
@@ -24,7 +24,7 @@
 }
 
 impl Overrides {
-    pub fn start(now: Moment, reading: &Reading, wanted: &Wanted) -> Self {
+    pub fn start(now: Moment, reading: &Reading, wanted: &OverrideConfig) -> Self {
         let clerk = Clerk::start(now, reading, wanted.bounds.clone(), wanted.has_store);
         Overrides { clerk, told: Vec::new() }
     }
--- a/governor/src/routing/reducer.rs
+++ b/governor/src/routing/reducer.rs
@@ -4,27 +4,27 @@
 mod reports;
 mod subsets;
 
+use super::events::{Effect, Event};
 use super::known::{self, Known};
 use super::names::Names;
 use super::outbox::Outbox;
-use super::overrides::{Overrides, Wanted};
+use super::overrides::{OverrideConfig, Overrides};
 use super::snapshot::{Snapshot, Table};
-use super::subset::{Fleet, Subsets};
+use super::subset::Subsets;
 use crate::protocol::collector::Message;
 use crate::protocol::discovery::{Entry, List};
 use crate::protocol::relay::{Answer, News, Order};
-use crate::protocol::Wrong;
-use crate::transport::{limits, Broken, CallError, ConnectionId, Targets};
+use crate::protocol::InvalidMessage;
+use crate::transport::{limits, CallError, ConnectionId, StreamError, Targets};
 use reports::Aggregated;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
-use std::net::SocketAddr;
 use whinwall::chance::Chance;
 use whinwall::interface::*;
 use whinwall::logic::Governor;
 use whinwall::time::{Moment, Span};
 use whinwall_management::ask::{Reply, Request, Status};
-use whinwall_overrides::{Act, Reading, Refused, Ticket, Timeline};
+use whinwall_overrides::{Act, Reading, Refused, Ticket};
 use whinwall_settings::Settings;
 
 /// The part of a pause that is drawn.
@@ -32,108 +32,6 @@
 /// Orders remembered as unusable; beyond that they are forgotten, and cost a reading of the store each.
 const MOST_SKIPPED: usize = 256;
 
-#[derive(Debug)]
-pub enum Event {
-    Started,
-    /// The configuration was read anew.
-    Configured(Targets),
-    /// The operators' file names the fleet in which each governor steers a subset of the replicas, or none.
-    SubsettingConfigured(Option<Fleet>),
-    Message {
-        from: ConnectionId,
-        message: Message,
-    },
-    /// Reports of one connection, taken apart by a reader.
-    Reports {
-        from: ConnectionId,
-        reports: Vec<Report>,
-    },
-    /// So many bytes came from collectors.
-    ReportBytes(u64),
-    /// What came at our address is no message.
-    Wrong {
-        from: ConnectionId,
-        wrong: Wrong,
-    },
-    /// A connection to our address is no more.
-    Ended(ConnectionId),
-    News(News),
-    NewsLost(Broken),
-    Answer(Result<Answer, CallError>),
-    /// The relay answers what nobody asked: an answer that was taken may have been another call's.
-    Surplus,
-    List(List),
-    ListLost(Broken),
-    /// What the operators' file says, at the start or read anew, and what the clocks say.
-    Wanted(Wanted, Reading),
-    /// At the management front.
-    Asked {
-        ticket: Ticket,
-        request: Request,
-    },
-    /// The overrides on disk were read, or can't be.
-    StoreRead {
-        records: Vec<(WishId, Vec<u8>)>,
-        stamp: Option<Vec<u8>>,
-        reading: Reading,
-    },
-    StoreNotRead(String),
-    Kept {
-        serial: u64,
-        outcome: Result<(), String>,
-    },
-    /// The wall's clock was stepped, and is there now.
-    WallStepped(Moment),
-    /// All that had arrived is in, and so is the time.
-    Quiet,
-}
-
-#[derive(Debug, PartialEq)]
-pub enum Effect {
-    Pong {
-        to: ConnectionId,
-    },
-    /// It has joined, and may stay.
-    Keep {
-        to: ConnectionId,
-    },
-    /// It is let go, and told why where it has not joined: nothing is ever said to a collector.
-    LetGo {
-        to: ConnectionId,
-        why: Option<&'static str>,
-    },
-    Call {
-        relay: SocketAddr,
-        line: String,
-        afresh: bool,
-    },
-    FollowNews {
-        relay: SocketAddr,
-    },
-    FollowList {
-        discovery: SocketAddr,
-        since: u64,
-    },
-    /// The same beside a watch that goes on until this one speaks.
-    RenewList {
-        discovery: SocketAddr,
-        since: u64,
-    },
-    /// On disk, all of it or nothing, with a stamp by this line.
-    Save {
-        serial: u64,
-        puts: Vec<(WishId, Vec<u8>)>,
-        drops: Vec<WishId>,
-        line: Timeline,
-    },
-    Reply {
-        ticket: Ticket,
-        reply: Reply,
-    },
-    WakeAt(Moment),
-    Note(String),
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Decisions(u64),
@@ -252,16 +150,16 @@
                 self.subsetting_configured(now, fleet);
             }
             Event::Message { from, message } => self.message(now, from, message),
-            Event::Wrong { from, wrong } => match wrong {
-                Wrong::Spoilt(why) => self.pass_over(from, why),
-                Wrong::Unreadable(why) => {
+            Event::Invalid { from, error } => match error {
+                InvalidMessage::Spoilt(why) => self.pass_over(from, why),
+                InvalidMessage::Unreadable(why) => {
                     // What it still says counts for nothing either.
                     let joined = self.collectors.remove(&from);
                     if joined {
                         self.note(format!("a collector goes on with what can't be read: {why}"));
                     }
                     let why = (!joined).then_some("unreadable");
-                    self.effects.push(Effect::LetGo { to: from, why });
+                    self.effects.push(Effect::Disconnect { to: from, why });
                 }
             },
             Event::Reports { from, reports } if self.collectors.contains(&from) => {
@@ -269,22 +167,22 @@
             }
             Event::Reports { from, .. } => self.pass_over(from, "reports"),
             Event::ReportBytes(bytes) => self.report_bytes(now, bytes),
-            Event::Ended(from) => _ = self.collectors.remove(&from),
-            Event::News(news) => self.news(now, news),
-            Event::NewsLost(why) => {
+            Event::Disconnected(from) => _ = self.collectors.remove(&from),
+            Event::Relay(news) => self.news(now, news),
+            Event::WatchLost(why) => {
                 self.snapshot = Snapshot::default();
                 self.in_doubt = false;
                 self.lost(Source::News, why);
                 self.after_pause(now, Due::News);
             }
-            Event::Answer(outcome) => self.answer(now, outcome),
-            Event::Surplus => {
+            Event::RelayReply(outcome) => self.answer(now, outcome),
+            Event::UnexpectedReply => {
                 self.note("the relay answers what nobody asked; the store is read anew".into());
                 self.doubt();
             }
-            Event::List(list) => self.list(now, &list),
-            Event::ListLost(why) => {
-                if matches!(why, Broken::Unreadable(_)) {
+            Event::Registry(list) => self.list(now, &list),
+            Event::RegistryLost(why) => {
+                if matches!(why, StreamError::Unreadable(_)) {
                     self.list_version = 0;
                 }
                 self.lost(Source::List, why);
@@ -295,21 +193,21 @@
                     false => self.governor.list_failed(now),
                 }
             }
-            Event::Wanted(wanted, reading) => self.wanted(now, wanted, &reading),
-            Event::Asked { ticket, request } => self.asked(now, ticket, request),
+            Event::OperatorConfigChanged(wanted, reading) => self.wanted(now, wanted, &reading),
+            Event::ManagementRequest { ticket, request } => self.asked(now, ticket, request),
             Event::StoreRead { records, stamp, reading } => self.with_overrides(now, |overrides| {
                 overrides.clerk.restored(now, &reading, stamp.as_deref(), &records);
             }),
             Event::StoreNotRead(why) => {
                 self.with_overrides(now, |overrides| overrides.clerk.not_read(&why));
             }
-            Event::Kept { serial, outcome } => {
+            Event::Saved { serial, outcome } => {
                 self.with_overrides(now, |overrides| overrides.clerk.kept(now, serial, outcome));
             }
             Event::WallStepped(wall) => {
                 self.with_overrides(now, |overrides| overrides.clerk.wall_told(now, wall));
             }
-            Event::Quiet => self.quiet(now),
+            Event::InputDrained => self.quiet(now),
         }
         std::mem::take(&mut self.effects)
     }
@@ -334,13 +232,13 @@
         self.in_motion = self.outbox.slices();
         // A break that waits to be made up for is made up for by this: another would only cut it short.
         self.agenda.retain(|(_, due)| *due != Due::News);
-        self.effects.push(Effect::FollowNews { relay: self.targets.relay });
+        self.effects.push(Effect::WatchRelay { relay: self.targets.relay });
     }
 
     fn follow_list(&mut self, now: Moment) {
         self.agenda.retain(|(_, due)| *due != Due::List);
         let (discovery, since) = (self.targets.discovery, self.list_version);
-        self.effects.push(Effect::FollowList { discovery, since });
+        self.effects.push(Effect::WatchRegistry { discovery, since });
         self.renew_later(now);
     }
 
@@ -354,7 +252,7 @@
 
     fn renew_list(&mut self, now: Moment) {
         let (discovery, since) = (self.targets.discovery, self.list_version);
-        self.effects.push(Effect::RenewList { discovery, since });
+        self.effects.push(Effect::RenewRegistryWatch { discovery, since });
         self.renew_later(now);
     }
 
@@ -407,7 +305,7 @@
     }
 
     /// One that can't be changes nothing, as with the rest of the file.
-    fn wanted(&mut self, now: Moment, wanted: Wanted, reading: &Reading) {
+    fn wanted(&mut self, now: Moment, wanted: OverrideConfig, reading: &Reading) {
         self.overrides.get_or_insert_with(|| Overrides::start(now, reading, &wanted));
         let mut refused = None;
         self.with_overrides(now, |overrides| {
@@ -462,7 +360,7 @@
         for act in overrides.clerk.acts() {
             self.effects.push(match act {
                 Act::Keep { serial, puts, drops, line } => Effect::Save { serial, puts, drops, line },
-                Act::Note(text) => Effect::Note(text),
+                Act::Note(text) => Effect::Log(text),
                 Act::Answer { ticket, answer } => {
                     let shown = |number| {
                         let one = overrides.clerk.book().number(number)?;
@@ -510,7 +408,7 @@
             Message::Ping => self.effects.push(Effect::Pong { to: from }),
             Message::Source { place } if self.known_place(&place).is_some() => {
                 self.collectors.insert(from);
-                self.effects.push(Effect::Keep { to: from });
+                self.effects.push(Effect::Admit { to: from });
             }
             Message::Met(met) if joined => self.met(now, from, &met),
             Message::Asked(asked) if joined => self.asked_of_slice(now, from, &asked),
@@ -609,7 +507,7 @@
         let outcome = outcome.and_then(|answer| match answer {
             Answer::Taken(many) if many > sent => {
                 let why = format!("{many} orders taken of {sent}");
-                Err(CallError::OutcomeUnknown(Broken::Unreadable(why)))
+                Err(CallError::OutcomeUnknown(StreamError::Unreadable(why)))
             }
             answer => Ok(answer),
         });
@@ -687,7 +585,7 @@
     }
 
     fn note(&mut self, text: String) {
-        self.effects.push(Effect::Note(text));
+        self.effects.push(Effect::Log(text));
     }
 
     fn quiet(&mut self, now: Moment) {
@@ -717,7 +615,7 @@
         self.weigh_again(now);
         let call = self.outbox.next();
         let relay = self.targets.relay;
-        self.effects.extend(call.map(|(line, afresh)| Effect::Call { relay, line, afresh }));
+        self.effects.extend(call.map(|(line, afresh)| Effect::RelayRequest { relay, line, afresh }));
         let next = self.agenda.first().map(|(at, _)| *at).into_iter();
         let next = next.chain(self.snapshot.settles());
         let next = next.chain(self.overrides.as_ref().and_then(Overrides::due));
--- a/governor/src/routing/reducer/reports.rs
+++ b/governor/src/routing/reducer/reports.rs
@@ -1,8 +1,9 @@
 //! Reports on their way to the decisions: checked against what is known, and where aggregators report against what
 //! is covered already.
 
-use super::{Effect, Reducer};
+use super::Reducer;
 use crate::protocol::collector;
+use crate::routing::events::Effect;
 use crate::routing::known::span;
 use crate::routing::report_coverage::{Before, Counted, Line, ReportCoverage, Subject};
 use crate::routing::report_feed::{FeedChange, ReportFeed};
@@ -165,7 +166,7 @@
             true => self.note(format!("a report is passed over: {why}")),
             false => self
                 .effects
-                .push(Effect::LetGo { to: from, why: Some("of no use from whoever has not joined") }),
+                .push(Effect::Disconnect { to: from, why: Some("of no use from whoever has not joined") }),
         }
     }
 }
--- a/governor/src/transport/calls.rs
+++ b/governor/src/transport/calls.rs
@@ -1,7 +1,7 @@
 //! Calls on the relay, one at a time, on one connection that is kept as long as it is good.
 
 use super::framing::Lines;
-use super::{connect, contained, limits, within, Broken, CallError, Inbox, Input};
+use super::{connect, contained, limits, within, CallError, Inbox, Input, StreamError};
 use actix_codec::Framed;
 use actix_rt::net::TcpStream;
 use futures_util::{SinkExt, StreamExt};
@@ -63,7 +63,7 @@
     at: &mut watch::Receiver<Option<SocketAddr>>,
     call: String,
 ) -> Result<String, CallError> {
-    let moved = || Err(CallError::NotSent(Broken::Unreachable("given up, calls go elsewhere".into())));
+    let moved = || Err(CallError::NotSent(StreamError::Unreachable("given up, calls go elsewhere".into())));
     let line = match open {
         _ if *at.borrow() != Some(relay) => return moved(),
         Some((_, line)) => line,
@@ -81,6 +81,6 @@
     match within(limits::ANSWER, line.next()).await.map_err(CallError::OutcomeUnknown)? {
         Some(Ok(answer)) => Ok(answer),
         Some(Err(why)) => Err(CallError::OutcomeUnknown(why.into())),
-        None => Err(CallError::OutcomeUnknown(Broken::Closed)),
+        None => Err(CallError::OutcomeUnknown(StreamError::Closed)),
     }
 }
--- a/governor/src/transport/mod.rs
+++ b/governor/src/transport/mod.rs
@@ -43,8 +43,8 @@
     /// It will say nothing more, and has said so many chunks.
     Ended(ConnectionId, u64),
     /// What is followed says something, or is no more.
-    News(FollowId, Result<String, Broken>),
-    List(FollowId, Result<String, Broken>),
+    News(FollowId, Result<String, StreamError>),
+    List(FollowId, Result<String, StreamError>),
     Answer(Result<String, CallError>),
     /// The relay answers what nobody asked: an answer before may have been another call's.
     Surplus,
@@ -83,7 +83,7 @@
 
 /// Why a connection is no more.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Broken {
+pub enum StreamError {
     Unreachable(String),
     Silent,
     Closed,
@@ -99,29 +99,29 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum CallError {
     /// Its last byte was not written: it was not carried out.
-    NotSent(Broken),
+    NotSent(StreamError),
     /// It may have been carried out.
-    OutcomeUnknown(Broken),
+    OutcomeUnknown(StreamError),
 }
 
-impl From<std::io::Error> for Broken {
+impl From<std::io::Error> for StreamError {
     fn from(why: std::io::Error) -> Self {
         match why.kind() {
-            std::io::ErrorKind::InvalidData => Broken::Unreadable(why.to_string()),
-            _ => Broken::Cut(why.to_string()),
+            std::io::ErrorKind::InvalidData => StreamError::Unreadable(why.to_string()),
+            _ => StreamError::Cut(why.to_string()),
         }
     }
 }
 
-impl fmt::Display for Broken {
+impl fmt::Display for StreamError {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
-            Broken::Unreachable(why) => write!(f, "out of reach ({why})"),
-            Broken::Silent => f.write_str("silent"),
-            Broken::Closed => f.write_str("closed by the other side"),
-            Broken::Cut(why) => write!(f, "cut off ({why})"),
-            Broken::Unreadable(why) => write!(f, "unreadable ({why})"),
-            Broken::Panicked => f.write_str("lost by a panic of ours"),
+            StreamError::Unreachable(why) => write!(f, "out of reach ({why})"),
+            StreamError::Silent => f.write_str("silent"),
+            StreamError::Closed => f.write_str("closed by the other side"),
+            StreamError::Cut(why) => write!(f, "cut off ({why})"),
+            StreamError::Unreadable(why) => write!(f, "unreadable ({why})"),
+            StreamError::Panicked => f.write_str("lost by a panic of ours"),
         }
     }
 }
@@ -136,12 +136,12 @@
 }
 
 /// A panic stops at the connection on which it happened.
-async fn contained<T>(work: impl Future<Output = T>) -> Result<T, Broken> {
-    AssertUnwindSafe(work).catch_unwind().await.map_err(|_| Broken::Panicked)
+async fn contained<T>(work: impl Future<Output = T>) -> Result<T, StreamError> {
+    AssertUnwindSafe(work).catch_unwind().await.map_err(|_| StreamError::Panicked)
 }
 
-async fn within<T>(most: Duration, work: impl Future<Output = T>) -> Result<T, Broken> {
-    actix_rt::time::timeout(most, work).await.map_err(|_| Broken::Silent)
+async fn within<T>(most: Duration, work: impl Future<Output = T>) -> Result<T, StreamError> {
+    actix_rt::time::timeout(most, work).await.map_err(|_| StreamError::Silent)
 }
 
 /// The first of several attempts that succeeds. Another begins each so often while those before go on: what was
@@ -149,8 +149,8 @@
 pub async fn earliest<T>(
     every: Duration,
     most: usize,
-    attempt: impl AsyncFn() -> Result<T, Broken>,
-) -> Result<T, Broken> {
+    attempt: impl AsyncFn() -> Result<T, StreamError>,
+) -> Result<T, StreamError> {
     let mut attempts = FuturesUnordered::new();
     for _ in 0..most {
         attempts.push(attempt());
@@ -164,12 +164,12 @@
             }
         }
     }
-    Err(Broken::Silent)
+    Err(StreamError::Silent)
 }
 
 /// Dials until one attempt succeeds, for a bounded time.
-pub async fn connect(to: SocketAddr) -> Result<TcpStream, Broken> {
-    let unreachable = |why: std::io::Error| Broken::Unreachable(why.to_string());
+pub async fn connect(to: SocketAddr) -> Result<TcpStream, StreamError> {
+    let unreachable = |why: std::io::Error| StreamError::Unreachable(why.to_string());
     let dial = async || TcpStream::connect(to).await.map_err(unreachable);
     let stream = earliest(limits::CONNECT, limits::DIALS, dial).await?;
     // A call is one small write: nothing is to wait for more to fill a packet.
--- a/governor/src/transport/news.rs
+++ b/governor/src/transport/news.rs
@@ -1,7 +1,7 @@
 //! The connection that brings the relay's news. It ends with the first failure, and is said to have ended.
 
 use super::framing::Lines;
-use super::{connect, contained, limits, within, Broken, FollowId, Inbox, Input};
+use super::{connect, contained, limits, within, FollowId, Inbox, Input, StreamError};
 use actix_codec::Framed;
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
@@ -11,7 +11,7 @@
     _ = inbox.send(Input::News(id, Err(why))).await;
 }
 
-async fn read(id: FollowId, relay: SocketAddr, request: &'static str, inbox: &Inbox) -> Broken {
+async fn read(id: FollowId, relay: SocketAddr, request: &'static str, inbox: &Inbox) -> StreamError {
     let stream = match connect(relay).await {
         Ok(stream) => stream,
         Err(why) => return why,
@@ -27,12 +27,12 @@
         let line = match within(patience, framed.next()).await {
             Ok(Some(Ok(line))) => line,
             Ok(Some(Err(why))) => return why.into(),
-            Ok(None) => return Broken::Closed,
+            Ok(None) => return StreamError::Closed,
             Err(why) => return why,
         };
         patience = limits::NEWS_SILENCE;
         if inbox.send(Input::News(id, Ok(line))).await.is_err() {
-            return Broken::Closed;
+            return StreamError::Closed;
         }
     }
 }
--- a/governor/src/transport/watch.rs
+++ b/governor/src/transport/watch.rs
@@ -1,7 +1,7 @@
 //! Discovery's watch: one request, answered by lines for as long as it lasts.
 
 use super::framing::Lines;
-use super::{contained, earliest, limits, within, Broken, FollowId, Inbox, Input};
+use super::{contained, earliest, limits, within, FollowId, Inbox, Input, StreamError};
 use actix_codec::Decoder;
 use bytes::BytesMut;
 use futures_util::StreamExt;
@@ -11,8 +11,8 @@
     _ = inbox.send(Input::List(id, Err(why))).await;
 }
 
-async fn read(id: FollowId, client: awc::Client, url: String, inbox: &Inbox) -> Broken {
-    let unreachable = |why: &dyn std::fmt::Display| Broken::Unreachable(why.to_string());
+async fn read(id: FollowId, client: awc::Client, url: String, inbox: &Inbox) -> StreamError {
+    let unreachable = |why: &dyn std::fmt::Display| StreamError::Unreachable(why.to_string());
     let ask = async || match client.get(&url).send().await {
         Ok(answer) if answer.status().is_success() => Ok(answer),
         Ok(answer) => Err(unreachable(&answer.status())),
@@ -26,8 +26,8 @@
     loop {
         match within(limits::LIST_SILENCE, answer.next()).await {
             Ok(Some(Ok(chunk))) => bytes.extend_from_slice(&chunk),
-            Ok(Some(Err(why))) => return Broken::Cut(why.to_string()),
-            Ok(None) => return Broken::Closed,
+            Ok(Some(Err(why))) => return StreamError::Cut(why.to_string()),
+            Ok(None) => return StreamError::Closed,
             Err(why) => return why,
         }
         loop {
@@ -37,7 +37,7 @@
                 Err(why) => return why.into(),
             };
             if inbox.send(Input::List(id, Ok(line))).await.is_err() {
-                return Broken::Closed;
+                return StreamError::Closed;
             }
         }
     }
--- a/governor/tests/crossings.rs
+++ b/governor/tests/crossings.rs
@@ -10,7 +10,7 @@
 use whinwall_governor::protocol::discovery;
 use whinwall_governor::protocol::relay::Answer;
 use whinwall_governor::routing::{Effect, Event};
-use whinwall_governor::transport::{Broken, Targets};
+use whinwall_governor::transport::{StreamError, Targets};
 
 /// Drains a server under a message cap, and gives each call this answer, so long after it: no more calls than the window
 /// allows, and more than one window's.
@@ -47,7 +47,7 @@
 /// A relay that takes one order at a time makes each rest a message of its own.
 #[test]
 fn answers_that_are_short_keep_the_message_cap() {
-    keeps_the_message_cap(60, Span::ms(50), || Event::Answer(Ok(Answer::Taken(1))));
+    keeps_the_message_cap(60, Span::ms(50), || Event::RelayReply(Ok(Answer::Taken(1))));
 }
 
 /// A proxy whose acks are held up holds the former table, and writes by it: no new owner before it has acked that its ops
@@ -148,7 +148,7 @@
         rig.pass(600);
     }
     rig.proxies = proxies;
-    rig.tell(Event::NewsLost(Broken::Silent));
+    rig.tell(Event::WatchLost(StreamError::Silent));
     rig.pass(200);
     assert!(rig.renew(), "the news is asked for anew");
     let before = rig.calls.len();
@@ -219,7 +219,7 @@
 
 fn tell_list(rig: &mut Rig, version: u64, whole: bool, servers: Vec<serde_json::Value>) {
     let list = json!({"version": version, "full": whole, "servers": servers});
-    rig.tell(Event::List(discovery::decode(&list.to_string()).unwrap().unwrap()));
+    rig.tell(Event::Registry(discovery::decode(&list.to_string()).unwrap().unwrap()));
     rig.quiet();
 }
 
@@ -262,7 +262,7 @@
         tell_list(&mut rig, 3, true, all());
         rig.pass(2000);
     }
-    let whole = Effect::FollowList { discovery: DISCOVERY, since: 0 };
+    let whole = Effect::WatchRegistry { discovery: DISCOVERY, since: 0 };
     assert!(rig.follows.contains(&whole), "{:?}", rig.follows);
     tell_list(&mut rig, 3, true, all());
     rig.pass(3000);
@@ -276,7 +276,7 @@
         let mut rig = Rig::with_seed(12, seed, |_| {}).set_going();
         (0..8)
             .map(|_| {
-                rig.tell(Event::NewsLost(Broken::Closed));
+                rig.tell(Event::WatchLost(StreamError::Closed));
                 rig.quiet();
                 let pause = rig.wake.unwrap() - rig.now;
                 assert!(pause <= Span::ms(100), "{pause:?}");
@@ -421,7 +421,7 @@
         // At the second refusal the first order is skipped, and nothing may be left.
         let may_be_over = taken >= orders.len() || orders.len() == 1;
         self.open = Some((orders.iter().map(|order| order.to_string()).collect(), may_be_over));
-        self.rig.tell(Event::Answer(Ok(Answer::Taken(taken.min(orders.len())))));
+        self.rig.tell(Event::RelayReply(Ok(Answer::Taken(taken.min(orders.len())))));
     }
 
     fn list(&mut self, version: u64) {
@@ -449,18 +449,18 @@
                 tell_list(&mut self.rig, self.version - 1 - u64::from(n % 9), n.is_multiple_of(2), all);
                 tell_list(&mut self.rig, self.version, false, Vec::new());
             }
-            3 => self.rig.tell(Event::ListLost(Broken::Silent)),
+            3 => self.rig.tell(Event::RegistryLost(StreamError::Silent)),
             4 | 5 => self.answer(event % 18 == 4, |_| UNKNOWN),
-            6 => self.answer(false, |_| Event::Answer(Ok(Answer::NotNow("ERR unavailable".into())))),
+            6 => self.answer(false, |_| Event::RelayReply(Ok(Answer::NotNow("ERR unavailable".into())))),
             7 => self.is_short(n as usize % 3),
             8 => {
                 let settles = self.rig.open.is_some();
-                self.answer(true, |orders| Event::Answer(Ok(Answer::Taken(orders))));
+                self.answer(true, |orders| Event::RelayReply(Ok(Answer::Taken(orders))));
                 self.open = self.open.take().filter(|_| !settles);
             }
-            9 => self.rig.tell(Event::Surplus),
+            9 => self.rig.tell(Event::UnexpectedReply),
             10 => {
-                self.rig.tell(Event::NewsLost(Broken::Silent));
+                self.rig.tell(Event::WatchLost(StreamError::Silent));
                 self.rig.now = self.rig.now + Span::ms(u64::from(n % 300));
             }
             11 | 12 => {
@@ -535,7 +535,7 @@
         let rig = &mut played.rig;
         let drained = rig.owners().into_iter().find(|server| rig.servers[*server] == "leaving");
         assert_eq!(drained, None, "seed {seed}: {events:?}");
-        rig.tell(Event::NewsLost(Broken::Closed));
+        rig.tell(Event::WatchLost(StreamError::Closed));
         rig.pass(100);
         rig.standing(&[]);
         let stands = "the relay's news stands: 4 proxies, 12 slices, 0 new to us, 6 servers known";
@@ -552,7 +552,7 @@
     rig.drain("s-2");
     rig.pass(20_000);
     assert!(!rig.owners().contains("s-2"));
-    rig.tell(Event::NewsLost(Broken::Silent));
+    rig.tell(Event::WatchLost(StreamError::Silent));
     rig.pass(100);
     rig.standing(&[]);
     let stands = "the relay's news stands: 4 proxies, 12 slices, 0 new to us, 6 servers known";
@@ -565,7 +565,7 @@
     let mut rig = Rig::serving();
     rig.pass(5000);
     let before = rig.calls.len();
-    rig.tell(Event::NewsLost(Broken::Silent));
+    rig.tell(Event::WatchLost(StreamError::Silent));
     rig.store.insert(3, BTreeMap::from([("s-5".into(), 1.0)]));
     rig.pass(100);
     rig.standing(&[]);
@@ -583,7 +583,7 @@
     let mut read_anew = 0;
     for _ in 0..40 {
         if rig.open.take().is_some() {
-            rig.tell(Event::Answer(Ok(Answer::Taken(0))));
+            rig.tell(Event::RelayReply(Ok(Answer::Taken(0))));
         }
         rig.now = rig.now + Span::ms(100);
         rig.quiet();
--- a/governor/tests/readers.rs
+++ b/governor/tests/readers.rs
@@ -73,7 +73,7 @@
                         _ = batch.back.try_send(Back::End(None));
                     }
                     Item::Message(other) => panic!("{other:?}"),
-                    Item::Wrong(_) => _ = batch.back.try_send(Back::End(None)),
+                    Item::Invalid(_) => _ = batch.back.try_send(Back::End(None)),
                 }
             }
         }
--- a/governor/tests/reducer.rs
+++ b/governor/tests/reducer.rs
@@ -11,9 +11,9 @@
 use whinwall::time::{Moment, Span};
 use whinwall_governor::protocol::relay::{decode_answer, decode_news, Answer};
 use whinwall_governor::protocol::{collector, discovery};
-use whinwall_governor::routing::overrides::Wanted;
+use whinwall_governor::routing::overrides::OverrideConfig;
 use whinwall_governor::routing::{Effect, Event};
-use whinwall_governor::transport::{Broken, CallError, Targets};
+use whinwall_governor::transport::{CallError, StreamError, Targets};
 use whinwall_management::ask::{Reply, Request};
 use whinwall_overrides::{Ask, Bounds, Kind, Order, Reading};
 
@@ -86,14 +86,14 @@
     ];
     let before = rig.calls.len();
     for list in odd {
-        rig.tell(Event::List(discovery::decode(&list.to_string()).unwrap().unwrap()));
+        rig.tell(Event::Registry(discovery::decode(&list.to_string()).unwrap().unwrap()));
         rig.pass(700);
     }
     let again =
         |call: &String| call.contains("IN,s-2") || call.contains(",s-2,1") || call.contains(",s-2,0.");
     assert!(!rig.calls[before..].iter().any(again), "{:?}", &rig.calls[before..]);
     let back = json!({"version": 50, "full": false, "servers": [entry("s-2", "active", "north", 0)]});
-    rig.tell(Event::List(discovery::decode(&back.to_string()).unwrap().unwrap()));
+    rig.tell(Event::Registry(discovery::decode(&back.to_string()).unwrap().unwrap()));
     rig.pass(3000);
     assert!(rig.calls[before..].iter().any(|call| call.contains("IN,s-2")));
 }
@@ -150,7 +150,7 @@
     let mut rig = Rig::serving();
     rig.drain("s-2");
     let first = rig.open.clone().unwrap();
-    rig.tell(Event::NewsLost(Broken::Closed));
+    rig.tell(Event::WatchLost(StreamError::Closed));
     rig.follows.clear();
     let moved = |port, other| Targets {
         relay: SocketAddr::new(RELAY.ip(), port),
@@ -161,8 +161,8 @@
     let (targets, before) = (moved(6401, 8501), rig.calls.len());
     rig.tell(Event::Configured(targets));
     let expected = [
-        Effect::FollowNews { relay: targets.relay },
-        Effect::FollowList { discovery: targets.discovery, since: 41 },
+        Effect::WatchRelay { relay: targets.relay },
+        Effect::WatchRegistry { discovery: targets.discovery, since: 41 },
     ];
     assert_eq!(rig.follows, expected);
     rig.open = None;
@@ -188,7 +188,7 @@
     for (taken, next) in [(usize::MAX, 0), (orders.len() + 1, 0), (0, 0), (2, 2), (1, 3), (0, 4)] {
         let before = rig.notes.len();
         rig.open = None;
-        rig.tell(Event::Answer(Ok(Answer::Taken(taken))));
+        rig.tell(Event::RelayReply(Ok(Answer::Taken(taken))));
         rig.quiet();
         if rig.open.is_none() {
             rig.now = rig.now + Span::ms(100);
@@ -232,7 +232,7 @@
 fn servers_are_replaced_without_end() {
     let mut rig = Rig::serving();
     let known = |rig: &mut Rig| {
-        rig.tell(Event::NewsLost(Broken::Closed));
+        rig.tell(Event::WatchLost(StreamError::Closed));
         rig.pass(100);
         rig.standing(&[]);
         let note = rig.notes.last().unwrap().clone();
@@ -260,16 +260,16 @@
 impl Rig {
     /// Overrides are switched on, and kept nowhere.
     fn with_overrides(mut self) -> Self {
-        let wanted = Wanted { bounds: Bounds::default(), orders: Vec::new(), has_store: false };
+        let wanted = OverrideConfig { bounds: Bounds::default(), orders: Vec::new(), has_store: false };
         let reading = Reading { boot: String::new(), since_boot: Span::default(), wall: self.now };
-        self.tell(Event::Wanted(wanted, reading));
+        self.tell(Event::OperatorConfigChanged(wanted, reading));
         self
     }
 
     fn set(&mut self, id: &str, kind: Kind, lasts_ms: u64) {
         let (author, reason, lasts) = ("mb".into(), "disk".into(), Span::ms(lasts_ms));
         let order = Order { id: id.into(), kind, author, reason, lasts };
-        self.tell(Event::Asked { ticket: 1, request: Request::Change(Ask::Set(order)) });
+        self.tell(Event::ManagementRequest { ticket: 1, request: Request::Change(Ask::Set(order)) });
         assert!(matches!(self.replies.pop(), Some(Reply::Set { .. })));
         self.quiet();
     }
@@ -280,7 +280,7 @@
 
     /// Those that are listed as standing, checked against the time.
     fn standing_overrides(&mut self) -> Vec<String> {
-        self.tell(Event::Asked { ticket: 2, request: Request::List });
+        self.tell(Event::ManagementRequest { ticket: 2, request: Request::List });
         let Some(Reply::Listed { all, now }) = self.replies.pop() else { panic!("a list") };
         let standing: Vec<_> = all.into_iter().filter(|shown| shown.one.stands()).collect();
         assert!(standing.iter().all(|shown| shown.one.ends > now), "one stands after its end");
@@ -391,7 +391,7 @@
                     rig.list();
                 }
                 6 => {
-                    rig.tell(Event::NewsLost(Broken::Closed));
+                    rig.tell(Event::WatchLost(StreamError::Closed));
                     rig.pass(200);
                     rig.renew();
                 }
@@ -419,8 +419,8 @@
     rig.drain("s-2");
     rig.open = None;
     rig.follows.clear();
-    rig.tell(Event::Answer(Ok(Answer::Unusable("ERR bad_request".into()))));
-    assert_eq!(rig.follows, [Effect::FollowNews { relay: RELAY }]);
+    rig.tell(Event::RelayReply(Ok(Answer::Unusable("ERR bad_request".into()))));
+    assert_eq!(rig.follows, [Effect::WatchRelay { relay: RELAY }]);
     rig.standing(&[]);
     rig.pass(1000);
     assert!(!rig.owners().contains("s-2"), "what was dropped is ordered again");
@@ -432,16 +432,16 @@
     // A break in the middle of a table: the half is forgotten.
     rig.news("OK");
     rig.news("* GRANT 3 1");
-    rig.tell(Event::NewsLost(Broken::Closed));
+    rig.tell(Event::WatchLost(StreamError::Closed));
     rig.quiet();
     assert_eq!(
         rig.follows.last(),
-        Some(&Effect::FollowList { discovery: DISCOVERY, since: 0 }),
+        Some(&Effect::WatchRegistry { discovery: DISCOVERY, since: 0 }),
         "it pauses first"
     );
     let before = rig.notes.len();
     rig.pass(100);
-    assert_eq!(rig.follows.last(), Some(&Effect::FollowNews { relay: RELAY }));
+    assert_eq!(rig.follows.last(), Some(&Effect::WatchRelay { relay: RELAY }));
     assert_eq!(rig.notes.len(), before, "half a snapshot was taken for all that stands");
     // Meanwhile two proxies left, slice 4 went to another governor, and slice 5 to another server.
     rig.store.insert(5, BTreeMap::from([("s-0".into(), 1.0)]));
@@ -485,7 +485,7 @@
     rig.pass(100);
     assert_eq!(
         rig.follows,
-        [Effect::FollowNews { relay: RELAY }],
+        [Effect::WatchRelay { relay: RELAY }],
         "the open call may have met the slice, or not"
     );
     rig.standing(&[]);
@@ -498,7 +498,7 @@
     let mut rig = Rig::serving();
     rig.drain("s-2");
     let call = rig.open.take().unwrap();
-    rig.tell(Event::Answer(Err(CallError::NotSent(Broken::Closed))));
+    rig.tell(Event::RelayReply(Err(CallError::NotSent(StreamError::Closed))));
     // The relay is back with the tables as they were: the call is still to come, and it alone.
     rig.standing(&[]);
     assert_eq!(rig.open.as_ref(), Some(&call));
@@ -512,11 +512,13 @@
 fn a_lost_list_is_asked_for_again() {
     let mut rig = Rig::serving();
     rig.notes.clear();
-    for (why, since) in [(Broken::Closed, 41), (Broken::Unreadable("a list that is none".into()), 0)] {
-        rig.tell(Event::ListLost(why));
+    for (why, since) in
+        [(StreamError::Closed, 41), (StreamError::Unreadable("a list that is none".into()), 0)]
+    {
+        rig.tell(Event::RegistryLost(why));
         rig.quiet();
         rig.pass(100);
-        assert_eq!(rig.follows.last(), Some(&Effect::FollowList { discovery: DISCOVERY, since }));
+        assert_eq!(rig.follows.last(), Some(&Effect::WatchRegistry { discovery: DISCOVERY, since }));
     }
     rig.list();
     let notes = [
@@ -532,19 +534,19 @@
     rig.quiet();
     assert_eq!(
         rig.follows,
-        [Effect::FollowNews { relay: RELAY }, Effect::FollowList { discovery: DISCOVERY, since: 0 }]
+        [Effect::WatchRelay { relay: RELAY }, Effect::WatchRegistry { discovery: DISCOVERY, since: 0 }]
     );
     rig.list();
     rig.standing(&[]);
     rig.pass(2000);
     rig.drain("s-2");
     assert!(rig.open.is_some());
-    rig.tell(Event::ListLost(Broken::Silent));
+    rig.tell(Event::RegistryLost(StreamError::Silent));
     for _ in 0..31 {
         rig.now = rig.now + Span::ms(100);
         rig.quiet();
     }
-    assert_eq!(rig.follows.last(), Some(&Effect::FollowList { discovery: DISCOVERY, since: 41 }));
+    assert_eq!(rig.follows.last(), Some(&Effect::WatchRegistry { discovery: DISCOVERY, since: 41 }));
 }
 
 #[test]
@@ -606,12 +608,16 @@
     }
     assert!(twin.calls.iter().any(|call| call.contains("OUT,s-1")), "good reports count");
     assert_eq!(rig.calls, twin.calls);
-    assert!(!rig.follows.iter().any(|effect| matches!(effect, Effect::LetGo { .. })));
+    assert!(!rig.follows.iter().any(|effect| matches!(effect, Effect::Disconnect { .. })));
     for line in ["", "[]", "{", r#"{"@type":"LOAD","az":"a{"@type":"LOAD"}"#, "GET / HTTP/1.1", "7"] {
         rig.says(1, r#"{"@type":"SOURCE","az":"north"}"#);
         rig.follows.clear();
         rig.says(1, line);
-        assert_eq!(rig.follows, [Effect::LetGo { to: 1, why: None }], "{line}: a collector is told nothing");
+        assert_eq!(
+            rig.follows,
+            [Effect::Disconnect { to: 1, why: None }],
+            "{line}: a collector is told nothing"
+        );
         rig.says(1, spoilt[0]);
         assert_eq!(rig.follows.len(), 2, "{line}: it has not joined any more");
     }
@@ -625,14 +631,14 @@
     let mut rig = Rig::serving();
     let met = r#"{"@type":"LOAD","az":"north","host":"s-1","n":9,"bad":9,"avg":1,"window":1000}"#;
     rig.says(1, r#"{"@type":"SOURCE","az":"north"}"#);
-    assert_eq!(rig.follows.last(), Some(&Effect::Keep { to: 1 }));
+    assert_eq!(rig.follows.last(), Some(&Effect::Admit { to: 1 }));
     rig.says(1, met);
-    rig.tell(Event::Ended(1));
+    rig.tell(Event::Disconnected(1));
     for line in [met, r#"{"@type":"SOURCE","az":"nowhere"}"#, r#"{"@type":"SET","partition":1}"#, "GET /"] {
         rig.follows.clear();
         rig.says(1, line);
         assert!(
-            matches!(rig.follows[..], [Effect::LetGo { to: 1, why: Some(_) }]),
+            matches!(rig.follows[..], [Effect::Disconnect { to: 1, why: Some(_) }]),
             "{line}: {:?}",
             rig.follows
         );
@@ -678,11 +684,11 @@
                     }
                 }
                 4 if rig.open.take().is_some() => {
-                    rig.tell(Event::Answer(Ok(Answer::NotNow("ERR unavailable".into()))));
+                    rig.tell(Event::RelayReply(Ok(Answer::NotNow("ERR unavailable".into()))));
                     rig.quiet();
                 }
                 5 => {
-                    rig.tell(Event::NewsLost(Broken::Closed));
+                    rig.tell(Event::WatchLost(StreamError::Closed));
                     rig.standing(&[]);
                 }
                 6 => {
@@ -705,7 +711,7 @@
             rig.pass(1000);
         }
         rig.pass(8000);
-        rig.tell(Event::NewsLost(Broken::Closed));
+        rig.tell(Event::WatchLost(StreamError::Closed));
         rig.pass(100);
         rig.standing(&[]);
         let stands = "the relay's news stands: 4 proxies, 12 slices, 0 new to us, 6 servers known";
@@ -841,8 +847,8 @@
         rig.pass(1000);
     }
     assert!(!rig.calls[before..].join(" ").contains("LIMIT"), "nobody's ops cut no levels");
-    rig.tell(Event::Ended(1));
+    rig.tell(Event::Disconnected(1));
     rig.follows.clear();
     rig.tell(Event::Reports { from: 1, reports: fails(5) });
-    assert!(matches!(rig.follows[..], [Effect::LetGo { to: 1, .. }]));
+    assert!(matches!(rig.follows[..], [Effect::Disconnect { to: 1, .. }]));
 }
--- a/governor/tests/report_coverage.rs
+++ b/governor/tests/report_coverage.rs
@@ -161,7 +161,7 @@
     }
 
     fn freshness(&mut self) -> ReportFreshness {
-        self.rig.tell(Event::Asked { ticket: 1, request: Request::Status });
+        self.rig.tell(Event::ManagementRequest { ticket: 1, request: Request::Status });
         match self.rig.replies.pop() {
             Some(Reply::Status(status)) => status.reports.unwrap(),
             other => panic!("{other:?}"),
@@ -301,7 +301,7 @@
         let mut served = Served::new();
         served.run(30, &[Feed::of(1, window)], well);
         let calls = served.rig.calls.len();
-        served.rig.tell(Event::Ended(1));
+        served.rig.tell(Event::Disconnected(1));
         served.run(gap, &[], well);
         for _ in 0..40 {
             served.run(1, &[Feed::of(2, window)], well);
@@ -485,7 +485,7 @@
 fn what_a_connection_told_stands_after_its_end_and_what_comes_later_does_not() {
     let mut served = Served::new();
     served.run(20, &[Feed::of(1, 1000)], well);
-    served.rig.tell(Event::Ended(1));
+    served.rig.tell(Event::Disconnected(1));
     // Its lines come on; whoever has not joined is nobody's collector.
     served.run(1, &[Feed::of(1, 1000)], well);
     served.rig.follows.clear();
--- a/governor/tests/size.rs
+++ b/governor/tests/size.rs
@@ -83,21 +83,21 @@
     let here = |port| SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port);
     let targets = Targets { discovery: here(8500), relay: here(6400) };
     let mut reducer = Reducer::start(settings, targets, 7, &discovery::List::default(), now);
-    let listed = |list: Value| Event::List(discovery::decode(&list.to_string()).unwrap().unwrap());
-    let news = |line: String| Event::News(decode_news(&line).unwrap());
+    let listed = |list: Value| Event::Registry(discovery::decode(&list.to_string()).unwrap().unwrap());
+    let news = |line: String| Event::Relay(decode_news(&line).unwrap());
     let mut longest = Duration::ZERO;
     let mut tell = |now: Moment, events: Vec<Event>| {
         let mut events: Vec<_> = events.into_iter().rev().collect();
         let began = Instant::now();
         while let Some(event) = events.pop() {
             for effect in reducer.apply(now, event) {
-                let Effect::Call { line, .. } = effect else { continue };
+                let Effect::RelayRequest { line, .. } = effect else { continue };
                 let mark = line.split(';').find_map(|order| order.strip_prefix("SYNC,")?.split(',').next());
                 let acks = mark
                     .into_iter()
                     .flat_map(|mark| (0..3).map(move |proxy| format!("* ACK {proxy} {mark} 1")));
                 events.extend(acks.map(news));
-                events.push(Event::Answer(Ok(Answer::Taken(line.split(';').count()))));
+                events.push(Event::RelayReply(Ok(Answer::Taken(line.split(';').count()))));
             }
         }
         longest = longest.max(began.elapsed());
@@ -115,7 +115,7 @@
         if turn == 12 {
             tell(now, vec![listed(list(2, (0..servers / 2).map(|n| (n, "leaving"))))]);
         }
-        tell(now, vec![Event::Quiet]);
+        tell(now, vec![Event::InputDrained]);
     }
     longest
 }
--- a/governor/tests/stand_ins/rig.rs
+++ b/governor/tests/stand_ins/rig.rs
@@ -7,7 +7,7 @@
 use whinwall_governor::protocol::relay::{decode_news, Answer};
 use whinwall_governor::protocol::{collector, discovery};
 use whinwall_governor::routing::{Effect, Event, Reducer};
-use whinwall_governor::transport::{Broken, CallError, Targets};
+use whinwall_governor::transport::{CallError, StreamError, Targets};
 use whinwall_management::ask::Reply;
 
 pub type Store = BTreeMap<u32, BTreeMap<String, f64>>;
@@ -31,7 +31,7 @@
 
 pub const RELAY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 6400);
 pub const DISCOVERY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8500);
-pub const UNKNOWN: Event = Event::Answer(Err(CallError::OutcomeUnknown(Broken::Silent)));
+pub const UNKNOWN: Event = Event::RelayReply(Err(CallError::OutcomeUnknown(StreamError::Silent)));
 
 impl Rig {
     /// Six servers, twelve slices, four proxies; nothing of it told yet.
@@ -85,13 +85,13 @@
     pub fn tell(&mut self, event: Event) {
         for effect in self.reducer.apply(self.now, event) {
             match effect {
-                Effect::Call { relay, line, .. } => {
+                Effect::RelayRequest { relay, line, .. } => {
                     self.relay = Some(relay);
                     assert_eq!(self.open.replace(line.clone()), None, "two calls at a time");
                     self.calls.push(line);
                 }
                 Effect::WakeAt(at) => self.wake = Some(at),
-                Effect::Note(text) => self.notes.push(text),
+                Effect::Log(text) => self.notes.push(text),
                 Effect::Reply { reply, .. } => self.replies.push(reply),
                 other => self.follows.push(other),
             }
@@ -100,17 +100,17 @@
 
     pub fn quiet(&mut self) {
         self.wake = None;
-        self.tell(Event::Quiet);
+        self.tell(Event::InputDrained);
     }
 
     pub fn news(&mut self, line: &str) {
-        self.tell(Event::News(decode_news(line).unwrap()));
+        self.tell(Event::Relay(decode_news(line).unwrap()));
     }
 
     pub fn says(&mut self, from: u64, line: &str) {
         self.tell(match collector::decode(line) {
             Ok(message) => Event::Message { from, message },
-            Err(wrong) => Event::Wrong { from, wrong },
+            Err(error) => Event::Invalid { from, error },
         });
     }
 
@@ -118,7 +118,7 @@
         let entry = |(id, state)| json!({"id": id, "zone": "north", "state": state});
         let entries: Vec<_> = self.servers.iter().map(entry).collect();
         let list = json!({"version": 41, "full": true, "servers": entries});
-        self.tell(Event::List(discovery::decode(&list.to_string()).unwrap().unwrap()));
+        self.tell(Event::Registry(discovery::decode(&list.to_string()).unwrap().unwrap()));
     }
 
     /// What a new news connection says stands, all but the slices without a grant.
@@ -164,7 +164,7 @@
     pub fn answer(&mut self) {
         let Some(call) = self.open.take() else { return };
         let taken = self.carry_out(&call);
-        self.tell(Event::Answer(Ok(Answer::Taken(taken))));
+        self.tell(Event::RelayReply(Ok(Answer::Taken(taken))));
         self.quiet();
     }
 
@@ -188,7 +188,7 @@
 
     /// Tells what stands if that was asked for.
     pub fn renew(&mut self) -> bool {
-        let asked = self.follows.drain(..).any(|follow| matches!(follow, Effect::FollowNews { .. }));
+        let asked = self.follows.drain(..).any(|follow| matches!(follow, Effect::WatchRelay { .. }));
         if asked {
             self.standing(&[]);
         }
--- a/governor/tests/subsets.rs
+++ b/governor/tests/subsets.rs
@@ -78,7 +78,7 @@
     rig.servers.extend(registry.iter().map(|listed| (listed.id.clone(), listed.state)));
     let servers: Vec<_> = registry.iter().map(entry).collect();
     let line = json!({"version": version, "full": whole, "servers": servers}).to_string();
-    rig.tell(Event::List(discovery::decode(&line).expect("a list").expect("a change")));
+    rig.tell(Event::Registry(discovery::decode(&line).expect("a list").expect("a change")));
 }
 
 /// What the pure package says of each replica for the governor under test.
@@ -109,7 +109,7 @@
 }
 
 fn status(rig: &mut Rig) -> Option<SubsettingStatus> {
-    rig.tell(Event::Asked { ticket: 1, request: Request::Status });
+    rig.tell(Event::ManagementRequest { ticket: 1, request: Request::Status });
     match rig.replies.pop() {
         Some(Reply::Status(status)) => status.subsetting,
         other => panic!("no status: {other:?}"),
--- a/governor/tests/transport.rs
+++ b/governor/tests/transport.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{mpsc, watch};
 use whinwall_governor::program::configuration::{self, Surroundings};
 use whinwall_governor::transport::listener::{self, Bounds, Here};
-use whinwall_governor::transport::{calls, earliest, limits, Broken, CallError, Input};
+use whinwall_governor::transport::{calls, earliest, limits, CallError, Input, StreamError};
 
 fn run<T>(work: impl Future<Output = T>) -> T {
     actix_rt::System::new().block_on(work)
@@ -28,16 +28,16 @@
     };
     let reached = run(earliest(every, 8, slow));
     assert!(reached.is_ok_and(|dials| dials > 1), "another is begun meanwhile");
-    let hangs = async || std::future::pending::<Result<(), Broken>>().await;
-    assert_eq!(run(earliest(every, 2, hangs)), Err(Broken::Silent), "for ever it is not waited for");
+    let hangs = async || std::future::pending::<Result<(), StreamError>>().await;
+    assert_eq!(run(earliest(every, 2, hangs)), Err(StreamError::Silent), "for ever it is not waited for");
 }
 
 /// One that is refused says so at once; one that is lost on its way is made up for by the next.
 #[test]
 fn a_dial_that_is_refused_or_lost_costs_no_time() {
-    let refused = async || Err::<(), _>(Broken::Unreachable("refused".into()));
+    let refused = async || Err::<(), _>(StreamError::Unreachable("refused".into()));
     let long = Duration::from_secs(60);
-    assert_eq!(run(earliest(long, 8, refused)), Err(Broken::Unreachable("refused".into())));
+    assert_eq!(run(earliest(long, 8, refused)), Err(StreamError::Unreachable("refused".into())));
     let dials = Cell::new(0);
     let first_is_lost = async || {
         dials.set(dials.get() + 1);
--- a/scale/src/many/hollow.rs
+++ b/scale/src/many/hollow.rs
@@ -17,7 +17,7 @@
 use whinwall_governor::protocol::relay::{decode_news, Answer};
 use whinwall_governor::routing::known::Known;
 use whinwall_governor::routing::{Effect, Event, Reducer};
-use whinwall_governor::transport::{limits, Broken, CallError, ConnectionId, Targets};
+use whinwall_governor::transport::{limits, CallError, ConnectionId, StreamError, Targets};
 use whinwall_settings::Settings;
 
 /// The one connection that its reports come on.
@@ -207,7 +207,7 @@
         let now = self.now();
         self.reach = Reach::Cut { left: self.around.plan.virtual_cut };
         self.enter_event();
-        let (news, list) = (Event::NewsLost(Broken::Silent), Event::ListLost(Broken::Silent));
+        let (news, list) = (Event::WatchLost(StreamError::Silent), Event::RegistryLost(StreamError::Silent));
         self.news = Some(Waiting { gives_up: now + span(limits::NEWS_SILENCE), event: news });
         self.list = Some(Waiting { gives_up: now + span(limits::LIST_SILENCE), event: list });
     }
@@ -216,11 +216,11 @@
     pub fn reconnect(&mut self) {
         self.reach = Reach::Connected;
         self.enter_event();
-        let reset = || Broken::Cut("reset".into());
+        let reset = || StreamError::Cut("reset".into());
         let mut events = Vec::new();
-        events.extend(self.news.take().map(|_| Event::NewsLost(reset())));
-        events.extend(self.list.take().map(|_| Event::ListLost(reset())));
-        events.extend(self.call.take().map(|_| Event::Answer(Err(CallError::NotSent(reset())))));
+        events.extend(self.news.take().map(|_| Event::WatchLost(reset())));
+        events.extend(self.list.take().map(|_| Event::RegistryLost(reset())));
+        events.extend(self.call.take().map(|_| Event::RelayReply(Err(CallError::NotSent(reset())))));
         self.turn(self.now(), events);
     }
 
@@ -304,7 +304,7 @@
             let began = cost::of_thread();
             let mut effects: Vec<_> =
                 events.drain(..).flat_map(|event| self.reducer.apply(now, event)).collect();
-            effects.extend(self.reducer.apply(now, Event::Quiet));
+            effects.extend(self.reducer.apply(now, Event::InputDrained));
             let took = cost::of_thread().saturating_sub(began);
             self.event_processor += took;
             self.processor.fetch_add(took.as_nanos() as u64, Ordering::Relaxed);
@@ -330,22 +330,22 @@
         match effect {
             Effect::Pong { .. } => reached.push(Condition::Ponged),
             Effect::WakeAt(at) => self.wakes = self.wakes.min(at),
-            Effect::FollowNews { .. } if self.is_cut() => {
-                let event = Event::NewsLost(Broken::Silent);
+            Effect::WatchRelay { .. } if self.is_cut() => {
+                let event = Event::WatchLost(StreamError::Silent);
                 self.news = Some(Waiting { gives_up: after(limits::NEWS_ANSWER), event });
             }
-            Effect::FollowNews { .. } => {
+            Effect::WatchRelay { .. } => {
                 self.news = None;
                 events.extend(self.news_told());
                 reached.push(Condition::NewsFrom(self.site));
             }
-            Effect::FollowList { .. } if self.is_cut() => {
+            Effect::WatchRegistry { .. } if self.is_cut() => {
                 let gives_up = after(limits::LIST_ANSWER * limits::DIALS as u32);
-                self.list = Some(Waiting { gives_up, event: Event::ListLost(Broken::Silent) });
+                self.list = Some(Waiting { gives_up, event: Event::RegistryLost(StreamError::Silent) });
             }
             // Beside a watch that is silent as well.
-            Effect::RenewList { .. } if self.is_cut() => {}
-            Effect::FollowList { since, .. } | Effect::RenewList { since, .. } => {
+            Effect::RenewRegistryWatch { .. } if self.is_cut() => {}
+            Effect::WatchRegistry { since, .. } | Effect::RenewRegistryWatch { since, .. } => {
                 self.list = None;
                 if !self.in_event && self.told < self.around.catalog.version() {
                     self.enter_event();
@@ -353,11 +353,11 @@
                 events.push(self.list_told(since));
                 reached.extend([Condition::ListFrom(self.site), Condition::ListVersion(self.told)]);
             }
-            Effect::Call { .. } if self.is_cut() => {
-                let event = Event::Answer(Err(CallError::NotSent(Broken::Silent)));
+            Effect::RelayRequest { .. } if self.is_cut() => {
+                let event = Event::RelayReply(Err(CallError::NotSent(StreamError::Silent)));
                 self.call = Some(Waiting { gives_up: after(limits::ANSWER), event });
             }
-            Effect::Call { line, .. } => {
+            Effect::RelayRequest { line, .. } => {
                 events.extend(self.called(&line));
                 let drained = self.around.tracker.drained();
                 if drained.is_some_and(|replica| self.store.has_left(&replica)) {
@@ -370,9 +370,9 @@
 
     fn called(&mut self, line: &str) -> Vec<Event> {
         let Some(applied) = self.store.apply(line) else {
-            return vec![Event::Answer(Ok(Answer::Unusable("bad_request".into())))];
+            return vec![Event::RelayReply(Ok(Answer::Unusable("bad_request".into())))];
         };
-        let mut events = vec![Event::Answer(Ok(Answer::Taken(applied.orders)))];
+        let mut events = vec![Event::RelayReply(Ok(Answer::Taken(applied.orders)))];
         events.extend(self.news_lines(&applied.acks));
         events
     }
@@ -385,14 +385,14 @@
         // Each ends in CRLF on the wire.
         let bytes = lines.iter().map(|line| line.len() + 2).sum();
         self.around.tracker.sent(self.governor, Traffic::News, bytes);
-        lines.iter().filter_map(|line| decode_news(line).ok()).map(Event::News).collect()
+        lines.iter().filter_map(|line| decode_news(line).ok()).map(Event::Relay).collect()
     }
 
     fn list_told(&mut self, since: u64) -> Event {
         let told = self.around.catalog.since(since);
         self.around.tracker.sent(self.governor, Traffic::List, told.line.len());
         self.told = told.version;
-        Event::List(told.list.clone())
+        Event::Registry(told.list.clone())
     }
 
     fn told_list(&self) {
