--- a/fleet/src/day/reports.rs
+++ b/fleet/src/day/reports.rs
@@ -9,6 +9,21 @@
 use whinwall_governor::protocol::collector::{Asked, Message, Met};
 use whinwall_governor::routing::{Event, Reducer};
 
+/// What an aggregator makes of the places' reports: one sum for each replica, told as of the replica's own place.
+fn summed_over_places(
+    met: BTreeMap<(usize, ServerIx), Seen>,
+    places: usize,
+) -> BTreeMap<(usize, ServerIx), Seen> {
+    let mut sums: BTreeMap<(usize, ServerIx), Seen> = BTreeMap::new();
+    for ((_, server), seen) in met {
+        let sum = sums.entry((server % places, server)).or_default();
+        sum.tries += seen.tries;
+        sum.aborted += seen.aborted;
+        sum.busy += seen.busy;
+    }
+    sums
+}
+
 /// What a report is about.
 #[derive(Clone, Copy)]
 enum About {
@@ -88,6 +103,7 @@
         let covers_ms = 1000.0;
         let mut messages = Vec::new();
         self.line_of_second(&met, &asked);
+        let met = if self.sizes.subset > 0 { summed_over_places(met, self.sizes.places) } else { met };
         for ((place, server), seen) in met {
             let answered = (seen.tries - seen.aborted).max(1.0);
             let met = Met {
@@ -112,7 +128,9 @@
             let mine: Vec<_> =
                 messages.iter().filter(|(about, ..)| self.is_told_of(about, at, &steered)).cloned().collect();
             for (_, place, message) in mine {
-                let event = Event::Message { from: place as u64, message };
+                // With subsets one aggregator reports to each governor.
+                let from = if self.sizes.subset > 0 { 0 } else { place as u64 };
+                let event = Event::Message { from, message };
                 self.after(lag, Step::To(at, life, Box::new(event)));
             }
         }
