Aggregated reports count as late by their window less a period, as collectors' do

Change: the window less a period; rates and the look for silence allow a period more, as before. One of report_coverage's tests names the effect by its new name, Disconnect.

--- a/governor/tests/report_coverage.rs
+++ b/governor/tests/report_coverage.rs
@@ -490,7 +490,7 @@
     served.run(1, &[Feed::of(1, 1000)], well);
     served.rig.follows.clear();
     served.run(1, &[Feed::of(1, 1000), Feed::of(2, 1000)], well);
-    assert!(served.rig.follows.iter().any(|effect| format!("{effect:?}").contains("LetGo { to: 1")));
+    assert!(served.rig.follows.iter().any(|effect| format!("{effect:?}").contains("Disconnect { to: 1")));
     for _ in 0..15 {
         served.run(1, &[Feed::of(2, 1000)], well);
         served.loads_are_right(0.1);
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -87,21 +87,30 @@
     }
 
     /// How much more than a period the reports of late cover: they fall behind by that. Aggregated ones differ in that,
-    /// and the longest counts, as what is told of seldom would else look silent; and a period more, for lines that are late.
+    /// and the longest counts, as what is told of seldom would else look silent.
     pub(crate) fn lag(&self, over: Span) -> Span {
         if let ReportFlow::Aggregated { longest_window } = self.report_flow {
-            return longest_window;
+            return longest_window - self.site.report_period;
         }
         let lines = self.reports.sum(self.now, over).max(1.0);
         let behind = Span::ms(1000).times(self.covered.sum(self.now, over) / lines) - self.site.report_period;
         behind.max(self.sharing.stretch)
     }
 
+    /// How much later than their window aggregated reports may come: a period, before it is a silence.
+    fn lateness(&self) -> Span {
+        match self.report_flow {
+            ReportFlow::Aggregated { .. } => self.site.report_period,
+            ReportFlow::Direct | ReportFlow::Interrupted => Span::default(),
+        }
+    }
+
     /// What comes a second, over a time that ends with the newest news: news that is merely late is no
     /// silence.
     pub(crate) fn rate(&self, ring: &Ring, over: Span, since: Moment) -> f64 {
         let period = self.site.report_period;
-        let end = ring.newest().min(self.now).max(self.now - self.behind - period);
+        let oldest = self.now - self.behind - self.lateness() - period;
+        let end = ring.newest().min(self.now).max(oldest);
         let over = over.min(end - since).max(period);
         ring.sum(end, over) / over.seconds().max(0.001)
     }
@@ -114,7 +123,8 @@
             _ if s.is_foreign() => false,
             ReportFlow::Direct => true,
             ReportFlow::Aggregated { .. } => {
-                let reaches = s.tries.newest() >= self.now - self.behind - self.site.report_period;
+                let oldest = self.now - self.behind - self.lateness() - self.site.report_period;
+                let reaches = s.tries.newest() >= oldest;
                 reaches && s.incomplete.is_none_or(|at| self.now - at > JUDGED_OVER + self.behind)
             }
             ReportFlow::Interrupted => false,
