--- a/fleet/src/day/governors.rs
+++ b/fleet/src/day/governors.rs
@@ -2,7 +2,7 @@
 
 use super::real_time::say;
 use super::{server_name, Day, Step, WAY};
-use crate::{ProxyIx, SliceIx};
+use crate::{subsets, ProxyIx, SliceIx};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use whinwall::time::{Moment, Span};
@@ -28,6 +28,7 @@
         (governor.born, governor.told) = (self.now, BTreeMap::new());
         governor.channel.lost();
         self.tell(at, Event::Started);
+        self.tell(at, Event::SubsettingConfigured(subsets::fleet(&self.sizes, at)));
         let wanted = Wanted { bounds: Bounds::default(), orders: Vec::new(), has_store: false };
         let reading = Reading { boot: String::new(), since_boot: Span::default(), wall: self.now };
         self.tell(at, Event::Wanted(wanted, reading));
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -48,7 +48,7 @@
     }
 
     /// Whether each message that is left could wait so much of the grace until one is given back.
-    pub(crate) fn messages_are_ample(&self) -> bool {
+    fn messages_are_ample(&self) -> bool {
         let to_open = self.messages_to_open(1.0);
         to_open.is_none_or(|(left, frees)| self.site.drain_grace.times(WAITS * (left - 1.0)) >= frees)
     }
@@ -93,7 +93,8 @@
             return longest_window;
         }
         let lines = self.reports.sum(self.now, over).max(1.0);
-        Span::ms(1000).times(self.covered.sum(self.now, over) / lines) - self.site.report_period
+        let behind = Span::ms(1000).times(self.covered.sum(self.now, over) / lines) - self.site.report_period;
+        behind.max(self.sharing.stretch)
     }
 
     /// What comes a second, over a time that ends with the newest news: news that is merely late is no
@@ -106,9 +107,11 @@
     }
 
     /// Whether reports on it are whole and reach far enough to be held against what was asked of it. A replica that they
-    /// were not whole on is judged again once the judging window has left that behind.
+    /// were not whole on is judged again once the judging window has left that behind; of one that other governors steer
+    /// none are to come.
     pub(crate) fn is_observed(&self, s: &Server) -> bool {
         match self.report_flow {
+            _ if s.is_foreign() => false,
             ReportFlow::Direct => true,
             ReportFlow::Aggregated { .. } => {
                 let reaches = s.tries.newest() >= self.now - self.behind - self.site.report_period;
@@ -197,16 +200,21 @@
                 }
             }
         }
+        self.add_others(repeated);
     }
 
-    /// How much more all governors carry than this one, as far as slices tell.
+    /// How much more all governors carry than this one, as far as slices tell; where replicas are shared, what all
+    /// bring is known.
     pub(crate) fn whole(&self) -> f64 {
-        (f64::from(self.site.slices) / self.slices.len().max(1) as f64).max(1.0)
+        match self.sharing.active {
+            true => 1.0,
+            false => (f64::from(self.site.slices) / self.slices.len().max(1) as f64).max(1.0),
+        }
     }
 
     /// AvgL and what goes with it, over the servers that are counted.
-    pub(crate) fn sum_up(&self, band: f64, long: Span, counted: impl Fn(&Server) -> bool) -> Picture {
-        let counted = || self.servers.values().filter(|s| counted(s));
+    pub(crate) fn sum_up(&self, band: f64, long: Span, is_counted: impl Fn(&Server) -> bool) -> Picture {
+        let counted = || self.servers.values().filter(|s| is_counted(s));
         let power = counted().map(|s| s.power).sum::<f64>().max(0.01);
         let load: f64 = self.slices.values().map(|s| s.load).sum();
         let burst: f64 = self.slices.values().map(|s| s.burst).sum();
@@ -218,13 +226,14 @@
         let carried: f64 = sure().map(|s| s.load).sum();
         let answered: f64 = sure().map(|s| self.rate(&s.answered, long, self.born.max(s.observed))).sum();
         let average = load / power;
-        Picture {
+        let own = Picture {
             average,
             phi: band * average * self.whole().sqrt(),
             proven: carried.min(answered) / able,
             rise: burst / load.max(0.01),
             even: burst / self.servers.len().max(1) as f64,
-        }
+        };
+        self.shared_picture(own, band, &is_counted)
     }
 
     /// The slices that a server owns alone and that no change is under way for, in descending load.
