One task that ends with its owner, and one bound for silent reports

On reading the change again: aggregation had copied the governor's Task (now governor/src/program/task.rs, used by both), and rate() and is_observed() each worked out from when on missing reports are a silence (now silent_since).

--- a/aggregation/src/program/event_loop.rs
+++ b/aggregation/src/program/event_loop.rs
@@ -5,9 +5,7 @@
 use super::metrics::{self, Figures, Shared, Traffic};
 use super::peers::Senders;
 use actix_rt::net::TcpListener;
-use actix_rt::task::JoinHandle;
 use std::collections::BTreeSet;
-use std::future::Future;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -21,6 +19,7 @@
 use whinwall_aggregation::wire;
 use whinwall_governor::program::clock::Clock;
 use whinwall_governor::program::signals::{Signal, Signals};
+use whinwall_governor::program::task::Task;
 use whinwall_governor::protocol::collector::{self, Message, Reply, Report};
 use whinwall_governor::protocol::{discovery, InvalidMessage};
 use whinwall_governor::transport::{limits, listener, watch, Back, FollowId, Inbox, Input};
@@ -43,21 +42,6 @@
     pub members: Members,
 }
 
-/// Ends with its handle.
-struct Task(JoinHandle<()>);
-
-impl Task {
-    fn spawn(work: impl Future<Output = ()> + 'static) -> Self {
-        Task(actix_rt::spawn(work))
-    }
-}
-
-impl Drop for Task {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// The line that is being taken, with the way back.
 struct Speaker<'a> {
     id: ConnectionId,
--- a/governor/src/program/event_loop.rs
+++ b/governor/src/program/event_loop.rs
@@ -7,6 +7,7 @@
 use super::meters::{self, Meters, ReportFigures};
 use super::readers::{self, Batch, Hand, Heard, Item, Pool};
 use super::signals::{Signal, Signals};
+use super::task::Task;
 use crate::protocol::collector;
 use crate::protocol::{discovery, relay, Malformed};
 use crate::routing::overrides::OverrideConfig;
@@ -14,12 +15,10 @@
 use crate::transport::{calls, limits, listener, news, watch as watch_list};
 use crate::transport::{Back, CallError, ConnectionId, FollowId, Inbox, Input, StreamError};
 use actix_rt::net::TcpListener;
-use actix_rt::task::JoinHandle;
 use actix_rt::time::sleep;
 use futures_util::FutureExt;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::future::Future;
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
@@ -187,21 +186,6 @@
     }
 }
 
-/// Ends with its handle.
-struct Task(JoinHandle<()>);
-
-impl Task {
-    fn spawn(work: impl Future<Output = ()> + 'static) -> Self {
-        Task(actix_rt::spawn(work))
-    }
-}
-
-impl Drop for Task {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// Something that is followed; what an earlier attempt still says is nobody's.
 struct Follow {
     id: FollowId,
--- a/governor/src/program/mod.rs
+++ b/governor/src/program/mod.rs
@@ -8,6 +8,7 @@
 pub mod meters;
 pub mod readers;
 pub mod signals;
+pub mod task;
 
 use clap::Parser;
 use configuration::Surroundings;
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -97,20 +97,18 @@
         behind.max(self.sharing.stretch)
     }
 
-    /// How much later than their window aggregated reports may come: a period, before it is a silence.
-    fn lateness(&self) -> Span {
-        match self.report_flow {
-            ReportFlow::Aggregated { .. } => self.site.report_period,
-            ReportFlow::Direct | ReportFlow::Interrupted => Span::default(),
-        }
+    /// When the newest report on anything must have come, or it is a silence. Aggregated ones may come a period later than
+    /// their window.
+    fn silent_since(&self) -> Moment {
+        let periods = if matches!(self.report_flow, ReportFlow::Aggregated { .. }) { 2.0 } else { 1.0 };
+        self.now - self.behind - self.site.report_period.times(periods)
     }
 
     /// What comes a second, over a time that ends with the newest news: news that is merely late is no
     /// silence.
     pub(crate) fn rate(&self, ring: &Ring, over: Span, since: Moment) -> f64 {
         let period = self.site.report_period;
-        let oldest = self.now - self.behind - self.lateness() - period;
-        let end = ring.newest().min(self.now).max(oldest);
+        let end = ring.newest().min(self.now).max(self.silent_since());
         let over = over.min(end - since).max(period);
         ring.sum(end, over) / over.seconds().max(0.001)
     }
@@ -123,8 +121,7 @@
             _ if s.is_foreign() => false,
             ReportFlow::Direct => true,
             ReportFlow::Aggregated { .. } => {
-                let oldest = self.now - self.behind - self.lateness() - self.site.report_period;
-                let reaches = s.tries.newest() >= oldest;
+                let reaches = s.tries.newest() >= self.silent_since();
                 reaches && s.incomplete.is_none_or(|at| self.now - at > JUDGED_OVER + self.behind)
             }
             ReportFlow::Interrupted => false,
