Relay requests are logged and counted with version, attempt and what may wait

Change: a log line for each attempt, its outcome, and a resend that is held for want of room, with the version, the number of commands, the proxies and the unacknowledged lines; the same as metrics, which the management API now serves also without reader threads. The reducer's test rig keeps these lines apart, so that the assertions on other lines stay as they are.

--- a/crates/controller/src/program/input.rs
+++ b/crates/controller/src/program/input.rs
@@ -1,7 +1,7 @@
 //! Decodes what arrives from peers, readers, the storage thread and management clients, and feeds it to the reducer.
 
 use super::effects::Dispatcher;
-use super::metrics::{self, ReaderMetrics, ReportMetrics};
+use super::metrics::{self, ChannelMetrics, ReaderMetrics, ReportMetrics};
 use super::reader::{BatchItem, ReportBatch};
 use super::reader_pool::{PoolEvent, ReaderPool};
 use std::cell::RefCell;
@@ -257,21 +257,23 @@
         let PendingRequest { request, reply_to } = pending;
         let request_id = self.dispatcher.services.register_client(reply_to);
         tracing::debug!(?request, "management request");
-        let metrics = if request == Request::Metrics { self.encode_metrics() } else { None };
-        match metrics {
-            Some(text) => self.dispatcher.services.reply(request_id, Reply::Metrics(text)),
-            None => self.dispatcher.apply(Event::ManagementRequest { request_id, request }),
+        match request {
+            Request::Metrics => {
+                let text = self.encode_metrics();
+                self.dispatcher.services.reply(request_id, Reply::Metrics(text));
+            }
+            request => self.dispatcher.apply(Event::ManagementRequest { request_id, request }),
         }
     }
 
-    /// The metrics in the text format; none where neither readers nor aggregated reports are counted.
-    fn encode_metrics(&self) -> Option<String> {
+    /// The metrics in the text format.
+    fn encode_metrics(&self) -> String {
         let readers = self.readers.as_ref().map(|readers| &*readers.metrics);
         let reducer = &self.dispatcher.reducer;
         let measured_load = reducer.total_measured_load();
         let freshness = reducer.report_freshness(self.dispatcher.clock.now());
         let reports = freshness.map(|freshness| ReportMetrics { freshness, measured_load });
-        let has_metrics = readers.is_some() || reports.is_some();
-        has_metrics.then(|| metrics::encode(readers, reports.as_ref()))
+        let channel = ChannelMetrics { load: reducer.channel_load(), requests: reducer.request_counts() };
+        metrics::encode(readers, reports.as_ref(), Some(&channel))
     }
 }
--- a/crates/controller/src/program/metrics.rs
+++ b/crates/controller/src/program/metrics.rs
@@ -12,6 +12,8 @@
 use whinwall_ingest::liveness::ReaderEvent;
 use whinwall_ingest::ReaderId;
 use whinwall_management_api::messages::ReportFreshness;
+use whinwall_policy::api::ChannelLoad;
+use whinwall_routing::RequestCounts;
 
 /// Each name begins with it.
 const PREFIX: &str = "whinwall";
@@ -171,7 +173,7 @@
 
     /// The metrics of the readers alone, in the text format.
     pub fn encode(&self) -> String {
-        encode(Some(self), None)
+        encode(Some(self), None, None)
     }
 }
 
@@ -183,10 +185,24 @@
     pub measured_load: f64,
 }
 
+/// Metrics of the command channel to the proxies.
+pub struct ChannelMetrics {
+    /// What may wait in it.
+    pub load: ChannelLoad,
+    /// What became of relay requests.
+    pub requests: RequestCounts,
+}
+
 /// All metrics that there are, in the text format.
-pub fn encode(readers: Option<&ReaderMetrics>, reports: Option<&ReportMetrics>) -> String {
+pub fn encode(
+    readers: Option<&ReaderMetrics>,
+    reports: Option<&ReportMetrics>,
+    channel: Option<&ChannelMetrics>,
+) -> String {
     let report_registry = reports.map(registry_of_reports);
-    let registries = [readers.map(|metrics| &metrics.registry), report_registry.as_ref()];
+    let channel_registry = channel.map(registry_of_channel);
+    let registries =
+        [readers.map(|metrics| &metrics.registry), report_registry.as_ref(), channel_registry.as_ref()];
     let mut text = String::new();
     for registry in registries.into_iter().flatten() {
         // Writing to a `String` does not fail.
@@ -219,3 +235,32 @@
     gauge("measured_requests_per_second", "Requests for the governor's slices", metrics.measured_load);
     registry
 }
+
+fn registry_of_channel(metrics: &ChannelMetrics) -> Registry {
+    let mut registry = Registry::with_prefix(PREFIX);
+    let ChannelLoad { proxies, unacked_lines, capacity_lines } = metrics.load;
+    let mut gauge = |name: &str, help: &str, value: f64| {
+        let gauge = Gauge::<f64, AtomicU64>::default();
+        gauge.set(value);
+        registry.register(name, help, gauge);
+    };
+    gauge("connected_proxies", "Proxies that are connected to the relay", proxies as f64);
+    gauge("channel_unacked_lines", "Lines that proxies have not acknowledged", unacked_lines);
+    gauge("channel_capacity_lines", "Lines that may wait in the command channel", capacity_lines);
+    let counts = metrics.requests;
+    let outcomes = Family::<[(&'static str, &'static str); 1], Counter>::default();
+    for (outcome, count) in
+        [("accepted", counts.accepted), ("not-applied", counts.not_applied), ("unknown", counts.unknown)]
+    {
+        outcomes.get_or_create(&[("outcome", outcome)]).inc_by(count);
+    }
+    registry.register("relay_requests", "Attempts at relay requests, by their outcome", outcomes);
+    let mut counter = |name: &str, help: &str, value: u64| {
+        let counter = Counter::<u64>::default();
+        counter.inc_by(value);
+        registry.register(name, help, counter);
+    };
+    counter("relay_requests_sent", "Attempts at relay requests that were sent", counts.sent);
+    counter("relay_requests_held", "Resends that waited for room in the command channel", counts.held);
+    registry
+}
--- a/crates/controller/tests/metrics_text.rs
+++ b/crates/controller/tests/metrics_text.rs
@@ -2,10 +2,14 @@
 //! The fixture is the exposition text with each value replaced by `_`.
 
 use std::time::{Duration, Instant};
-use whinwall_controller::program::metrics::{encode, PoolBacklog, ReaderMetrics, ReportMetrics};
+use whinwall_controller::program::metrics::{
+    encode, ChannelMetrics, PoolBacklog, ReaderMetrics, ReportMetrics,
+};
 use whinwall_ingest::liveness::ReaderEvent;
 use whinwall_management_api::messages::ReportFreshness;
+use whinwall_policy::api::ChannelLoad;
 use whinwall_policy::time::Span;
+use whinwall_routing::RequestCounts;
 
 /// The text with `_` in place of each sample's value.
 fn without_values(text: &str) -> String {
@@ -37,13 +41,13 @@
 #[test]
 fn metric_names_help_and_labels_are_pinned() {
     // Samples of several readers come in no certain order.
-    let shown = encode(Some(&ReaderMetrics::new(1)), Some(&report_metrics(Some(Span::ms(250)))));
+    let shown = encode(Some(&ReaderMetrics::new(1)), Some(&report_metrics(Some(Span::ms(250)))), None);
     assert_eq!(without_values(&shown), include_str!("fixtures/metrics.txt"));
 }
 
 #[test]
 fn each_metric_shows_its_value() {
-    let shown = encode(Some(&reader_metrics()), Some(&report_metrics(Some(Span::ms(250)))));
+    let shown = encode(Some(&reader_metrics()), Some(&report_metrics(Some(Span::ms(250)))), None);
     let expected = [
         r#"whinwall_reader_lines_total{reader="0"} 7"#,
         r#"whinwall_reader_bytes_total{reader="0"} 100"#,
@@ -70,12 +74,32 @@
 
 #[test]
 fn report_age_is_left_out_before_the_first_report() {
-    let shown = encode(None, Some(&report_metrics(None)));
+    let shown = encode(None, Some(&report_metrics(None)), None);
     assert!(!shown.contains("age_seconds"), "{shown}");
     assert!(shown.starts_with("# HELP whinwall_aggregated_report_bytes_per_second "), "{shown}");
 }
 
 #[test]
 fn text_without_metrics_ends_with_the_end_marker() {
-    assert_eq!(encode(None, None), "# EOF\n");
+    assert_eq!(encode(None, None, None), "# EOF\n");
+}
+
+#[test]
+fn channel_metrics_are_pinned() {
+    let load = ChannelLoad { proxies: 480, unacked_lines: 61161.0, capacity_lines: 153_000.0 };
+    let requests = RequestCounts { sent: 9, accepted: 5, not_applied: 1, unknown: 2, held: 3 };
+    let shown = encode(None, None, Some(&ChannelMetrics { load, requests }));
+    let expected = [
+        "whinwall_connected_proxies 480.0",
+        "whinwall_channel_unacked_lines 61161.0",
+        "whinwall_channel_capacity_lines 153000.0",
+        r#"whinwall_relay_requests_total{outcome="accepted"} 5"#,
+        r#"whinwall_relay_requests_total{outcome="not-applied"} 1"#,
+        r#"whinwall_relay_requests_total{outcome="unknown"} 2"#,
+        "whinwall_relay_requests_sent_total 9",
+        "whinwall_relay_requests_held_total 3",
+    ];
+    for line in expected {
+        assert!(shown.lines().any(|shown| shown == line), "{line} in\n{shown}");
+    }
 }
--- a/crates/controller/tests/support/rig.rs
+++ b/crates/controller/tests/support/rig.rs
@@ -7,7 +7,7 @@
 use whinwall_policy::time::{Moment, Span};
 use whinwall_protocol::relay::{decode_event, Response};
 use whinwall_protocol::{collector, discovery};
-use whinwall_routing::{Effect, Event, Reducer};
+use whinwall_routing::{Effect, Event, LogEvent, Reducer};
 use whinwall_transport::{RequestError, StreamError, Targets};
 
 pub type Store = BTreeMap<u32, BTreeMap<String, f64>>;
@@ -25,7 +25,9 @@
     pub relay: Option<SocketAddr>,
     pub requests: Vec<String>,
     pub other_effects: Vec<Effect>,
+    /// The log without the lines of each relay request.
     pub logs: Vec<String>,
+    pub request_logs: Vec<String>,
     pub replies: Vec<Reply>,
 }
 
@@ -64,6 +66,7 @@
             requests: Vec::new(),
             other_effects: Vec::new(),
             logs: Vec::new(),
+            request_logs: Vec::new(),
             replies: Vec::new(),
         };
         rig.apply(Event::Started);
@@ -91,6 +94,12 @@
                     self.requests.push(line);
                 }
                 Effect::WakeAt(at) => self.wake_at = Some(at),
+                Effect::Log(
+                    event @ (LogEvent::RequestSent { .. }
+                    | LogEvent::RequestAccepted { .. }
+                    | LogEvent::RequestAttemptFailed { .. }
+                    | LogEvent::ResendHeld { .. }),
+                ) => self.request_logs.push(event.to_string()),
                 Effect::Log(event) => self.logs.push(event.to_string()),
                 Effect::Reply { reply, .. } => self.replies.push(reply),
                 other => self.other_effects.push(other),
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -290,3 +290,14 @@
         }
     }
 }
+
+/// What may wait in the command channel to the proxies, as far as acknowledgements show.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ChannelLoad {
+    /// The number of connected proxies.
+    pub proxies: usize,
+    /// Lines that are not acknowledged, in all messages together.
+    pub unacked_lines: f64,
+    /// Lines that may wait.
+    pub capacity_lines: f64,
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -47,9 +47,9 @@
 pub mod windowed_counter;
 
 use crate::api::{
-    Action, DemandReport, EndpointReport, ListScope, OverrideNumber, OverrideSpec, OverrideStatus, ProxyId,
-    ProxyTables, ReplicaId, ReplicaListing, ReplicaState, Report, ReportBody, ReportFlow, ReportSubject,
-    SliceId, SubsetMembership,
+    Action, ChannelLoad, DemandReport, EndpointReport, ListScope, OverrideNumber, OverrideSpec,
+    OverrideStatus, ProxyId, ProxyTables, ReplicaId, ReplicaListing, ReplicaState, Report, ReportBody,
+    ReportFlow, ReportSubject, SliceId, SubsetMembership,
 };
 use crate::deployment::Deployment;
 use crate::state::controller::ControllerState;
@@ -251,6 +251,15 @@
         self.state.may_resend(now, version)
     }
 
+    /// What may wait in the command channel.
+    pub fn channel_load(&self) -> ChannelLoad {
+        ChannelLoad {
+            proxies: self.state.channel.proxies.len(),
+            unacked_lines: self.state.channel.unacked_lines(),
+            capacity_lines: self.state.deployment.queue_capacity_lines,
+        }
+    }
+
     /// Whether the replica is remembered.
     pub fn knows_replica(&self, replica: ReplicaId) -> bool {
         self.state.replicas.contains_key(&replica)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,6 +19,7 @@
 mod timers;
 
 pub use events::{Effect, Event};
-pub use log_event::LogEvent;
-pub use reducer::Reducer;
+pub use log_event::{LogEvent, RequestLabel};
+pub use outbox::Outcome;
+pub use reducer::{Reducer, RequestCounts};
 pub use source_failures::Source;
--- a/crates/routing/src/log_event.rs
+++ b/crates/routing/src/log_event.rs
@@ -1,10 +1,39 @@
 //! What the reducer logs: a constant message, then fields as `name=value`.
 
+use crate::outbox::Outcome;
 use crate::source_failures::Source;
 use std::fmt;
 use whinwall_overrides::StoreEvent;
+use whinwall_policy::api::ChannelLoad;
 use whinwall_policy::time::Span;
 
+/// Names an attempt at a relay request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RequestLabel {
+    /// The version that proxies acknowledge; none where the request reaches no proxy.
+    pub version: Option<u16>,
+    /// The number of its commands.
+    pub commands: usize,
+    /// Which attempt this is, from 1 on.
+    pub attempt: u32,
+}
+
+impl fmt::Display for RequestLabel {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self.version {
+            Some(version) => write!(f, "version={version}")?,
+            None => f.write_str("version=none")?,
+        }
+        write!(f, " commands={} attempt={}", self.commands, self.attempt)
+    }
+}
+
+/// Writes the fields of a channel's load.
+fn write_channel(f: &mut fmt::Formatter, channel: &ChannelLoad) -> fmt::Result {
+    let ChannelLoad { proxies, unacked_lines, capacity_lines } = channel;
+    write!(f, " proxies={proxies} unacked_lines={unacked_lines:.0} capacity_lines={capacity_lines:.0}")
+}
+
 /// A line for the log. Its text is a constant message with fields.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LogEvent {
@@ -33,6 +62,36 @@
         /// The number of failures before.
         failures: u32,
     },
+    /// A request goes to the relay.
+    RequestSent {
+        /// Which one.
+        request: RequestLabel,
+        /// What may wait in the channel once it is carried out.
+        channel: ChannelLoad,
+    },
+    /// The relay has accepted some or all commands of a request.
+    RequestAccepted {
+        /// Which one.
+        request: RequestLabel,
+        /// The number of accepted commands.
+        accepted: usize,
+    },
+    /// An attempt at a request has failed; it is resent.
+    RequestAttemptFailed {
+        /// Which one.
+        request: RequestLabel,
+        /// Whether it may have been carried out.
+        outcome: Outcome,
+        /// What went wrong.
+        reason: String,
+    },
+    /// A request waits to be resent until the channel has room for its being carried out once more.
+    ResendHeld {
+        /// Which one.
+        request: RequestLabel,
+        /// What may wait in the channel without it.
+        channel: ChannelLoad,
+    },
     /// The relay stopped twice at a command, which is not sent again.
     CommandSkipped {
         /// The command as the relay reads it.
@@ -108,6 +167,20 @@
             LogEvent::SourceRecovered { source, failures } => {
                 write!(f, "{} recovered failures={failures}", source.log_name())
             }
+            LogEvent::RequestSent { request, channel } => {
+                write!(f, "relay request sent {request}")?;
+                write_channel(f, channel)
+            }
+            LogEvent::RequestAccepted { request, accepted } => {
+                write!(f, "relay request accepted {request} accepted={accepted}")
+            }
+            LogEvent::RequestAttemptFailed { request, outcome, reason } => {
+                write!(f, "relay request attempt failed {request} outcome={outcome} reason={reason:?}")
+            }
+            LogEvent::ResendHeld { request, channel } => {
+                write!(f, "relay request held, no room in the channel {request}")?;
+                write_channel(f, channel)
+            }
             LogEvent::CommandSkipped { command } => write!(f, "relay command skipped command={command}"),
             LogEvent::RequestRejected { reason } => write!(f, "relay request rejected reason={reason:?}"),
             LogEvent::UnsolicitedResponse => f.write_str("unsolicited relay response, rereading the store"),
--- a/crates/routing/src/outbox.rs
+++ b/crates/routing/src/outbox.rs
@@ -1,6 +1,8 @@
 //! Commands on their way to the relay: requests in order, one at a time, each until its outcome is known.
 
+use crate::log_event::RequestLabel;
 use std::collections::{BTreeSet, VecDeque};
+use std::fmt;
 use whinwall_policy::api::SliceId;
 use whinwall_protocol::relay::{self, Command, SyncScope};
 
@@ -10,6 +12,8 @@
     requests: VecDeque<Vec<PendingCommand>>,
     state: State,
     consecutive_failures: u32,
+    /// The next attempt was delayed, as the channel has no room for it.
+    is_held: bool,
     /// Some of the first request may have been carried out already: the outcome of the last attempt is unknown, or the relay
     /// accepted only some of its commands.
     may_be_partly_applied: bool,
@@ -46,13 +50,22 @@
 
 /// What is known of a request that failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Outcome {
+pub enum Outcome {
     /// It was not carried out.
     NotApplied,
     /// It may have been carried out.
     Unknown,
 }
 
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            Outcome::NotApplied => "not-applied",
+            Outcome::Unknown => "unknown",
+        })
+    }
+}
+
 /// When a failed request is retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Retry {
@@ -120,13 +133,15 @@
         self.requests.retain(|request| !request.is_empty());
         let texts: Vec<_> = self.requests.front()?.iter().map(|command| command.text.as_str()).collect();
         (self.state, self.may_be_partly_applied) = (State::InFlight, false);
+        self.is_held = false;
         let needs_new_connection = self.consecutive_failures > 0;
         Some(NextRequest { line: relay::encode_request(&texts), needs_new_connection })
     }
 
-    /// Delays the next attempt.
-    pub fn back_off(&mut self) {
+    /// Delays the next attempt. True where it was not delayed since the last one failed.
+    pub fn hold(&mut self) -> bool {
         self.state = State::BackingOff;
+        !std::mem::replace(&mut self.is_held, true)
     }
 
     /// The next attempt may be made.
@@ -185,6 +200,15 @@
         self.requests.iter().flatten().find_map(|command| command.version)
     }
 
+    /// The request in flight, or the one to be sent next, for the log.
+    pub fn label(&self) -> RequestLabel {
+        RequestLabel {
+            version: self.version(),
+            commands: self.commands_in_flight(),
+            attempt: self.consecutive_failures + 1,
+        }
+    }
+
     /// The number of commands of the request in flight.
     pub fn commands_in_flight(&self) -> usize {
         self.requests.front().map_or(0, Vec::len)
--- a/crates/routing/src/reducer.rs
+++ b/crates/routing/src/reducer.rs
@@ -24,10 +24,11 @@
 use super::subset::Subsets;
 use super::timers::Timers;
 use relay_commands::RelayCommands;
+pub use relay_commands::RequestCounts;
 use reports::AggregatedReports;
 use std::collections::BTreeSet;
 use std::fmt;
-use whinwall_policy::api::ListScope;
+use whinwall_policy::api::{ChannelLoad, ListScope};
 use whinwall_policy::random::Random;
 use whinwall_policy::time::Moment;
 use whinwall_policy::Policy;
@@ -151,6 +152,16 @@
         })
     }
 
+    /// What may wait in the command channel.
+    pub fn channel_load(&self) -> ChannelLoad {
+        self.policy.channel_load()
+    }
+
+    /// What became of attempts at relay requests, since the start.
+    pub fn request_counts(&self) -> RequestCounts {
+        self.commands.counts
+    }
+
     fn started(&mut self, now: Moment) {
         self.open_relay_watch();
         if self.settings.deployment.list_pushed {
--- a/crates/routing/src/reducer/relay_commands.rs
+++ b/crates/routing/src/reducer/relay_commands.rs
@@ -17,10 +17,26 @@
 /// store each.
 const MAX_SKIPPED_COMMANDS: usize = 256;
 
+/// What became of attempts at relay requests, since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RequestCounts {
+    /// Attempts that were sent.
+    pub sent: u64,
+    /// Attempts that the relay answered with accepted commands.
+    pub accepted: u64,
+    /// Attempts that were not carried out.
+    pub not_applied: u64,
+    /// Attempts that may have been carried out.
+    pub unknown: u64,
+    /// Attempts that had to wait for room in the command channel.
+    pub held: u64,
+}
+
 /// The commands on their way, and those that the relay could not use.
 #[derive(Default)]
 pub(super) struct RelayCommands {
     pub outbox: Outbox,
+    pub counts: RequestCounts,
     /// Commands that the relay could not use, since the endpoint list last changed.
     skipped: BTreeSet<String>,
 }
@@ -47,7 +63,14 @@
         let is_not_applied = matches!(response, Ok(Response::Retryable(_)) | Err(RequestError::NotSent(_)));
         let mut is_in_doubt = !is_not_applied && self.commands.outbox.has_reassigned_slices();
         match response {
-            Ok(Response::Accepted(count)) => is_in_doubt |= self.request_accepted(now, count, commands),
+            Ok(Response::Accepted(count)) => {
+                self.commands.counts.accepted += 1;
+                self.log(LogEvent::RequestAccepted {
+                    request: self.commands.outbox.label(),
+                    accepted: count,
+                });
+                is_in_doubt |= self.request_accepted(now, count, commands);
+            }
             Ok(Response::Rejected(reason)) => {
                 self.log(LogEvent::RequestRejected { reason });
                 // Its commands are in the known routing tables and not in the store.
@@ -84,6 +107,12 @@
     }
 
     fn request_failed(&mut self, now: Moment, reason: impl fmt::Display, outcome: Outcome) {
+        match outcome {
+            Outcome::NotApplied => self.commands.counts.not_applied += 1,
+            Outcome::Unknown => self.commands.counts.unknown += 1,
+        }
+        let request = self.commands.outbox.label();
+        self.log(LogEvent::RequestAttemptFailed { request, outcome, reason: reason.to_string() });
         self.source_failed(Source::RelayRequests, reason);
         if self.commands.outbox.request_failed(outcome) == Retry::AfterBackoff {
             self.start_after_backoff(now, Timer::RelayRequest);
@@ -98,15 +127,27 @@
         if self.policy.may_resend(now, version) {
             self.policy.command_resent(now, version);
         } else {
-            self.commands.outbox.back_off();
-            self.start_after_backoff(now, Timer::RelayRequest);
+            self.hold_resend(now);
+        }
+    }
+
+    /// Asks again a little later; logged once for each attempt, as acknowledgements may take long.
+    fn hold_resend(&mut self, now: Moment) {
+        if self.commands.outbox.hold() {
+            self.commands.counts.held += 1;
+            let request = self.commands.outbox.label();
+            self.log(LogEvent::ResendHeld { request, channel: self.policy.channel_load() });
         }
+        self.start_after_backoff(now, Timer::RelayRequest);
     }
 
     /// Sends the next request, where none is in flight.
     pub(super) fn send_next_request(&mut self, now: Moment) {
         self.resend_if_capacity(now);
         if let Some(request) = self.commands.outbox.send_next() {
+            self.commands.counts.sent += 1;
+            let label = self.commands.outbox.label();
+            self.log(LogEvent::RequestSent { request: label, channel: self.policy.channel_load() });
             let (relay, line) = (self.targets.relay, request.line);
             let needs_new_connection = request.needs_new_connection;
             self.effects.push(Effect::RelayRequest { relay, line, needs_new_connection });
