--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Fakes of the peers of the controller, and the controller process itself, on loopback sockets.
 #![allow(dead_code)] // each file of tests compiles this one for itself and uses a part of it
 
+pub mod channel_model;
 pub mod fake_fleet;
 pub mod managed_controller;
 pub mod rig;
