The channel's limit holds while proxies return: a message waits until all have acknowledged it

A proxy that has just connected gets and acknowledges new messages at once while others are seconds behind, so the lines of these were forgotten and the channel was filled twice. Lines at fault: CommandChannel::unacked_lines and record_ack (last_acked_sent_at). Change: lines are counted from the oldest message on that a connected proxy has not acknowledged; a proxy that acknowledges nothing for 5 s counts with its own lines only. Messages have a sequence number in place of comparing times. SentMessage has a file of its own.

--- a/crates/controller/tests/channel_limit.rs
+++ b/crates/controller/tests/channel_limit.rs
@@ -47,6 +47,18 @@
     settings["familyInfo"]["fixedCost"] = json!(OVERHEAD_LINES);
 }
 
+/// A controller that has served the fleet for a while.
+fn serving_rig() -> Rig {
+    let mut rig = Rig::with(SLICES as u32, limit_queue);
+    rig.proxies = ALL_PROXIES.end;
+    rig.replicas = (0..REPLICAS).map(|n| (format!("s-{n}"), "active")).collect();
+    let table = |n| BTreeMap::from([(format!("s-{}", n as usize % REPLICAS), 1.0)]);
+    rig.store = (0..SLICES as u32).map(|n| (n, table(n))).collect();
+    let mut rig = rig.start_serving();
+    rig.advance_ms(20_000);
+    rig
+}
+
 /// Time passes; requests are accepted, and only these proxies acknowledge.
 fn advance(rig: &mut Rig, channel: &mut ChannelModel, time: Span, acknowledging: &[u32]) {
     let end = rig.now + time;
@@ -66,13 +78,7 @@
 
 #[test]
 fn acknowledgements_of_returning_proxies_free_no_lines_of_slow_ones() {
-    let mut rig = Rig::with(SLICES as u32, limit_queue);
-    rig.proxies = ALL_PROXIES.end;
-    rig.replicas = (0..REPLICAS).map(|n| (format!("s-{n}"), "active")).collect();
-    let table = |n| BTreeMap::from([(format!("s-{}", n as usize % REPLICAS), 1.0)]);
-    rig.store = (0..SLICES as u32).map(|n| (n, table(n))).collect();
-    let mut rig = rig.start_serving();
-    rig.advance_ms(20_000);
+    let mut rig = serving_rig();
     let mut channel = ChannelModel::new(OVERHEAD_LINES, ALL_PROXIES);
     for proxy in RETURNING_PROXIES {
         channel.leave(proxy);
@@ -107,6 +113,23 @@
     assert!(channel.most_waiting <= QUEUE_CAPACITY, "{} lines waited", channel.most_waiting);
 }
 
+/// A proxy that stays connected and never acknowledges anything, as its machine may have vanished, counts with its own lines: it
+/// stops no commands to the others.
+#[test]
+fn proxy_that_never_acknowledges_stops_no_commands() {
+    let mut rig = serving_rig();
+    let mut channel = ChannelModel::new(OVERHEAD_LINES, ALL_PROXIES);
+    let responsive: Vec<u32> = ALL_PROXIES.skip(1).collect();
+    for replica in 0..REPLICAS - 2 {
+        rig.drain(&format!("s-{replica}"));
+        advance(&mut rig, &mut channel, Span::ms(3000), &responsive);
+    }
+    for replica in 0..REPLICAS - 2 {
+        let withdrawal = format!("OUT,s-{replica}");
+        assert!(rig.requests.iter().any(|request| request.contains(&withdrawal)), "{withdrawal}");
+    }
+}
+
 /// A controller process between a relay and a discovery agent that the test plays.
 struct Deployment {
     relay: FakeRelay,
--- a/crates/policy/src/events.rs
+++ b/crates/policy/src/events.rs
@@ -60,7 +60,7 @@
     /// Notes which withdrawals the proxy has to be sent again, and which of a former incarnation it may still hold. What it
     /// applied before it left it still holds, unless its tables are empty.
     pub(crate) fn record_proxy_joined(&mut self, now: Moment, proxy: ProxyId, tables: ProxyTables) {
-        self.channel.proxies.insert(proxy);
+        self.channel.add_proxy(proxy);
         let applied_until = self.proxies.applied_until.get(&proxy).copied();
         let is_empty = tables == ProxyTables::Empty;
         let holds_until = if is_empty { Moment::default() } else { applied_until.unwrap_or_default() };
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -255,7 +255,7 @@
     pub fn channel_load(&self) -> ChannelLoad {
         ChannelLoad {
             proxies: self.state.channel.proxies.len(),
-            unacked_lines: self.state.channel.unacked_lines(),
+            unacked_lines: self.state.channel.unacked_lines(self.state.now),
             capacity_lines: self.state.deployment.queue_capacity_lines,
         }
     }
--- a/crates/policy/src/rules/acknowledgements.rs
+++ b/crates/policy/src/rules/acknowledgements.rs
@@ -3,9 +3,9 @@
 //! Guards against a slice that moves again before anybody knows of its last move, and, where it has a single writer, against
 //! two owners that are written to at once.
 
-use crate::state::command_channel::SentMessage;
 use crate::state::controller::ControllerState;
 use crate::state::pending_slices::Priority;
+use crate::state::sent_message::SentMessage;
 use crate::time::Span;
 
 /// How long a slice waits for acknowledgements that do not come: some proxies may be gone (docs/design.md, Messages).
--- a/crates/policy/src/rules/rate_limit.rs
+++ b/crates/policy/src/rules/rate_limit.rs
@@ -31,8 +31,8 @@
     /// Room for so many more lines to each proxy, under both limits. A first message always has room; others come so far
     /// apart that overhead does not fill the channel.
     pub(crate) fn has_channel_room(&self, lines: f64, priority: Priority) -> bool {
-        let proxies = self.channel.proxies.len() as f64;
-        let unacked = self.channel.unacked_lines();
+        let proxies = self.channel.recipients();
+        let unacked = self.channel.unacked_lines(self.now);
         let opens_message = self.channel.open_version.is_none();
         let can_wait = priority != Priority::NoEndpoint;
         let overhead = if opens_message { self.message_overhead() * proxies } else { 0.0 };
@@ -60,7 +60,7 @@
 
     /// See [`crate::Policy::may_resend`].
     pub(crate) fn may_resend(&self, now: Moment, version: u16) -> bool {
-        let lines = self.channel.unacked_lines() + self.channel.lines_of_version(version);
+        let lines = self.channel.unacked_lines(now) + self.channel.lines_of_version(version);
         let fits = lines <= self.deployment.queue_capacity_lines * QUEUE_SHARE;
         let is_overdue = now - self.channel.last_activity_at > ACK_TIMEOUT;
         (fits || is_overdue) && self.messages_left(now, 1.0) >= 1.0
@@ -113,10 +113,10 @@
 
     /// Whether to ask for acknowledgements by a version alone: unacknowledged messages take the room of calm commands, and
     /// their acknowledgements are lost or long overdue. A version by itself fits into the part of the queue that commands
-    /// leave; its acknowledgements show that all before it has left.
+    /// leave; each proxy's acknowledgement shows that what it was sent before has left.
     pub(crate) fn needs_sync(&self) -> bool {
-        let proxies = self.channel.proxies.len() as f64;
-        let unacked = self.channel.unacked_lines();
+        let proxies = self.channel.recipients();
+        let unacked = self.channel.unacked_lines(self.now);
         let overhead = self.message_overhead() * proxies;
         let capacity = self.deployment.queue_capacity_lines;
         let is_overdue = self.channel.acks_lost || self.now - self.channel.last_activity_at > ACK_TIMEOUT;
--- a/crates/policy/src/state/command_channel.rs
+++ b/crates/policy/src/state/command_channel.rs
@@ -1,83 +1,47 @@
 //! The command channel to the proxies: who listens, and what has not been acknowledged.
 
-use crate::api::{ProxyId, SliceId};
+use crate::api::ProxyId;
+use crate::state::sent_message::SentMessage;
 use crate::time::{Moment, Span};
 use crate::windowed_counter::WindowedCounter;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// The resolution with which messages are counted against their limit.
 const MESSAGE_BUCKET: Span = Span::ms(500);
-
-/// One message to each of the proxies, of which some have not acknowledged it.
-pub(crate) struct SentMessage {
-    /// How many copies may still be on their way to each proxy; each is above 0.
-    pub unacked_copies: BTreeMap<ProxyId, u32>,
-    /// The sum of these.
-    copies: u32,
-    /// How often it was sent.
-    send_count: u32,
-    pub lines_per_proxy: f64,
-    pub sent_at: Moment,
-    /// The slices that wait for its acknowledgements.
-    pub waiting_slices: Vec<SliceId>,
+/// A proxy that acknowledges nothing for this long holds up no count but that of its own lines: it may be gone. A slow channel
+/// takes less for one message to all proxies.
+const STALL_TIMEOUT: Span = Span::ms(5000);
+
+/// A proxy that is connected.
+#[derive(Default)]
+pub(crate) struct ConnectedProxy {
+    /// Since when it has owed an acknowledgement; none while it owes none. Each acknowledgement begins it anew.
+    owes_ack_since: Option<Moment>,
 }
 
-impl SentMessage {
-    fn new(now: Moment, overhead_lines: f64) -> Self {
-        SentMessage {
-            unacked_copies: BTreeMap::new(),
-            copies: 0,
-            send_count: 0,
-            lines_per_proxy: overhead_lines,
-            sent_at: now,
-            waiting_slices: Vec::new(),
-        }
-    }
-
-    /// Counts one more copy to each of the proxies.
-    fn add_copies(&mut self, proxies: &BTreeSet<ProxyId>) {
-        for proxy in proxies {
-            *self.unacked_copies.entry(*proxy).or_default() += 1;
-        }
-        self.copies += proxies.len() as u32;
-        self.send_count += 1;
-    }
-
-    /// Leaves one copy to each proxy that has acknowledged none.
-    fn keep_one_copy(&mut self) {
-        let send_count = std::mem::replace(&mut self.send_count, 1);
-        self.unacked_copies.retain(|_, copies| *copies >= send_count);
-        self.unacked_copies.values_mut().for_each(|copies| *copies = 1);
-        self.copies = self.unacked_copies.len() as u32;
-    }
-
-    /// Notes that up to so many copies have reached the proxy, or never will.
-    fn remove_copies(&mut self, proxy: ProxyId, most: u32) {
-        let Some(copies) = self.unacked_copies.get_mut(&proxy) else { return };
-        let removed = most.min(*copies);
-        *copies -= removed;
-        self.copies -= removed;
-        if *copies == 0 {
-            self.unacked_copies.remove(&proxy);
-        }
+impl ConnectedProxy {
+    fn is_stalled(&self, now: Moment) -> bool {
+        self.owes_ack_since.is_some_and(|since| now - since > STALL_TIMEOUT)
     }
+}
 
-    fn unacked_lines(&self) -> f64 {
-        self.lines_per_proxy * f64::from(self.copies)
-    }
+/// The oldest message that waits, and how many of its copies.
+#[derive(Clone, Copy)]
+struct OldestWaiting {
+    sequence: u64,
+    copies: u32,
 }
 
 /// The way to the proxies.
 pub(crate) struct CommandChannel {
     /// The proxies that are connected.
-    pub proxies: BTreeSet<ProxyId>,
+    pub proxies: BTreeMap<ProxyId, ConnectedProxy>,
     /// Messages that some proxy has not acknowledged, or that a slice waits for, by version.
     pub sent: BTreeMap<u16, SentMessage>,
     /// The version of the reply that is being made, once it has a message.
     pub open_version: Option<u16>,
     last_version: u16,
-    /// When the newest message was sent that some proxy has acknowledged.
-    last_acked_sent_at: Moment,
+    last_sequence: u64,
     /// When an acknowledgement last came, or a message was last sent.
     pub last_activity_at: Moment,
     /// Whether acknowledgements may have been lost since then.
@@ -92,11 +56,11 @@
     pub(crate) fn new(message_window: Span, last_version: u16) -> Self {
         let buckets = message_window.as_ns().div_ceil(MESSAGE_BUCKET.as_ns()) as usize + 1;
         CommandChannel {
-            proxies: BTreeSet::new(),
+            proxies: BTreeMap::new(),
             sent: BTreeMap::new(),
             open_version: None,
             last_version,
-            last_acked_sent_at: Moment::default(),
+            last_sequence: 0,
             last_activity_at: Moment::default(),
             acks_lost: false,
             last_opened_at: Moment::default(),
@@ -104,6 +68,16 @@
         }
     }
 
+    /// Adds a proxy that has connected.
+    pub(crate) fn add_proxy(&mut self, proxy: ProxyId) {
+        self.proxies.entry(proxy).or_default();
+    }
+
+    /// The number of proxies that a message reaches.
+    pub(crate) fn recipients(&self) -> f64 {
+        self.proxies.len() as f64
+    }
+
     /// Removes a proxy that has disconnected: nothing is on its way to it any more.
     pub(crate) fn remove_proxy(&mut self, proxy: ProxyId) {
         self.proxies.remove(&proxy);
@@ -113,7 +87,7 @@
     /// Notes that the message with this version was sent once more.
     pub(crate) fn record_resend(&mut self, now: Moment, version: u16) {
         if let Some(message) = self.sent.get_mut(&version) {
-            message.add_copies(&self.proxies);
+            message.add_copies(self.proxies.keys().copied());
             self.last_activity_at = now;
             self.opened_messages.add(now, 1.0);
         }
@@ -125,23 +99,49 @@
     pub(crate) fn record_ack(&mut self, now: Moment, proxy: ProxyId, version: u16) -> Option<Moment> {
         self.last_activity_at = now;
         self.acks_lost = false;
-        let sent_at = self.sent.get(&version)?.sent_at;
-        for (sent_version, message) in &mut self.sent {
-            if message.sent_at <= sent_at {
-                let copies = if *sent_version == version { 1 } else { u32::MAX };
-                message.remove_copies(proxy, copies);
-            }
+        let SentMessage { sequence, sent_at, .. } = *self.sent.get(&version)?;
+        for message in self.sent.values_mut().filter(|message| message.sequence <= sequence) {
+            let copies = if message.sequence == sequence { 1 } else { u32::MAX };
+            message.remove_copies(proxy, copies);
+        }
+        let owes_more = sequence < self.last_sequence;
+        if let Some(proxy) = self.proxies.get_mut(&proxy) {
+            proxy.owes_ack_since = owes_more.then_some(now);
         }
-        self.last_acked_sent_at = self.last_acked_sent_at.max(sent_at);
         Some(sent_at)
     }
 
-    /// Lines that may wait in the channel's queue. Messages leave in order, so an acknowledgement shows that all sent before
-    /// have left. Of the rest, the unacknowledged lines are no fewer than those that wait, however slow the channel is.
-    pub(crate) fn unacked_lines(&self) -> f64 {
-        let after_last_acked =
-            self.sent.values().filter(|message| message.sent_at >= self.last_acked_sent_at);
-        after_last_acked.map(SentMessage::unacked_lines).sum()
+    /// Lines that may wait in the channel's queue: no fewer than those that do, however slow the channel is, and whichever proxy
+    /// lags. Messages leave in order, so that only acknowledgements of all proxies show that one has left, and what is behind
+    /// it waits as well, acknowledged or not: a proxy that has just connected gets and acknowledges new messages while others
+    /// are seconds behind (docs/incidents/incident-12041.md).
+    pub(crate) fn unacked_lines(&self, now: Moment) -> f64 {
+        let oldest = self.oldest_waiting(now);
+        let lines = |message: &SentMessage| match oldest {
+            Some(oldest) if message.sequence >= oldest.sequence => {
+                // Of the oldest, copies that all have acknowledged have left; what is behind it has not.
+                let is_oldest = message.sequence == oldest.sequence;
+                let copies = if is_oldest { oldest.copies } else { message.send_count };
+                message.lines_per_proxy * f64::from(copies) * self.recipients()
+            }
+            _ => message.unacked_lines(),
+        };
+        self.sent.values().map(lines).sum()
+    }
+
+    /// The oldest message that a proxy which is not stalled has not acknowledged.
+    fn oldest_waiting(&self, now: Moment) -> Option<OldestWaiting> {
+        let is_responsive = |proxy: &ProxyId| self.is_responsive(now, *proxy);
+        let waits = |message: &&SentMessage| message.unacked_copies.keys().any(is_responsive);
+        let oldest = self.sent.values().filter(waits).min_by_key(|message| message.sequence)?;
+        let unacked = oldest.unacked_copies.iter().filter(|(proxy, _)| is_responsive(proxy));
+        // Each call would look at all proxies, where nearly every message is sent once.
+        let copies = if oldest.send_count == 1 { 1 } else { unacked.map(|(_, copies)| *copies).max()? };
+        Some(OldestWaiting { sequence: oldest.sequence, copies })
+    }
+
+    fn is_responsive(&self, now: Moment, proxy: ProxyId) -> bool {
+        self.proxies.get(&proxy).is_some_and(|proxy| !proxy.is_stalled(now))
     }
 
     /// Drops the additional copies of resent messages: nothing has come for so long that only one attempt was carried out.
@@ -152,7 +152,7 @@
 
     /// The lines of the message with this version, sent once to all.
     pub(crate) fn lines_of_version(&self, version: u16) -> f64 {
-        let lines = |message: &SentMessage| message.lines_per_proxy * self.proxies.len() as f64;
+        let lines = |message: &SentMessage| message.lines_per_proxy * self.recipients();
         self.sent.get(&version).map_or(0.0, lines)
     }
 
@@ -179,8 +179,12 @@
         self.last_opened_at = now;
         self.last_activity_at = now;
         self.acks_lost = false;
-        let mut message = SentMessage::new(now, overhead_lines);
-        message.add_copies(&self.proxies);
+        self.last_sequence += 1;
+        let mut message = SentMessage::new(now, self.last_sequence, overhead_lines);
+        message.add_copies(self.proxies.keys().copied());
+        for proxy in self.proxies.values_mut() {
+            proxy.owes_ack_since.get_or_insert(now);
+        }
         self.sent.insert(self.last_version, message);
         self.open_version = Some(self.last_version);
         self.last_version
--- a/crates/policy/src/state/mod.rs
+++ b/crates/policy/src/state/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod reporting;
 pub(crate) mod routing_table;
 pub(crate) mod schedule;
+pub(crate) mod sent_message;
 pub(crate) mod shared_load;
 pub(crate) mod slice;
 pub(crate) mod slice_pins;
