Failing tests: two more ways to take the channel for emptier than it is

Proxies that connect while a request waits for the relay get it and are not counted: 1,920 lines wait where 1,200 may. While the relay watch is down no acknowledgement can come, and after 3 s of that a request of unknown outcome is resent without room, each attempt carried out: 2,340 where 1,200 may.

--- a/crates/controller/tests/channel_limit.rs
+++ b/crates/controller/tests/channel_limit.rs
@@ -23,11 +23,12 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 use support::channel_model::ChannelModel;
-use support::rig::Rig;
+use support::rig::{Rig, UNKNOWN};
 use support::{ControllerProcess, FakeDiscovery, FakeRelay, RegistryWatch, RelayRequest};
 use whinwall_policy::time::Span;
 use whinwall_protocol::relay::Response;
 use whinwall_routing::Event;
+use whinwall_transport::{RequestError, StreamError};
 
 const REPLICAS: usize = 12;
 const SLICES: usize = 120;
@@ -47,14 +48,22 @@
     settings["familyInfo"]["fixedCost"] = json!(OVERHEAD_LINES);
 }
 
-/// A controller that has served the fleet for a while.
-fn serving_rig() -> Rig {
-    let mut rig = Rig::with(SLICES as u32, limit_queue);
+/// A controller of this fleet that knows nothing yet.
+fn rig_with(change: impl Fn(&mut serde_json::Value)) -> Rig {
+    let mut rig = Rig::with(SLICES as u32, |settings| {
+        limit_queue(settings);
+        change(settings);
+    });
     rig.proxies = ALL_PROXIES.end;
     rig.replicas = (0..REPLICAS).map(|n| (format!("s-{n}"), "active")).collect();
     let table = |n| BTreeMap::from([(format!("s-{}", n as usize % REPLICAS), 1.0)]);
     rig.store = (0..SLICES as u32).map(|n| (n, table(n))).collect();
-    let mut rig = rig.start_serving();
+    rig
+}
+
+/// A controller that has served the fleet for a while.
+fn serving_rig() -> Rig {
+    let mut rig = rig_with(|_| {}).start_serving();
     rig.advance_ms(20_000);
     rig
 }
@@ -130,6 +139,54 @@
     }
 }
 
+/// Proxies connect while a request waits for the relay, and get it: as many as the fleet has may do so, known or not.
+#[test]
+fn proxies_that_join_before_a_request_is_carried_out_are_counted() {
+    const KNOWN: u32 = 3;
+    let mut rig = rig_with(|settings| settings["familyInfo"]["agents"] = json!(ALL_PROXIES.end));
+    rig.proxies = KNOWN;
+    let mut rig = rig.start_serving();
+    rig.advance_ms(20_000);
+    let mut channel = ChannelModel::new(OVERHEAD_LINES, 0..KNOWN);
+    (0..REPLICAS / 2).for_each(|replica| _ = rig.replicas.insert(format!("s-{replica}"), "leaving"));
+    rig.send_list();
+    rig.drain_input();
+    // The relay can't be reached for a while.
+    for _ in 0..10 {
+        assert!(rig.pending_request.take().is_some(), "it tries again");
+        rig.apply(Event::RelayResponse(Err(RequestError::NotSent(StreamError::TimedOut))));
+        rig.now = rig.now + Span::ms(200);
+        rig.drain_input();
+    }
+    // It carries the request out for all that have connected; their events come later.
+    (KNOWN..ALL_PROXIES.end).for_each(|proxy| channel.join(proxy));
+    advance(&mut rig, &mut channel, Span::ms(1000), &[]);
+    assert!(channel.most_waiting > 0, "it was carried out");
+    assert!(channel.most_waiting <= QUEUE_CAPACITY, "{} lines waited", channel.most_waiting);
+}
+
+/// While the relay watch is down no acknowledgement can come: its silence does not show that a request was not carried out.
+#[test]
+fn silence_of_a_broken_watch_makes_no_room_for_a_resend() {
+    let mut rig = serving_rig();
+    let mut channel = ChannelModel::new(OVERHEAD_LINES, ALL_PROXIES);
+    (0..REPLICAS - 2).for_each(|replica| _ = rig.replicas.insert(format!("s-{replica}"), "leaving"));
+    rig.send_list();
+    rig.drain_input();
+    rig.apply(Event::RelayWatchLost(StreamError::TimedOut));
+    // Each attempt is carried out, and its answer lost.
+    for _ in 0..100 {
+        if let Some(request) = rig.pending_request.take() {
+            channel.carry_out(&request);
+            rig.apply(UNKNOWN);
+        }
+        rig.now = rig.now + Span::ms(100);
+        rig.drain_input();
+    }
+    assert!(channel.most_waiting > 0, "an attempt was carried out");
+    assert!(channel.most_waiting <= QUEUE_CAPACITY, "{} lines waited", channel.most_waiting);
+}
+
 /// A controller process between a relay and a discovery agent that the test plays.
 struct Deployment {
     relay: FakeRelay,
@@ -254,7 +311,7 @@
     rig.request_logs.clear();
     rig.drain("s-2");
     rig.pending_request = None;
-    rig.apply(support::rig::UNKNOWN);
+    rig.apply(UNKNOWN);
     rig.drain_input();
     let request = rig.pending_request.clone().expect("it is resent");
     let version = request.split("SYNC,").nth(1).and_then(|sync| sync.split(',').next()).expect("a version");
