The channel is weighed for the whole fleet, and silence counts only while it can be broken

Cause: a message was weighed for the proxies known when it is made, but reaches those connected when the relay carries it out; and while the relay watch was down, 3 s without acknowledgements, which can't arrive then, passed for proof that a request was never carried out.

--- a/crates/policy/src/deployment.rs
+++ b/crates/policy/src/deployment.rs
@@ -30,6 +30,8 @@
     pub controller_count: u32,
     /// Which of them this is, from 0 on.
     pub controller_index: u32,
+    /// How many proxies this deployment has, connected to this controller or not; 0 where that is not known.
+    pub fleet_size: u32,
     /// Slices of all controllers together; 0 where that is not known.
     pub slice_count: u32,
     /// Whether a slice has one owner at a time, so that its table has one endpoint.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -164,9 +164,14 @@
         self.settle(now);
     }
 
-    /// The relay's events started anew: acknowledgements from before may have been lost.
-    pub fn acks_lost(&mut self) {
-        self.state.channel.acks_lost = true;
+    /// The relay's events are interrupted: acknowledgements can't arrive, so that their absence shows nothing.
+    pub fn acks_interrupted(&mut self) {
+        self.state.channel.interrupt_acks();
+    }
+
+    /// The relay's events have started anew: acknowledgements from before may have been lost.
+    pub fn acks_resumed(&mut self, now: Moment) {
+        self.state.channel.resume_acks(now);
     }
 
     /// The reply with this version was sent once more, as its outcome is unknown: its lines may be in the channel twice, and
--- a/crates/policy/src/rules/rate_limit.rs
+++ b/crates/policy/src/rules/rate_limit.rs
@@ -62,7 +62,7 @@
     pub(crate) fn may_resend(&self, now: Moment, version: u16) -> bool {
         let lines = self.channel.unacked_lines(now) + self.channel.lines_of_version(version);
         let fits = lines <= self.deployment.queue_capacity_lines * QUEUE_SHARE;
-        let is_overdue = now - self.channel.last_activity_at > ACK_TIMEOUT;
+        let is_overdue = self.channel.ack_silence(now) > ACK_TIMEOUT;
         (fits || is_overdue) && self.messages_left(now, 1.0) >= 1.0
     }
 
@@ -119,7 +119,7 @@
         let unacked = self.channel.unacked_lines(self.now);
         let overhead = self.message_overhead() * proxies;
         let capacity = self.deployment.queue_capacity_lines;
-        let is_overdue = self.channel.acks_lost || self.now - self.channel.last_activity_at > ACK_TIMEOUT;
+        let is_overdue = self.channel.acks_lost || self.channel.ack_silence(self.now) > ACK_TIMEOUT;
         let is_in_the_way = unacked + overhead + proxies > capacity * QUEUE_SHARE * CALM_QUEUE_SHARE;
         let fits = unacked + overhead <= capacity && self.messages_left(self.now, 1.0) > 1.0;
         is_overdue && is_in_the_way && fits && unacked > 0.0 && self.channel.open_version.is_none()
--- a/crates/policy/src/rules/tick.rs
+++ b/crates/policy/src/rules/tick.rs
@@ -12,7 +12,7 @@
             return false;
         }
         self.deadlines.tick = self.now + TICK;
-        if self.now - self.channel.last_activity_at > ACK_TIMEOUT {
+        if self.channel.ack_silence(self.now) > ACK_TIMEOUT {
             self.channel.drop_extra_copies();
         }
         self.pending_work.start_tick(self.reporting.flow);
--- a/crates/policy/src/state/command_channel.rs
+++ b/crates/policy/src/state/command_channel.rs
@@ -36,6 +36,8 @@
 pub(crate) struct CommandChannel {
     /// The proxies that are connected.
     pub proxies: BTreeMap<ProxyId, ConnectedProxy>,
+    /// The number of proxies of the fleet, connected or not; 0 where that is not known.
+    fleet_size: u32,
     /// Messages that some proxy has not acknowledged, or that a slice waits for, by version.
     pub sent: BTreeMap<u16, SentMessage>,
     /// The version of the reply that is being made, once it has a message.
@@ -43,7 +45,9 @@
     last_version: u16,
     last_sequence: u64,
     /// When an acknowledgement last came, or a message was last sent.
-    pub last_activity_at: Moment,
+    last_activity_at: Moment,
+    /// Whether the relay's events arrive: without them no acknowledgement does, and silence shows nothing.
+    acks_can_arrive: bool,
     /// Whether acknowledgements may have been lost since then.
     pub acks_lost: bool,
     /// Messages opened, resent ones included.
@@ -52,16 +56,19 @@
 }
 
 impl CommandChannel {
-    /// A channel without proxies. Messages are counted over `message_window`; versions follow `last_version`.
-    pub(crate) fn new(message_window: Span, last_version: u16) -> Self {
+    /// A channel without proxies, of which the fleet has so many. Messages are counted over `message_window`; versions follow
+    /// `last_version`.
+    pub(crate) fn new(message_window: Span, fleet_size: u32, last_version: u16) -> Self {
         let buckets = message_window.as_ns().div_ceil(MESSAGE_BUCKET.as_ns()) as usize + 1;
         CommandChannel {
             proxies: BTreeMap::new(),
+            fleet_size,
             sent: BTreeMap::new(),
             open_version: None,
             last_version,
             last_sequence: 0,
             last_activity_at: Moment::default(),
+            acks_can_arrive: true,
             acks_lost: false,
             last_opened_at: Moment::default(),
             opened_messages: WindowedCounter::new(MESSAGE_BUCKET, buckets),
@@ -73,9 +80,34 @@
         self.proxies.entry(proxy).or_default();
     }
 
-    /// The number of proxies that a message reaches.
+    /// The number of proxies that a message may reach. More may be connected than are known when it is made: it can wait for
+    /// the relay, and the relay's events can be late.
     pub(crate) fn recipients(&self) -> f64 {
-        self.proxies.len() as f64
+        f64::from(self.fleet_size).max(self.proxies.len() as f64)
+    }
+
+    /// Notes that acknowledgements can't arrive for now.
+    pub(crate) fn interrupt_acks(&mut self) {
+        self.acks_can_arrive = false;
+    }
+
+    /// Notes that acknowledgements arrive again, and that some may have been lost meanwhile. Waiting for them begins anew.
+    pub(crate) fn resume_acks(&mut self, now: Moment) {
+        self.acks_can_arrive = true;
+        self.acks_lost = true;
+        self.last_activity_at = now;
+        for since in self.proxies.values_mut().filter_map(|proxy| proxy.owes_ack_since.as_mut()) {
+            *since = now;
+        }
+    }
+
+    /// For how long no acknowledgement has come that could have.
+    pub(crate) fn ack_silence(&self, now: Moment) -> Span {
+        if self.acks_can_arrive {
+            now - self.last_activity_at
+        } else {
+            Span::default()
+        }
     }
 
     /// Removes a proxy that has disconnected: nothing is on its way to it any more.
@@ -141,7 +173,8 @@
     }
 
     fn is_responsive(&self, now: Moment, proxy: ProxyId) -> bool {
-        self.proxies.get(&proxy).is_some_and(|proxy| !proxy.is_stalled(now))
+        let is_stalled = |proxy: &ConnectedProxy| self.acks_can_arrive && proxy.is_stalled(now);
+        self.proxies.get(&proxy).is_some_and(|proxy| !is_stalled(proxy))
     }
 
     /// Drops the additional copies of resent messages: nothing has come for so long that only one attempt was carried out.
--- a/crates/policy/src/state/controller.rs
+++ b/crates/policy/src/state/controller.rs
@@ -82,7 +82,7 @@
         ControllerState {
             // Versions begin elsewhere in each incarnation: else an acknowledgement from before a restart would pass for
             // one of this incarnation's.
-            channel: CommandChannel::new(deployment.message_window, seed as u16),
+            channel: CommandChannel::new(deployment.message_window, deployment.fleet_size, seed as u16),
             class_outcomes: deployment.request_classes.iter().map(new_outcomes).collect(),
             deadlines: Deadlines::new(now, (!deployment.list_pushed).then_some(now)),
             deployment,
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -22,6 +22,7 @@
         admission_supported: true,
         controller_count: 1,
         controller_index: 0,
+        fleet_size: 0,
         slice_count: 0,
         single_writer: false,
         tenure: Span::ms(1000),
--- a/crates/routing/src/reducer/relay_watch.rs
+++ b/crates/routing/src/reducer/relay_watch.rs
@@ -15,6 +15,7 @@
 impl Reducer {
     pub(super) fn open_relay_watch(&mut self) {
         self.relay.slices_in_motion = self.commands.outbox.slices();
+        self.policy.acks_interrupted();
         // A reopening that waits for its backoff is this one: another would only cut it short.
         self.timers.cancel(Timer::RelayWatch);
         self.effects.push(Effect::WatchRelay { relay: self.targets.relay });
@@ -23,6 +24,7 @@
     pub(super) fn relay_watch_lost(&mut self, now: Moment, error: &StreamError) {
         self.relay.snapshot = RoutingSnapshot::default();
         self.relay.is_in_doubt = false;
+        self.policy.acks_interrupted();
         self.source_failed(Source::RelayWatch, error);
         self.start_after_backoff(now, Timer::RelayWatch);
     }
@@ -123,7 +125,7 @@
         let Some(contents) = self.relay.snapshot.finish() else { return };
         self.relay.first_granted_slices.clear();
         self.relay.is_in_doubt = false;
-        self.policy.acks_lost();
+        self.policy.acks_resumed(now);
         let left: Vec<_> = self.relay.proxies.difference(&contents.proxies).copied().collect();
         for proxy in left {
             self.proxy_left(now, proxy);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -98,6 +98,8 @@
     level_kind: String,
     #[serde(rename = "partitionsN", default, deserialize_with = "count")]
     slices: u32,
+    #[serde(rename = "agents", default, deserialize_with = "count")]
+    proxies: u32,
     #[serde(rename = "singleWriter", default)]
     single_writer: bool,
     #[serde(rename = "tenureNs", default, deserialize_with = "duration")]
@@ -170,6 +172,7 @@
             controller_count: self.controllers,
             // Without a number of its own, one of several controllers takes no part in draws among them.
             controller_index: self.number.unwrap_or(if self.controllers > 1 { u32::MAX } else { 0 }),
+            fleet_size: fleet.proxies,
             slice_count: fleet.slices,
             single_writer: fleet.single_writer,
             tenure: fleet.tenure,
--- a/crates/settings/tests/every_key.rs
+++ b/crates/settings/tests/every_key.rs
@@ -55,6 +55,7 @@
     let deployment = parsed(&every_key()).deployment;
     assert_eq!(deployment.report_period, Span::ms(250));
     assert!(deployment.admission_supported);
+    assert_eq!(deployment.fleet_size, 60);
     assert_eq!(deployment.slice_count, 96);
     assert!(deployment.single_writer);
     assert_eq!(deployment.tenure, Span::ms(3000));
@@ -85,6 +86,7 @@
     assert!(parsed(&without("", "zones")).zones.is_empty());
     assert_eq!(deployment_without("/familyInfo", "periodNs").report_period, Span::default());
     assert!(!deployment_without("/familyInfo", "levelKind").admission_supported);
+    assert_eq!(deployment_without("/familyInfo", "agents").fleet_size, 0);
     assert_eq!(deployment_without("/familyInfo", "partitionsN").slice_count, 0);
     assert!(!deployment_without("/familyInfo", "singleWriter").single_writer);
     assert_eq!(deployment_without("/familyInfo", "tenureNs").tenure, Span::default());
