--- a/crates/controller/tests/channel_limit.rs
+++ b/crates/controller/tests/channel_limit.rs
@@ -187,6 +187,36 @@
     assert!(channel.most_waiting <= QUEUE_CAPACITY, "{} lines waited", channel.most_waiting);
 }
 
+/// A reply that is too long for one request becomes several messages, each with its overhead.
+#[test]
+fn overhead_of_each_part_of_a_long_reply_is_counted() {
+    const OVERHEAD: usize = 20;
+    let long = |n: usize| format!("s-{n}-{}", "x".repeat(5000));
+    let mut rig = rig_with(|settings| settings["familyInfo"]["fixedCost"] = json!(OVERHEAD));
+    rig.replicas = (0..REPLICAS).map(|n| (long(n), "active")).collect();
+    let table = |n| BTreeMap::from([(long(n as usize % REPLICAS), 1.0)]);
+    rig.store = (0..SLICES as u32).map(|n| (n, table(n))).collect();
+    let mut rig = rig.start_serving();
+    rig.advance_ms(20_000);
+    rig.request_logs.clear();
+    let before = rig.requests.len();
+    (0..REPLICAS / 2).for_each(|n| _ = rig.replicas.insert(long(n), "leaving"));
+    rig.send_list();
+    rig.drain_input();
+    let first = rig.pending_request.take().expect("a request");
+    let commands = first.split(';').count();
+    rig.apply(Event::RelayResponse(Ok(Response::Accepted(commands))));
+    rig.drain_input();
+    let parts = &rig.requests[before..];
+    assert!(parts.len() == 2 && !first.contains("SYNC"), "two parts of one reply: {}", parts.len());
+    let lines: usize = parts.iter().map(|part| part.split(';').count() + OVERHEAD).sum();
+    let sent = rig.request_logs.iter().rfind(|line| line.contains("relay request sent")).expect("a line");
+    let counted =
+        sent.split("unacked_lines=").nth(1).and_then(|rest| rest.split(' ').next()).expect("a figure");
+    let counted: usize = counted.parse().expect("a number");
+    assert!(counted >= lines * ALL_PROXIES.len(), "{counted} counted of {}", lines * ALL_PROXIES.len());
+}
+
 /// A controller process between a relay and a discovery agent that the test plays.
 struct Deployment {
     relay: FakeRelay,
