--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -181,6 +181,12 @@
         self.settle(now);
     }
 
+    /// The reply with this version is so long that it is sent as so many messages more than one.
+    pub fn reply_split(&mut self, now: Moment, version: u16, additional_messages: u32) {
+        let overhead = self.state.message_overhead();
+        self.state.channel.record_split(now, version, additional_messages, overhead);
+    }
+
     /// A slice is this controller's from now on; its table as the store has it.
     pub fn slice_granted(&mut self, now: Moment, slice: SliceId, table: &[(ReplicaId, f64)]) {
         self.slice_revoked(now, slice);
--- a/crates/policy/src/rules/rate_limit.rs
+++ b/crates/policy/src/rules/rate_limit.rs
@@ -54,7 +54,7 @@
     }
 
     /// What a message to one proxy costs besides its commands, its version included, in lines.
-    fn message_overhead(&self) -> f64 {
+    pub(crate) fn message_overhead(&self) -> f64 {
         self.deployment.message_overhead_lines + 1.0
     }
 
--- a/crates/policy/src/state/command_channel.rs
+++ b/crates/policy/src/state/command_channel.rs
@@ -125,6 +125,14 @@
         }
     }
 
+    /// Notes that the message with this version goes out as several: each has its overhead, and counts.
+    pub(crate) fn record_split(&mut self, now: Moment, version: u16, additional: u32, overhead_lines: f64) {
+        if let Some(message) = self.sent.get_mut(&version) {
+            message.lines_per_proxy += f64::from(additional) * overhead_lines;
+            self.opened_messages.add(now, f64::from(additional));
+        }
+    }
+
     /// Notes that a proxy has applied everything up to this version, and returns when that was sent, if it is known. An
     /// acknowledgement that was lost is made up for by the next one. Of a message that was sent more than once only one copy
     /// has arrived so far.
--- a/crates/routing/src/outbox.rs
+++ b/crates/routing/src/outbox.rs
@@ -101,6 +101,11 @@
         self.requests.extend((!request.is_empty()).then_some(request));
     }
 
+    /// The number of requests that are pending.
+    pub fn request_count(&self) -> usize {
+        self.requests.len()
+    }
+
     fn clear(&mut self) {
         self.requests = VecDeque::new();
         self.has_stopped_at_first = false;
--- a/crates/routing/src/reducer/relay_commands.rs
+++ b/crates/routing/src/reducer/relay_commands.rs
@@ -169,11 +169,21 @@
         let changed_slices = commands.iter().filter_map(Command::slice);
         let first_granted = &self.relay.first_granted_slices;
         self.relay.slices_in_motion.extend(changed_slices.filter(|slice| !first_granted.contains(slice)));
-        self.commands.outbox.enqueue(&commands);
+        self.enqueue(now, &commands);
         // Only now: a command may be the last that names a replica.
         self.forget_unneeded_replicas(now);
     }
 
+    /// Each request is a message to the proxies, with an overhead of its own.
+    fn enqueue(&mut self, now: Moment, commands: &[Command]) {
+        let outbox = &mut self.commands.outbox;
+        outbox.enqueue(commands);
+        let additional_messages = outbox.request_count().saturating_sub(1) as u32;
+        if let Some(version) = outbox.version().filter(|_| additional_messages > 0) {
+            self.policy.reply_split(now, version, additional_messages);
+        }
+    }
+
     fn forget_unneeded_replicas(&mut self, now: Moment) {
         if self.names.len() <= self.policy.known_replica_count() {
             return;
