Shares of the queue follow the honest count: 0.9 for urgent commands, 0.495 for others

Change: 0.9 of the queue, and 0.55 of that for what can wait; a proxy counts as stalled after 8 s without an acknowledgement (5 s), as a slow channel may take that long for one message to all. Policy tests, channel_limit, event_races and reducer pass.

--- a/crates/policy/src/rules/rate_limit.rs
+++ b/crates/policy/src/rules/rate_limit.rs
@@ -9,9 +9,9 @@
 use crate::time::{Moment, Span};
 
 /// The share of the queue's capacity that commands use (docs/design.md, Rate limiting).
-const QUEUE_SHARE: f64 = 0.8;
+const QUEUE_SHARE: f64 = 0.9;
 /// The share of that which calm commands use.
-const CALM_QUEUE_SHARE: f64 = 0.5;
+const CALM_QUEUE_SHARE: f64 = 0.55;
 /// The share of the message limit that is used by what can wait.
 const DEFERRABLE_MESSAGE_SHARE: f64 = 0.75;
 /// The share of the channel that the overhead of messages may take.
--- a/crates/policy/src/state/command_channel.rs
+++ b/crates/policy/src/state/command_channel.rs
@@ -10,7 +10,7 @@
 const MESSAGE_BUCKET: Span = Span::ms(500);
 /// A proxy that acknowledges nothing for this long holds up no count but that of its own lines: it may be gone. A slow channel
 /// takes less for one message to all proxies.
-const STALL_TIMEOUT: Span = Span::ms(5000);
+const STALL_TIMEOUT: Span = Span::ms(8000);
 
 /// A proxy that is connected.
 #[derive(Default)]
