--- a/crates/controller/src/program/metrics.rs
+++ b/crates/controller/src/program/metrics.rs
@@ -212,14 +212,17 @@
     text
 }
 
+/// Registers a gauge that has this value.
+fn register_gauge(registry: &mut Registry, name: &str, help: &str, value: f64) {
+    let gauge = Gauge::<f64, AtomicU64>::default();
+    gauge.set(value);
+    registry.register(name, help, gauge);
+}
+
 fn registry_of_reports(metrics: &ReportMetrics) -> Registry {
     let freshness = &metrics.freshness;
     let mut registry = Registry::with_prefix(PREFIX);
-    let mut gauge = |name: &str, help: &str, value: f64| {
-        let gauge = Gauge::<f64, AtomicU64>::default();
-        gauge.set(value);
-        registry.register(name, help, gauge);
-    };
+    let mut gauge = |name, help, value| register_gauge(&mut registry, name, help, value);
     gauge(
         "aggregated_report_bytes_per_second",
         "Bytes of reports that came of late",
@@ -239,11 +242,7 @@
 fn registry_of_channel(metrics: &ChannelMetrics) -> Registry {
     let mut registry = Registry::with_prefix(PREFIX);
     let ChannelLoad { proxies, unacked_lines, capacity_lines } = metrics.load;
-    let mut gauge = |name: &str, help: &str, value: f64| {
-        let gauge = Gauge::<f64, AtomicU64>::default();
-        gauge.set(value);
-        registry.register(name, help, gauge);
-    };
+    let mut gauge = |name, help, value| register_gauge(&mut registry, name, help, value);
     gauge("connected_proxies", "Proxies that are connected to the relay", proxies as f64);
     gauge("channel_unacked_lines", "Lines that proxies have not acknowledged", unacked_lines);
     gauge("channel_capacity_lines", "Lines that may wait in the command channel", capacity_lines);
