A clear is final only once it is on disk; no list before the store is read

Callers saw: 'override clear' ended with exit code 0 while the disk was full, and after a kill the override was active again; 'list' right after a start lacked acknowledged overrides. Cause: answers from memory were taken for final: 200 for a write that had failed, 'on disk' for a repeated clear whose end was still unsaved, a clear and a list before the store's registry took the place of the empty one. Mend: 202 and exit code 5 until the end is written, a repeated clear waits for that write, clears before the store is read are repeated on what is read, list is 503 until then. It holds since every final answer now follows a write with the end in it.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -14,7 +14,8 @@
     name = "whinwall",
     version,
     after_help = "Exit codes: 0 done; 1 done in part, or the outcome is unknown; 2 refused, or a file or argument is \
-        faulty;\n3 no governor could be reached; 4 governors disagree on what stands.\n\n\
+        faulty;\n3 no governor could be reached; 4 governors disagree on what stands; 5 done, but not on disk yet: a \
+        restart may undo it.\n\n\
         Examples:\n  \
         whinwall -g /run/whinwall/n0.sock override set out s-3 --for 30m --reason 'disk is failing'\n  \
         whinwall -g /run/whinwall/n0.sock -g /run/whinwall/n1.sock override list\n  \
--- a/crates/cli/src/client_calls.rs
+++ b/crates/cli/src/client_calls.rs
@@ -16,12 +16,13 @@
     since_epoch.as_nanos() as u64 ^ u64::from(std::process::id()) << 32
 }
 
-/// Makes a call to each controller.
+/// Makes a call to each controller. One that fails, or whose reply is not final, is retried.
 ///
 /// # Errors
 /// No controller is named, or the token cannot be read.
 pub(crate) fn call_controllers<T>(
     connection: &ConnectionOptions,
+    is_final: impl Fn(&T) -> bool,
     call: impl AsyncFn(&Client) -> Result<T, ClientError>,
 ) -> Result<Replies<T>, CommandError> {
     if connection.controllers.is_empty() {
@@ -33,9 +34,9 @@
         let calls = connection.controllers.iter().enumerate().map(|(index, address)| {
             let client = Client::new(address.clone(), token.clone());
             let retries = RetrySchedule::new(connection.retry_time_limit, seed.wrapping_add(index as u64));
-            let call = &call;
+            let (call, is_final) = (&call, &is_final);
             async move {
-                let result = call_with_retries(retries, async || call(&client).await).await;
+                let result = call_with_retries(retries, is_final, async || call(&client).await).await;
                 ControllerReply { address: address.clone(), result }
             }
         });
@@ -52,23 +53,56 @@
 
 async fn call_with_retries<T>(
     mut retries: RetrySchedule,
+    is_final: impl Fn(&T) -> bool,
     call: impl AsyncFn() -> Result<T, ClientError>,
 ) -> Result<T, ClientError> {
     let started_at = Instant::now();
-    // An unknown outcome stays unknown until a later attempt has a reply.
-    let mut unknown_outcome = None;
+    let mut last = LastResort::None;
     loop {
-        let error = match call().await {
-            Err(error) if error.is_retryable() => error,
-            result => return result,
+        let result = call().await;
+        let is_done = match &result {
+            Ok(reply) => is_final(reply),
+            Err(error) => !error.is_retryable(),
         };
-        if matches!(error, ClientError::OutcomeUnknown(_)) {
-            unknown_outcome = Some(error.clone());
+        if is_done {
+            return result;
         }
+        last = last.after(result);
         let elapsed = Span::ns(started_at.elapsed().as_nanos() as u64);
         match retries.next_delay(elapsed) {
             Some(delay) => actix_rt::time::sleep(Duration::from_nanos(delay.as_ns())).await,
-            None => return Err(unknown_outcome.unwrap_or(error)),
+            None => return last.into_result(),
+        }
+    }
+}
+
+/// What the attempts so far have shown, where none of them is final.
+enum LastResort<T> {
+    /// Nothing was attempted.
+    None,
+    /// Nothing was carried out.
+    Failed(ClientError),
+    /// An attempt may have been carried out, which stays so until a later one has a reply.
+    Unknown(ClientError),
+    /// The last reply, which is not final.
+    Replied(T),
+}
+
+impl<T> LastResort<T> {
+    fn after(self, result: Result<T, ClientError>) -> Self {
+        match (result, self) {
+            (Ok(reply), _) => LastResort::Replied(reply),
+            (Err(error @ ClientError::OutcomeUnknown(_)), _) => LastResort::Unknown(error),
+            (Err(_), known @ (LastResort::Unknown(_) | LastResort::Replied(_))) => known,
+            (Err(error), LastResort::None | LastResort::Failed(_)) => LastResort::Failed(error),
+        }
+    }
+
+    fn into_result(self) -> Result<T, ClientError> {
+        match self {
+            LastResort::Replied(reply) => Ok(reply),
+            LastResort::Unknown(error) | LastResort::Failed(error) => Err(error),
+            LastResort::None => Err(ClientError::NotSent("no attempt".into())),
         }
     }
 }
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -27,7 +27,7 @@
     // An override that all controllers would reject is not sent.
     validate(&id, &kind, &terms.author, &terms.reason)?;
     let body = SetBody::new(&kind, &terms.author, &terms.reason, terms.duration);
-    let replies = call_controllers(connection, async |client| client.set(&id, &body).await)?;
+    let replies = call_controllers(connection, is_kept, async |client| client.set(&id, &body).await)?;
     let status = print_outcomes(&replies);
     if status != ExitStatus::Success {
         eprintln!("say it again with --id {id}: what has it already stays as it is");
@@ -48,7 +48,7 @@
     id: &str,
     author: &str,
 ) -> Result<ExitStatus, CommandError> {
-    let replies = call_controllers(connection, async |client| client.clear(id, author).await)?;
+    let replies = call_controllers(connection, is_kept, async |client| client.clear(id, author).await)?;
     Ok(print_outcomes(&replies))
 }
 
@@ -58,7 +58,7 @@
     format: OutputFormat,
     listing: Listing,
 ) -> Result<ExitStatus, CommandError> {
-    let replies = call_controllers(connection, async |client| client.list().await)?;
+    let replies = call_controllers(connection, |_| true, async |client| client.list().await)?;
     let rows = tables::collect_rows(&replies, listing);
     match format {
         OutputFormat::Json => println!("{}", tables::format_rows_as_json(&rows)),
@@ -76,7 +76,7 @@
     connection: &ConnectionOptions,
     format: OutputFormat,
 ) -> Result<ExitStatus, CommandError> {
-    let replies = call_controllers(connection, async |client| client.status().await)?;
+    let replies = call_controllers(connection, |_| true, async |client| client.status().await)?;
     for (address, state) in replies.successes() {
         match format {
             OutputFormat::Json => println!("{}", serde_json::to_string(state)?),
@@ -92,7 +92,17 @@
         println!("{address}: {}", tables::format_outcome(outcome));
     }
     print_errors(replies);
-    replies.exit_status()
+    match replies.exit_status() {
+        ExitStatus::Success if !replies.successes().all(|(_, outcome)| is_kept(outcome)) => {
+            ExitStatus::NotDurable
+        }
+        status => status,
+    }
+}
+
+/// Whether no restart undoes the change; one that is kept nowhere by configuration counts as well.
+fn is_kept(outcome: &ChangeOutcome) -> bool {
+    !outcome.is_not_on_disk_yet()
 }
 
 fn print_errors<T>(replies: &Replies<T>) {
--- a/crates/cli/src/replies.rs
+++ b/crates/cli/src/replies.rs
@@ -29,6 +29,8 @@
     Unreachable = 3,
     /// The controllers' overrides differ.
     Disagreement = 4,
+    /// All controllers carried out the command, and a restart of one may undo it until it is on disk there.
+    NotDurable = 5,
 }
 
 impl From<ExitStatus> for ExitCode {
--- a/crates/management-api/src/messages.rs
+++ b/crates/management-api/src/messages.rs
@@ -130,6 +130,8 @@
     Rejected(OverrideError),
     /// The store cannot be written to, for this reason; nothing has changed.
     NotStored(String),
+    /// The overrides cannot be listed, for this reason: the store was not read yet.
+    NotKnownYet(String),
     /// Too many requests are queued; nothing has changed.
     Busy,
 }
--- a/crates/management-api/src/wire/encode.rs
+++ b/crates/management-api/src/wire/encode.rs
@@ -2,7 +2,7 @@
 
 use super::{
     ChangeOutcome, ControllerState, ErrorBody, KindFields, OverrideItem, OverrideList, RepeatedFailure,
-    ReportState, SubsettingState,
+    ReportState, SubsettingState, NOT_ON_DISK_YET,
 };
 use crate::messages::{ListedOverride, Reply, ReportFreshness, Status, SubsettingStatus};
 use serde::Serialize;
@@ -24,11 +24,11 @@
         Reply::Set { listed, is_repeat: true, durability, now } => {
             (200, outcome("set before", durability, &listed, now))
         }
-        Reply::Cleared { listed, is_repeat: false, durability, now } => {
-            (200, outcome("cleared", durability, &listed, now))
-        }
-        Reply::Cleared { listed, is_repeat: true, durability, now } => {
-            (200, outcome("ended before", durability, &listed, now))
+        Reply::Cleared { listed, is_repeat, durability, now } => {
+            // 202: it has taken effect, and a restart may undo it until it is on disk.
+            let code = if matches!(durability, Durability::Pending(_)) { 202 } else { 200 };
+            let word = if is_repeat { "ended before" } else { "cleared" };
+            (code, outcome(word, durability, &listed, now))
         }
         Reply::Listed { overrides, now } => {
             let items = overrides.iter().map(|listed| OverrideItem::new(listed, now, wall_time));
@@ -40,6 +40,9 @@
         Reply::NotStored(reason) => {
             (507, to_json(&ErrorBody::new(format!("not kept, nothing has changed: {reason}"))))
         }
+        Reply::NotKnownYet(reason) => {
+            (503, to_json(&ErrorBody::new(format!("the overrides are not read from the store yet: {reason}"))))
+        }
         Reply::Busy => (503, to_json(&ErrorBody::new("too many wait already; nothing has changed"))),
     }
 }
@@ -66,7 +69,7 @@
     match durability {
         Durability::OnDisk => "on disk".into(),
         Durability::InMemory => "nowhere".into(),
-        Durability::Pending(reason) => format!("not on disk yet: {reason}"),
+        Durability::Pending(reason) => format!("{NOT_ON_DISK_YET}: {reason}"),
     }
 }
 
--- a/crates/management-api/src/wire/mod.rs
+++ b/crates/management-api/src/wire/mod.rs
@@ -94,6 +94,9 @@
     pub overrides: Vec<OverrideItem>,
 }
 
+/// How the durability of a change begins that a restart may undo.
+pub(crate) const NOT_ON_DISK_YET: &str = "not on disk yet";
+
 /// The reply to a change.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(expecting = "struct Outcome")]
@@ -108,6 +111,13 @@
     pub item: OverrideItem,
 }
 
+impl ChangeOutcome {
+    /// Whether a restart of the controller may undo the change, so that it is to be requested again.
+    pub fn is_not_on_disk_yet(&self) -> bool {
+        self.durability.starts_with(NOT_ON_DISK_YET)
+    }
+}
+
 /// The status of a controller.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(expecting = "struct State")]
--- a/crates/overrides/src/manager/mod.rs
+++ b/crates/overrides/src/manager/mod.rs
@@ -12,7 +12,7 @@
 use crate::registry::{OverrideLimits, OverrideRegistry, Proposal, RegistryChange};
 use crate::timeline::{ClockReading, ClockStamp, Timeline};
 use saving::{PendingClear, PendingSave, PendingSet};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::mem::take;
 use whinwall_policy::api::OverrideNumber;
 use whinwall_policy::time::Moment;
@@ -43,6 +43,8 @@
     queued_sets: VecDeque<QueuedSet>,
     pending_clears: Vec<PendingClear>,
     pending_save: Option<PendingSave>,
+    /// Who cleared which override of the operators' file before the store was read; bounded by that file.
+    early_clears: BTreeMap<String, String>,
     last_serial: u64,
     /// The overrides of the operators' file, once it was read.
     configured: Option<Vec<ConfiguredOverride>>,
@@ -71,6 +73,7 @@
             queued_sets: VecDeque::new(),
             pending_clears: Vec::new(),
             pending_save: None,
+            early_clears: BTreeMap::new(),
             last_serial: 0,
             configured: None,
             retry_at: None,
@@ -118,7 +121,7 @@
 
     fn clear(&mut self, now: Moment, request_id: RequestId, id: &str, by: &str) {
         let (number, is_repeat) = match self.registry.propose_clear(now, id, by) {
-            Err(error) => return self.reply(request_id, ChangeReply::Rejected(error)),
+            Err(error) => return self.reply(request_id, self.clear_rejection(error)),
             Ok(Proposal::Unchanged(number)) => (number, true),
             Ok(Proposal::Change(change)) => {
                 let number = change.writes.first().map_or(0, |entry| entry.number);
@@ -128,16 +131,31 @@
         };
         let durability = match &self.store {
             StoreState::NotConfigured => Durability::InMemory,
-            StoreState::Unavailable(reason) => Durability::Pending(reason.clone()),
-            StoreState::Open if is_repeat => Durability::OnDisk,
+            StoreState::Unavailable(reason) => {
+                let reason = reason.clone();
+                self.early_clears.insert(id.into(), by.into());
+                Durability::Pending(reason)
+            }
+            // An end that is in memory only would be undone by a restart.
+            StoreState::Open if is_repeat && !self.registry.is_unsaved(number) => Durability::OnDisk,
             StoreState::Open if self.pending_clears.len() < MAX_QUEUED_REQUESTS => {
-                return self.pending_clears.push(PendingClear { request_id, number });
+                return self.pending_clears.push(PendingClear { request_id, number, is_repeat });
             }
             StoreState::Open => Durability::Pending("too many wait for the disk".into()),
         };
         self.reply(request_id, ChangeReply::Cleared { number, is_repeat, durability });
     }
 
+    /// An id that is unknown before the store was read may be that of a stored override.
+    fn clear_rejection(&self, error: OverrideError) -> ChangeReply {
+        match (error, &self.store) {
+            (OverrideError::UnknownId { .. }, StoreState::Unavailable(reason)) => {
+                ChangeReply::NotStored(reason.clone())
+            }
+            (error, _) => ChangeReply::Rejected(error),
+        }
+    }
+
     fn apply(&mut self, change: RegistryChange) {
         self.registry.apply(change);
         self.has_changed = true;
@@ -171,9 +189,27 @@
                 self.log(StoreEvent::ConfigurationRejected { reason: error.to_string() });
             }
         }
+        self.repeat_early_clears(now);
         self.process_queues(now);
     }
 
+    /// Clears anew what was cleared before the store was read: the registry that was read does not know of it.
+    fn repeat_early_clears(&mut self, now: Moment) {
+        for (id, by) in take(&mut self.early_clears) {
+            if let Ok(Proposal::Change(change)) = self.registry.propose_clear(now, &id, &by) {
+                self.apply(change);
+            }
+        }
+    }
+
+    /// Why the overrides of the store are not known yet; none where they are, or where there is no store.
+    pub fn store_unavailable_reason(&self) -> Option<&str> {
+        match &self.store {
+            StoreState::Unavailable(reason) => Some(reason),
+            StoreState::Open | StoreState::NotConfigured => None,
+        }
+    }
+
     fn decode_stamp(&mut self, bytes: &[u8]) -> Option<ClockStamp> {
         match encoding::decode_stamp(bytes) {
             Ok(stamp) => Some(stamp),
--- a/crates/overrides/src/manager/saving.rs
+++ b/crates/overrides/src/manager/saving.rs
@@ -21,10 +21,12 @@
     pub change: RegistryChange,
 }
 
-/// A request that has ended an override, and is replied to once the end is stored.
+/// A request to clear an override, which has ended, and is replied to once a write with that end has its outcome.
 pub(super) struct PendingClear {
     pub request_id: RequestId,
     pub number: OverrideNumber,
+    /// Whether the override had ended before the request.
+    pub is_repeat: bool,
 }
 
 /// The write to the store that is in flight.
@@ -82,9 +84,9 @@
         if let Some(set) = save.set {
             self.finish_set(set, outcome);
         }
-        for PendingClear { request_id, number } in save.clears {
+        for PendingClear { request_id, number, is_repeat } in save.clears {
             let durability = durability.clone();
-            self.reply(request_id, ChangeReply::Cleared { number, is_repeat: false, durability });
+            self.reply(request_id, ChangeReply::Cleared { number, is_repeat, durability });
         }
         self.tick(now);
     }
--- a/crates/overrides/src/registry/mod.rs
+++ b/crates/overrides/src/registry/mod.rs
@@ -284,6 +284,11 @@
         }
     }
 
+    /// Whether the present state of this override is not stored yet.
+    pub fn is_unsaved(&self, number: OverrideNumber) -> bool {
+        self.pending_writes.contains(&number)
+    }
+
     /// What the store lacks: changes that were applied before they were stored, ends, and removals.
     pub fn unsaved(&self) -> RegistryChange {
         let writes = self.pending_writes.iter().filter_map(|number| self.overrides.get(number));
--- a/crates/routing/src/reducer/management.rs
+++ b/crates/routing/src/reducer/management.rs
@@ -17,13 +17,8 @@
                 });
             }
             (Request::Change(_), None) => Reply::Rejected(OverrideError::LimitReached { limit: 0 }),
-            (Request::List, overrides) => {
-                let list = |overrides: &Overrides| {
-                    let listed = overrides.manager.registry().listed();
-                    listed.map(|one| overrides.shown(&self.policy, one)).collect()
-                };
-                Reply::Listed { overrides: overrides.as_ref().map_or_else(Vec::new, list), now }
-            }
+            (Request::List, Some(overrides)) => self.list_overrides(now, overrides),
+            (Request::List, None) => Reply::Listed { overrides: Vec::new(), now },
             // The program counts; the reducer has no metrics.
             (Request::Metrics, _) => Reply::Metrics(String::new()),
             (Request::Status, _) => Reply::Status(self.status(now)),
@@ -31,6 +26,16 @@
         self.effects.push(Effect::Reply { request_id, reply });
     }
 
+    /// Before the store is read the registry lacks what it holds: a list of the rest would be taken for all.
+    fn list_overrides(&self, now: Moment, overrides: &Overrides) -> Reply {
+        if let Some(reason) = overrides.manager.store_unavailable_reason() {
+            return Reply::NotKnownYet(reason.into());
+        }
+        let listed = overrides.manager.registry().listed();
+        let overrides = listed.map(|one| overrides.shown(&self.policy, one)).collect();
+        Reply::Listed { overrides, now }
+    }
+
     fn status(&self, now: Moment) -> Status {
         let registry = self.overrides.as_ref().map(|overrides| overrides.manager.registry());
         let failures = self.failures.iter().map(|(source, count)| (source.status_name(), count));
