Failing tests: answers at the end of the programs, unknown outcomes, descriptors that run out

Symptoms: requests and pings that were read, wholly or in part, are closed without an answer when a program ends; a second signal and SIGUSR1 end it at once; 'not sent' is said of a set that was carried out; connections beyond the most are closed without a word; silent peers that hold all descriptors keep others out. The programs are stopped while requests and signals are produced, so that each order happens every time.

--- a/crates/aggregation/tests/program.rs
+++ b/crates/aggregation/tests/program.rs
@@ -4,7 +4,8 @@
 
 use rustix::process::Signal;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use support::{get, Collector, Controller, Discovery, Line, Program};
 use whinwall_protocol::collector::{decode_report, Report};
 
@@ -12,6 +13,8 @@
     {"id":"s-0","addr":"127.0.0.9:1","zone":"a","kind":"m","cell":1,"state":"active","weight":1.0,"started_ms":0},
     {"id":"s-1","addr":"127.0.0.9:1","zone":"b","kind":"m","cell":1,"state":"active","weight":1.0,"started_ms":0}]}"#;
 
+const PONG: &str = "{\"@type\":\"PONG\"}\n";
+
 /// In one report of a zone's collector.
 const ATTEMPTS_OF_A: u64 = 10;
 const ATTEMPTS_OF_B: u64 = 100_000;
@@ -216,3 +219,47 @@
     program.signal(Signal::TERM);
     assert_eq!(program.ends().code(), Some(0));
 }
+
+/// The aggregator ended at once: pings and half a ping that had been read, and requests for metrics, were closed without an
+/// answer; SIGUSR1 ended it by its default action. It is stopped while all of that is produced, so that it meets it at once.
+#[test]
+fn what_was_read_by_the_end_is_answered() {
+    let discovery = discovery();
+    let file = file(&[Controller::start().address], &[absent("m0", 7)]);
+    for signals in [&[Signal::TERM][..], &[Signal::USR1, Signal::TERM, Signal::INT]] {
+        let mut program = Program::start("m0", &file, &discovery, &["--metrics", "127.0.0.1:0"]);
+        let metrics = program.logs("metrics at").rsplit(' ').next().unwrap().to_string();
+        let mut collector = program.connect();
+        collector.says(r#"{"@type":"SOURCE","az":"a"}"#);
+        collector.says(r#"{"@type":"PING"}"#);
+        assert_eq!(collector.hears(), PONG);
+        program.signal(Signal::STOP);
+        collector.says(r#"{"@type":"PING"}"#);
+        let mut new = program.connect();
+        new.says(r#"{"@type":"PING"}"#);
+        let mut in_part = program.connect();
+        in_part.stream.write_all(br#"{"@type":"PI"#).unwrap();
+        let asks = |text: &str| {
+            let mut stream = TcpStream::connect(&metrics).unwrap();
+            stream.write_all(text.as_bytes()).unwrap();
+            stream
+        };
+        let scrape = asks("GET /metrics HTTP/1.1\r\nhost: m0\r\n\r\n");
+        let half_a_scrape = asks("GET /metr");
+        signals.iter().for_each(|signal| program.signal(*signal));
+        program.signal(Signal::CONT);
+        assert_eq!(program.ends().code(), Some(0), "{signals:?}");
+        assert_eq!(read_all(collector.stream), PONG);
+        assert_eq!(read_all(new.stream), PONG);
+        assert!(read_all(in_part.stream).contains("shutting down"));
+        assert!(read_all(scrape).starts_with("HTTP/1.1 200"));
+        assert!(read_all(half_a_scrape).starts_with("HTTP/1.1 503"));
+    }
+}
+
+/// All that is received until the connection ends in order.
+fn read_all(mut stream: TcpStream) -> String {
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    text
+}
--- /dev/null
+++ b/crates/controller/tests/descriptors.rs
@@ -0,0 +1,37 @@
+//! The program with fewer descriptors than connections: silent peers must not keep others out.
+//!
+//! Before, a listener that got EMFILE waited and tried again until the silent peers had used up their time.
+
+mod support;
+
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+use support::*;
+
+/// Silent peers are disconnected 1.5 s after they came. One that is let in before has not waited for that.
+const NO_WAIT_FOR_SILENT_PEERS: Duration = Duration::from_millis(1000);
+const DESCRIPTORS: usize = 60;
+
+#[test]
+fn peer_is_served_while_silent_ones_hold_all_descriptors() {
+    let (relay, discovery) = (FakeRelay::start(), FakeDiscovery::start());
+    let mut file = example_config();
+    file["distributor"]["address"] = serde_json::json!(relay.address.to_string());
+    let file = ConfigFile::write(&file.to_string());
+    let plain = command(&file);
+    let mut bounded = std::process::Command::new("sh");
+    bounded.arg("-c").arg(format!("ulimit -n {DESCRIPTORS}; exec \"$@\"")).arg("sh").arg(plain.get_program());
+    bounded.env_clear().envs(plain.get_envs().filter_map(|(key, value)| Some((key, value?))));
+    bounded.env("PROXY_DISCOVERY", discovery.address.to_string());
+    bounded.stderr(std::process::Stdio::piped()).stdin(std::process::Stdio::null());
+    let program = ControllerProcess::spawn(bounded, file);
+    for _ in 0..5 {
+        let silent: Vec<_> =
+            (0..2 * DESCRIPTORS).map(|_| TcpStream::connect(program.address).unwrap()).collect();
+        let began = Instant::now();
+        program.connect().ping();
+        let took = began.elapsed();
+        assert!(took < NO_WAIT_FOR_SILENT_PEERS, "{took:?}");
+        drop(silent);
+    }
+}
