A connection that ends in place of the response is an unknown outcome, not 'not sent'

Cause: awc reports a connection that ended behind the request as Connect(Disconnected), like a failed connect, and ClientError took every Connect for 'not sent'. Change: Disconnected is an unknown outcome. It holds since awc makes that error only where the response was awaited.

--- a/crates/management-api/src/client.rs
+++ b/crates/management-api/src/client.rs
@@ -108,6 +108,10 @@
 impl From<SendRequestError> for ClientError {
     fn from(error: SendRequestError) -> Self {
         match error {
+            // The connection has ended in place of the response: the request was written by then.
+            SendRequestError::Connect(awc::error::ConnectError::Disconnected) => {
+                ClientError::OutcomeUnknown("the connection ended without a response".into())
+            }
             SendRequestError::Connect(_) | SendRequestError::Url(_) => {
                 ClientError::NotSent(error.to_string())
             }
