A failed accept delays no other connection; descriptors are made free where they are short

Callers saw a p99 of 0.3 s for pings (0.004 s is usual) with three in ten calls of accept failing, and nobody served while silent peers held all descriptors. Cause: three loops waited for 100 ms after any error, though most concern one connection that is gone by then, and waiting frees no descriptor. Change: one loop for all three; single connections are passed over at once, a shortage disconnects the peer that has been idle longest. It holds since a pause is left only where the listener itself or the system lacks something.

--- a/crates/aggregation/src/program/metrics.rs
+++ b/crates/aggregation/src/program/metrics.rs
@@ -12,11 +12,8 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use whinwall_aggregation::status::{Counters, Status};
-
-/// Before the next connection is taken, after one that could not be.
-const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+use whinwall_serving::accept::next_connection;
 
 /// What the process counts beside the reducer.
 #[derive(Clone, Copy, Debug, Default)]
@@ -113,9 +110,7 @@
     let service = HttpService::build().h1(answer).new_service(()).await;
     let service = service.map_err(|()| MetricsError::Service(address))?;
     loop {
-        match listener.accept().await {
-            Ok((stream, from)) => _ = actix_rt::spawn(service.call((stream, Some(from)))),
-            Err(_) => actix_rt::time::sleep(ACCEPT_RETRY_INTERVAL).await,
-        }
+        let (stream, from) = next_connection(async || listener.accept().await, || false).await;
+        actix_rt::spawn(service.call((stream, Some(from))));
     }
 }
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -95,7 +95,8 @@
             }
         });
         let socket = folder.join(format!("{name}.sock"));
-        let mut controller = Controller { socket, requests, server: None, clears_not_on_disk, replies_to_drop };
+        let mut controller =
+            Controller { socket, requests, server: None, clears_not_on_disk, replies_to_drop };
         controller.start_server();
         controller
     }
--- a/crates/management-api/src/server.rs
+++ b/crates/management-api/src/server.rs
@@ -23,6 +23,7 @@
 use tokio::sync::{mpsc, oneshot, Semaphore};
 use tokio::time::timeout;
 use whinwall_policy::time::Moment;
+use whinwall_serving::accept::next_connection;
 
 /// The most connections at a time; more are closed at once.
 const MAX_CONNECTIONS: usize = 64;
@@ -37,8 +38,6 @@
 /// A shorter token could be guessed.
 const MIN_TOKEN_BYTES: usize = 16;
 const MAX_TOKEN_BYTES: usize = 4096;
-/// The time until accepting a connection is retried after a failure.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Only the socket's owner may use it.
 const SOCKET_UMASK: u32 = 0o177;
 const THREAD_NAME: &str = "management";
@@ -228,14 +227,8 @@
     let service = Rc::new(service);
     let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
-        let stream = match accept().await {
-            Ok(stream) => stream,
-            Err(error) => {
-                tracing::warn!(%error, "management API connection not accepted");
-                actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
+        // Nothing to release: connections that are idle end by themselves.
+        let stream = next_connection(&accept, || false).await;
         let Ok(permit) = connections.clone().try_acquire_owned() else { continue };
         let service = service.clone();
         actix_rt::spawn(async move {
--- a/crates/management-api/src/wire/encode.rs
+++ b/crates/management-api/src/wire/encode.rs
@@ -40,9 +40,10 @@
         Reply::NotStored(reason) => {
             (507, to_json(&ErrorBody::new(format!("not kept, nothing has changed: {reason}"))))
         }
-        Reply::NotKnownYet(reason) => {
-            (503, to_json(&ErrorBody::new(format!("the overrides are not read from the store yet: {reason}"))))
-        }
+        Reply::NotKnownYet(reason) => (
+            503,
+            to_json(&ErrorBody::new(format!("the overrides are not read from the store yet: {reason}"))),
+        ),
         Reply::Busy => (503, to_json(&ErrorBody::new("too many wait already; nothing has changed"))),
     }
 }
--- a/crates/management-api/tests/shutdown.rs
+++ b/crates/management-api/tests/shutdown.rs
@@ -88,7 +88,10 @@
     let mut stream = connect(address);
     stream.write_all(metrics.as_bytes()).unwrap();
     let response = read_to_end(stream);
-    assert!(response.starts_with("HTTP/1.1 503") && response.contains("too many connections"), "{response:?}");
+    assert!(
+        response.starts_with("HTTP/1.1 503") && response.contains("too many connections"),
+        "{response:?}"
+    );
     drop(open);
 }
 
--- /dev/null
+++ b/crates/serving/src/accept.rs
@@ -0,0 +1,75 @@
+//! Accepting connections. Most errors of accept(2) concern the one connection that was to be accepted, which is gone by
+//! then: the next one is accepted at once. Where descriptors or memory are short, some are released first.
+
+use rustix::io::Errno;
+use std::io;
+use std::time::Duration;
+
+/// The time until accepting is retried where the system lacks resources, or the listener is broken.
+const RETRY_DELAY: Duration = Duration::from_millis(10);
+/// The same where a connection has been told to end: its task needs a moment for that.
+const RELEASED_RETRY_DELAY: Duration = Duration::from_millis(1);
+
+/// What an error of accept(2) concerns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AcceptFailure {
+    /// One connection, which has failed before it was accepted.
+    Connection,
+    /// Descriptors or memory, of the process or of the system.
+    Resources,
+    /// The listener itself.
+    Listener,
+}
+
+impl From<&io::Error> for AcceptFailure {
+    fn from(error: &io::Error) -> Self {
+        match Errno::from_io_error(error) {
+            Some(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM) => AcceptFailure::Resources,
+            Some(
+                Errno::CONNABORTED
+                | Errno::CONNRESET
+                | Errno::INTR
+                | Errno::PERM
+                | Errno::PROTO
+                | Errno::AGAIN
+                // Errors of the network that are pending on the new socket, as accept(2) lists them.
+                | Errno::HOSTDOWN
+                | Errno::HOSTUNREACH
+                | Errno::NETDOWN
+                | Errno::NETUNREACH
+                | Errno::NONET
+                | Errno::NOPROTOOPT
+                | Errno::OPNOTSUPP
+                | Errno::TIMEDOUT,
+            ) => AcceptFailure::Connection,
+            _ => AcceptFailure::Listener,
+        }
+    }
+}
+
+/// The next connection, however many calls of `accept` fail before. `release` is called where descriptors or memory are
+/// short: it ends a connection that can be spared, and returns whether there is one.
+pub async fn next_connection<T>(accept: impl AsyncFn() -> io::Result<T>, release: impl Fn() -> bool) -> T {
+    loop {
+        let error = match accept().await {
+            Ok(connection) => return connection,
+            Err(error) => error,
+        };
+        match AcceptFailure::from(&error) {
+            // A pause here would delay all connections behind the failed one.
+            AcceptFailure::Connection => {
+                tracing::debug!(%error, "connection failed before it was accepted");
+                tokio::task::yield_now().await;
+            }
+            AcceptFailure::Resources => {
+                tracing::warn!(%error, "accepting a connection failed");
+                let delay = if release() { RELEASED_RETRY_DELAY } else { RETRY_DELAY };
+                actix_rt::time::sleep(delay).await;
+            }
+            AcceptFailure::Listener => {
+                tracing::warn!(%error, "accepting a connection failed");
+                actix_rt::time::sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+}
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -2,13 +2,14 @@
 
 use super::bounds::Bounds;
 use super::connection::{self, AcceptedConnection, Peer};
-use super::{limits, ConnectionId, InputSender};
+use super::{ConnectionId, InputSender};
 use actix_rt::net::TcpListener;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::oneshot;
+use whinwall_serving::accept::next_connection;
 
 /// Whoever reads the connections that were accepted.
 pub trait Readers {
@@ -54,14 +55,8 @@
     let open = OpenConnections::default();
     let _guard = DisconnectAllOnDrop(open.clone());
     for id in 0.. {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                tracing::warn!(%error, "accepting a connection failed");
-                actix_rt::time::sleep(limits::RETRY_BACKOFF).await;
-                continue;
-            }
-        };
+        let release = || evict_idle_longest(&open);
+        let (stream, _) = next_connection(async || listener.accept().await, release).await;
         let Ok(stream) = stream.into_std() else { continue };
         let (disconnect, disconnected) = oneshot::channel();
         let (ended, has_ended) = oneshot::channel();
@@ -80,18 +75,27 @@
     }
 }
 
-/// Where there are too many connections, disconnects the one of an unauthenticated peer, else of any peer, that has
-/// been idle longest: hundreds of unauthenticated peers must not cost a collector its connection.
+/// Where there are too many connections, disconnects one: hundreds of unauthenticated peers must not cost a collector its
+/// connection.
 fn evict_excess(open: &OpenConnections, max_connections: usize) {
-    let evicted = {
+    let is_excess = {
         let open = open.borrow();
         let unauthenticated = open.values().filter(|connection| !connection.peer.is_authenticated()).count();
-        let is_excess = open.len() > max_connections || unauthenticated > max_connections.div_ceil(2);
-        let rank = |peer: &Peer| (peer.is_authenticated(), peer.last_active());
-        let idle_longest = open.iter().min_by_key(|(_, connection)| rank(&connection.peer));
-        idle_longest.filter(|_| is_excess).map(|(id, _)| *id)
+        open.len() > max_connections || unauthenticated > max_connections.div_ceil(2)
     };
-    if let Some(id) = evicted {
-        open.borrow_mut().remove(&id);
+    if is_excess {
+        evict_idle_longest(open);
     }
 }
+
+/// Disconnects the connection of an unauthenticated peer, else of any peer, that has been idle longest; false where there is
+/// none.
+fn evict_idle_longest(open: &OpenConnections) -> bool {
+    let rank = |peer: &Peer| (peer.is_authenticated(), peer.last_active());
+    let evicted = {
+        let open = open.borrow();
+        let idle_longest = open.iter().min_by_key(|(_, connection)| rank(&connection.peer));
+        idle_longest.map(|(id, _)| *id)
+    };
+    evicted.is_some_and(|id| open.borrow_mut().remove(&id).is_some())
+}
