A Unix socket gets its mode before its name, and is never taken from another program

Callers saw: a test that failed now and then as the management socket had another mode than 600. Cause: bind_socket changed the umask, which is the whole process's; two servers that started at once raced. Between the test of the path and its removal another program could lose its socket. Change: the mode is set on the unbound socket, a stale file is removed only where it is the one that was tested, a lock on the folder keeps two starts apart, the path is removed at the end only while it is ours. It holds since no process-wide state is changed any more.

--- a/crates/management-api/src/server.rs
+++ b/crates/management-api/src/server.rs
@@ -6,14 +6,12 @@
 use crate::wire::{self, ErrorBody};
 use actix_http::body::EitherBody;
 use actix_http::{HttpMessage, HttpService, Method, Payload, Response, StatusCode};
-use actix_rt::net::{ActixStream, TcpListener, UnixListener};
+use actix_rt::net::{ActixStream, TcpListener};
 use actix_service::{Service, ServiceFactory};
 use futures_util::{FutureExt, StreamExt};
-use rustix::fs::Mode;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
-use std::os::unix::net::UnixStream as StdUnixStream;
 use std::panic::AssertUnwindSafe;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -24,6 +22,7 @@
 use tokio::time::timeout;
 use whinwall_policy::time::Moment;
 use whinwall_serving::accept::next_connection;
+use whinwall_serving::unix_socket::OwnedUnixListener;
 
 /// The most connections at a time; more are closed at once.
 const MAX_CONNECTIONS: usize = 64;
@@ -38,8 +37,6 @@
 /// A shorter token could be guessed.
 const MIN_TOKEN_BYTES: usize = 16;
 const MAX_TOKEN_BYTES: usize = 4096;
-/// Only the socket's owner may use it.
-const SOCKET_UMASK: u32 = 0o177;
 const THREAD_NAME: &str = "management";
 
 /// A request that waits for the controller's reply.
@@ -154,32 +151,21 @@
 }
 
 enum Listener {
-    Socket(UnixListener, SocketFile),
+    Socket(OwnedUnixListener),
     Address(TcpListener),
 }
 
-/// The path of a socket, which is removed with it.
-struct SocketFile(PathBuf);
-
-impl Drop for SocketFile {
-    fn drop(&mut self) {
-        _ = std::fs::remove_file(&self.0);
-    }
-}
-
 impl Listener {
     fn address(&self) -> Option<SocketAddr> {
         match self {
-            Listener::Socket(..) => None,
+            Listener::Socket(_) => None,
             Listener::Address(listener) => listener.local_addr().ok(),
         }
     }
 
     async fn serve(self, handler: Rc<RequestHandler>) {
         match self {
-            Listener::Socket(listener, _file) => {
-                serve(handler, async || listener.accept().await.map(|(stream, _)| stream)).await;
-            }
+            Listener::Socket(listener) => serve(handler, async || listener.accept().await).await,
             Listener::Address(listener) => {
                 serve(handler, async || listener.accept().await.map(|(stream, _)| stream)).await;
             }
@@ -193,23 +179,8 @@
         ListenAddress::Address { address, token } => {
             Ok((Listener::Address(TcpListener::bind(address).await?), Some(token)))
         }
-        ListenAddress::Socket(path) => Ok((bind_socket(path)?, None)),
-    }
-}
-
-fn bind_socket(path: PathBuf) -> io::Result<Listener> {
-    // A socket that a killed process has left refuses connections; one that accepts them is another program's.
-    if path.exists() {
-        if StdUnixStream::connect(&path).is_ok() {
-            return Err(io::Error::new(io::ErrorKind::AddrInUse, "another program serves there"));
-        }
-        std::fs::remove_file(&path)?;
+        ListenAddress::Socket(path) => Ok((Listener::Socket(OwnedUnixListener::bind(path)?), None)),
     }
-    // The mode has to be right from the start, not only after a call of `chmod`.
-    let former = rustix::process::umask(Mode::from_raw_mode(SOCKET_UMASK));
-    let listener = UnixListener::bind(&path);
-    rustix::process::umask(former);
-    Ok(Listener::Socket(listener?, SocketFile(path)))
 }
 
 async fn serve<T>(handler: Rc<RequestHandler>, accept: impl AsyncFn() -> io::Result<T>)
