What was read when a program ends is answered, whatever signals follow

Cause: the end was a return: drain took no management requests and no store replies, the management server and the listener's tasks were dropped with replies unwritten, evictions aborted their connection. Change: one shutdown for all listeners, in two stages: responses say that the connection ends, then each connection answers what it has read and closes in order while the event loop goes on; 450 ms at the most. It holds since a connection closes only when nobody can send it a reply any more.

--- a/crates/aggregation/src/program/error.rs
+++ b/crates/aggregation/src/program/error.rs
@@ -35,9 +35,6 @@
         /// The reason.
         source: io::Error,
     },
-    /// The HTTP service can't be built.
-    #[error("metrics: {0}: no service")]
-    Service(SocketAddr),
 }
 
 /// Why a connection to a controller or a peer has ended.
--- a/crates/aggregation/src/program/event_loop.rs
+++ b/crates/aggregation/src/program/event_loop.rs
@@ -15,23 +15,28 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::{self, Receiver};
-use tokio::time::{interval, MissedTickBehavior};
+use tokio::time::{interval, sleep_until, Instant, MissedTickBehavior};
 use whinwall_aggregation::aggregator::Aggregator;
 use whinwall_aggregation::coverage::ConnectionId;
 use whinwall_aggregation::limits::TICK;
 use whinwall_aggregation::messages::{Effect, Event};
 use whinwall_aggregation::wire;
 use whinwall_policy::time::{Moment, Span};
-use whinwall_protocol::discovery;
+use whinwall_protocol::{collector, discovery};
 use whinwall_runtime::clock::Clock;
 use whinwall_runtime::signals::{Signal, Signals};
 use whinwall_runtime::task::Task;
-use whinwall_transport::{limits, listener, registry_watch, Bounds, Input, InputSender, WatchId};
+use whinwall_serving::shutdown::{self, RunningConnections, ShutdownSignal};
+use whinwall_transport::{
+    limits, listener, registry_watch, Bounds, ConnectionShutdown, Input, InputSender, WatchId,
+};
 
 /// Connections to the listener: collectors of all zones and the other aggregators, each more than once.
 const MAX_CONNECTIONS: usize = 512;
 /// Memory for lines that lack their end, and as much again for lines that wait for the event loop, in bytes.
 const MAX_LINE_BYTES: usize = 16 << 20;
+/// Why a peer that has sent half a line gets no other answer.
+const SHUTTING_DOWN: &str = "shutting down";
 /// How often the log gets a summary.
 const SUMMARY_INTERVAL: Span = Span::ms(60_000);
 
@@ -85,18 +90,25 @@
     let (listener_lines, mut from_listener) = mpsc::channel(limits::MAX_QUEUED_INPUTS);
     let bounds = Bounds::new(MAX_CONNECTIONS, MAX_LINE_BYTES);
     let reader = listener::LocalReader { bounds: bounds.clone(), inputs: listener_lines };
-    let _listener = Task::spawn(listener::listen(Rc::new(listener), bounds, reader));
+    let (trigger, signal, mut running) = shutdown::channel();
+    let notice = collector::encode(collector::Reply::Nack { why: SHUTTING_DOWN }).into();
+    let ending = ConnectionShutdown { signal: signal.clone(), notice };
+    let _listener = Task::spawn(listener::listen_until(Rc::new(listener), bounds, reader, ending));
     let metrics = SharedMetrics::default();
-    let _metrics = config.metrics.map(|address| Task::spawn(serve_metrics(address, metrics.clone())));
+    let metrics_signal = signal.clone();
+    let _metrics =
+        config.metrics.map(|address| Task::spawn(serve_metrics(address, metrics.clone(), metrics_signal)));
+    // The shutdown waits for whoever holds it.
+    drop(signal);
     let mut event_loop = EventLoop::new(&config, registry_lines, metrics);
     tracing::info!(%address, aggregator = config.name, "listening for collectors");
     let mut ticks = interval(Duration::from_nanos(TICK.as_ns()));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
-    loop {
+    let termination = loop {
         tokio::select! {
             biased;
             signal = signals.next() => match signal {
-                Signal::Terminate(termination) => return Ok(termination.signal),
+                Signal::Terminate(termination) => break termination,
                 Signal::Reload => event_loop.reload(&config),
             },
             _ = ticks.tick() => event_loop.tick(),
@@ -106,11 +118,14 @@
             Some(input) = from_registry.recv() => event_loop.input(input),
             Some(input) = from_listener.recv() => event_loop.drain(input, &mut from_listener),
         }
-    }
+    };
+    trigger.close(Instant::now() + limits::CLOSE_TIMEOUT);
+    event_loop.answer_until_closed(&mut from_listener, &mut signals, &mut running).await;
+    Ok(termination.signal)
 }
 
-async fn serve_metrics(address: SocketAddr, metrics: SharedMetrics) {
-    if let Err(error) = metrics::serve(address, metrics).await {
+async fn serve_metrics(address: SocketAddr, metrics: SharedMetrics, signal: ShutdownSignal) {
+    if let Err(error) = metrics::serve(address, metrics, signal).await {
         tracing::error!("{error}");
     }
 }
@@ -180,6 +195,26 @@
         });
     }
 
+    /// Answers what the connections have read until all have closed, or for a bounded time. Further signals change nothing:
+    /// the end comes in time without them.
+    async fn answer_until_closed(
+        &mut self,
+        queue: &mut Receiver<Input>,
+        signals: &mut Signals,
+        running: &mut RunningConnections,
+    ) {
+        let deadline = Instant::now() + limits::CLOSE_TIMEOUT;
+        loop {
+            tokio::select! {
+                biased;
+                _ = signals.next() => {}
+                Some(input) = queue.recv() => self.input(input),
+                () = running.ended() => return,
+                () = sleep_until(deadline) => return,
+            }
+        }
+    }
+
     /// Takes no more than what the queue holds at once: ticks are due meanwhile.
     fn drain(&mut self, first: Input, queue: &mut Receiver<Input>) {
         self.input(first);
--- a/crates/aggregation/src/program/metrics.rs
+++ b/crates/aggregation/src/program/metrics.rs
@@ -1,19 +1,27 @@
 //! Metrics in Prometheus' text form, over HTTP on a loopback address.
 
 use super::error::MetricsError;
-use actix_http::{HttpService, Request, Response};
+use actix_http::StatusCode;
 use actix_rt::net::TcpListener;
-use actix_service::{Service, ServiceFactory};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use std::cell::RefCell;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use whinwall_aggregation::status::{Counters, Status};
-use whinwall_serving::accept::next_connection;
+use whinwall_serving::http::{self, Handler, HttpLimits, HttpRequest, HttpResponse};
+use whinwall_serving::shutdown::ShutdownSignal;
+
+const LIMITS: HttpLimits = HttpLimits {
+    max_connections: 64,
+    // A request for metrics has no body.
+    max_body_bytes: 0,
+    request_timeout: Duration::from_secs(2),
+    keep_alive: Duration::from_secs(15),
+};
 
 /// What the process counts beside the reducer.
 #[derive(Clone, Copy, Debug, Default)]
@@ -90,27 +98,40 @@
     text
 }
 
-/// Serves the metrics for ever.
+/// The metrics over HTTP.
+struct MetricsHandler(SharedMetrics);
+
+impl Handler for MetricsHandler {
+    async fn handle(&self, request: HttpRequest) -> HttpResponse {
+        match request.head.uri.path() {
+            "/metrics" => response(StatusCode::OK, text(&self.0.borrow())),
+            _ => response(StatusCode::NOT_FOUND, String::new()),
+        }
+    }
+
+    fn reject(&self, status: StatusCode, reason: &str) -> HttpResponse {
+        response(status, format!("{reason}\n"))
+    }
+}
+
+fn response(status: StatusCode, body: String) -> HttpResponse {
+    HttpResponse { status, content_type: "application/openmetrics-text", body }
+}
+
+/// Serves the metrics until the signal closes.
 ///
 /// # Errors
 ///
 /// Where the address can't be listened at.
-pub async fn serve(address: SocketAddr, metrics: SharedMetrics) -> Result<(), MetricsError> {
+pub async fn serve(
+    address: SocketAddr,
+    metrics: SharedMetrics,
+    signal: ShutdownSignal,
+) -> Result<(), MetricsError> {
     let listen_error = |source| MetricsError::Listen { address, source };
     let listener = TcpListener::bind(address).await.map_err(listen_error)?;
     let bound = listener.local_addr().map_err(listen_error)?;
     tracing::info!("metrics at {bound}");
-    let answer = move |request: Request| {
-        let response = match request.path() {
-            "/metrics" => Response::ok().set_body(text(&metrics.borrow())),
-            _ => Response::not_found().set_body(String::new()),
-        };
-        async { Ok::<_, Infallible>(response) }
-    };
-    let service = HttpService::build().h1(answer).new_service(()).await;
-    let service = service.map_err(|()| MetricsError::Service(address))?;
-    loop {
-        let (stream, from) = next_connection(async || listener.accept().await, || false).await;
-        actix_rt::spawn(service.call((stream, Some(from))));
-    }
+    http::serve(listener, LIMITS, Rc::new(MetricsHandler(metrics)), signal).await;
+    Ok(())
 }
--- a/crates/controller/src/program/event_loop.rs
+++ b/crates/controller/src/program/event_loop.rs
@@ -6,7 +6,7 @@
 use super::input::{InputHandler, READER_CHECK_INTERVAL};
 use super::queues::InputQueues;
 use super::reload::Reloader;
-use super::shutdown::drain;
+use super::shutdown::{shut_down, ConnectionsEnd};
 use actix_rt::time::sleep;
 use std::time::Duration;
 use whinwall_overrides::WallClockMonitor;
@@ -24,6 +24,7 @@
     input: &mut InputHandler<'_>,
     queues: &mut InputQueues,
     signals: &mut Signals,
+    connections: &mut ConnectionsEnd,
 ) -> Termination {
     let mut reloader = Reloader::default();
     let mut wall_monitor = WallClockMonitor::default();
@@ -40,7 +41,7 @@
             biased;
             signal = signals.next() => match signal {
                 Signal::Terminate(termination) => {
-                    drain(input, queues, signals, termination).await;
+                    shut_down(input, queues, signals, termination, connections).await;
                     return termination;
                 }
                 Signal::Reload => reloader.reload(config, &mut input.dispatcher),
--- a/crates/controller/src/program/incarnation.rs
+++ b/crates/controller/src/program/incarnation.rs
@@ -10,6 +10,7 @@
 use super::reader::ReportBatch;
 use super::reader_pool::{PoolConfig, PoolHandle, ReaderPool};
 use super::services::OperatorServices;
+use super::shutdown::ConnectionsEnd;
 use super::watches::Watches;
 use actix_rt::net::TcpListener;
 use std::cell::RefCell;
@@ -17,11 +18,16 @@
 use std::sync::Arc;
 use tokio::sync::mpsc::{self, Receiver};
 use tokio::sync::watch;
+use whinwall_protocol::collector;
 use whinwall_routing::Event;
 use whinwall_runtime::clock::Clock;
 use whinwall_runtime::signals::{Signals, Termination};
 use whinwall_runtime::task::Task;
-use whinwall_transport::{limits, listener, relay_requests, Bounds, InputSender};
+use whinwall_serving::shutdown::{self, ShutdownSignal};
+use whinwall_transport::{limits, listener, relay_requests, Bounds, ConnectionShutdown, InputSender};
+
+/// Why a peer that has sent half a line gets no other answer.
+const SHUTTING_DOWN: &str = "shutting down";
 
 /// Serves until a signal ends the program.
 pub(super) async fn run_incarnation(
@@ -36,14 +42,16 @@
     let (request_sender, requests) = mpsc::channel(1);
     let (relay_target, target_receiver) = watch::channel(Some(config.targets.relay));
     let _relay_task = Task::spawn(relay_requests::serve(requests, target_receiver, inbox.clone()));
+    let (trigger, signal, running) = shutdown::channel();
+    let mut connections = ConnectionsEnd { trigger, running };
     let Ingress { readers, batches, _listener_task } =
-        Ingress::start(config, clock, listener, collector_inbox);
+        Ingress::start(config, clock, listener, collector_inbox, signal);
     let mut queues = InputQueues { peers, collectors, batches };
     let relay = RelayRequests::new(request_sender, relay_target);
     let dispatcher = Dispatcher::new(config, clock, relay, Watches::new(inbox), services);
     let mut input = InputHandler::new(dispatcher, readers);
     start_reducer(config, &mut input.dispatcher);
-    run_event_loop(config, &mut input, &mut queues, signals).await
+    run_event_loop(config, &mut input, &mut queues, signals, &mut connections).await
 }
 
 /// Where reports come in: the listener, and the readers if there are some.
@@ -55,14 +63,22 @@
 }
 
 impl Ingress {
-    fn start(config: &ControllerConfig, clock: Clock, listener: Rc<TcpListener>, inbox: InputSender) -> Self {
+    fn start(
+        config: &ControllerConfig,
+        clock: Clock,
+        listener: Rc<TcpListener>,
+        inbox: InputSender,
+        signal: ShutdownSignal,
+    ) -> Self {
         let bounds = Bounds::new(config.max_connections, config.line_bytes);
+        let notice = collector::encode(collector::Reply::Nack { why: SHUTTING_DOWN });
+        let shutdown = ConnectionShutdown { signal, notice: notice.into() };
         if config.cores > 1 {
             match start_pool(config.cores, clock, bounds.clone(), inbox.clone()) {
                 Ok((readers, batches)) => {
                     tracing::info!(readers = config.cores, "reader pool started");
                     let handle = PoolHandle(readers.pool.clone());
-                    let task = Task::spawn(listener::listen(listener, bounds, handle));
+                    let task = Task::spawn(listener::listen_until(listener, bounds, handle, shutdown));
                     return Ingress { readers: Some(readers), batches, _listener_task: task };
                 }
                 Err(error) => {
@@ -71,7 +87,7 @@
             }
         }
         let this_thread = listener::LocalReader { bounds: bounds.clone(), inputs: inbox };
-        let task = Task::spawn(listener::listen(listener, bounds, this_thread));
+        let task = Task::spawn(listener::listen_until(listener, bounds, this_thread, shutdown));
         let (_, no_batches) = mpsc::channel(1);
         Ingress { readers: None, batches: no_batches, _listener_task: task }
     }
--- a/crates/controller/src/program/services.rs
+++ b/crates/controller/src/program/services.rs
@@ -3,10 +3,12 @@
 
 use std::collections::BTreeMap;
 use std::path::PathBuf;
+use std::time::Duration;
 use tokio::sync::mpsc::{channel, Receiver, Sender};
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 use whinwall_management_api::messages::Reply;
-use whinwall_management_api::server::{self, ManagementServer, PendingRequest};
+use whinwall_management_api::server::{self, ManagementServer, PendingRequest, ServerEnd};
 use whinwall_operator_config::{ManagementEndpoint, OperatorsFile};
 use whinwall_override_store::storage_thread::{StorageThread, StoreReply};
 use whinwall_override_store::{OverrideStore, WriteBatch};
@@ -18,6 +20,9 @@
 /// Replies of the storage thread that may wait for the event loop; there is one write at a time.
 const STORE_REPLY_QUEUE: usize = 16;
 
+/// How long a management server that is replaced may take to answer what it has read.
+const REPLACED_SERVER_TIMEOUT: Duration = Duration::from_secs(6);
+
 /// Why a service cannot be started; its text is shown to the operator.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum ServiceError {
@@ -32,8 +37,7 @@
 /// A running management server.
 struct RunningServer {
     endpoint: ManagementEndpoint,
-    /// Ends the server when it is dropped.
-    _server: ManagementServer,
+    server: ManagementServer,
 }
 
 /// The services, and the queues between their threads and the event loop.
@@ -41,6 +45,8 @@
     storage: Option<StorageThread>,
     pub(super) store_replies: Receiver<StoreReply>,
     management: Option<RunningServer>,
+    /// Former servers, which still answer what they have read; each ends by its deadline.
+    closing_servers: Vec<ServerEnd>,
     request_sender: Sender<PendingRequest>,
     pub(super) requests: Receiver<PendingRequest>,
     /// Clients that wait for a reply, by request_id.
@@ -69,6 +75,7 @@
             storage: storage.transpose().map_err(ServiceError::StorageThread)?,
             store_replies,
             management: None,
+            closing_servers: Vec::new(),
             request_sender,
             requests,
             clients: BTreeMap::new(),
@@ -89,7 +96,7 @@
             file.is_some_and(|file| file.log_format == whinwall_operator_config::LogFormat::Json);
         self.log_format.set(if wants_json { LogFormat::Json } else { LogFormat::Text });
         match file.and_then(|file| file.management.clone()) {
-            None => self.management = None,
+            None => self.replace_management(),
             Some(endpoint) if self.is_serving_socket(&endpoint) => {}
             Some(endpoint) => self.start_management(controller, endpoint)?,
         }
@@ -115,7 +122,7 @@
                 server::ListenAddress::Address { address, token }
             }
         };
-        self.management = None; // frees the address of the former server
+        self.replace_management();
         let server =
             match ManagementServer::start(listen_on, controller.to_string(), self.request_sender.clone()) {
                 Ok(server) => server,
@@ -128,10 +135,52 @@
             (_, Some(address)) => tracing::info!(%address, "management API listening"),
             (_, None) => {}
         }
-        self.management = Some(RunningServer { endpoint, _server: server });
+        self.management = Some(RunningServer { endpoint, server });
         Ok(())
     }
 
+    /// Frees the address of the server, which goes on to answer what it has read.
+    fn replace_management(&mut self) {
+        self.closing_servers.retain(|server| !server.has_ended());
+        if let Some(former) = self.management.take() {
+            let mut end = former.server.close(Instant::now() + REPLACED_SERVER_TIMEOUT);
+            end.wait_until_released();
+            self.closing_servers.push(end);
+        }
+    }
+
+    /// Has each management response say that its connection ends.
+    pub(super) fn drain(&self) {
+        if let Some(management) = &self.management {
+            management.server.drain();
+        }
+    }
+
+    /// Whether management clients wait for a reply.
+    pub(super) fn has_clients(&self) -> bool {
+        self.clients.values().any(|client| !client.is_closed())
+    }
+
+    /// Closes the management server; it answers what it has read until the deadline.
+    pub(super) fn close_management(&mut self, deadline: Instant) -> ServerEnd {
+        self.closing_servers.iter().for_each(|server| server.close_by(deadline));
+        self.management.take().map_or_else(ServerEnd::default, |running| running.server.close(deadline))
+    }
+
+    /// Answers the clients of a reducer that is gone: whether their requests were carried out is not known.
+    pub(super) fn abandon_clients(&mut self) {
+        self.clients.clear();
+    }
+
+    /// Answers all clients that wait, and takes no requests from now on: those in the queue are not carried out.
+    pub(super) fn reject_waiting(&mut self) {
+        self.abandon_clients();
+        self.requests.close();
+        while let Ok(PendingRequest { reply_to, .. }) = self.requests.try_recv() {
+            _ = reply_to.send(Reply::ShuttingDown);
+        }
+    }
+
     /// Asks the storage thread for all records, where there is one.
     pub(super) fn read_store(&self) {
         if let Some(storage) = &self.storage {
@@ -164,3 +213,10 @@
         }
     }
 }
+
+impl Drop for OperatorServices {
+    /// Clients get their answer before their connections end with the servers, which are dropped next.
+    fn drop(&mut self) {
+        self.reject_waiting();
+    }
+}
--- a/crates/controller/src/program/startup.rs
+++ b/crates/controller/src/program/startup.rs
@@ -56,6 +56,7 @@
             Ok(termination) => return termination,
             Err(_) => tracing::error!("panic in the event loop, starting a new incarnation"),
         }
+        services.abandon_clients();
         config.begin_new_incarnation();
         if let Err(termination) = signals.sleep(limits::RETRY_BACKOFF).await {
             return termination;
--- a/crates/management-api/src/messages.rs
+++ b/crates/management-api/src/messages.rs
@@ -134,6 +134,8 @@
     NotKnownYet(String),
     /// Too many requests are queued; nothing has changed.
     Busy,
+    /// The controller shuts down; nothing has changed.
+    ShuttingDown,
 }
 
 impl Reply {
--- a/crates/management-api/src/server.rs
+++ b/crates/management-api/src/server.rs
@@ -1,39 +1,37 @@
 //! The HTTP server of the management API, on a thread of its own. Requests are bounded in size, time and number. Each
 //! is passed to the controller as one typed value; a client whose request has no reply in time is told that its
-//! outcome is unknown.
+//! outcome is unknown. When the server closes, requests of which something was read still get a response.
 
 use crate::messages::{Reply, Request};
 use crate::wire::{self, ErrorBody};
-use actix_http::body::EitherBody;
-use actix_http::{HttpMessage, HttpService, Method, Payload, Response, StatusCode};
-use actix_rt::net::{ActixStream, TcpListener};
-use actix_service::{Service, ServiceFactory};
-use futures_util::{FutureExt, StreamExt};
-use std::convert::Infallible;
+use actix_http::{Method, RequestHead, StatusCode};
+use actix_rt::net::TcpListener;
 use std::io;
 use std::net::SocketAddr;
-use std::panic::AssertUnwindSafe;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use subtle::ConstantTimeEq;
-use tokio::sync::{mpsc, oneshot, Semaphore};
-use tokio::time::timeout;
+use tokio::sync::mpsc::error::TrySendError;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{timeout, Instant};
 use whinwall_policy::time::Moment;
-use whinwall_serving::accept::next_connection;
+use whinwall_serving::http::{self, Handler, HttpLimits, HttpRequest, HttpResponse};
+use whinwall_serving::shutdown::{self, RunningConnections, ShutdownSignal, ShutdownTrigger};
 use whinwall_serving::unix_socket::OwnedUnixListener;
 
-/// The most connections at a time; more are closed at once.
-const MAX_CONNECTIONS: usize = 64;
-/// The largest body of a request; an override takes a few hundred bytes.
-const MAX_BODY_BYTES: usize = 16 << 10;
-/// How long a client may take to send a request.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
-const KEEP_ALIVE: Duration = Duration::from_secs(15);
+const LIMITS: HttpLimits = HttpLimits {
+    max_connections: 64,
+    // An override takes a few hundred bytes.
+    max_body_bytes: 16 << 10,
+    request_timeout: Duration::from_secs(2),
+    keep_alive: Duration::from_secs(15),
+};
 /// How long the controller may take to reply: it does so within a turn, a disk within milliseconds; the rest is for a
 /// busy machine.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long connections may take to close where nobody says it, and beyond what was said.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 /// A shorter token could be guessed.
 const MIN_TOKEN_BYTES: usize = 16;
 const MAX_TOKEN_BYTES: usize = 4096;
@@ -93,24 +91,67 @@
     }
 }
 
-/// A running server; it stops when it is dropped.
+/// A running server. Dropping it closes it and waits until it has ended, for a short time.
 pub struct ManagementServer {
     address: Option<SocketAddr>,
-    /// Dropping it stops the server.
-    stop: Option<oneshot::Sender<()>>,
+    end: ServerEnd,
+}
+
+/// A server that no longer listens, and still answers what it has read. Dropping it waits until it has ended; it does so
+/// at its deadline at the latest.
+#[derive(Default)]
+pub struct ServerEnd {
+    shutdown: Option<ShutdownTrigger>,
+    /// Yields once the address is free.
+    released: Option<std::sync::mpsc::Receiver<()>>,
+    ended: Option<oneshot::Receiver<()>>,
     thread: Option<std::thread::JoinHandle<()>>,
 }
 
-impl Drop for ManagementServer {
+impl ServerEnd {
+    /// Sets an earlier deadline.
+    pub fn close_by(&self, deadline: Instant) {
+        if let Some(shutdown) = &self.shutdown {
+            shutdown.close(deadline);
+        }
+    }
+
+    /// Blocks until the address is free, which takes some milliseconds.
+    pub fn wait_until_released(&mut self) {
+        if let Some(released) = self.released.take() {
+            // An error means that the thread has ended, and with it the listener.
+            _ = released.recv();
+        }
+    }
+
+    /// Waits until the last connection has closed.
+    pub async fn ended(&mut self) {
+        if let Some(ended) = &mut self.ended {
+            _ = ended.await;
+            self.ended = None;
+        }
+    }
+
+    /// Whether the last connection has closed.
+    pub fn has_ended(&self) -> bool {
+        self.thread.as_ref().is_none_or(std::thread::JoinHandle::is_finished)
+    }
+}
+
+impl Drop for ServerEnd {
     fn drop(&mut self) {
-        drop(self.stop.take());
-        // The socket's path and the address are free once the thread has ended.
         if let Some(thread) = self.thread.take() {
             _ = thread.join();
         }
     }
 }
 
+impl Drop for ManagementServer {
+    fn drop(&mut self) {
+        self.end.close_by(Instant::now() + CLOSE_TIMEOUT);
+    }
+}
+
 impl ManagementServer {
     /// Starts the server, which listens when this returns. `requests` has to be bounded: a request that finds it full
     /// is rejected as busy. `name` is the controller's.
@@ -122,32 +163,51 @@
         name: String,
         requests: mpsc::Sender<PendingRequest>,
     ) -> io::Result<Self> {
-        let (stop, stopped) = oneshot::channel();
+        let (shutdown, signal, running) = shutdown::channel();
         let (on_started, started) = std::sync::mpsc::channel();
+        let (on_released, released) = std::sync::mpsc::channel();
+        let (on_ended, ended) = oneshot::channel();
         let thread = std::thread::Builder::new().name(THREAD_NAME.into()).spawn(move || {
             actix_rt::System::new().block_on(async {
                 match bind(listen).await {
                     Ok((listener, token)) => {
                         _ = on_started.send(Ok(listener.address()));
                         let handler = Rc::new(RequestHandler { name, token, requests });
-                        tokio::select! {
-                            () = listener.serve(handler) => {}
-                            _ = stopped => {}
-                        }
+                        serve(listener, handler, signal, running, || _ = on_released.send(())).await;
                     }
                     Err(error) => _ = on_started.send(Err(error)),
                 }
             });
+            _ = on_ended.send(());
         })?;
         let not_started = |_| io::Error::other("the management front's thread ended at its start");
+        let end = ServerEnd {
+            shutdown: Some(shutdown),
+            released: Some(released),
+            ended: Some(ended),
+            thread: Some(thread),
+        };
         let address = started.recv().map_err(not_started)??;
-        Ok(ManagementServer { address, stop: Some(stop), thread: Some(thread) })
+        Ok(ManagementServer { address, end })
     }
 
     /// The TCP address that it listens on, with the port that the system has chosen.
     pub fn address(&self) -> Option<SocketAddr> {
         self.address
     }
+
+    /// From now on each response says that its connection ends.
+    pub fn drain(&self) {
+        if let Some(shutdown) = &self.end.shutdown {
+            shutdown.drain();
+        }
+    }
+
+    /// Closes the server. Requests of which something was read are answered until the deadline.
+    pub fn close(mut self, deadline: Instant) -> ServerEnd {
+        self.end.close_by(deadline);
+        std::mem::take(&mut self.end)
+    }
 }
 
 enum Listener {
@@ -162,15 +222,6 @@
             Listener::Address(listener) => listener.local_addr().ok(),
         }
     }
-
-    async fn serve(self, handler: Rc<RequestHandler>) {
-        match self {
-            Listener::Socket(listener) => serve(handler, async || listener.accept().await).await,
-            Listener::Address(listener) => {
-                serve(handler, async || listener.accept().await.map(|(stream, _)| stream)).await;
-            }
-        }
-    }
 }
 
 /// The listener, with the token that its clients have to send.
@@ -183,45 +234,24 @@
     }
 }
 
-async fn serve<T>(handler: Rc<RequestHandler>, accept: impl AsyncFn() -> io::Result<T>)
-where
-    T: ActixStream + 'static,
-{
-    let service = HttpService::build()
-        .keep_alive(KEEP_ALIVE)
-        .client_request_timeout(REQUEST_TIMEOUT)
-        .client_disconnect_timeout(REQUEST_TIMEOUT)
-        .h1(move |request| respond(handler.clone(), request))
-        .new_service(())
-        .await;
-    let Ok(service) = service else { return };
-    let service = Rc::new(service);
-    let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-    loop {
-        // Nothing to release: connections that are idle end by themselves.
-        let stream = next_connection(&accept, || false).await;
-        let Ok(permit) = connections.clone().try_acquire_owned() else { continue };
-        let service = service.clone();
-        actix_rt::spawn(async move {
-            _ = service.call((stream, None)).await;
-            drop(permit);
-        });
-    }
-}
-
-async fn respond(
+/// Serves until the signal closes; then until the last connection has closed, or a little longer than the deadline.
+async fn serve(
+    listener: Listener,
     handler: Rc<RequestHandler>,
-    request: actix_http::Request,
-) -> Result<Response<EitherBody<String>>, Infallible> {
-    // A panic costs its request alone.
-    let handled = AssertUnwindSafe(handler.handle(request)).catch_unwind().await;
-    let (code, body) = handled.unwrap_or_else(|_| error_response(500, "a fault of the governor's"));
-    let code = StatusCode::from_u16(code).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let content_type =
-        if body.starts_with('#') { "application/openmetrics-text" } else { "application/json" };
-    let mut response = Response::build(code);
-    response.insert_header(("content-type", content_type));
-    Ok(response.body(body))
+    signal: ShutdownSignal,
+    mut running: RunningConnections,
+    on_released: impl FnOnce(),
+) {
+    match listener {
+        Listener::Socket(listener) => http::serve(listener, LIMITS, handler, signal.clone()).await,
+        Listener::Address(listener) => http::serve(listener, LIMITS, handler, signal.clone()).await,
+    }
+    on_released();
+    let observer = signal.observer();
+    drop(signal);
+    if !running.ended_by(observer, CLOSE_TIMEOUT).await {
+        tracing::warn!("management connections did not close in time");
+    }
 }
 
 fn error_response(code: u16, error: &str) -> (u16, String) {
@@ -240,30 +270,49 @@
     requests: mpsc::Sender<PendingRequest>,
 }
 
+impl Handler for RequestHandler {
+    async fn handle(&self, request: HttpRequest) -> HttpResponse {
+        let (code, body) = self.reply(&request).await;
+        let status = StatusCode::from_u16(code).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let content_type =
+            if body.starts_with('#') { "application/openmetrics-text" } else { "application/json" };
+        HttpResponse { status, content_type, body }
+    }
+
+    fn reject(&self, status: StatusCode, reason: &str) -> HttpResponse {
+        let (_, body) = error_response(status.as_u16(), reason);
+        HttpResponse { status, content_type: "application/json", body }
+    }
+}
+
 impl RequestHandler {
     /// The status code and the body of the response.
-    async fn handle(&self, request: actix_http::Request) -> (u16, String) {
-        if !self.is_authorized(&request) {
+    async fn reply(&self, request: &HttpRequest) -> (u16, String) {
+        if !self.is_authorized(&request.head) {
             return error_response(401, "this takes a bearer token, and the right one");
         }
-        match decode(request).await {
+        match decode(request) {
             Ok(request) => self.forward(request).await,
             Err(response) => response,
         }
     }
 
     /// Compares the token in constant time, so that the time of a response does not show how much of a guess was right.
-    fn is_authorized(&self, request: &actix_http::Request) -> bool {
+    fn is_authorized(&self, head: &RequestHead) -> bool {
         let Some(token) = &self.token else { return true };
-        let header = request.headers().get("authorization").map_or(&b""[..], |value| value.as_bytes());
+        let header = head.headers().get("authorization").map_or(&b""[..], |value| value.as_bytes());
         let given = header.strip_prefix(b"Bearer ").unwrap_or_default();
         bool::from(given.ct_eq(token))
     }
 
     async fn forward(&self, request: Request) -> (u16, String) {
         let (reply_to, reply) = oneshot::channel();
-        if self.requests.try_send(PendingRequest { request, reply_to }).is_err() {
-            return wire::encode(Reply::Busy, &self.name, wall_time());
+        match self.requests.try_send(PendingRequest { request, reply_to }) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_)) => return wire::encode(Reply::Busy, &self.name, wall_time()),
+            Err(TrySendError::Closed(_)) => {
+                return wire::encode(Reply::ShuttingDown, &self.name, wall_time())
+            }
         }
         match timeout(REPLY_TIMEOUT, reply).await {
             Ok(Ok(reply)) => wire::encode(reply, &self.name, wall_time()),
@@ -275,20 +324,15 @@
 }
 
 /// The typed request of an HTTP request, or the response that rejects it.
-async fn decode(mut request: actix_http::Request) -> Result<Request, (u16, String)> {
-    let path = request.path().to_string();
-    let method = request.method().clone();
+fn decode(request: &HttpRequest) -> Result<Request, (u16, String)> {
+    let path = request.head.uri.path().to_string();
     let segments: Vec<_> = path.trim_start_matches('/').split('/').collect();
-    let decoded = match (&method, segments.as_slice()) {
+    let decoded = match (&request.head.method, segments.as_slice()) {
         (&Method::GET, ["v1", "overrides"]) => Ok(Request::List),
         (&Method::GET, ["v1", "status"]) => Ok(Request::Status),
         (&Method::GET, ["v1", "metrics"]) => Ok(Request::Metrics),
-        (&Method::PUT, ["v1", "overrides", id]) => {
-            wire::decode_set(id, &read_body(request.take_payload()).await?)
-        }
-        (&Method::POST, ["v1", "overrides", id, "clear"]) => {
-            wire::decode_clear(id, &read_body(request.take_payload()).await?)
-        }
+        (&Method::PUT, ["v1", "overrides", id]) => wire::decode_set(id, &request.body),
+        (&Method::POST, ["v1", "overrides", id, "clear"]) => wire::decode_clear(id, &request.body),
         (
             _,
             ["v1", "overrides" | "status" | "metrics"]
@@ -302,19 +346,3 @@
     };
     decoded.map_err(|body| (400, serde_json::to_string(&body).unwrap_or_default()))
 }
-
-async fn read_body(mut payload: Payload) -> Result<Vec<u8>, (u16, String)> {
-    let read = async {
-        let mut body = Vec::new();
-        while let Some(chunk) = payload.next().await {
-            body.extend_from_slice(&chunk.map_err(|error| error_response(400, &error.to_string()))?);
-            if body.len() > MAX_BODY_BYTES {
-                return Err(error_response(413, "a request has 16 KiB at most"));
-            }
-        }
-        Ok(body)
-    };
-    timeout(REQUEST_TIMEOUT, read)
-        .await
-        .unwrap_or_else(|_| Err(error_response(408, "the request did not end in time")))
-}
--- a/crates/management-api/src/wire/encode.rs
+++ b/crates/management-api/src/wire/encode.rs
@@ -44,6 +44,7 @@
             503,
             to_json(&ErrorBody::new(format!("the overrides are not read from the store yet: {reason}"))),
         ),
+        Reply::ShuttingDown => (503, to_json(&ErrorBody::new("shutting down; nothing has changed"))),
         Reply::Busy => (503, to_json(&ErrorBody::new("too many wait already; nothing has changed"))),
     }
 }
--- a/crates/runtime/src/signals.rs
+++ b/crates/runtime/src/signals.rs
@@ -1,4 +1,4 @@
-//! The process signals that end the program or have it reload its configuration.
+//! The process signals that end the program or have it reload its configuration, and those that it ignores on purpose.
 
 use actix_rt::signal::unix::{self, signal, SignalKind};
 use std::fmt;
@@ -33,6 +33,8 @@
     terminate: unix::Signal,
     interrupt: unix::Signal,
     hangup: unix::Signal,
+    /// Their default action would end the program, and no request in flight would be answered.
+    ignored: [unix::Signal; 2],
     /// A reload was asked for while `sleep` was waiting.
     is_reload_pending: bool,
 }
@@ -47,18 +49,27 @@
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
             hangup: signal(SignalKind::hangup())?,
+            ignored: [signal(SignalKind::user_defined1())?, signal(SignalKind::user_defined2())?],
             is_reload_pending: false,
         })
     }
 
     /// Waits for the next signal. Termination comes before a reload.
     pub async fn next(&mut self) -> Signal {
-        tokio::select! {
-            biased;
-            _ = self.terminate.recv() => Signal::Terminate(Termination { signal: "SIGTERM" }),
-            _ = self.interrupt.recv() => Signal::Terminate(Termination { signal: "SIGINT" }),
-            _ = std::future::ready(()), if std::mem::take(&mut self.is_reload_pending) => Signal::Reload,
-            _ = self.hangup.recv() => Signal::Reload,
+        let [user_1, user_2] = &mut self.ignored;
+        loop {
+            let ignored = tokio::select! {
+                biased;
+                _ = self.terminate.recv() => return Signal::Terminate(Termination { signal: "SIGTERM" }),
+                _ = self.interrupt.recv() => return Signal::Terminate(Termination { signal: "SIGINT" }),
+                _ = std::future::ready(()), if std::mem::take(&mut self.is_reload_pending) => {
+                    return Signal::Reload;
+                }
+                _ = self.hangup.recv() => return Signal::Reload,
+                _ = user_1.recv() => "SIGUSR1",
+                _ = user_2.recv() => "SIGUSR2",
+            };
+            tracing::info!(signal = ignored, "signal ignored");
         }
     }
 
--- a/crates/serving/src/accept.rs
+++ b/crates/serving/src/accept.rs
@@ -4,12 +4,18 @@
 use rustix::io::Errno;
 use std::io;
 use std::time::Duration;
+use tokio::time::{timeout, Instant};
 
 /// The time until accepting is retried where the system lacks resources, or the listener is broken.
 const RETRY_DELAY: Duration = Duration::from_millis(10);
 /// The same where a connection has been told to end: its task needs a moment for that.
 const RELEASED_RETRY_DELAY: Duration = Duration::from_millis(1);
 
+/// No connection came for so long: the listener has none left.
+const BACKLOG_QUIET_PERIOD: Duration = Duration::from_millis(5);
+/// How long connections are taken from a listener that closes, however many come.
+const MAX_BACKLOG_PERIOD: Duration = Duration::from_millis(50);
+
 /// What an error of accept(2) concerns.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AcceptFailure {
@@ -73,3 +79,15 @@
         }
     }
 }
+
+/// Takes the connections that a listener which closes still has: they were made, and their requests may have been sent.
+pub async fn drain_backlog<T>(accept: impl AsyncFn() -> io::Result<T>, mut take: impl FnMut(T)) {
+    let until = Instant::now() + MAX_BACKLOG_PERIOD;
+    while Instant::now() < until {
+        match timeout(BACKLOG_QUIET_PERIOD, accept()).await {
+            Ok(Ok(connection)) => take(connection),
+            Ok(Err(_)) => {}
+            Err(_) => return,
+        }
+    }
+}
--- a/crates/serving/tests/accept.rs
+++ b/crates/serving/tests/accept.rs
@@ -9,7 +9,7 @@
 use std::io;
 use std::time::Duration;
 use tokio::time::Instant;
-use whinwall_serving::accept::{next_connection, AcceptFailure};
+use whinwall_serving::accept::{drain_backlog, next_connection, AcceptFailure};
 
 /// The errors that accept(2) documents for the connection that was to be accepted.
 const CONNECTION_ERRORS: [Errno; 13] = [
@@ -90,3 +90,12 @@
     assert_eq!(connection, 7);
     assert!(took >= Duration::from_millis(2), "{took:?}");
 }
+
+#[test]
+fn closing_listener_takes_what_has_connected_and_ends() {
+    let script = Script::new([Ok(1), Err(Errno::CONNABORTED), Ok(2)]);
+    let mut taken = Vec::new();
+    let (_, took) = in_virtual_time(drain_backlog(async || script.accept().await, |n| taken.push(n)));
+    assert_eq!(taken, [1, 2]);
+    assert!(took <= Duration::from_millis(50), "{took:?}");
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,6 +4,7 @@
 #![warn(clippy::unwrap_used)]
 
 mod bounds;
+mod closing;
 pub mod connection;
 mod error;
 pub mod framing;
@@ -14,6 +15,7 @@
 pub mod relay_watch;
 
 pub use bounds::Bounds;
+pub use closing::ConnectionShutdown;
 pub use error::{RequestError, StreamError};
 
 use actix_rt::net::TcpStream;
--- a/crates/transport/src/limits.rs
+++ b/crates/transport/src/limits.rs
@@ -20,11 +20,17 @@
 pub const REGISTRY_WATCH_IDLE_TIMEOUT: Duration = Duration::from_millis(3000);
 /// The time between two requests for the registry watch: the agent answers at once, or is silent.
 pub const REGISTRY_REQUEST_INTERVAL: Duration = Duration::from_millis(500);
-/// The longest time from SIGTERM to the end of the program; SIGKILL comes 700 ms after SIGTERM. It is enough for the
+/// The longest time from SIGTERM until connections are closed; SIGKILL comes 700 ms after SIGTERM. It is enough for the
 /// response to a relay request.
 pub const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(300);
-/// Last replies are read from the kernel: once there was nothing more to do for so long, the program ends.
+/// Once there was nothing more to do for so long, connections are closed.
 pub const SHUTDOWN_QUIET_PERIOD: Duration = Duration::from_millis(50);
+/// How long connections that close may take to answer what was read, and wait for the rest of what was read in part.
+pub const CLOSE_TIMEOUT: Duration = Duration::from_millis(150);
+/// The part of that time that is kept for the answer.
+pub const CLOSE_REASON_MARGIN: Duration = Duration::from_millis(50);
+/// How long a connection that closes waits for input that has arrived and was not read yet.
+pub const LAST_INPUT_PERIOD: Duration = Duration::from_millis(5);
 /// For so long after its signal, a configuration that is not valid is read again: it may be half written.
 pub const CONFIG_REREAD_PERIOD: Duration = Duration::from_secs(5);
 /// A registry watch that reports no change for so long is opened anew, beside itself: it may have missed a change
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -1,15 +1,16 @@
 //! The listener of the program's own address: bounds the number of connections, and hands each over to a reader.
 
 use super::bounds::Bounds;
+use super::closing::ConnectionShutdown;
 use super::connection::{self, AcceptedConnection, Peer};
 use super::{ConnectionId, InputSender};
-use actix_rt::net::TcpListener;
+use actix_rt::net::{TcpListener, TcpStream};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::oneshot;
-use whinwall_serving::accept::next_connection;
+use whinwall_serving::accept::{drain_backlog, next_connection};
 
 /// Whoever reads the connections that were accepted.
 pub trait Readers {
@@ -52,22 +53,57 @@
 
 /// Accepts connections for ever, at most half of them from peers that are not authenticated.
 pub async fn listen(listener: Rc<TcpListener>, bounds: Bounds, readers: impl Readers) {
-    let open = OpenConnections::default();
-    let _guard = DisconnectAllOnDrop(open.clone());
-    for id in 0.. {
-        let release = || evict_idle_longest(&open);
-        let (stream, _) = next_connection(async || listener.accept().await, release).await;
-        let Ok(stream) = stream.into_std() else { continue };
+    listen_until(listener, bounds, readers, ConnectionShutdown::never()).await;
+}
+
+/// The same until the shutdown closes. Connections that were made by then are still handed over; they answer what was
+/// read, and hold the shutdown's signal until they have ended.
+pub async fn listen_until(
+    listener: Rc<TcpListener>,
+    bounds: Bounds,
+    readers: impl Readers,
+    shutdown: ConnectionShutdown,
+) {
+    let mut signal = shutdown.signal.clone();
+    let mut connections =
+        Connections { open: OpenConnections::default(), next_id: 0, bounds, readers, shutdown };
+    let _guard = DisconnectAllOnDrop(connections.open.clone());
+    loop {
+        let open = connections.open.clone();
+        let accepted = next_connection(async || listener.accept().await, || evict_idle_longest(&open));
+        tokio::select! {
+            biased;
+            _ = signal.closing() => break,
+            (stream, _) = accepted => connections.add(stream),
+        }
+    }
+    drain_backlog(async || listener.accept().await, |(stream, _)| connections.add(stream)).await;
+}
+
+/// Hands connections over to their readers, and bounds their number.
+struct Connections<R> {
+    open: OpenConnections,
+    next_id: ConnectionId,
+    bounds: Bounds,
+    readers: R,
+    shutdown: ConnectionShutdown,
+}
+
+impl<R: Readers> Connections<R> {
+    fn add(&mut self, stream: TcpStream) {
+        let Ok(stream) = stream.into_std() else { return };
+        let id = self.next_id;
+        self.next_id += 1;
         let (disconnect, disconnected) = oneshot::channel();
         let (ended, has_ended) = oneshot::channel();
-        let peer = Arc::new(Peer::new());
-        open.borrow_mut().insert(id, OpenConnection { peer: peer.clone(), _disconnect: disconnect });
-        evict_excess(&open, bounds.max_connections);
-        if !readers.hand_over(AcceptedConnection { id, stream, peer, disconnected, ended }) {
-            open.borrow_mut().remove(&id);
-            continue;
+        let (peer, shutdown) = (Arc::new(Peer::new()), self.shutdown.clone());
+        self.open.borrow_mut().insert(id, OpenConnection { peer: peer.clone(), _disconnect: disconnect });
+        evict_excess(&self.open, self.bounds.max_connections);
+        if !self.readers.hand_over(AcceptedConnection { id, stream, peer, disconnected, shutdown, ended }) {
+            self.open.borrow_mut().remove(&id);
+            return;
         }
-        let open = open.clone();
+        let open = self.open.clone();
         actix_rt::spawn(async move {
             _ = has_ended.await;
             open.borrow_mut().remove(&id);
