Listeners have room for 1,024 connections that wait; a shortage costs no collector its place

Callers saw: in a crowd of 300 a new peer waited for a second for its first answer. Cause: a backlog of 128, the library's default; beyond it the system drops the first packet of a connection, which comes again after 1 s. Change: 1,024 for all listeners, bound in one place; where descriptors are short only unauthenticated peers are disconnected. It holds since a controller has no more than 1,024 descriptors, so that more could not be served anyway.

--- a/crates/aggregation/src/program/event_loop.rs
+++ b/crates/aggregation/src/program/event_loop.rs
@@ -7,7 +7,6 @@
 use super::error::ServeError;
 use super::metrics::{self, Metrics, SharedMetrics, Traffic};
 use super::peer_connections::PeerConnections;
-use actix_rt::net::TcpListener;
 use lines::Sender;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -26,6 +25,7 @@
 use whinwall_runtime::clock::Clock;
 use whinwall_runtime::signals::{Signal, Signals};
 use whinwall_runtime::task::Task;
+use whinwall_serving::accept;
 use whinwall_serving::shutdown::{self, RunningConnections, ShutdownSignal};
 use whinwall_transport::{
     limits, listener, registry_watch, Bounds, ConnectionShutdown, Input, InputSender, WatchId,
@@ -82,7 +82,7 @@
 ///
 /// Where the address can't be listened at.
 pub async fn serve(config: AggregatorConfig, mut signals: Signals) -> Result<&'static str, ServeError> {
-    let listener = TcpListener::bind(config.listen).await;
+    let listener = accept::listen(config.listen);
     let listener = listener.map_err(|source| ServeError::Listen { address: config.listen, source })?;
     let address = listener.local_addr().map_err(ServeError::LocalAddress)?;
     // Two queues, so that a flood at the listener does not delay discovery.
--- a/crates/aggregation/src/program/metrics.rs
+++ b/crates/aggregation/src/program/metrics.rs
@@ -2,7 +2,6 @@
 
 use super::error::MetricsError;
 use actix_http::StatusCode;
-use actix_rt::net::TcpListener;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
@@ -12,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use whinwall_aggregation::status::{Counters, Status};
+use whinwall_serving::accept;
 use whinwall_serving::http::{self, Handler, HttpLimits, HttpRequest, HttpResponse};
 use whinwall_serving::shutdown::ShutdownSignal;
 
@@ -129,7 +129,7 @@
     signal: ShutdownSignal,
 ) -> Result<(), MetricsError> {
     let listen_error = |source| MetricsError::Listen { address, source };
-    let listener = TcpListener::bind(address).await.map_err(listen_error)?;
+    let listener = accept::listen(address).map_err(listen_error)?;
     let bound = listener.local_addr().map_err(listen_error)?;
     tracing::info!("metrics at {bound}");
     http::serve(listener, LIMITS, Rc::new(MetricsHandler(metrics)), signal).await;
--- a/crates/controller/src/program/startup.rs
+++ b/crates/controller/src/program/startup.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use whinwall_runtime::logger::LogFormatSwitch;
 use whinwall_runtime::signals::{Signals, Termination};
+use whinwall_serving::accept;
 use whinwall_transport::limits;
 
 /// Retries of the bind, `limits::RETRY_BACKOFF` apart: a former process may hold the address a moment longer.
@@ -73,7 +74,7 @@
 async fn bind(address: SocketAddr, signals: &mut Signals) -> Result<Bound, ServeError> {
     let mut retries = 0;
     loop {
-        match TcpListener::bind(address).await {
+        match accept::listen(address) {
             Ok(listener) => return Ok(Bound::Listening(listener)),
             Err(source) if retries == MAX_BIND_RETRIES => return Err(ServeError::Bind { address, source }),
             Err(error) if retries == 0 => {
--- a/crates/management-api/src/server.rs
+++ b/crates/management-api/src/server.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{timeout, Instant};
 use whinwall_policy::time::Moment;
+use whinwall_serving::accept;
 use whinwall_serving::http::{self, Handler, HttpLimits, HttpRequest, HttpResponse};
 use whinwall_serving::shutdown::{self, RunningConnections, ShutdownSignal, ShutdownTrigger};
 use whinwall_serving::unix_socket::OwnedUnixListener;
@@ -228,7 +229,7 @@
 async fn bind(listen: ListenAddress) -> io::Result<(Listener, Option<Vec<u8>>)> {
     match listen {
         ListenAddress::Address { address, token } => {
-            Ok((Listener::Address(TcpListener::bind(address).await?), Some(token)))
+            Ok((Listener::Address(accept::listen(address)?), Some(token)))
         }
         ListenAddress::Socket(path) => Ok((Listener::Socket(OwnedUnixListener::bind(path)?), None)),
     }
--- a/crates/serving/src/accept.rs
+++ b/crates/serving/src/accept.rs
@@ -1,8 +1,10 @@
 //! Accepting connections. Most errors of accept(2) concern the one connection that was to be accepted, which is gone by
 //! then: the next one is accepted at once. Where descriptors or memory are short, some are released first.
 
+use actix_rt::net::{TcpListener, TcpSocket};
 use rustix::io::Errno;
 use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
 
@@ -16,6 +18,10 @@
 /// How long connections are taken from a listener that closes, however many come.
 const MAX_BACKLOG_PERIOD: Duration = Duration::from_millis(50);
 
+/// Connections that may wait to be accepted: as many as a controller may have. Beyond them the system drops the first packet
+/// of a connection, which comes again after a second.
+pub(crate) const BACKLOG: u32 = 1024;
+
 /// What an error of accept(2) concerns.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AcceptFailure {
@@ -53,6 +59,18 @@
     }
 }
 
+/// Listens at an address.
+///
+/// # Errors
+/// The address is in use or is not this machine's, or the system refuses.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    // A former process's connections may still be there.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// The next connection, however many calls of `accept` fail before. `release` is called where descriptors or memory are
 /// short: it ends a connection that can be spared, and returns whether there is one.
 pub async fn next_connection<T>(accept: impl AsyncFn() -> io::Result<T>, release: impl Fn() -> bool) -> T {
--- a/crates/serving/src/unix_socket.rs
+++ b/crates/serving/src/unix_socket.rs
@@ -1,5 +1,6 @@
 //! A Unix socket for its owner alone, at a path that a killed process may have left behind.
 
+use crate::accept::BACKLOG;
 use actix_rt::net::{UnixListener, UnixStream};
 use rustix::fs::{fchmod, flock, FlockOperation, Mode, RenameFlags, CWD};
 use rustix::io::Errno;
@@ -15,8 +16,6 @@
 
 /// Only the owner may connect.
 const MODE: u32 = 0o600;
-/// Connections that wait to be accepted.
-const BACKLOG: i32 = 1024;
 /// How often a socket that was left behind is taken away before giving up.
 const MAX_ATTEMPTS: usize = 8;
 /// How long another process may take to bind in the same folder.
@@ -115,7 +114,7 @@
     let socket = socket_with(AddressFamily::UNIX, SocketType::STREAM, flags, None)?;
     fchmod(&socket, Mode::from_raw_mode(MODE))?;
     bind(&socket, &SocketAddrUnix::new(path)?)?;
-    listen(&socket, BACKLOG)?;
+    listen(&socket, BACKLOG as i32)?;
     Ok(StdUnixListener::from(socket))
 }
 
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -70,7 +70,9 @@
     let _guard = DisconnectAllOnDrop(connections.open.clone());
     loop {
         let open = connections.open.clone();
-        let accepted = next_connection(async || listener.accept().await, || evict_idle_longest(&open));
+        // Descriptors are made free at the cost of unauthenticated peers only: a newcomer is not worth a collector.
+        let release = || evict_idle_longest(&open, |peer| !peer.is_authenticated());
+        let accepted = next_connection(async || listener.accept().await, release);
         tokio::select! {
             biased;
             _ = signal.closing() => break,
@@ -120,17 +122,18 @@
         open.len() > max_connections || unauthenticated > max_connections.div_ceil(2)
     };
     if is_excess {
-        evict_idle_longest(open);
+        evict_idle_longest(open, |_| true);
     }
 }
 
-/// Disconnects the connection of an unauthenticated peer, else of any peer, that has been idle longest; false where there is
+/// Disconnects the peer that has been idle longest, of those that may be, unauthenticated ones first; false where there is
 /// none.
-fn evict_idle_longest(open: &OpenConnections) -> bool {
+fn evict_idle_longest(open: &OpenConnections, may_evict: impl Fn(&Peer) -> bool) -> bool {
     let rank = |peer: &Peer| (peer.is_authenticated(), peer.last_active());
     let evicted = {
         let open = open.borrow();
-        let idle_longest = open.iter().min_by_key(|(_, connection)| rank(&connection.peer));
+        let candidates = open.iter().filter(|(_, connection)| may_evict(&connection.peer));
+        let idle_longest = candidates.min_by_key(|(_, connection)| rank(&connection.peer));
         idle_longest.map(|(id, _)| *id)
     };
     evicted.is_some_and(|id| open.borrow_mut().remove(&id).is_some())
