A soak: a real controller under signals, kills and faults, with clients that keep asking

No test ran the whole program through starts and ends while its clients go on. whinwall-soak does, drawn from a seed: series of signals or kills that nothing announces, a disk and descriptors that fail for a while, a process that stops, a crowd, alone or in pairs; it checks that what had arrived in time is answered, that promises hold over restarts, that the program ends before the kill and gives back what it took.

--- a/crates/scale-tests/src/process.rs
+++ b/crates/scale-tests/src/process.rs
@@ -6,7 +6,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{channel, Receiver};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -15,6 +15,8 @@
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longest time for the answer to a PING, with the same margin.
 const PING_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between two checks whether a program has ended.
+const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// The package of the controller, and its program.
 const CONTROLLER: &str = "whinwall-controller";
 /// What a program of whinwall's logs once it listens; its address follows, up to a blank.
@@ -266,8 +268,33 @@
     ///
     /// When the signal cannot be sent.
     pub fn reload(&self) -> Result<(), ProcessError> {
-        let sent = kill_process(Pid::from_child(&self.child), Signal::HUP);
-        sent.map_err(|why| io_error("SIGHUP")(why.into()))
+        self.signal(Signal::HUP)
+    }
+
+    /// Sends it a signal.
+    ///
+    /// # Errors
+    ///
+    /// When the signal cannot be sent.
+    pub fn signal(&self, signal: Signal) -> Result<(), ProcessError> {
+        let sent = kill_process(Pid::from_child(&self.child), signal);
+        sent.map_err(|why| io_error(format!("{signal:?}"))(why.into()))
+    }
+
+    /// How it has ended, once it has; none where it still runs after this time.
+    ///
+    /// # Errors
+    ///
+    /// When it cannot be waited for.
+    pub fn wait_for_exit(&mut self, within: Duration) -> Result<Option<ExitStatus>, ProcessError> {
+        let end = Instant::now() + within;
+        loop {
+            let status = self.child.try_wait().map_err(io_error("wait"))?;
+            if status.is_some() || Instant::now() >= end {
+                return Ok(status);
+            }
+            thread::sleep(EXIT_POLL_INTERVAL);
+        }
     }
 }
 
--- /dev/null
+++ b/crates/soak/src/clients/http.rs
@@ -0,0 +1,86 @@
+//! One HTTP exchange on a Unix socket, byte by byte: a library would hide how a connection ends.
+
+use super::{draw_cut, ANSWER_TIMEOUT};
+use std::io::{ErrorKind, Read, Write};
+use std::os::unix::net::UnixStream;
+use std::path::Path;
+use std::time::Instant;
+use whinwall_policy::random::Random;
+
+/// How an exchange ended.
+#[derive(Debug)]
+pub(super) enum Outcome {
+    /// With a response.
+    Response(Response),
+    /// Nothing of the request was sent: the connection had ended before.
+    NotSent,
+    /// The connection ended without a whole response.
+    Ended {
+        /// When the first bytes were sent.
+        sent_at: Instant,
+        /// How it ended.
+        how: String,
+    },
+    /// No response came for a long time.
+    TimedOut,
+}
+
+#[derive(Debug)]
+pub(super) struct Response {
+    pub status: u16,
+    pub is_last: bool,
+    pub body: String,
+}
+
+pub(super) fn connect(socket: &Path) -> std::io::Result<UnixStream> {
+    let stream = UnixStream::connect(socket)?;
+    stream.set_read_timeout(Some(ANSWER_TIMEOUT))?;
+    Ok(stream)
+}
+
+pub(super) fn request_text(method: &str, path: &str, body: &str) -> String {
+    let length = body.len();
+    format!("{method} {path} HTTP/1.1\r\nhost: n0\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+/// Sends a request, at once or in two parts, and reads the response.
+pub(super) fn exchange(stream: &mut UnixStream, text: &str, random: &mut Random) -> Outcome {
+    let bytes = text.as_bytes();
+    let (first, rest, delay) = match draw_cut(random, bytes.len()) {
+        Some((at, delay)) => (&bytes[..at], &bytes[at..], delay),
+        None => (bytes, &bytes[..0], std::time::Duration::ZERO),
+    };
+    if stream.write_all(first).is_err() {
+        return Outcome::NotSent;
+    }
+    let sent_at = Instant::now();
+    if !rest.is_empty() {
+        std::thread::sleep(delay);
+        // The response may be there already, and the connection ended.
+        _ = stream.write_all(rest);
+    }
+    match read_response(stream) {
+        Ok(response) => Outcome::Response(response),
+        Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+            Outcome::TimedOut
+        }
+        Err(error) => Outcome::Ended { sent_at, how: error.to_string() },
+    }
+}
+
+fn read_response(stream: &mut UnixStream) -> std::io::Result<Response> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte)?;
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&head).to_lowercase();
+    let header = |name: &str| head.lines().find_map(|line| line.strip_prefix(name)).map(str::trim);
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+    let length = header("content-length:").and_then(|length| length.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body)?;
+    let is_last = header("connection:") == Some("close");
+    Ok(Response { status, is_last, body: String::from_utf8_lossy(&body).into_owned() })
+}
--- /dev/null
+++ b/crates/soak/src/clients/management.rs
@@ -0,0 +1,174 @@
+//! A client of the management API: sets and clears overrides of its own, lists them, and asks for the status.
+
+use super::http::{connect, exchange, request_text, Outcome, Response};
+use super::{Shared, RECONNECT_DELAY};
+use crate::incarnation::Incarnation;
+use crate::ledger::Promise;
+use crate::violation::Violation;
+use std::os::unix::net::UnixStream;
+use std::sync::Arc;
+use whinwall_policy::random::Random;
+
+/// Overrides that a client has set and not cleared; the store's bound is for all clients.
+const MAX_OWN_ACTIVE: usize = 20;
+
+/// What is asked.
+enum Call {
+    Status,
+    List,
+    Set(String),
+    Clear(String),
+}
+
+impl Call {
+    fn text(&self) -> String {
+        match self {
+            Call::Status => request_text("GET", "/v1/status", ""),
+            Call::List => request_text("GET", "/v1/overrides", ""),
+            // Of a replica of its own, so that no override replaces another.
+            Call::Set(id) => {
+                let body = format!(
+                    "{{\"kind\":\"weight\",\"server\":\"r-{id}\",\"factor\":0.5,\"author\":\"soak\",\"reason\":\"soak\",\
+                     \"for\":\"1h\"}}"
+                );
+                request_text("PUT", &format!("/v1/overrides/{id}"), &body)
+            }
+            Call::Clear(id) => {
+                request_text("POST", &format!("/v1/overrides/{id}/clear"), "{\"by\":\"soak\"}")
+            }
+        }
+    }
+
+    fn name(&self) -> String {
+        match self {
+            Call::Status => "status".into(),
+            Call::List => "list".into(),
+            Call::Set(id) => format!("set {id}"),
+            Call::Clear(id) => format!("clear {id}"),
+        }
+    }
+}
+
+struct ManagementClient<'a> {
+    shared: &'a Shared,
+    prefix: String,
+    random: Random,
+    next_id: u64,
+    active: Vec<String>,
+    connection: Option<(UnixStream, Arc<Incarnation>)>,
+}
+
+pub(super) fn run(shared: &Shared, number: u64, random: Random) {
+    let (prefix, active) = (format!("m{number}-"), Vec::new());
+    let mut client = ManagementClient { shared, prefix, random, next_id: 0, active, connection: None };
+    while !shared.is_stopped() {
+        client.step();
+    }
+}
+
+impl ManagementClient<'_> {
+    /// Makes one call.
+    fn step(&mut self) {
+        let Some((mut stream, incarnation)) = self.connection.take().or_else(|| self.connect()) else {
+            std::thread::sleep(RECONNECT_DELAY);
+            return;
+        };
+        let call = self.draw_call();
+        match exchange(&mut stream, &call.text(), &mut self.random) {
+            Outcome::Response(response) => {
+                self.shared.count_answer();
+                self.note_response(&call, &response);
+                if !response.is_last {
+                    self.connection = Some((stream, incarnation));
+                }
+            }
+            Outcome::NotSent => self.note_nothing_sent(&call),
+            Outcome::Ended { sent_at, how } => {
+                self.note_unknown(&call);
+                if incarnation.owes_answer(sent_at) {
+                    let request = format!("{}: {how}, in {}", call.name(), incarnation.round);
+                    self.shared.violations.note(Violation::Unanswered { request });
+                }
+            }
+            Outcome::TimedOut => {
+                self.note_unknown(&call);
+                if incarnation.is_serving() {
+                    let request = format!("{}: nothing came, in {}", call.name(), incarnation.round);
+                    self.shared.violations.note(Violation::Unanswered { request });
+                }
+            }
+        }
+    }
+
+    fn connect(&self) -> Option<(UnixStream, Arc<Incarnation>)> {
+        let incarnation = self.shared.incarnation()?;
+        Some((connect(&self.shared.socket).ok()?, incarnation))
+    }
+
+    fn draw_call(&mut self) -> Call {
+        let draw = self.random.draw();
+        if draw < 0.3 {
+            return Call::Status;
+        }
+        if draw < 0.4 {
+            return Call::List;
+        }
+        let is_full = self.active.len() >= MAX_OWN_ACTIVE;
+        if !self.active.is_empty() && (is_full || draw > 0.75) {
+            let at = (self.random.draw() * self.active.len() as f64) as usize % self.active.len();
+            return Call::Clear(self.active.swap_remove(at));
+        }
+        self.next_id += 1;
+        Call::Set(format!("{}{}", self.prefix, self.next_id))
+    }
+
+    fn note_response(&mut self, call: &Call, response: &Response) {
+        let is_on_disk = response.body.contains("\"kept\":\"on disk\"");
+        let promise = |id: &String, promise| self.shared.ledger.note(id, promise);
+        match (call, response.status) {
+            (Call::Status, 200) => {}
+            (Call::List, 200) => self.check_list(&response.body),
+            (Call::Set(id), 200 | 201) if is_on_disk => {
+                promise(id, Promise::Active);
+                self.active.push(id.clone());
+            }
+            (Call::Set(id), 503 | 507) => promise(id, Promise::Refused),
+            (Call::Clear(id), 200) if is_on_disk => promise(id, Promise::Ended),
+            // In force until it is cleared on disk, which it may have to be again.
+            (Call::Clear(id), 202) => {
+                promise(id, Promise::Unknown);
+                self.active.push(id.clone());
+            }
+            (Call::Clear(id), 503 | 507) => self.active.push(id.clone()),
+            (_, 503) => {}
+            (Call::Set(_) | Call::Clear(_), 408 | 504) => self.note_unknown(call),
+            (_, 408 | 504) => {}
+            (_, status) => {
+                let exchange = format!("{}: {status} {}", call.name(), response.body);
+                self.shared.violations.note(Violation::WrongAnswer { exchange });
+            }
+        }
+    }
+
+    fn check_list(&self, body: &str) {
+        match serde_json::from_str(body) {
+            Ok(list) => self.shared.ledger.check(&self.prefix, &list, &self.shared.violations),
+            Err(error) => {
+                let exchange = format!("list: {error}");
+                self.shared.violations.note(Violation::WrongAnswer { exchange });
+            }
+        }
+    }
+
+    fn note_nothing_sent(&mut self, call: &Call) {
+        if let Call::Clear(id) = call {
+            self.active.push(id.clone());
+        }
+    }
+
+    fn note_unknown(&self, call: &Call) {
+        if let Call::Set(id) | Call::Clear(id) = call {
+            self.shared.ledger.note(id, Promise::Unknown);
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,58 @@
+//! Soaks the controller: a run for each seed, one after the other. Exit codes: 0 nothing was found; 1 something was; 2 the soak
+//! itself could not go on.
+
+use clap::Parser;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+use whinwall_scale_tests::process::controller_program;
+use whinwall_soak::run::play;
+use whinwall_soak::SoakError;
+
+const EXIT_FOUND: u8 = 1;
+const EXIT_ERROR: u8 = 2;
+
+/// Soaks the controller with signals, kills and faults, and checks what its clients see
+#[derive(Parser)]
+#[command(name = "whinwall-soak", version)]
+struct Arguments {
+    /// The first seed
+    #[arg(long, default_value_t = 1)]
+    from: u64,
+    /// How many seeds
+    #[arg(long, default_value_t = 50)]
+    seeds: u64,
+    /// How long each seed is played, in seconds
+    #[arg(long, default_value_t = 20)]
+    seconds: u64,
+    /// The controller's program; otherwise the one beside this program
+    #[arg(long)]
+    program: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    match soak(Arguments::parse()) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(EXIT_FOUND),
+        Err(error) => {
+            eprintln!("whinwall-soak: {error}");
+            ExitCode::from(EXIT_ERROR)
+        }
+    }
+}
+
+/// Returns the number of violations.
+fn soak(arguments: Arguments) -> Result<usize, SoakError> {
+    let program = match arguments.program {
+        Some(program) => program,
+        None => controller_program()?,
+    };
+    let mut violations = 0;
+    for seed in arguments.from..arguments.from + arguments.seeds {
+        let report = play(&program, seed, Duration::from_secs(arguments.seconds))?;
+        println!("{report}");
+        violations += report.violations.len();
+    }
+    println!("{} seeds, {violations} violations", arguments.seeds);
+    Ok(violations)
+}
--- /dev/null
+++ b/crates/soak/tests/soak.rs
@@ -0,0 +1,30 @@
+//! A short soak, the same seeds each time. The long one is started by hand (`whinwall-soak`).
+
+use std::time::Duration;
+use whinwall_scale_tests::process::controller_program;
+use whinwall_soak::plan::Plan;
+use whinwall_soak::run::play;
+
+const SEEDS: std::ops::Range<u64> = 1..4;
+const DURATION: Duration = Duration::from_secs(15);
+
+#[test]
+fn seed_draws_the_same_rounds_each_time() {
+    let rounds = |seed| {
+        let mut plan = Plan::new(seed);
+        (0..50).map(|_| plan.draw_round()).collect::<Vec<_>>()
+    };
+    assert_eq!(rounds(7), rounds(7));
+    assert_ne!(rounds(7), rounds(8));
+}
+
+#[test]
+fn program_keeps_its_promises_under_signals_kills_and_faults() {
+    let program = controller_program().unwrap();
+    for seed in SEEDS {
+        let report = play(&program, seed, DURATION).unwrap();
+        println!("{report}");
+        assert!(report.violations.is_empty(), "{report}");
+        assert!(report.answered > 1000 && report.promised > 10, "nothing was tested: {report}");
+    }
+}
