Failing tests: ejections that stay long for good, a reduction that never ends

Two faults seen while reading, reproduced: a replica that restarted, or was well for 190 s, is ejected for 33 s instead of 9 (ejections at 2, 11, 28, 53, 86 s, then 111 and 144 s); with a latency objective of 0 the reduction for all slices never ends.

--- a/crates/policy/tests/load_shedding.rs
+++ b/crates/policy/tests/load_shedding.rs
@@ -3,7 +3,7 @@
 mod fleet;
 mod reports;
 
-use fleet::site;
+use fleet::{at, site};
 
 use reports::{count_ejections, play_reports, policy_with_replicas, reduces_admission, single_writer_site};
 use whinwall_policy::api::*;
@@ -40,3 +40,26 @@
     assert!(actions.iter().any(|s| reduces_admission(s, None, 1)) && count_ejections(&actions) == 0);
     assert!(!actions.iter().any(|s| matches!(s, Action::SetAdmission { slice: Some(_), .. })));
 }
+
+/// With a latency objective of 0 the fleet's latency ratio was 0 times infinity, not a number, once commands for each slice were
+/// cheap: a reduction for all slices then neither grew nor shrank, for good.
+#[test]
+fn reduction_for_all_slices_ends_also_with_a_latency_objective_of_zero() {
+    let mut site = Deployment { lines_per_second: 8.0, ..site() };
+    site.request_classes.iter_mut().for_each(|class| class.target_latency = Default::default());
+    let mut policy = policy_with_replicas(site, 6);
+    policy.proxy_joined(at(0), 1, ProxyTables::Empty);
+    let late = |_, _, _| (0.0, 100);
+    let actions = play_reports(&mut policy, 1..20, 1, 6, &late);
+    assert!(
+        actions.iter().any(|action| reduces_admission(action, None, 1)),
+        "two proxies: one command for all"
+    );
+    policy.proxy_left(at(20_000), 1);
+    let actions = play_reports(&mut policy, 20..60, 1, 6, &late);
+    let last = actions.iter().rev().find_map(|action| match action {
+        Action::SetAdmission { slice: None, share, .. } => Some(*share),
+        _ => None,
+    });
+    assert_eq!(last, Some(1.0), "one proxy: each slice has its own");
+}
--- a/crates/policy/tests/outlier_ejection.rs
+++ b/crates/policy/tests/outlier_ejection.rs
@@ -3,10 +3,11 @@
 mod fleet;
 mod reports;
 
-use fleet::{site, Fleet};
+use fleet::{at, listing, site, Fleet};
 use reports::{count_ejections, play_reports, policy_with_replicas, reduces_admission, single_writer_site};
 use std::collections::BTreeMap;
 use whinwall_policy::api::*;
+use whinwall_policy::Policy;
 
 /// Against needless evacuations: every replica but one seems dead at once, and it is our view that is doubted.
 #[test]
@@ -45,3 +46,39 @@
         1
     );
 }
+
+/// Seconds in which replica 0 is ejected, which fails all the time and is given a new slice each second.
+fn ejections_of_failing_replica(policy: &mut Policy, seconds: std::ops::Range<u64>) -> Vec<u64> {
+    let failing = |_, s, _| if s == 0 { (3.0, 0) } else { (0.0, 100) };
+    let mut ejected = Vec::new();
+    for second in seconds {
+        policy.slice_granted(at(second * 1000), 100 + second as SliceId, &[(0, 1.0)]);
+        let actions = play_reports(policy, second..second + 1, 1, 6, &failing);
+        ejected.extend((count_ejections(&actions) > 0).then_some(second));
+    }
+    ejected
+}
+
+/// Each ejection of a replica lasted up to four times as long as the first, for as long as the controller ran, also after a
+/// restart of the replica that mended it: `ejection_count` was never reset.
+#[test]
+fn restarted_replica_is_ejected_as_for_the_first_time() {
+    let mut policy = policy_with_replicas(site(), 6);
+    let before = ejections_of_failing_replica(&mut policy, 1..110);
+    let longest = before.windows(2).map(|pair| pair[1] - pair[0]).max();
+    assert!(longest >= Some(32), "it relapses: {before:?}");
+    policy.replicas_listed(at(110_000), ListScope::Changes, &[listing(0, ReplicaState::Ready, 109_000)]);
+    let after = ejections_of_failing_replica(&mut policy, 110..150);
+    assert!(after.len() > 1 && after[1] - after[0] < 16, "before {before:?}, after {after:?}");
+}
+
+/// One that was well for a long time has not relapsed.
+#[test]
+fn replica_that_was_well_for_long_is_ejected_as_for_the_first_time() {
+    let mut policy = policy_with_replicas(site(), 6);
+    let before = ejections_of_failing_replica(&mut policy, 1..110);
+    assert!(before.len() > 3, "{before:?}");
+    play_reports(&mut policy, 110..300, 1, 6, &|_, _, _| (0.0, 100));
+    let after = ejections_of_failing_replica(&mut policy, 300..340);
+    assert!(after.len() > 1 && after[1] - after[0] < 16, "before {before:?}, after {after:?}");
+}
