An ejection is longer at a relapse only; a latency objective of 0 leaves no reduction for good

Callers saw: a replica that restarted or was well for minutes was out for 33 s instead of 9 after each further fault; with a targetNs of 0 rejections went on for good once commands for each slice were cheap. Cause: ejection_count was never reset; the fleet's ratio was 0 times infinity. Change: a restart, or 32 s without an ejection, resets the count; the ratio is not a product any more. halted_at is set by a halt only (nothing read it otherwise).

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -92,7 +92,7 @@
         self.pending_slices.clear(update.slice);
         let removals = self.removals();
         let Some(slice) = self.slices.get_mut(&update.slice) else { return };
-        if slice.applied_reduction != update.reduction && update.endpoints.is_empty() {
+        if slice.applied_reduction != update.reduction && update.reduction == HALTED_REDUCTION {
             slice.halted_at = Some(self.now);
         }
         slice.applied_reduction = update.reduction;
--- a/crates/policy/src/measure/load_estimates.rs
+++ b/crates/policy/src/measure/load_estimates.rs
@@ -30,6 +30,15 @@
     pub move_count: u32,
 }
 
+/// A latency against the objective; with an objective of 0 all answers are late.
+fn latency_ratio(latency_seconds: f64, target_seconds: f64) -> f64 {
+    if target_seconds > 0.0 {
+        latency_seconds / target_seconds
+    } else {
+        f64::INFINITY
+    }
+}
+
 impl ControllerState {
     /// Refreshes loads, capacities, averages and rankings, once a tick.
     pub(crate) fn refresh_load_estimates(&mut self) -> bool {
@@ -72,8 +81,10 @@
         for replica in self.replicas.values_mut() {
             let recent = replica.reports.recent_counts(now, window);
             replica.latency_ratio = match () {
-                _ if recent.succeeded > 0.0 => recent.latency_seconds / recent.succeeded / target,
-                _ if recent.attempts > 0.0 => replica.reports.last_latency_seconds / target,
+                _ if recent.succeeded > 0.0 => {
+                    latency_ratio(recent.latency_seconds / recent.succeeded, target)
+                }
+                _ if recent.attempts > 0.0 => latency_ratio(replica.reports.last_latency_seconds, target),
                 _ => 0.0,
             };
             replica.recent = recent;
--- a/crates/policy/src/rules/load_shedding.rs
+++ b/crates/policy/src/rules/load_shedding.rs
@@ -61,12 +61,14 @@
         let classes = self.deployment.request_classes.len();
         let commands = (self.slices.len() * classes * self.channel.proxies.len()) as f64;
         let is_costly = commands > self.deployment.lines_per_second * MAX_SECONDS_FOR_SLICE_COMMANDS;
-        let usual_ratio = if failed_share > FAILING_SHARE {
+        // Not a factor: with an objective of 0 the usual ratio is infinite.
+        if !is_costly {
+            0.0
+        } else if failed_share > FAILING_SHARE {
             1.0
         } else {
             self.median_of_usable(|replica| replica.latency_ratio)
-        };
-        f64::from(u8::from(is_costly)) * usual_ratio
+        }
     }
 
     fn refresh_global_reduction(&mut self, fleet_latency_ratio: f64, failed_share: f64) {
--- a/crates/policy/src/state/replica.rs
+++ b/crates/policy/src/state/replica.rs
@@ -35,7 +35,7 @@
     pub(crate) latency_ratio: f64,
     /// Until when it is ejected as an outlier.
     pub(crate) ejected_until: Option<Moment>,
-    /// How often it was ejected, never reset; each ejection is longer, up to a limit.
+    /// How often it was ejected without having been well for long in between; each ejection is longer, up to a limit.
     pub(crate) ejection_count: u32,
     /// How far the load of its slices is to be shed (see [`crate::state::admission`]).
     pub(crate) reduction: f64,
@@ -114,6 +114,7 @@
         if self.started != listing.started && listing.state != ReplicaState::Gone {
             // A restarted process is no outlier, and what was reported of the former one says nothing now.
             self.ejected_until = None;
+            self.ejection_count = 0;
             self.clear_reports();
         }
         self.zone = listing.zone;
@@ -134,8 +135,13 @@
         self.recent = RecentCounts::default();
     }
 
-    /// Ejects it for `base`, or longer if it was ejected before.
+    /// Ejects it for `base`, or longer where that is a relapse: one that was well for as long as the longest ejection since
+    /// the last one has not relapsed.
     pub(crate) fn eject(&mut self, now: Moment, base: Span, max_multiple: u32) {
+        let longest = base.times(f64::from(max_multiple));
+        if self.ejected_until.is_none_or(|until| now - until > longest) {
+            self.ejection_count = 0;
+        }
         self.ejection_count += 1;
         let multiple = self.ejection_count.min(max_multiple);
         self.ejected_until = Some(now + base.times(f64::from(multiple)));
