--- /dev/null
+++ b/crates/transport/src/connection/chunks.rs
@@ -0,0 +1,88 @@
+//! A connection of an authenticated peer that is read in chunks of complete lines, for chunk readers.
+
+use super::{send_in_time, ChunkSender, CloseReason, LineStream, Session};
+use crate::closing::Closing;
+use crate::framing::PartialLineReservation;
+use crate::{limits, ConnectionCommand};
+use bytes::BytesMut;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::{sleep, timeout, Instant};
+
+impl Session<'_> {
+    /// An authenticated peer sends much: complete lines go on in chunks, as many as have arrived, to whichever chunk
+    /// reader is free. Only an incomplete line stays here.
+    pub(super) async fn serve_chunks(
+        mut self,
+        framed: LineStream,
+        chunk_sender: ChunkSender,
+        mut closing: Option<Closing>,
+    ) -> CloseReason {
+        let mut parts = framed.into_parts();
+        let (io, bytes) = (&mut parts.io, &mut parts.read_buf);
+        let mut partial_line = PartialLineReservation::none(&self.bounds.partial_lines);
+        loop {
+            if let Some(end) = memchr::memrchr(b'\n', bytes) {
+                let lines = bytes.split_to(end + 1).freeze();
+                self.peer.set_active(Instant::now());
+                if !self.send_chunk(&chunk_sender, lines).await {
+                    return CloseReason::ShuttingDown;
+                }
+            }
+            if let Err(reason) = bound_partial_line(bytes, &mut partial_line) {
+                return reason;
+            }
+            if closing.is_some_and(|closing| Instant::now() >= closing.deadline) {
+                return self.answer_and_close(parts.io, closing).await;
+            }
+            tokio::select! {
+                biased;
+                Some(command) = self.commands.recv() => {
+                    let (line, is_last) = match command {
+                        ConnectionCommand::Admit => continue,
+                        ConnectionCommand::Send(line) => (Some(line), false),
+                        ConnectionCommand::Close(line) => (line, true),
+                    };
+                    if let Some(line) = line {
+                        let line = line + "\n";
+                        if let Err(reason) = send_in_time(io.write_all(line.as_bytes())).await {
+                            return reason;
+                        }
+                    }
+                    if is_last {
+                        return CloseReason::Rejected;
+                    }
+                }
+                read = timeout(limits::PEER_IDLE_TIMEOUT, io.read_buf(bytes)) => match read {
+                    // A last line without its end is no line.
+                    Ok(Ok(0)) => return CloseReason::ClosedByPeer,
+                    Ok(Ok(_)) => {}
+                    Ok(Err(error)) => return error.into(),
+                    Err(_) => return CloseReason::Idle,
+                },
+                () = sleep(limits::LAST_INPUT_PERIOD), if closing.is_some() => {
+                    return self.answer_and_close(parts.io, closing).await;
+                }
+                at = self.closing.closing(), if closing.is_none() => closing = Some(at),
+            }
+        }
+    }
+}
+
+/// Keeps an incomplete line within its bounds, and makes room for the next read.
+fn bound_partial_line(
+    bytes: &mut BytesMut,
+    partial_line: &mut PartialLineReservation,
+) -> Result<(), CloseReason> {
+    if bytes.len() > limits::MAX_LINE_BYTES {
+        return Err(CloseReason::LineTooLong);
+    }
+    if !partial_line.resize(bytes.len()) {
+        return Err(CloseReason::LineMemoryExhausted);
+    }
+    if bytes.is_empty() && bytes.capacity() > limits::MAX_IDLE_BUFFER_BYTES {
+        *bytes = BytesMut::new();
+    }
+    // What could be read at once is cut in chunks of this size.
+    bytes.reserve(limits::CHUNK_BYTES);
+    Ok(())
+}
