The check of 'connection: close' follows the log, and has a strict test of its own

management_requests_read_by_the_end_have_their_responses failed once in 13 runs beside 16 busy processes: a response had no 'connection: close'. The trace: the management thread had its reply from the event loop a moment before that had noticed the signal, which no program can do better.

--- a/crates/controller/tests/shutdown.rs
+++ b/crates/controller/tests/shutdown.rs
@@ -67,6 +67,26 @@
     assert!(began.elapsed() < KILL_DELAY, "{signals:?}: {:?}", began.elapsed());
 }
 
+fn restart_with_debug_log(managed: &mut ManagedController) {
+    managed.program = None;
+    let (mut command, file) = managed.command();
+    command.env("WHINWALL_LOG", "debug");
+    managed.spawn(command, file);
+    managed.wait_for_log("relay snapshot complete");
+}
+
+/// Requests that the program handled once it had noticed the signal, from the log of a process that has ended. One that was
+/// handled a moment earlier, though the signal had been sent, can't say that its connection ends (seen once beside load: the
+/// management thread had its reply before the event loop had the signal).
+fn requests_after_the_signal(program: &mut ControllerProcess) -> usize {
+    program.wait_for_log("shutdown complete");
+    let lines = program.log.skipped.iter().map(String::as_str);
+    lines
+        .skip_while(|line| !line.contains("shutting down requests_in_flight"))
+        .filter(|line| line.contains("management request request=Status"))
+        .count()
+}
+
 const SERIES: [&[Signal]; 5] = [
     &[Signal::TERM],
     &[Signal::TERM, Signal::INT],
@@ -79,6 +99,7 @@
 fn management_requests_read_by_the_end_have_their_responses() {
     for series in SERIES {
         let mut managed = ManagedController::start(4, 12);
+        restart_with_debug_log(&mut managed);
         let mut kept = kept_connection(&managed);
         let mut kept_in_part = kept_connection(&managed);
         managed.program().pause();
@@ -93,11 +114,14 @@
         let set = set_request("half", "s-2");
         body_in_part.write_all(&set.as_bytes()[..set.len() - 5]).unwrap();
         end_with(managed.program(), series);
+        let mut last_responses = 0;
         for (what, stream) in [("kept", kept), ("new", new)] {
             let response = read_to_end(stream, what);
             assert!(response.starts_with("HTTP/1.1 200"), "{series:?}, {what}: {response:?}");
-            assert!(response.contains("connection: close"), "{series:?}, {what}: {response:?}");
+            last_responses += usize::from(response.contains("connection: close"));
         }
+        let due = requests_after_the_signal(managed.program());
+        assert!(last_responses >= due, "{series:?}: {last_responses} of {due} say that the connection ends");
         for (what, stream) in
             [("kept in part", kept_in_part), ("new in part", new_in_part), ("body in part", body_in_part)]
         {
--- a/crates/management-api/tests/shutdown.rs
+++ b/crates/management-api/tests/shutdown.rs
@@ -65,6 +65,31 @@
     assert!(response.starts_with("HTTP/1.1 504"), "{response:?}");
 }
 
+/// From the first signal on, each response says that its connection ends; requests are served as before.
+#[test]
+fn response_says_that_the_connection_ends_once_the_server_drains() {
+    let (server, address, mut requests) = start();
+    std::thread::spawn(move || {
+        while let Some(pending) = requests.blocking_recv() {
+            _ = pending.reply_to.send(Reply::Metrics("# EOF\n".into()));
+        }
+    });
+    let mut kept = connect(address);
+    kept.write_all(get("/v1/metrics").as_bytes()).unwrap();
+    let mut start = [0; 12];
+    kept.read_exact(&mut start).unwrap();
+    server.drain();
+    kept.write_all(get("/v1/metrics").as_bytes()).unwrap();
+    let rest = read_to_end(kept);
+    let responses: Vec<_> = rest.split("# EOF\n").collect();
+    assert!(!responses[0].contains("connection: close"), "{rest:?}");
+    assert!(responses[1].contains("HTTP/1.1 200") && responses[1].contains("connection: close"), "{rest:?}");
+    let mut new = connect(address);
+    new.write_all(get("/v1/metrics").as_bytes()).unwrap();
+    let response = read_to_end(new);
+    assert!(response.starts_with("HTTP/1.1 200") && response.contains("connection: close"), "{response:?}");
+}
+
 #[test]
 fn connection_beyond_the_most_is_told_so() {
     let (_server, address, mut requests) = start();
