A peer that has just come keeps its place for 100 ms where descriptors are short

Callers saw: collectors that came together on a controller without free descriptors were disconnected with half a ping read. Cause: a peer counts as unauthenticated until its first line is read, and unauthenticated peers made room for the next ones at once. Change: only peers that have come, or sent a line, 100 ms ago or earlier make room. It holds since a first line takes milliseconds, and a silent peer still goes before newcomers wait for long.

--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -43,6 +43,12 @@
         self.connected_at + std::time::Duration::from_millis(self.last_active_ms.load(Ordering::Relaxed))
     }
 
+    /// Whether it has not named its zone in the time that a peer needs for that, nor sent anything lately.
+    pub(crate) fn is_unauthenticated_and_idle(&self, now: Instant) -> bool {
+        let idle = now.saturating_duration_since(self.last_active());
+        !self.is_authenticated() && idle >= limits::FIRST_LINE_PERIOD
+    }
+
     fn set_active(&self, now: Instant) {
         let active_ms = now.saturating_duration_since(self.connected_at).as_millis() as u64;
         self.last_active_ms.store(active_ms, Ordering::Relaxed);
--- a/crates/transport/src/limits.rs
+++ b/crates/transport/src/limits.rs
@@ -46,6 +46,9 @@
 /// A peer authenticates in this time or is disconnected: a second is what it may take, and three are what an
 /// unauthenticated peer may be kept waiting.
 pub const JOIN_TIMEOUT: Duration = Duration::from_millis(1500);
+/// A peer keeps its place for so long after it has come, or after a line, where descriptors are short: its first line takes
+/// a few milliseconds.
+pub const FIRST_LINE_PERIOD: Duration = Duration::from_millis(100);
 /// A peer reads a reply in this time, or is disconnected.
 pub const REPLY_TIMEOUT: Duration = Duration::from_millis(1000);
 /// A collector reports each second; one that lost its connection opens a new one and never closes the old one.
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 use whinwall_serving::accept::{drain_backlog, next_connection};
 
 /// Whoever reads the connections that were accepted.
@@ -70,8 +71,9 @@
     let _guard = DisconnectAllOnDrop(connections.open.clone());
     loop {
         let open = connections.open.clone();
-        // Descriptors are made free at the cost of unauthenticated peers only: a newcomer is not worth a collector.
-        let release = || evict_idle_longest(&open, |peer| !peer.is_authenticated());
+        // Descriptors are made free at the cost of unauthenticated peers only, and not of one that has just come: it may be a
+        // collector whose first line is on its way, or unread as the process was stopped.
+        let release = || evict_idle_longest(&open, |peer| peer.is_unauthenticated_and_idle(Instant::now()));
         let accepted = next_connection(async || listener.accept().await, release);
         tokio::select! {
             biased;
