--- a/crates/scale-tests/tests/stand_ins.rs
+++ b/crates/scale-tests/tests/stand_ins.rs
@@ -1,11 +1,11 @@
 //! The stand-ins by themselves: what they send follows the protocol, and what they count is what was sent.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
 use whinwall_protocol::{collector, discovery as discovery_protocol, relay as relay_protocol};
-use whinwall_scale_tests::stand_ins::collectors::ReportSchedule;
+use whinwall_scale_tests::stand_ins::collectors::{Collectors, ReportSchedule};
 use whinwall_scale_tests::stand_ins::counting_proxy::CountingProxy;
 use whinwall_scale_tests::stand_ins::discovery::Discovery;
 use whinwall_scale_tests::stand_ins::fleet::{EntryState, FleetSize, Random, ReplicaState, ReportShape};
@@ -155,3 +155,28 @@
     assert_eq!(counts(&counting_proxy.traffic.to_controller), (request.len() as u64, 1));
     assert_eq!(counts(&counting_proxy.traffic.from_controller), (client.read as u64, 1));
 }
+
+/// Collectors that were started before one failed to connect ran on, and went on reporting to a controller of a test that had failed.
+#[test]
+fn collectors_end_where_one_of_them_fails_to_connect() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let first = std::thread::spawn(move || {
+        let (stream, _) = listener.accept().unwrap();
+        // Nobody listens there from now on.
+        drop(listener);
+        stream
+    });
+    let size = small();
+    let schedule = ReportSchedule::for_zone(&size, &ReportShape::full(&size), 0, 10);
+    let schedules = vec![schedule; 200];
+    let traffic = Arc::new(Traffic::default());
+    assert!(Collectors::start(address, schedules, &traffic).is_err());
+    let mut stream = first.join().unwrap();
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+    let began = std::time::Instant::now();
+    let mut bytes = [0; 4096];
+    while stream.read(&mut bytes).is_ok_and(|read| read > 0) {
+        assert!(began.elapsed() < TIMEOUT / 4, "it still reports");
+    }
+}
