Collectors of the scale tests end with a failed start; the machine's load is read in one place

Seen by developers: a measurement that could not start left collectors behind that went on reporting. Cause: their threads had no owner until all had connected. Change: they belong to the value that is dropped with the error. machine_load stood twice with different fallbacks; it is in process.rs now and not a number where the kernel has none.

--- a/crates/scale-tests/src/many/cost.rs
+++ b/crates/scale-tests/src/many/cost.rs
@@ -69,9 +69,3 @@
     let total: u64 = line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0);
     total / 2
 }
-
-/// The machine's load over the last minute, of whatever runs on it.
-pub fn machine_load() -> f64 {
-    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
-    text.split_whitespace().next().and_then(|load| load.parse().ok()).unwrap_or(0.0)
-}
--- a/crates/scale-tests/src/many/events.rs
+++ b/crates/scale-tests/src/many/events.rs
@@ -9,6 +9,7 @@
 use super::stand_ins::{self, Addresses, Link, StandInState};
 use super::tracker::{Condition, EventProgress, Site, Tracker};
 use super::workers::Workers;
+use crate::process::machine_load;
 use rustix::process::Signal;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -175,7 +176,7 @@
 
     async fn play(&mut self) -> Result<Results, ManyError> {
         let list_bytes = self.catalog.since(0).line.len();
-        let (bare_harness, load_before) = (cost::of_self(), cost::machine_load());
+        let (bare_harness, load_before) = (cost::of_self(), machine_load());
         let mut outcomes = vec![self.start().await?];
         let before = self.costs();
         sleep(self.plan.idle).await;
@@ -186,7 +187,7 @@
         outcomes.push(self.restart().await?);
         outcomes.extend(self.play_partition_events().await?);
         self.check_all_running()?;
-        let machine_load = [load_before, cost::machine_load()];
+        let machine_load = [load_before, machine_load()];
         Ok(Results { outcomes, idle, bare_harness, list_bytes, holders, machine_load })
     }
 
--- a/crates/scale-tests/src/one/aggregated.rs
+++ b/crates/scale-tests/src/one/aggregated.rs
@@ -2,9 +2,9 @@
 //! aggregators report its subset to the controller, and a counting proxy between them counts what it receives.
 
 use super::error::MeasureError;
-use super::steady::{machine_load, Times};
+use super::steady::Times;
 use super::test_bed::Setup;
-use crate::process::{Controller, Launch, ProcessError, RunningProgram, Usage};
+use crate::process::{machine_load, Controller, Launch, ProcessError, RunningProgram, Usage};
 use crate::stand_ins::collectors::Collectors;
 use crate::stand_ins::counting_proxy::CountingProxy;
 use crate::stand_ins::discovery::Discovery;
--- a/crates/scale-tests/src/one/events.rs
+++ b/crates/scale-tests/src/one/events.rs
@@ -2,9 +2,9 @@
 //! change at once, when the complete list is sent again, and when it starts.
 
 use super::error::MeasureError;
-use super::steady::{machine_load, Times};
+use super::steady::Times;
 use super::test_bed::{Setup, TestBed};
-use crate::process::Usage;
+use crate::process::{machine_load, Usage};
 use crate::stand_ins::collectors;
 use crate::stand_ins::fleet::{EntryState, ReplicaState};
 use crate::stand_ins::relay::RelayRequest;
--- a/crates/scale-tests/src/one/steady.rs
+++ b/crates/scale-tests/src/one/steady.rs
@@ -2,7 +2,7 @@
 
 use super::error::MeasureError;
 use super::test_bed::{Setup, TestBed};
-use crate::process::{current_thread_processor_time, Usage};
+use crate::process::{current_thread_processor_time, machine_load, Usage};
 use crate::stand_ins::fleet::{EntryState, FleetSize, Random, ReplicaState, ReportShape};
 use crate::stand_ins::TrafficCount;
 use std::path::Path;
@@ -129,9 +129,3 @@
     let took = current_thread_processor_time()? - before;
     Some(took / decoded.max(1) as u32)
 }
-
-/// The machine's load average over one minute; not a number where the kernel does not offer it.
-pub fn machine_load() -> f64 {
-    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
-    text.split_whitespace().next().and_then(|load| load.parse().ok()).unwrap_or(f64::NAN)
-}
--- a/crates/scale-tests/src/process.rs
+++ b/crates/scale-tests/src/process.rs
@@ -176,6 +176,12 @@
     Ok(Duration::from_secs_f64(count as f64 / rustix::param::clock_ticks_per_second() as f64))
 }
 
+/// The machine's load average over one minute, of whatever runs on it; not a number where the kernel does not offer it.
+pub fn machine_load() -> f64 {
+    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    text.split_whitespace().next().and_then(|load| load.parse().ok()).unwrap_or(f64::NAN)
+}
+
 /// What a controller is started with.
 #[derive(Clone, Debug)]
 pub struct Launch {
--- a/crates/scale-tests/src/stand_ins/collectors.rs
+++ b/crates/scale-tests/src/stand_ins/collectors.rs
@@ -80,21 +80,22 @@
     ///
     /// # Errors
     ///
-    /// When a connection to the controller fails; collectors that were started before send on until theirs ends.
+    /// When a connection to the controller fails; collectors that were started before end with it.
     pub fn start(
         controller: SocketAddr,
         schedules: Vec<ReportSchedule>,
         traffic: &Arc<Traffic>,
     ) -> std::io::Result<Collectors> {
-        let stop = Arc::new(AtomicBool::new(false));
+        // Dropped where one fails to connect, and the others end with it.
+        let mut collectors = Collectors { stop: Arc::new(AtomicBool::new(false)), threads: Vec::new() };
         let start = Instant::now();
-        let mut threads = Vec::new();
         for schedule in schedules {
             let stream = connect_collector(controller, &schedule.zone, traffic)?;
-            let (stop, traffic) = (stop.clone(), traffic.clone());
-            threads.push(thread::spawn(move || send_reports(&stream, &schedule, start, &stop, &traffic)));
+            let (stop, traffic) = (collectors.stop.clone(), traffic.clone());
+            let send = move || send_reports(&stream, &schedule, start, &stop, &traffic);
+            collectors.threads.push(thread::spawn(send));
         }
-        Ok(Collectors { stop, threads })
+        Ok(collectors)
     }
 }
 
