--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -162,19 +162,10 @@
             deadline: Instant::now() + limits::CLOSE_TIMEOUT,
         });
         while let Ok(Some(command)) = timeout_at(closing.deadline, commands.recv()).await {
-            let (line, is_last) = match command {
-                ConnectionCommand::Admit => continue,
-                ConnectionCommand::Send(line) => (Some(line), false),
-                ConnectionCommand::Close(line) => (line, true),
-            };
-            if let Some(line) = line {
-                let line = line + "\n";
-                if let Err(reason) = send_in_time(io.write_all(line.as_bytes())).await {
-                    return reason;
-                }
-            }
-            if is_last {
-                break;
+            match carry_out(&mut io, command).await {
+                Ok(IsLast(false)) => {}
+                Ok(IsLast(true)) => break,
+                Err(reason) => return reason,
             }
         }
         _ = io.shutdown().await;
@@ -204,6 +195,23 @@
     }
 }
 
+/// Whether nothing is written to a connection after a command.
+struct IsLast(bool);
+
+/// Writes what a command asks for.
+async fn carry_out(io: &mut TcpStream, command: ConnectionCommand) -> Result<IsLast, CloseReason> {
+    let (line, is_last) = match command {
+        ConnectionCommand::Admit => (None, false),
+        ConnectionCommand::Send(line) => (Some(line), false),
+        ConnectionCommand::Close(line) => (line, true),
+    };
+    if let Some(line) = line {
+        let line = line + "\n";
+        send_in_time(io.write_all(line.as_bytes())).await?;
+    }
+    Ok(IsLast(is_last))
+}
+
 /// Sends the close reason, where there is one. Closing with something unread resets the connection, and may destroy
 /// the reason on its way: what the peer still sends is read, within bounds.
 async fn close(mut framed: LineStream, line: Option<String>, deadline: Instant) -> CloseReason {
--- a/crates/transport/src/connection/chunks.rs
+++ b/crates/transport/src/connection/chunks.rs
@@ -1,11 +1,11 @@
 //! A connection of an authenticated peer that is read in chunks of complete lines, for chunk readers.
 
-use super::{send_in_time, ChunkSender, CloseReason, LineStream, Session};
+use super::{carry_out, ChunkSender, CloseReason, IsLast, LineStream, Session};
 use crate::closing::Closing;
 use crate::framing::PartialLineReservation;
-use crate::{limits, ConnectionCommand};
+use crate::limits;
 use bytes::BytesMut;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncReadExt;
 use tokio::time::{sleep, timeout, Instant};
 
 impl Session<'_> {
@@ -36,22 +36,11 @@
             }
             tokio::select! {
                 biased;
-                Some(command) = self.commands.recv() => {
-                    let (line, is_last) = match command {
-                        ConnectionCommand::Admit => continue,
-                        ConnectionCommand::Send(line) => (Some(line), false),
-                        ConnectionCommand::Close(line) => (line, true),
-                    };
-                    if let Some(line) = line {
-                        let line = line + "\n";
-                        if let Err(reason) = send_in_time(io.write_all(line.as_bytes())).await {
-                            return reason;
-                        }
-                    }
-                    if is_last {
-                        return CloseReason::Rejected;
-                    }
-                }
+                Some(command) = self.commands.recv() => match carry_out(io, command).await {
+                    Ok(IsLast(false)) => {}
+                    Ok(IsLast(true)) => return CloseReason::Rejected,
+                    Err(reason) => return reason,
+                },
                 read = timeout(limits::PEER_IDLE_TIMEOUT, io.read_buf(bytes)) => match read {
                     // A last line without its end is no line.
                     Ok(Ok(0)) => return CloseReason::ClosedByPeer,
