--- a/crates/controller/tests/transport.rs
+++ b/crates/controller/tests/transport.rs
@@ -9,8 +9,12 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use whinwall_controller::program::configuration::{self, ProcessEnvironment};
+use whinwall_serving::shutdown;
 use whinwall_transport::listener::{self, LocalReader};
-use whinwall_transport::{earliest, limits, relay_requests, Bounds, Input, RequestError, StreamError};
+use whinwall_transport::{
+    earliest, limits, relay_requests, Bounds, ConnectionCommand, ConnectionShutdown, Input, RequestError,
+    StreamError,
+};
 
 fn run<T>(work: impl Future<Output = T>) -> T {
     actix_rt::System::new().block_on(work)
@@ -138,3 +142,59 @@
         assert!(versions.insert(config.seed as u16), "an incarnation begins where another did");
     }
 }
+
+/// A collector that went on pinging as its connection closed was cut off after 20 ms, with replies due to lines that had been
+/// read: the time that the rest of a line may take ended the connection as if nothing were owed.
+#[test]
+fn collector_that_keeps_sending_has_a_reply_to_each_line_that_was_read() {
+    let (say, address) = channel();
+    let owner = std::thread::spawn(move || {
+        run(async {
+            let listener = Rc::new(actix_rt::net::TcpListener::bind("127.0.0.1:0").await.unwrap());
+            say.send(listener.local_addr().unwrap()).unwrap();
+            let (inbox, mut arrived) = mpsc::channel(8);
+            let bounds = Bounds::new(8, 1 << 20);
+            let here = LocalReader { bounds: bounds.clone(), inputs: inbox };
+            let (trigger, signal, mut running) = shutdown::channel();
+            let ending = ConnectionShutdown { signal, notice: "".into() };
+            actix_rt::spawn(listener::listen_until(listener, bounds, here, ending));
+            let mut lines = 0;
+            loop {
+                tokio::select! {
+                    Some(input) = arrived.recv() => {
+                        let Input::Line { back, .. } = input else { continue };
+                        lines += 1;
+                        match lines {
+                            1 => back.try_send(ConnectionCommand::Admit).unwrap(),
+                            20 => trigger.close(tokio::time::Instant::now() + limits::CLOSE_TIMEOUT),
+                            _ => {}
+                        }
+                        // Replies take a moment, so that some are due at any time.
+                        actix_rt::spawn(async move {
+                            actix_rt::time::sleep(Duration::from_millis(10)).await;
+                            _ = back.try_send(ConnectionCommand::Send("reply".into()));
+                        });
+                    }
+                    () = running.ended() => return lines,
+                }
+            }
+        })
+    });
+    let mut stream = std::net::TcpStream::connect(address.recv().unwrap()).unwrap();
+    let mut writer = stream.try_clone().unwrap();
+    stream.set_nodelay(true).unwrap();
+    let sending = std::thread::spawn(move || {
+        while writer.write_all(b"line\n").is_ok() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    });
+    // The connection may end with a reset, as the collector goes on; what came before counts.
+    let (mut replies, mut byte) = (0, [0]);
+    while matches!(stream.read(&mut byte), Ok(1)) {
+        replies += usize::from(byte[0] == b'\n');
+    }
+    _ = stream.shutdown(std::net::Shutdown::Both);
+    sending.join().unwrap();
+    let lines = owner.join().unwrap();
+    assert_eq!(replies, lines);
+}
