A collector that keeps sending has its replies as its connection closes

Callers would have seen: pings that were read as the program ended, and have no answer, at a collector that goes on pinging. Cause: the 20 ms for a line's rest ended its connection as if nothing were owed. Change: an authenticated peer's connection goes on to what is owed when that time is over; it holds since that waits until nobody can send it a reply any more. The aggregator's deadline was computed twice.

--- a/crates/aggregation/src/program/event_loop.rs
+++ b/crates/aggregation/src/program/event_loop.rs
@@ -119,8 +119,9 @@
             Some(input) = from_listener.recv() => event_loop.drain(input, &mut from_listener),
         }
     };
-    trigger.close(Instant::now() + limits::CLOSE_TIMEOUT);
-    event_loop.answer_until_closed(&mut from_listener, &mut signals, &mut running).await;
+    let deadline = Instant::now() + limits::CLOSE_TIMEOUT;
+    trigger.close(deadline);
+    event_loop.answer_until_closed(deadline, &mut from_listener, &mut signals, &mut running).await;
     Ok(termination.signal)
 }
 
@@ -199,11 +200,11 @@
     /// the end comes in time without them.
     async fn answer_until_closed(
         &mut self,
+        deadline: Instant,
         queue: &mut Receiver<Input>,
         signals: &mut Signals,
         running: &mut RunningConnections,
     ) {
-        let deadline = Instant::now() + limits::CLOSE_TIMEOUT;
         loop {
             tokio::select! {
                 biased;
--- a/crates/transport/src/connection/lines.rs
+++ b/crates/transport/src/connection/lines.rs
@@ -90,7 +90,7 @@
                 }
                 LineEvent::Line(Err(error)) => return error.into(),
                 LineEvent::ClosedByPeer => return CloseReason::ClosedByPeer,
-                LineEvent::TimedOut if state.closing.is_some() => return self.notify(framed, &state).await,
+                LineEvent::TimedOut if state.closing.is_some() => return self.notify(framed).await,
                 LineEvent::TimedOut if state.is_authenticated => return CloseReason::Idle,
                 LineEvent::TimedOut => return CloseReason::JoinTimeout,
                 LineEvent::Closing(closing) => state.begin_closing(closing),
@@ -104,9 +104,9 @@
 
     /// What comes next. Commands come before lines, and lines that have arrived before a shutdown.
     async fn next_line_event(&mut self, framed: &mut LineStream, state: &LineState) -> LineEvent {
-        // However much a peer sends, a connection that closes ends in time.
+        // However much a peer sends, a connection that closes ends in time; what was read is owed its replies all the same.
         if state.closing.is_some() && Instant::now() >= state.wait_until() {
-            return LineEvent::TimedOut;
+            return if state.is_authenticated { LineEvent::AllRead } else { LineEvent::TimedOut };
         }
         if state.closing.is_some() && !state.is_reply_due {
             match timeout(limits::LAST_INPUT_PERIOD, framed.next()).await {
@@ -147,10 +147,10 @@
         self.peer.set_active(now);
     }
 
-    /// Says why a line that was read, wholly or in part, has no reply.
-    async fn notify(self, framed: LineStream, state: &LineState) -> CloseReason {
+    /// Tells an unauthenticated peer why a line that was read, wholly or in part, has no reply.
+    async fn notify(self, framed: LineStream) -> CloseReason {
         let notice = &self.closing.shutdown.notice;
-        let line = (!state.is_authenticated && !notice.is_empty()).then(|| notice.to_string());
+        let line = (!notice.is_empty()).then(|| notice.to_string());
         // The peer has nothing more to say that counts, and the program waits for this connection.
         close(framed, line, Instant::now() + limits::LAST_INPUT_PERIOD).await
     }
