Log what is known of a slice when a cold replica gets it, and when one exceeds its budget

Change: two observer actions of the policy, ColdReplicaAssigned and ColdReplicaOverBudget, logged as 'slice assigned to cold replica' (age, demand, reduction, owners, time since the grant, budget) and 'cold replica over budget'. The simulator's wire has no form for them and is unchanged.

--- a/crates/controller/tests/reducer.rs
+++ b/crates/controller/tests/reducer.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use support::rig::*;
-use whinwall_policy::time::Span;
+use whinwall_policy::time::{Moment, Span};
 use whinwall_protocol::discovery;
 use whinwall_protocol::relay::{decode_response, Response};
 use whinwall_routing::{Effect, Event};
@@ -505,3 +505,23 @@
         assert_eq!(drained, None, "seed {seed}: {actions:?}");
     }
 }
+
+#[test]
+fn slice_at_a_replica_that_is_warming_up_is_logged_with_what_is_known_of_it() {
+    let mut rig = Rig::serving();
+    rig.advance_ms(1000);
+    let started_ms = (rig.now - Span::ms(2000) - Moment::default()).as_ns() / 1_000_000;
+    let entry = json!({"id": "s-9", "zone": "north", "state": "active", "started_ms": started_ms});
+    let list = json!({"version": 42, "full": false, "servers": [entry]}).to_string();
+    rig.apply(Event::EndpointListReceived(discovery::decode(&list).unwrap().unwrap()));
+    rig.relay_event("* GRANT 3 0");
+    rig.relay_event("* GRANT 3 1");
+    rig.relay_event("* ROW 3 s-9 1.0");
+    rig.relay_event("*");
+    rig.advance_ms(300);
+    let line = rig.logs.iter().find(|line| line.contains("slice assigned to cold replica"));
+    let expected =
+        "slice assigned to cold replica replica=s-9 slice=3 age_s=2.0 slice_demand=0.0 reduction=0.00 \
+                    owners=1 granted_s=0.0 replica_demand=0.0 budget=0.0";
+    assert_eq!(line.map(String::as_str), Some(expected), "{:?}", rig.logs);
+}
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -287,6 +287,43 @@
         /// The reason, in words for operators.
         cause: &'static str,
     },
+    /// Reports to observers that a replica that is warming up became an owner of a slice.
+    ColdReplicaAssigned {
+        /// The replica that is warming up.
+        replica: ReplicaId,
+        /// The slice that it owns now.
+        slice: SliceId,
+        /// What the decision was based on.
+        basis: SlowStartBasis,
+    },
+    /// Reports to observers that the demand at a replica that is warming up exceeds its slow-start budget.
+    ColdReplicaOverBudget {
+        /// The replica that is warming up.
+        replica: ReplicaId,
+        /// The requests per second at the replica, as estimated.
+        demand: f64,
+        /// The requests per second that the replica may be sent.
+        budget: f64,
+    },
+}
+
+/// What was known when a replica that is warming up became an owner of a slice.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlowStartBasis {
+    /// The time since the start of the replica.
+    pub age: Span,
+    /// The requests per second of the slice, as estimated.
+    pub slice_demand: f64,
+    /// The reduction of the slice's load under which its demand was measured.
+    pub reduction: f64,
+    /// The number of owners of the slice, including the replica.
+    pub owners: usize,
+    /// The time for which this controller has owned the slice.
+    pub granted_for: Span,
+    /// The requests per second at the replica including its part of the slice, as estimated.
+    pub replica_demand: f64,
+    /// The requests per second that the replica may be sent.
+    pub budget: f64,
 }
 
 impl Action {
@@ -300,7 +337,9 @@
             Action::Sync { .. }
             | Action::RequestReplicaList
             | Action::StartTimer { .. }
-            | Action::ReplicaEjected { .. } => false,
+            | Action::ReplicaEjected { .. }
+            | Action::ColdReplicaAssigned { .. }
+            | Action::ColdReplicaOverBudget { .. } => false,
         }
     }
 }
--- a/crates/policy/src/events.rs
+++ b/crates/policy/src/events.rs
@@ -101,6 +101,7 @@
     pub(crate) fn add_slice(&mut self, now: Moment, id: SliceId, table: &[(ReplicaId, f64)]) {
         self.slices.insert(id, Slice::new(table, now));
         self.change_table(id, |_| {});
+        self.report_cold_owners(id, &[]);
         // Withdrawals are not sent to proxies that join while no table of this controller names the replica.
         let is_withdrawn = |id: &ReplicaId| self.replicas.get(id).is_some_and(|replica| replica.withdrawn);
         let stays_withdrawn =
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -110,7 +110,11 @@
         let needs_channel = |action: &Action| {
             !matches!(
                 action,
-                Action::RequestReplicaList | Action::StartTimer { .. } | Action::ReplicaEjected { .. }
+                Action::RequestReplicaList
+                    | Action::StartTimer { .. }
+                    | Action::ReplicaEjected { .. }
+                    | Action::ColdReplicaAssigned { .. }
+                    | Action::ColdReplicaOverBudget { .. }
             )
         };
         let actions = std::mem::take(&mut self.state.actions);
--- a/crates/policy/src/measure/table_changes.rs
+++ b/crates/policy/src/measure/table_changes.rs
@@ -24,6 +24,7 @@
 impl ControllerState {
     /// Changes a slice's table and updates the load of its replicas.
     pub(crate) fn change_table(&mut self, id: SliceId, change: impl FnOnce(&mut RoutingTable)) {
+        let previous_cold_owners = self.cold_owners(id);
         self.apply_load(id, LoadChange::Remove);
         if let Some(slice) = self.slices.get_mut(&id) {
             change(&mut slice.table);
@@ -34,6 +35,7 @@
             }
         }
         self.apply_load(id, LoadChange::Add);
+        self.report_cold_owners(id, &previous_cold_owners);
     }
 
     fn apply_load(&mut self, id: SliceId, change: LoadChange) {
--- a/crates/policy/src/rules/evacuation.rs
+++ b/crates/policy/src/rules/evacuation.rs
@@ -4,7 +4,7 @@
 //! This avoids requests to replicas that will not answer. A withdrawal is one line per replica, so standby
 //! endpoints take over long before every table has been rewritten.
 
-use crate::api::{ReplicaId, SliceId};
+use crate::api::{Action, ReplicaId, SliceId};
 use crate::rules::placement::DestinationScope;
 use crate::state::admission::HALTED_REDUCTION;
 use crate::state::controller::ControllerState;
@@ -31,6 +31,7 @@
         if !take(&mut self.pending_work.evacuation) {
             return false;
         }
+        self.report_over_budget();
         for departure in self.find_departures() {
             self.evacuate_endpoint(departure.slice, departure.from);
             self.mark_if_without_endpoint(departure.slice);
@@ -91,8 +92,25 @@
     }
 
     fn is_over_budget(&self, replica: &Replica) -> bool {
-        let budget = self.slow_start_budget(replica) * MAX_BUDGET_OVERRUN;
-        replica.demand > budget && self.may_offload_cold_replica(replica)
+        self.exceeds_budget(replica) && self.may_offload_cold_replica(replica)
+    }
+
+    fn exceeds_budget(&self, replica: &Replica) -> bool {
+        replica.demand > self.slow_start_budget(replica) * MAX_BUDGET_OVERRUN
+    }
+
+    /// Reports to observers the replicas that have begun to exceed their slow-start budgets.
+    fn report_over_budget(&mut self) {
+        let exceeding: Vec<_> = self.replicas.values().map(|replica| self.exceeds_budget(replica)).collect();
+        let budgets: Vec<_> = self.replicas.values().map(|replica| self.slow_start_budget(replica)).collect();
+        for (((id, replica), exceeds), budget) in self.replicas.iter_mut().zip(exceeding).zip(budgets) {
+            let began = exceeds && !replica.exceeds_budget;
+            replica.exceeds_budget = exceeds;
+            if began {
+                let demand = replica.demand;
+                self.actions.push(Action::ColdReplicaOverBudget { replica: *id, demand, budget });
+            }
+        }
     }
 
     /// Replaces a standby, which must be usable and warm. A withdrawn standby is harmless, so it is kept while
--- a/crates/policy/src/state/replica.rs
+++ b/crates/policy/src/state/replica.rs
@@ -73,6 +73,8 @@
     pub(crate) ownership: f64,
     /// True if an override takes the replica out of service.
     pub(crate) out_of_service: bool,
+    /// True if the demand exceeded the slow-start budget when it was last compared.
+    pub(crate) exceeds_budget: bool,
 }
 
 impl Replica {
@@ -109,6 +111,7 @@
             weight_factor: 1.0,
             ownership: 1.0,
             out_of_service: false,
+            exceeds_budget: false,
         }
     }
 
--- a/crates/routing/src/log_event.rs
+++ b/crates/routing/src/log_event.rs
@@ -4,7 +4,7 @@
 use crate::source_failures::Source;
 use std::fmt;
 use whinwall_overrides::StoreEvent;
-use whinwall_policy::api::ChannelLoad;
+use whinwall_policy::api::{ChannelLoad, SliceId, SlowStartBasis};
 use whinwall_policy::time::Span;
 
 /// Identifies one attempt of a relay request in the log.
@@ -127,6 +127,24 @@
         /// The cause of the ejection.
         reason: &'static str,
     },
+    /// A replica that is warming up became an owner of a slice.
+    ColdReplicaAssigned {
+        /// The name of the replica.
+        replica: String,
+        /// The slice.
+        slice: SliceId,
+        /// What the decision was based on.
+        basis: SlowStartBasis,
+    },
+    /// The demand at a replica that is warming up exceeds its slow-start budget.
+    ColdReplicaOverBudget {
+        /// The name of the replica.
+        replica: String,
+        /// The requests per second at the replica, as estimated.
+        demand: f64,
+        /// The requests per second that the replica may be sent.
+        budget: f64,
+    },
     /// Aggregated reports are stale; routing tables and admission rates stay unchanged.
     ReportsStale {
         /// The time since the last report arrived.
@@ -194,6 +212,13 @@
             LogEvent::ReplicaEjected { replica, reason } => {
                 write!(f, "replica ejected replica={replica} reason={reason:?}")
             }
+            LogEvent::ColdReplicaAssigned { replica, slice, basis } => {
+                write!(f, "slice assigned to cold replica replica={replica} slice={slice}")?;
+                write_slow_start_basis(f, basis)
+            }
+            LogEvent::ColdReplicaOverBudget { replica, demand, budget } => {
+                write!(f, "cold replica over budget replica={replica} demand={demand:.1} budget={budget:.1}")
+            }
             LogEvent::ReportsStale { silence } => {
                 write!(f, "reports stale silence_s={:.0}", silence.seconds())
             }
@@ -209,3 +234,14 @@
         }
     }
 }
+
+fn write_slow_start_basis(f: &mut fmt::Formatter, basis: &SlowStartBasis) -> fmt::Result {
+    let SlowStartBasis { age, slice_demand, reduction, owners, granted_for, replica_demand, budget } = basis;
+    write!(
+        f,
+        " age_s={:.1} slice_demand={slice_demand:.1} reduction={reduction:.2} owners={owners} granted_s={:.1} \
+         replica_demand={replica_demand:.1} budget={budget:.1}",
+        age.seconds(),
+        granted_for.seconds()
+    )
+}
--- a/crates/routing/src/reducer/relay_commands.rs
+++ b/crates/routing/src/reducer/relay_commands.rs
@@ -233,6 +233,16 @@
                 self.log(LogEvent::ReplicaEjected { replica, reason: cause });
                 return None;
             }
+            Action::ColdReplicaAssigned { replica, slice, basis } => {
+                let replica = self.names.name(replica)?;
+                self.log(LogEvent::ColdReplicaAssigned { replica, slice, basis });
+                return None;
+            }
+            Action::ColdReplicaOverBudget { replica, demand, budget } => {
+                let replica = self.names.name(replica)?;
+                self.log(LogEvent::ColdReplicaOverBudget { replica, demand, budget });
+                return None;
+            }
         })
     }
 
--- a/crates/simulator-adapter/src/action.rs
+++ b/crates/simulator-adapter/src/action.rs
@@ -10,11 +10,12 @@
 pub fn encode_all(actions: Vec<Action>) -> impl Iterator<Item = Value> {
     // A sync without other commands reaches proxies only if it is addressed to all of them.
     let sync_all = !actions.iter().any(Action::reaches_proxies);
-    actions.into_iter().map(move |action| encode(action, sync_all))
+    actions.into_iter().filter_map(move |action| encode(action, sync_all))
 }
 
-fn encode(action: Action, sync_all: bool) -> Value {
-    match action {
+/// Returns the encoded action, or `None` if the simulator has no form for it.
+fn encode(action: Action, sync_all: bool) -> Option<Value> {
+    Some(match action {
         Action::SetEndpoint { slice, replica, weight } => json!(["setWeight", replica, slice, weight]),
         Action::Withdraw { replica } => json!(["takeOut", true, replica]),
         Action::Reinstate { replica } => json!(["takeOut", false, replica]),
@@ -29,5 +30,6 @@
         Action::ReplicaEjected { replica, cause } => {
             json!(["sayLog", format!("server {replica} taken for sick: {cause}")])
         }
-    }
+        Action::ColdReplicaAssigned { .. } | Action::ColdReplicaOverBudget { .. } => return None,
+    })
 }
