--- a/crates/policy/tests/slow_start.rs
+++ b/crates/policy/tests/slow_start.rs
@@ -1,9 +1,13 @@
 //! Slow start: what a replica that is warming up may be sent, and what observers are told about it.
 
 mod fleet;
+mod reports;
 
-use fleet::{at_ms, fleet_with_loads, owners_of, Fleet, Node};
+use fleet::{at_ms, deployment, fleet_with_loads, listing, owners_of, Fleet, Node};
+use reports::{collect_acked_reply, policy_with_replicas, reduces_admission};
 use whinwall_policy::api::*;
+use whinwall_policy::time::Span;
+use whinwall_policy::Policy;
 
 /// A replica that the fleets of these tests do not have at the start.
 const COLD: ReplicaId = 9;
@@ -66,3 +70,48 @@
         .collect();
     assert!(matches!(over_budget[..], [(demand, budget)] if demand > budget), "{over_budget:?}");
 }
+
+/// Reports one second of six overloaded replicas, which answer four requests each in nine tenths of the target
+/// latency. Slice n of replica n gets 18 requests, slice 10 of replica 0 gets ten of the class that is shed first.
+fn report_overload(policy: &mut Policy, second: u64) -> Vec<Action> {
+    let (now, window) = (at_ms(second * 1000), Span::ms(1000));
+    let mut report_demand = |slice, request_class, requests| {
+        policy.demand_reported(now, slice, DemandReport { request_class, window, requests, failed: 0.0 });
+    };
+    (0..6).for_each(|slice| report_demand(slice, 0, 16.0));
+    (0..6).for_each(|slice| report_demand(slice, 1, 2.0));
+    report_demand(10, 0, 10.0);
+    for replica in 0..6 {
+        let mean_latency = Span::ms(900);
+        let report = EndpointReport { zone: 0, window, attempts: 4.0, failed: 0.0, mean_latency };
+        policy.endpoint_reported(now, replica, report);
+    }
+    collect_acked_reply(policy, now)
+}
+
+#[test]
+fn demand_that_was_shed_counts_when_a_slice_moves_to_a_cold_replica() {
+    let mut policy = policy_with_replicas(deployment(), 6);
+    policy.slice_granted(at_ms(0), 10, &[(0, 1.0)]);
+    let shed: Vec<_> = (1..18).flat_map(|second| report_overload(&mut policy, second)).collect();
+    assert!(shed.iter().any(|action| reduces_admission(action, Some(10), 1)), "nothing was shed");
+    let changes = [listing(COLD, ReplicaState::Ready, 15_000), listing(0, ReplicaState::Draining, 0)];
+    policy.replicas_listed(at_ms(18_000), ListScope::Changes, &changes);
+    let moves = report_overload(&mut policy, 18);
+    let to_cold = |action: &Action| matches!(action, Action::SetEndpoint { slice: 10, replica: COLD, weight } if *weight >= 1.0);
+    // It can do 0.44 of the four requests that the others answer, and collapses at three times that.
+    assert!(!moves.iter().any(to_cold), "a cold replica is sent 10 requests/s, of which 9 were shed before");
+}
+
+#[test]
+fn cold_replica_that_reports_show_to_be_full_gets_no_slice() {
+    let mut fleet = even_fleet();
+    add_cold_replica(&mut fleet, 0);
+    // Retries, other controllers and other owners that fail cause requests that no slice here explains.
+    fleet.others_requests.insert(COLD, 40.0);
+    fleet.advance(3000);
+    drain(&mut fleet, 0);
+    fleet.advance(1000);
+    let slices = fleet.store.keys().filter(|slice| owners_of(&fleet, **slice).contains(&COLD)).count();
+    assert_eq!(slices, 0, "slices at a replica with a budget of 12 requests/s or less that already gets 40");
+}
