A replica that restarts after the wall clock was stepped counts as cold

What callers saw: a replica that has just started gets the load of a warm one and collapses.

Cause: the list states start times of the wall clock; the controller's clock is set to the wall clock once, at its own start (crates/runtime/src/clock.rs). After a step back by an hour a new process looks an hour old: it is warm for every check of the slow-start budget. After a step forward it starts in the future and stays cold for an hour.

Why this works: a process that a list names for the first time after the first list cannot have been running for longer than the warm-up, nor start in the future; it counts as running since the list arrived. The listed start still identifies the process and draws its controller, which must be the same everywhere. The first list of a controller is trusted: a step forward shortly before a restart of the controller stays an open risk.

--- a/crates/policy/src/events.rs
+++ b/crates/policy/src/events.rs
@@ -9,6 +9,7 @@
 use crate::state::admission::UNKNOWN_REDUCTION;
 use crate::state::controller::ControllerState;
 use crate::state::pending_slices::Priority;
+use crate::state::replica::ListedAt;
 use crate::state::routing_table::RoutingTable;
 use crate::state::schedule::ROUND_PERIOD;
 use crate::state::slice::Slice;
@@ -23,13 +24,14 @@
         }
     }
 
-    pub(crate) fn record_list(&mut self, scope: ListScope, list: &[ReplicaListing]) {
+    pub(crate) fn record_list(&mut self, now: Moment, scope: ListScope, list: &[ReplicaListing]) {
         if scope != ListScope::Changes {
             self.replicas.values_mut().for_each(|replica| replica.listed = false);
         }
+        let listed = ListedAt { now, warm_up: self.deployment.warm_up, is_first_list: !self.has_fresh_list };
         self.has_fresh_list |= scope != ListScope::Cached;
         for listing in list {
-            self.replica_entry(listing.replica, listing.started).update_listing(listing);
+            self.replica_entry(listing.replica, listing.started).update_listing(listing, listed);
         }
         self.fleet_changed = true;
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -139,7 +139,7 @@
 
     /// Handles the replica list or a change to it.
     pub fn replicas_listed(&mut self, now: Moment, scope: ListScope, list: &[ReplicaListing]) {
-        self.state.record_list(scope, list);
+        self.state.record_list(now, scope, list);
         self.run_rules(now);
     }
 
--- a/crates/policy/src/measure/slow_start.rs
+++ b/crates/policy/src/measure/slow_start.rs
@@ -14,7 +14,7 @@
     /// Returns the share of its full capacity that a replica currently has. It grows linearly from the share at
     /// start-up to 1.
     fn warm_capacity_share(&self, replica: &Replica) -> f64 {
-        let age = (self.now - replica.started.unwrap_or_default()).seconds();
+        let age = (self.now - replica.running_since.unwrap_or_default()).seconds();
         let warmed_share = age / self.deployment.warm_up.seconds().max(MIN_WARM_UP_SECONDS);
         let initial = self.deployment.cold_capacity_share;
         (initial + (1.0 - initial) * warmed_share).min(1.0)
@@ -85,7 +85,7 @@
         let replica = self.replicas.get(&owner)?;
         let global_reduction = self.global_admission.applied.unwrap_or_default();
         Some(SlowStartBasis {
-            age: self.now - replica.started.unwrap_or_default(),
+            age: self.now - replica.running_since.unwrap_or_default(),
             slice_demand: slice.demand,
             reduction: slice.applied_reduction.max(global_reduction),
             owners: slice.table.owners().count(),
--- a/crates/policy/src/rules/placement.rs
+++ b/crates/policy/src/rules/placement.rs
@@ -30,7 +30,7 @@
     /// Returns true if a replica may get `demand` more requests per second. This prevents a cold replica from
     /// collapsing, and a recently started one from being overfilled before reports show its load.
     pub(crate) fn can_accept(&self, replica: &Replica, demand: f64) -> bool {
-        let started_recently = replica.started.is_some_and(|at| self.now - at < RECENT_START_PERIOD);
+        let started_recently = replica.running_since.is_some_and(|at| self.now - at < RECENT_START_PERIOD);
         self.is_usable(replica)
             && self.holds_claim(replica)
             && !(started_recently && replica.moved_this_round)
--- a/crates/policy/src/state/replica.rs
+++ b/crates/policy/src/state/replica.rs
@@ -8,6 +8,30 @@
 use crate::time::{Moment, Span};
 use std::collections::BTreeSet;
 
+/// The circumstances in which a listing arrived.
+#[derive(Clone, Copy)]
+pub(crate) struct ListedAt {
+    pub now: Moment,
+    /// The time until a started replica is warm.
+    pub warm_up: Span,
+    /// True if no list has arrived before, other than the one cached by an earlier incarnation.
+    pub is_first_list: bool,
+}
+
+impl ListedAt {
+    /// Returns the time since which a new process counts as running. A process that a later list names for the first
+    /// time has not been running for longer than the warm-up, so another start time is from a wall clock that was
+    /// stepped.
+    fn running_since(self, started: Moment) -> Moment {
+        let is_recent = self.is_first_list || self.now - started < self.warm_up;
+        if started <= self.now && is_recent {
+            started
+        } else {
+            self.now
+        }
+    }
+}
+
 /// A replica.
 pub struct Replica {
     /// The zone that the replica runs in.
@@ -18,8 +42,10 @@
     pub state: ReplicaState,
     /// The listed weight: the replica's capacity relative to other replicas.
     pub weight: f64,
-    /// The start time of the replica's process, if known.
+    /// The listed start time of the replica's process, if known. It identifies the process.
     pub(crate) started: Option<Moment>,
+    /// The start time of the process by this controller's clock.
+    pub(crate) running_since: Option<Moment>,
     /// A hash that identifies the replica identically at all controllers.
     pub(crate) stable_hash: u64,
     /// The controllers that steer the replica.
@@ -86,6 +112,7 @@
             state: ReplicaState::Gone,
             weight: 1.0,
             started: None,
+            running_since: None,
             stable_hash: 0,
             subset: SubsetMembership::default(),
             shared_load: SharedLoad::default(),
@@ -116,7 +143,10 @@
     }
 
     /// Updates the listed properties.
-    pub(crate) fn update_listing(&mut self, listing: &ReplicaListing) {
+    pub(crate) fn update_listing(&mut self, listing: &ReplicaListing, listed_at: ListedAt) {
+        if self.started != listing.started {
+            self.running_since = listing.started.map(|started| listed_at.running_since(started));
+        }
         if self.started != listing.started && listing.state != ReplicaState::Gone {
             // A restarted process is not an outlier, and reports on the previous process no longer apply.
             self.ejected_until = None;
--- a/crates/policy/src/state/replica_status.rs
+++ b/crates/policy/src/state/replica_status.rs
@@ -28,7 +28,7 @@
 
     /// Returns true if the replica's process started so recently that its caches are cold.
     pub(crate) fn is_warming_up(&self, replica: &Replica) -> bool {
-        replica.started.is_some_and(|at| self.now - at < self.deployment.warm_up)
+        replica.running_since.is_some_and(|at| self.now - at < self.deployment.warm_up)
     }
 
     /// Returns true if the replica is ejected as an outlier.
