A replica that is warming up is sent no more than a warm one answers

Cause: the slow-start budget is 0.55 of the collapse multiple times the replica's present share of its capacity. With a multiple of 3 that passes the rate of a warm replica at 0.61 of the capacity, which a replica that starts at 0.21 reaches after half of its warm-up, and ends at 1.65 times that rate. Its caches are cold besides: the same requests cost it more.

Why this works: a replica that is still warming up cannot do more than a warm one, so the rest of the multiple stays a reserve for retries.

--- a/crates/policy/src/measure/slow_start.rs
+++ b/crates/policy/src/measure/slow_start.rs
@@ -22,17 +22,18 @@
 
     /// Returns the requests per second, including retries, that a replica may currently be sent; infinite for a
     /// warm one. The limit is based on the rate that the fleet answers, since that is the only reliable measure of
-    /// what replicas can handle. The requested rate may be far higher (overload, retries).
+    /// what replicas can handle. The requested rate may be far higher (overload, retries). A replica that is warming
+    /// up is not expected to handle more than a warm one answers.
     pub(crate) fn slow_start_budget(&self, replica: &Replica) -> f64 {
         if !self.is_warming_up(replica) {
             return f64::INFINITY;
         }
+        let safe_multiple = self.deployment.collapse_multiple * SLOW_START_SAFETY_FACTOR;
+        let share_of_warm_rate = (safe_multiple * self.warm_capacity_share(replica)).min(1.0);
         replica.service_rate
             * self.averages.observed_service_rate
             * self.measure_ownership(replica)
-            * self.deployment.collapse_multiple
-            * self.warm_capacity_share(replica)
-            * SLOW_START_SAFETY_FACTOR
+            * share_of_warm_rate
     }
 
     /// Returns this controller's part of a replica, as a multiple of the part that each controller would have if
