A cold replica is given slices by their demand without load shedding

What callers saw: a replica that has just started collapses after load shedding has ended.

Cause: the demand of a slice counts admitted requests only. A slice that is shed at its owner looks small; it moves to a replica that is warming up, whose own reduction is 0, and the next command admits everything.

The policy's test failed on: 10 requests/s, of which 9 had been shed.

What it leaves by, and what sheds its load, is still what it is sent. An exchange of slices is compared by the same demand; it was compared by load, which leaves retries out.

--- a/crates/policy/src/measure/load_estimates.rs
+++ b/crates/policy/src/measure/load_estimates.rs
@@ -20,6 +20,7 @@
     load: f64,
     burst_load: f64,
     demand: f64,
+    unshed_demand: f64,
 }
 
 /// A slice that rebalancing may move.
@@ -27,6 +28,7 @@
 pub(crate) struct MovableSlice {
     pub id: SliceId,
     pub load: f64,
+    pub unshed_demand: f64,
     pub move_count: u32,
 }
 
@@ -115,15 +117,18 @@
         for replica in self.replicas.values_mut() {
             replica.load = 0.0;
             replica.demand = 0.0;
+            replica.unshed_demand = 0.0;
         }
         for (slice, measured) in self.slices.values_mut().zip(loads) {
             slice.load = measured.load;
             slice.burst_load = measured.burst_load;
             slice.demand = measured.demand;
+            slice.unshed_demand = measured.unshed_demand;
             for (id, share) in slice.table.request_shares() {
                 if let Some(replica) = self.replicas.get_mut(&id) {
                     replica.load += slice.load * share;
                     replica.demand += slice.demand * share;
+                    replica.unshed_demand += slice.unshed_demand * share;
                 }
             }
         }
@@ -132,16 +137,21 @@
 
     /// Estimates the load of a slice. Clients retry after a failure, so if all requests were counted, the slices
     /// of a failing replica would look hot. `demand` does count all requests, since a replica has to handle
-    /// retries too.
+    /// retries too. `unshed_demand` counts refused requests as well, as far as they are not repetitions: they reach
+    /// the replica as soon as the slice moves to an owner that sheds no load.
     fn measure_slice_load(&self, slice: &Slice) -> SliceLoad {
         let since = slice.granted_at.max(slice.observed_since);
+        let requests = |window| self.request_rate(&slice.requests, window, since);
         let admitted = |window| self.request_rate(&slice.admitted, window, since);
         let failed = |window| self.request_rate(&slice.failed, window, since);
+        let refused = |window| requests(window) - admitted(window);
+        let unshed = |window| admitted(window) + (1.0 - RETRIED_SHARE_OF_FAILURES) * refused(window);
         let load = |window| (admitted(window) - RETRIED_SHARE_OF_FAILURES * failed(window)).max(0.0);
         SliceLoad {
             load: load(LOAD_WINDOW),
             burst_load: load(BURST_WINDOW),
             demand: admitted(BURST_WINDOW).max(admitted(LOAD_WINDOW)),
+            unshed_demand: unshed(BURST_WINDOW).max(unshed(LOAD_WINDOW)),
         }
     }
 
@@ -175,7 +185,12 @@
         for id in replica.slices.iter().copied() {
             let slice = &self.slices[&id];
             if is_free(slice) && !is_pinned_to_owner(id) {
-                movable.push(MovableSlice { id, load: slice.load, move_count: slice.move_count });
+                movable.push(MovableSlice {
+                    id,
+                    load: slice.load,
+                    unshed_demand: slice.unshed_demand,
+                    move_count: slice.move_count,
+                });
             }
         }
         movable.sort_by(|one, other| other.load.total_cmp(&one.load));
--- a/crates/policy/src/measure/shared_load.rs
+++ b/crates/policy/src/measure/shared_load.rs
@@ -51,6 +51,7 @@
             replica.shared_load.others_demand = rate.max(others_rate(replica, end, OTHERS_BURST_WINDOW));
             replica.shared_load.others_load = rate * (1.0 - retried);
             replica.demand += replica.shared_load.others_demand;
+            replica.unshed_demand += replica.shared_load.others_demand;
             replica.load += replica.shared_load.others_load;
         }
     }
--- a/crates/policy/src/measure/slow_start.rs
+++ b/crates/policy/src/measure/slow_start.rs
@@ -56,7 +56,7 @@
     /// Returns the load that a replica may still get within its band and its slow-start budget, in requests per
     /// second.
     pub(crate) fn headroom(&self, replica: &Replica) -> f64 {
-        let budget_left = self.slow_start_budget(replica) - replica.demand;
+        let budget_left = self.slow_start_budget(replica) - replica.unshed_demand;
         self.averages.headroom(replica).min(budget_left)
     }
 
--- a/crates/policy/src/measure/table_changes.rs
+++ b/crates/policy/src/measure/table_changes.rs
@@ -45,6 +45,7 @@
             if let Some(replica) = self.replicas.get_mut(&replica_id) {
                 replica.load += sign * slice.load * share;
                 replica.demand += sign * slice.demand * share;
+                replica.unshed_demand += sign * slice.unshed_demand * share;
                 replica.standby_count += if slice.table.is_standby(&replica_id) { sign } else { 0.0 };
             }
         }
--- a/crates/policy/src/rules/placement.rs
+++ b/crates/policy/src/rules/placement.rs
@@ -27,14 +27,15 @@
 }
 
 impl ControllerState {
-    /// Returns true if a replica may get `demand` more requests per second. This prevents a cold replica from
-    /// collapsing, and a recently started one from being overfilled before reports show its load.
-    pub(crate) fn can_accept(&self, replica: &Replica, demand: f64) -> bool {
+    /// Returns true if a replica may get `unshed_demand` more requests per second. This prevents a cold replica from
+    /// collapsing, also once load is no longer shed, and a recently started one from being overfilled before reports
+    /// show its load.
+    pub(crate) fn can_accept(&self, replica: &Replica, unshed_demand: f64) -> bool {
         let started_recently = replica.running_since.is_some_and(|at| self.now - at < RECENT_START_PERIOD);
         self.is_usable(replica)
             && self.holds_claim(replica)
             && !(started_recently && replica.moved_this_round)
-            && replica.demand + demand <= self.slow_start_budget(replica)
+            && replica.unshed_demand + unshed_demand <= self.slow_start_budget(replica)
     }
 
     /// Returns the destination for a slice that leaves another replica, for which `load` must be placed: the
@@ -51,7 +52,7 @@
             ranking.first(|id| !owns(id) && self.replicas.get(id).is_some_and(accepts))
         };
         // A cold replica has to handle retries too, so the demand counts, not only the load.
-        let demand = load.max(slice.demand);
+        let demand = load.max(slice.unshed_demand);
         let accepts_slice = |replica: &Replica| self.can_accept(replica, demand);
         let with_headroom = first(&self.rankings.by_headroom, &|replica| {
             accepts_slice(replica) && self.is_preferred_if_shared(scope, replica, load)
--- a/crates/policy/src/rules/rebalance.rs
+++ b/crates/policy/src/rules/rebalance.rs
@@ -109,29 +109,36 @@
     fn find_transfer(&self, transfer: &Transfer) -> Option<Vec<SliceMove>> {
         let own = self.movable_slices(transfer.source_id, transfer.source);
         let movable = || own.iter().filter(|slice| transfer.may_move_again(slice));
-        if let Some(slice) = movable().find(|slice| self.is_transferable(transfer, slice.load)) {
+        if let Some(slice) = movable().find(|slice| self.is_transferable(transfer, slice, None)) {
             return Some(vec![transfer.transfer_slice(slice)]);
         }
         let returnable = self.movable_slices(transfer.destination_id, transfer.destination);
         movable().find_map(|slice| {
             let may_return = |candidate: &&MovableSlice| {
-                transfer.may_move_again(candidate)
-                    && self.is_transferable(transfer, slice.load - candidate.load)
+                transfer.may_move_again(candidate) && self.is_transferable(transfer, slice, Some(candidate))
             };
             let returned = returnable.iter().rev().find(may_return)?;
             Some(vec![transfer.transfer_slice(slice), transfer.return_slice(returned)])
         })
     }
 
-    /// Condition 2 of DDMC: both replicas stay within their bands after the transfer of this net load.
-    fn is_transferable(&self, transfer: &Transfer, net_load: f64) -> bool {
+    /// Condition 2 of DDMC: both replicas stay within their bands after the transfer of a slice, or after its exchange
+    /// for another one.
+    fn is_transferable(
+        &self,
+        transfer: &Transfer,
+        slice: &MovableSlice,
+        returned: Option<&MovableSlice>,
+    ) -> bool {
         let Transfer { source, destination, .. } = transfer;
+        let net_load = slice.load - returned.map_or(0.0, |returned| returned.load);
+        let net_demand = slice.unshed_demand - returned.map_or(0.0, |returned| returned.unshed_demand);
         let source_after = source.utilization() - net_load / source.effective_capacity;
         let destination_after = destination.utilization() + net_load / destination.effective_capacity;
         net_load > 0.0
             && source_after >= self.averages.band(source).low
             && destination_after <= self.averages.band(destination).high
-            && self.can_accept(destination, net_load)
+            && self.can_accept(destination, net_demand)
     }
 
     /// Returns the replicas that have been above their bands for at least `MIN_ROUNDS_OUTSIDE_BAND` rounds,
--- a/crates/policy/src/state/replica.rs
+++ b/crates/policy/src/state/replica.rs
@@ -87,6 +87,8 @@
     pub(crate) load: f64,
     /// The requests per second for its slices, including all retries.
     pub(crate) demand: f64,
+    /// The requests per second for its slices, including all retries, if no load were shed.
+    pub(crate) unshed_demand: f64,
     /// mu of DDMC without operators' weight factors: listed weight times relative speed.
     pub(crate) service_rate: f64,
     /// mu of DDMC: the service rate times the operators' weight factor and the ownership.
@@ -133,6 +135,7 @@
             standby_count: 0.0,
             load: 0.0,
             demand: 0.0,
+            unshed_demand: 0.0,
             service_rate: 1.0,
             effective_capacity: 1.0,
             weight_factor: 1.0,
--- a/crates/policy/src/state/slice.rs
+++ b/crates/policy/src/state/slice.rs
@@ -9,6 +9,8 @@
 /// A slice that this controller owns.
 pub(crate) struct Slice {
     pub table: RoutingTable,
+    /// Requests received, before admission control.
+    pub requests: WindowedCounter,
     /// Requests received and admitted.
     pub admitted: WindowedCounter,
     /// Admitted requests that failed.
@@ -19,6 +21,8 @@
     pub burst_load: f64,
     /// The last estimate of requests per second including all retries, which is the load on the replica.
     pub demand: f64,
+    /// The last estimate of requests per second including all retries, if no load were shed.
+    pub unshed_demand: f64,
     /// The time since which this controller has owned the slice.
     pub granted_at: Moment,
     /// The time since which there are reports on the slice, if there were none before.
@@ -51,11 +55,13 @@
     pub(crate) fn new(endpoints: &[(ReplicaId, f64)], now: Moment) -> Self {
         Slice {
             table: RoutingTable::new(endpoints),
+            requests: recent_counter(),
             admitted: recent_counter(),
             failed: recent_counter(),
             load: 0.0,
             burst_load: 0.0,
             demand: 0.0,
+            unshed_demand: 0.0,
             granted_at: now,
             observed_since: Moment::default(),
             move_count: 0,
