No slice moves to a cold replica while the controller has no reports

Cause: demands that no report has stated yet are 0, and so is the slow-start budget then; 0 + 0 <= 0 permits any slice. The same holds once collectors are silent: estimates fall to 0.

Why this works: a replica that is warming up accepts a slice only if reports have arrived for two periods and still do. Warm replicas take what must leave meanwhile, as for any slice that does not fit.

--- a/crates/policy/src/events.rs
+++ b/crates/policy/src/events.rs
@@ -129,7 +129,8 @@
 
 /// Load reports.
 impl ControllerState {
-    pub(crate) fn record_reports(&mut self, reports: &[Report]) {
+    pub(crate) fn record_reports(&mut self, now: Moment, reports: &[Report]) {
+        self.reporting.first_line_at.get_or_insert(now);
         for Report { window_end, line_count, body } in reports {
             let window = match body {
                 ReportBody::Endpoint { replica, report, latest_latency } => {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -243,7 +243,7 @@
 
     /// Handles several reports at once, each with its own time.
     pub fn load_reported(&mut self, now: Moment, reports: &[Report]) {
-        self.state.record_reports(reports);
+        self.state.record_reports(now, reports);
         self.run_rules(now);
     }
 
--- a/crates/policy/src/measure/report_timing.rs
+++ b/crates/policy/src/measure/report_timing.rs
@@ -7,6 +7,9 @@
 use crate::time::{Moment, Span};
 use crate::windowed_counter::WindowedCounter;
 
+/// The number of report periods after the first report until demands are known. The first report may cover only a
+/// part of its period.
+const PERIODS_UNTIL_DEMAND_IS_KNOWN: f64 = 2.0;
 /// Lower bound of the time used as the divisor of a rate, in seconds.
 const MIN_RATE_SECONDS: f64 = 0.001;
 
@@ -43,6 +46,17 @@
         counter.sum(end, window) / window.seconds().max(MIN_RATE_SECONDS)
     }
 
+    /// Returns true if reports say what the slices' demands are: they have arrived for long enough, and they have not
+    /// ceased, which would look like a demand of 0. While aggregated reports are interrupted, the last estimates are
+    /// kept.
+    pub(crate) fn demands_are_known(&self) -> bool {
+        let settling_time = self.deployment.report_period.times(PERIODS_UNTIL_DEMAND_IS_KNOWN);
+        let have_settled = self.reporting.first_line_at.is_some_and(|at| self.now - at >= settling_time);
+        let window = RECENT_WINDOW + self.reporting.lag;
+        let still_arrive = || self.reporting.lines.sum(self.now, window) > 0.0;
+        have_settled && (self.reporting.flow == ReportFlow::Interrupted || still_arrive())
+    }
+
     /// Returns true if reports on a replica are complete and recent enough to be compared with the expected
     /// requests. After an incomplete report this is false until the window no longer contains that report. No
     /// reports are expected on a replica that other controllers steer.
--- a/crates/policy/src/measure/slow_start.rs
+++ b/crates/policy/src/measure/slow_start.rs
@@ -36,6 +36,13 @@
             * share_of_warm_rate
     }
 
+    /// Returns true if a replica is warm, or if its slow-start budget has room for this demand. While demands are
+    /// unknown, none has room.
+    pub(crate) fn fits_slow_start_budget(&self, replica: &Replica, unshed_demand: f64) -> bool {
+        let has_room = || replica.unshed_demand + unshed_demand <= self.slow_start_budget(replica);
+        !self.is_warming_up(replica) || (self.demands_are_known() && has_room())
+    }
+
     /// Returns this controller's part of a replica, as a multiple of the part that each controller would have if
     /// the replica were divided evenly. A cold replica is assigned to a single controller by a draw that gives the
     /// same result at all controllers, because an even part of its budget would be less than most slices need.
--- a/crates/policy/src/rules/placement.rs
+++ b/crates/policy/src/rules/placement.rs
@@ -35,7 +35,7 @@
         self.is_usable(replica)
             && self.holds_claim(replica)
             && !(started_recently && replica.moved_this_round)
-            && replica.unshed_demand + unshed_demand <= self.slow_start_budget(replica)
+            && self.fits_slow_start_budget(replica, unshed_demand)
     }
 
     /// Returns the destination for a slice that leaves another replica, for which `load` must be placed: the
--- a/crates/policy/src/state/reporting.rs
+++ b/crates/policy/src/state/reporting.rs
@@ -2,7 +2,7 @@
 
 use crate::api::ReportFlow;
 use crate::state::recent_counter::recent_counter;
-use crate::time::Span;
+use crate::time::{Moment, Span};
 use crate::windowed_counter::WindowedCounter;
 
 /// The path and the lag of load reports.
@@ -15,6 +15,8 @@
     pub lines: WindowedCounter,
     /// The time by which the window of a report line exceeds a report period when reports lag.
     pub lag: Span,
+    /// The time at which the first line arrived.
+    pub first_line_at: Option<Moment>,
 }
 
 impl Default for Reporting {
@@ -24,6 +26,7 @@
             covered_seconds: recent_counter(),
             lines: recent_counter(),
             lag: Span::default(),
+            first_line_at: None,
         }
     }
 }
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -113,6 +113,8 @@
     pub subsets: BTreeMap<ReplicaId, SubsetMembership>,
     /// The requests per second to each replica from the slices of other controllers.
     pub others_requests: BTreeMap<ReplicaId, f64>,
+    /// False while no collector reports.
+    pub collectors_report: bool,
     /// The routing tables as stored by the relay.
     pub store: BTreeMap<SliceId, BTreeMap<ReplicaId, f64>>,
     /// The number of lines that the command channel transmits per tick.
@@ -138,6 +140,7 @@
             request_rates: (0..slices).map(|slice| (slice, 2.0 + f64::from(slice % 3))).collect(),
             subsets: BTreeMap::new(),
             others_requests: BTreeMap::new(),
+            collectors_report: true,
             store: (0..slices).map(|slice| (slice, BTreeMap::from([(slice % replicas, 1.0)]))).collect(),
             lines_per_tick: 150.0,
             slow_until_ms: 0,
@@ -368,7 +371,7 @@
                 self.policy.timer_fired(at_ms(self.now_ms), token);
             }
             self.collect_reply();
-            if self.now_ms.is_multiple_of(1000) {
+            if self.now_ms.is_multiple_of(1000) && self.collectors_report {
                 self.send_reports();
             }
             self.check_rules();
--- a/crates/policy/tests/slow_start.rs
+++ b/crates/policy/tests/slow_start.rs
@@ -115,3 +115,15 @@
     let slices = fleet.store.keys().filter(|slice| owners_of(&fleet, **slice).contains(&COLD)).count();
     assert_eq!(slices, 0, "slices at a replica with a budget of 12 requests/s or less that already gets 40");
 }
+
+#[test]
+fn no_slice_moves_to_a_cold_replica_while_no_reports_arrive() {
+    let mut fleet = even_fleet();
+    fleet.collectors_report = false;
+    fleet.advance(12_000);
+    add_cold_replica(&mut fleet, 0);
+    drain(&mut fleet, 0);
+    fleet.advance(1000);
+    let slices = fleet.store.keys().filter(|slice| owners_of(&fleet, **slice).contains(&COLD)).count();
+    assert_eq!(slices, 0, "slices of unknown demand at a cold replica");
+}
