What proxies report of a cold replica bounds what it is given from below

What callers saw: a replica that has just started is given further slices, and keeps those it has, while it is already sent several times its budget.

Cause: its load is computed from the demand and table shares of this controller's slices. Retries at another owner, owners that fail or that proxies avoid, slices that another controller holds after a takeover: none of these is in it, though the proxies' reports count every attempt at the replica.

The policy's test failed on: a slice more for a replica with 40 reported requests/s.

Why this works: both checks of the budget take the larger of the two figures; where slices leave, the reported attempts count in proportion to the demand that is left, so that not all leave at once.

--- a/crates/policy/src/measure/load_estimates.rs
+++ b/crates/policy/src/measure/load_estimates.rs
@@ -133,6 +133,7 @@
             }
         }
         self.add_others_load();
+        self.refresh_attempt_rates();
     }
 
     /// Estimates the load of a slice. Clients retry after a failure, so if all requests were counted, the slices
--- a/crates/policy/src/measure/slow_start.rs
+++ b/crates/policy/src/measure/slow_start.rs
@@ -1,6 +1,7 @@
 //! Slow start: limits on the load of a replica that is warming up.
 
 use crate::api::{Action, ReplicaId, SliceId, SlowStartBasis};
+use crate::measure::windows::BURST_WINDOW;
 use crate::state::controller::ControllerState;
 use crate::state::replica::Replica;
 
@@ -36,10 +37,36 @@
             * share_of_warm_rate
     }
 
+    /// Refreshes the reported attempts of replicas that are warming up.
+    pub(crate) fn refresh_attempt_rates(&mut self) {
+        let rates: Vec<_> =
+            self.replicas.values().map(|replica| self.measure_attempt_rate(replica)).collect();
+        for (replica, rate) in self.replicas.values_mut().zip(rates) {
+            replica.attempt_rate = rate;
+            replica.attempts_per_demand =
+                if replica.demand > 0.0 { (rate / replica.demand).max(1.0) } else { 1.0 };
+        }
+    }
+
+    fn measure_attempt_rate(&self, replica: &Replica) -> f64 {
+        if !self.is_warming_up(replica) {
+            return 0.0;
+        }
+        let since = replica.reports.observed_since.max(replica.running_since.unwrap_or_default());
+        self.request_rate(&replica.reports.attempts, BURST_WINDOW, since)
+    }
+
+    /// Returns the attempts per second that the slices of a replica cause. They exceed the demand if proxies retry, if
+    /// another owner fails, or if another controller has slices there.
+    pub(crate) fn expected_attempts(&self, replica: &Replica) -> f64 {
+        replica.demand * replica.attempts_per_demand
+    }
+
     /// Returns true if a replica is warm, or if its slow-start budget has room for this demand. While demands are
     /// unknown, none has room.
     pub(crate) fn fits_slow_start_budget(&self, replica: &Replica, unshed_demand: f64) -> bool {
-        let has_room = || replica.unshed_demand + unshed_demand <= self.slow_start_budget(replica);
+        let expected = replica.unshed_demand.max(replica.attempt_rate);
+        let has_room = || expected + unshed_demand <= self.slow_start_budget(replica);
         !self.is_warming_up(replica) || (self.demands_are_known() && has_room())
     }
 
--- a/crates/policy/src/rules/load_shedding.rs
+++ b/crates/policy/src/rules/load_shedding.rs
@@ -112,7 +112,7 @@
             previous
         } else if is_late {
             next_reduction(previous, replica.latency_ratio, 1.0 - replica.recent_counts.failed_share())
-        } else if replica.demand > self.slow_start_budget(replica) {
+        } else if self.expected_attempts(replica) > self.slow_start_budget(replica) {
             // Prevents a cold replica from collapsing if its slices have no other destination.
             (previous + REDUCTION_STEP).min(1.0)
         } else {
--- a/crates/policy/src/state/replica.rs
+++ b/crates/policy/src/state/replica.rs
@@ -89,6 +89,10 @@
     pub(crate) demand: f64,
     /// The requests per second for its slices, including all retries, if no load were shed.
     pub(crate) unshed_demand: f64,
+    /// The attempts per second that proxies report while the replica is warming up, whatever slices cause them.
+    pub(crate) attempt_rate: f64,
+    /// The reported attempts as a multiple of the demand, as of the last estimate; at least 1.
+    pub(crate) attempts_per_demand: f64,
     /// mu of DDMC without operators' weight factors: listed weight times relative speed.
     pub(crate) service_rate: f64,
     /// mu of DDMC: the service rate times the operators' weight factor and the ownership.
@@ -136,6 +140,8 @@
             load: 0.0,
             demand: 0.0,
             unshed_demand: 0.0,
+            attempt_rate: 0.0,
+            attempts_per_demand: 1.0,
             service_rate: 1.0,
             effective_capacity: 1.0,
             weight_factor: 1.0,
