--- a/crates/policy/src/measure/slow_start.rs
+++ b/crates/policy/src/measure/slow_start.rs
@@ -23,18 +23,26 @@
 
     /// Returns the requests per second, including retries, that a replica may currently be sent; infinite for a
     /// warm one. The limit is based on the rate that the fleet answers, since that is the only reliable measure of
-    /// what replicas can handle. The requested rate may be far higher (overload, retries). A replica that is warming
-    /// up is not expected to handle more than a warm one answers.
+    /// what replicas can handle. The requested rate may be far higher (overload, retries).
     pub(crate) fn slow_start_budget(&self, replica: &Replica) -> f64 {
         if !self.is_warming_up(replica) {
             return f64::INFINITY;
         }
-        let safe_multiple = self.deployment.collapse_multiple * SLOW_START_SAFETY_FACTOR;
-        let share_of_warm_rate = (safe_multiple * self.warm_capacity_share(replica)).min(1.0);
-        replica.service_rate
-            * self.averages.observed_service_rate
-            * self.measure_ownership(replica)
-            * share_of_warm_rate
+        self.warm_replica_rate(replica)
+            * self.deployment.collapse_multiple
+            * self.warm_capacity_share(replica)
+            * SLOW_START_SAFETY_FACTOR
+    }
+
+    /// Returns the requests per second up to which slices may be assigned to a replica that is warming up. It is not
+    /// expected to handle more than a warm one; the rest of its budget is a reserve for growth and retries.
+    fn assignable_rate(&self, replica: &Replica) -> f64 {
+        self.slow_start_budget(replica).min(self.warm_replica_rate(replica))
+    }
+
+    /// Returns the requests per second that the replica would answer if it were warm.
+    fn warm_replica_rate(&self, replica: &Replica) -> f64 {
+        replica.service_rate * self.averages.observed_service_rate * self.measure_ownership(replica)
     }
 
     /// Refreshes the reported attempts of replicas that are warming up.
@@ -66,7 +74,7 @@
     /// unknown, none has room.
     pub(crate) fn fits_slow_start_budget(&self, replica: &Replica, unshed_demand: f64) -> bool {
         let expected = replica.unshed_demand.max(replica.attempt_rate);
-        let has_room = || expected + unshed_demand <= self.slow_start_budget(replica);
+        let has_room = || expected + unshed_demand <= self.assignable_rate(replica);
         !self.is_warming_up(replica) || (self.demands_are_known() && has_room())
     }
 
@@ -90,7 +98,7 @@
     /// Returns the load that a replica may still get within its band and its slow-start budget, in requests per
     /// second.
     pub(crate) fn headroom(&self, replica: &Replica) -> f64 {
-        let budget_left = self.slow_start_budget(replica) - replica.unshed_demand;
+        let budget_left = self.assignable_rate(replica) - replica.unshed_demand;
         self.averages.headroom(replica).min(budget_left)
     }
 
--- a/crates/policy/src/rules/evacuation.rs
+++ b/crates/policy/src/rules/evacuation.rs
@@ -96,7 +96,7 @@
     }
 
     fn exceeds_budget(&self, replica: &Replica) -> bool {
-        self.expected_attempts(replica) > self.slow_start_budget(replica) * MAX_BUDGET_OVERRUN
+        replica.demand > self.slow_start_budget(replica) * MAX_BUDGET_OVERRUN
     }
 
     /// Reports to observers the replicas that have begun to exceed their slow-start budgets.
@@ -107,7 +107,7 @@
             let began = exceeds && !replica.exceeds_budget;
             replica.exceeds_budget = exceeds;
             if began {
-                let demand = replica.demand * replica.attempts_per_demand;
+                let demand = replica.demand;
                 self.actions.push(Action::ColdReplicaOverBudget { replica: *id, demand, budget });
             }
         }
