Refused requests take memory only for slices that have had any

Change: the refused requests are counted instead of all requests, in a counter that is created for the first of them.

--- a/crates/policy/src/events.rs
+++ b/crates/policy/src/events.rs
@@ -171,8 +171,8 @@
             class.failed.add_over(at, report.window, report.failed);
         }
         let Some(slice) = self.slices.get_mut(&id) else { return };
-        slice.requests.add_over(at, report.window, report.requests);
         slice.admitted.add_over(at, report.window, admitted);
+        slice.record_refused(at, report.window, report.requests - admitted);
         slice.failed.add_over(at, report.window, report.failed);
         // Requests are expected at a replica only once all proxies have had its endpoint in their tables for the
         // recent window.
--- a/crates/policy/src/measure/load_estimates.rs
+++ b/crates/policy/src/measure/load_estimates.rs
@@ -142,10 +142,10 @@
     /// the replica as soon as the slice moves to an owner that sheds no load.
     fn measure_slice_load(&self, slice: &Slice) -> SliceLoad {
         let since = slice.granted_at.max(slice.observed_since);
-        let requests = |window| self.request_rate(&slice.requests, window, since);
         let admitted = |window| self.request_rate(&slice.admitted, window, since);
         let failed = |window| self.request_rate(&slice.failed, window, since);
-        let refused = |window| requests(window) - admitted(window);
+        let refused =
+            |window| slice.refused.as_ref().map_or(0.0, |counter| self.request_rate(counter, window, since));
         let unshed = |window| admitted(window) + (1.0 - RETRIED_SHARE_OF_FAILURES) * refused(window);
         let load = |window| (admitted(window) - RETRIED_SHARE_OF_FAILURES * failed(window)).max(0.0);
         SliceLoad {
--- a/crates/policy/src/state/slice.rs
+++ b/crates/policy/src/state/slice.rs
@@ -3,16 +3,16 @@
 use crate::api::{OverrideNumber, ReplicaId};
 use crate::state::recent_counter::recent_counter;
 use crate::state::routing_table::RoutingTable;
-use crate::time::Moment;
+use crate::time::{Moment, Span};
 use crate::windowed_counter::WindowedCounter;
 
 /// A slice that this controller owns.
 pub(crate) struct Slice {
     pub table: RoutingTable,
-    /// Requests received, before admission control.
-    pub requests: WindowedCounter,
     /// Requests received and admitted.
     pub admitted: WindowedCounter,
+    /// Requests refused by admission control; `None` until there is one.
+    pub refused: Option<Box<WindowedCounter>>,
     /// Admitted requests that failed.
     pub failed: WindowedCounter,
     /// The last estimate of requests per second over `LOAD_WINDOW`, without the estimated retries.
@@ -55,8 +55,8 @@
     pub(crate) fn new(endpoints: &[(ReplicaId, f64)], now: Moment) -> Self {
         Slice {
             table: RoutingTable::new(endpoints),
-            requests: recent_counter(),
             admitted: recent_counter(),
+            refused: None,
             failed: recent_counter(),
             load: 0.0,
             burst_load: 0.0,
@@ -74,6 +74,15 @@
         }
     }
 
+    /// Records requests that admission control refused. Most slices never have any, so the counter is created for
+    /// the first.
+    pub(crate) fn record_refused(&mut self, at: Moment, window: Span, refused: f64) {
+        if refused > 0.0 {
+            let counter = self.refused.get_or_insert_with(|| Box::new(recent_counter()));
+            counter.add_over(at, window, refused);
+        }
+    }
+
     /// Returns true if the proxies were sent the slice's desired table and reduction.
     pub(crate) fn is_fully_applied(&self) -> bool {
         self.table.is_applied() && self.reduction == self.applied_reduction
