Failing test: a cold replica with hot slices is over its budget once their other owners fail

So candidate 4 of the postmortem holds: the share of an owner is taken for fixed.

The test makes six slices hot in a fleet that five controllers divide; the cold replica becomes co-owner of two, each of which is counted with half. The budget is that of docs/design.md (0.55 of the load that makes a cold replica collapse).

The fixture has a second constructor for that; COLD has a number that the larger fleet does not use.

--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -446,7 +446,12 @@
 
 /// Creates a fleet whose replicas 0, 1, ... own slices of these loads; slices are numbered consecutively.
 pub fn fleet_with_loads(single_writer: bool, loads: &[&[f64]]) -> Fleet {
-    let mut fleet = Fleet::new(Deployment { single_writer, ..deployment() }, loads.len() as u32, 0, 2);
+    deployed_fleet_with_loads(Deployment { single_writer, ..deployment() }, loads)
+}
+
+/// Like `fleet_with_loads`, for any deployment.
+pub fn deployed_fleet_with_loads(deployment: Deployment, loads: &[&[f64]]) -> Fleet {
+    let mut fleet = Fleet::new(deployment, loads.len() as u32, 0, 2);
     let owners = loads
         .iter()
         .enumerate()
--- a/crates/policy/tests/slow_start.rs
+++ b/crates/policy/tests/slow_start.rs
@@ -3,14 +3,21 @@
 mod fleet;
 mod reports;
 
-use fleet::{at_ms, deployment, fleet_with_loads, listing, owners_of, Fleet, Node};
+use fleet::{
+    at_ms, deployed_fleet_with_loads, deployment, fleet_with_loads, listing, owners_of, Fleet, Node,
+};
 use reports::{collect_acked_reply, policy_with_replicas, reduces_admission};
 use whinwall_policy::api::*;
+use whinwall_policy::deployment::Deployment;
 use whinwall_policy::time::Span;
 use whinwall_policy::Policy;
 
 /// A replica that the fleets of these tests do not have at the start.
-const COLD: ReplicaId = 9;
+const COLD: ReplicaId = 99;
+/// The number of controllers of a fleet whose slices are divided.
+const CONTROLLERS: u32 = 5;
+/// The number of warm replicas of that fleet.
+const WARM_REPLICAS: usize = 40;
 
 /// Four warm replicas that own six slices of two requests per second each, with reports of twelve seconds.
 fn even_fleet() -> Fleet {
@@ -127,3 +134,36 @@
     let slices = fleet.store.keys().filter(|slice| owners_of(&fleet, **slice).contains(&COLD)).count();
     assert_eq!(slices, 0, "slices of unknown demand at a cold replica");
 }
+
+/// One of five controllers, with a slice on each of `WARM_REPLICAS`.
+fn divided_fleet(controller_index: u32) -> Fleet {
+    let loads = [[1.0].as_slice(); WARM_REPLICAS];
+    let slice_count = CONTROLLERS * WARM_REPLICAS as u32;
+    let divided = Deployment { controller_count: CONTROLLERS, controller_index, slice_count, ..deployment() };
+    deployed_fleet_with_loads(divided, &loads)
+}
+
+/// The requests per second of the slices that a cold replica has got 7 s after its start, whatever their other owners
+/// do, and of all slices. Six slices become hot 5 s before.
+fn hot_requests_at_cold_replica(controller_index: u32) -> (f64, f64) {
+    let mut fleet = divided_fleet(controller_index);
+    fleet.advance(12_000);
+    add_cold_replica(&mut fleet, 2000);
+    (0..6).for_each(|slice| _ = fleet.request_rates.insert(slice, 6.0));
+    fleet.advance(5000);
+    let is_at_cold = |slice: SliceId| owners_of(&fleet, slice).contains(&COLD);
+    let at_cold = fleet.request_rates.iter().filter(|(slice, _)| is_at_cold(**slice));
+    (at_cold.map(|(_, rate)| rate).sum(), fleet.request_rates.values().sum())
+}
+
+#[test]
+fn cold_replica_stays_within_its_budget_if_the_other_owners_of_its_slices_stop_answering() {
+    let by_controller = (0..CONTROLLERS).map(hot_requests_at_cold_replica);
+    let (requests, own_requests) =
+        by_controller.max_by(|(one, _), (other, _)| one.total_cmp(other)).expect("there are controllers");
+    let warm_replica_rate = own_requests * f64::from(CONTROLLERS) / WARM_REPLICAS as f64;
+    // At an age of 7 s it can do 0.76 of that, and its budget is 0.55 of three times what it can do.
+    let budget = 0.55 * 3.0 * 0.76 * warm_replica_rate;
+    assert!(requests > 0.0, "no slice at the cold replica");
+    assert!(requests <= budget, "{requests} requests/s if its co-owners fail, budget {budget}");
+}
