A cold replica's budget holds the whole demand of slices that it shares with other owners

Cause: a slice of n owners was counted with 1/n at each. When the other owners answer late or refuse, requests are retried at the cold one, and it gets all.

Change: `failover_demand` counts a replica's slices in full, and must fit into the slow-start budget at each assignment. The expected demand, by shares, still must fit below what a warm replica answers.

Why it works: whatever the other owners do, the slices that were assigned do not bring more than the budget at the demand known then.

--- a/crates/policy/src/measure/load_estimates.rs
+++ b/crates/policy/src/measure/load_estimates.rs
@@ -118,6 +118,7 @@
             replica.load = 0.0;
             replica.demand = 0.0;
             replica.unshed_demand = 0.0;
+            replica.failover_demand = 0.0;
         }
         for (slice, measured) in self.slices.values_mut().zip(loads) {
             slice.load = measured.load;
@@ -129,6 +130,9 @@
                     replica.load += slice.load * share;
                     replica.demand += slice.demand * share;
                     replica.unshed_demand += slice.unshed_demand * share;
+                    if !slice.table.is_standby(&id) {
+                        replica.failover_demand += slice.unshed_demand;
+                    }
                 }
             }
         }
--- a/crates/policy/src/measure/shared_load.rs
+++ b/crates/policy/src/measure/shared_load.rs
@@ -52,6 +52,7 @@
             replica.shared_load.others_load = rate * (1.0 - retried);
             replica.demand += replica.shared_load.others_demand;
             replica.unshed_demand += replica.shared_load.others_demand;
+            replica.failover_demand += replica.shared_load.others_demand;
             replica.load += replica.shared_load.others_load;
         }
     }
--- a/crates/policy/src/measure/slow_start.rs
+++ b/crates/policy/src/measure/slow_start.rs
@@ -70,11 +70,14 @@
         replica.demand * replica.attempts_per_demand
     }
 
-    /// Returns true if a replica is warm, or if its slow-start budget has room for this demand. While demands are
-    /// unknown, none has room.
+    /// Returns true if a replica is warm, or if its slow-start budget has room for this demand, even if the other owners
+    /// of its slices fail. While demands are unknown, none has room.
     pub(crate) fn fits_slow_start_budget(&self, replica: &Replica, unshed_demand: f64) -> bool {
         let expected = replica.unshed_demand.max(replica.attempt_rate);
-        let has_room = || expected + unshed_demand <= self.assignable_rate(replica);
+        let has_room = || {
+            expected + unshed_demand <= self.assignable_rate(replica)
+                && replica.failover_demand + unshed_demand <= self.slow_start_budget(replica)
+        };
         !self.is_warming_up(replica) || (self.demands_are_known() && has_room())
     }
 
--- a/crates/policy/src/measure/table_changes.rs
+++ b/crates/policy/src/measure/table_changes.rs
@@ -46,7 +46,11 @@
                 replica.load += sign * slice.load * share;
                 replica.demand += sign * slice.demand * share;
                 replica.unshed_demand += sign * slice.unshed_demand * share;
-                replica.standby_count += if slice.table.is_standby(&replica_id) { sign } else { 0.0 };
+                if slice.table.is_standby(&replica_id) {
+                    replica.standby_count += sign;
+                } else {
+                    replica.failover_demand += sign * slice.unshed_demand;
+                }
             }
         }
         for replica_id in slice.table.desired.keys().chain(slice.table.applied.keys()) {
--- a/crates/policy/src/state/replica.rs
+++ b/crates/policy/src/state/replica.rs
@@ -89,6 +89,9 @@
     pub(crate) demand: f64,
     /// The requests per second for its slices, including all retries, if no load were shed.
     pub(crate) unshed_demand: f64,
+    /// The requests per second for its slices, including all retries, if no load were shed and their other owners
+    /// answered nothing.
+    pub(crate) failover_demand: f64,
     /// The attempts per second that proxies report while the replica is warming up, whatever slices cause them.
     pub(crate) attempt_rate: f64,
     /// The reported attempts as a multiple of the demand, as of the last estimate; at least 1.
@@ -140,6 +143,7 @@
             load: 0.0,
             demand: 0.0,
             unshed_demand: 0.0,
+            failover_demand: 0.0,
             attempt_rate: 0.0,
             attempts_per_demand: 1.0,
             service_rate: 1.0,
