No slice moves to a cold replica before reports say what its demand is

Cause: the check asked whether any reports had arrived for two periods. A controller that takes slices over from one that restarts passes it, though no report covers those slices yet: demand 0 fits everywhere.

Change: the demand of a slice is known once a report covers it, or after two periods and the lag of the reports without one (an idle slice has none). A cold replica gets no slice of unknown demand, and none while it has one. Pins and shared replicas ask the same question now (`can_accept_slice`).

Why it works: it asks for the slice that moves. And a controller that has just started need not wait two periods for slices that are reported already.

--- a/crates/policy/src/measure/report_timing.rs
+++ b/crates/policy/src/measure/report_timing.rs
@@ -4,12 +4,13 @@
 use crate::measure::windows::RECENT_WINDOW;
 use crate::state::controller::ControllerState;
 use crate::state::replica::Replica;
+use crate::state::slice::Slice;
 use crate::time::{Moment, Span};
 use crate::windowed_counter::WindowedCounter;
 
-/// The number of report periods after the first report until demands are known. The first report may cover only a
-/// part of its period.
-const PERIODS_UNTIL_DEMAND_IS_KNOWN: f64 = 2.0;
+/// The number of report periods, beside the lag of the reports, after which a slice that no report covers has no
+/// requests.
+const PERIODS_UNTIL_SLICE_IS_IDLE: f64 = 2.0;
 /// Lower bound of the time used as the divisor of a rate, in seconds.
 const MIN_RATE_SECONDS: f64 = 0.001;
 
@@ -46,15 +47,21 @@
         counter.sum(end, window) / window.seconds().max(MIN_RATE_SECONDS)
     }
 
-    /// Returns true if reports say what the slices' demands are: they have arrived for long enough, and they have not
-    /// ceased, which would look like a demand of 0. While aggregated reports are interrupted, the last estimates are
-    /// kept.
-    pub(crate) fn demands_are_known(&self) -> bool {
-        let settling_time = self.deployment.report_period.times(PERIODS_UNTIL_DEMAND_IS_KNOWN);
-        let have_settled = self.reporting.first_line_at.is_some_and(|at| self.now - at >= settling_time);
+    /// Returns true if reports say what a slice's demand is: one has covered it since it was granted, or they have
+    /// arrived for so long without one that it has no requests.
+    pub(crate) fn is_demand_known(&self, slice: &Slice) -> bool {
+        let Some(first_line_at) = self.reporting.first_line_at else { return false };
+        let is_covered = slice.admitted.newest_bucket_end() > slice.granted_at;
+        let idle_time = self.deployment.report_period.times(PERIODS_UNTIL_SLICE_IS_IDLE) + self.reporting.lag;
+        let is_idle = self.now - slice.granted_at.max(first_line_at) >= idle_time;
+        self.reports_arrive() && (is_covered || is_idle)
+    }
+
+    /// Returns false once reports have ceased, which would look like a demand of 0. While aggregated reports are
+    /// interrupted, the last estimates are kept.
+    pub(crate) fn reports_arrive(&self) -> bool {
         let window = RECENT_WINDOW + self.reporting.lag;
-        let still_arrive = || self.reporting.lines.sum(self.now, window) > 0.0;
-        have_settled && (self.reporting.flow == ReportFlow::Interrupted || still_arrive())
+        self.reporting.flow == ReportFlow::Interrupted || self.reporting.lines.sum(self.now, window) > 0.0
     }
 
     /// Returns true if reports on a replica are complete and recent enough to be compared with the expected
--- a/crates/policy/src/measure/slow_start.rs
+++ b/crates/policy/src/measure/slow_start.rs
@@ -71,14 +71,19 @@
     }
 
     /// Returns true if a replica is warm, or if its slow-start budget has room for this demand, even if the other owners
-    /// of its slices fail. While demands are unknown, none has room.
+    /// of its slices fail. While the demand of a slice there is unknown, it has no room.
     pub(crate) fn fits_slow_start_budget(&self, replica: &Replica, unshed_demand: f64) -> bool {
         let expected = replica.unshed_demand.max(replica.attempt_rate);
         let has_room = || {
             expected + unshed_demand <= self.assignable_rate(replica)
                 && replica.failover_demand + unshed_demand <= self.slow_start_budget(replica)
         };
-        !self.is_warming_up(replica) || (self.demands_are_known() && has_room())
+        !self.is_warming_up(replica) || (self.demands_are_known_at(replica) && has_room())
+    }
+
+    fn demands_are_known_at(&self, replica: &Replica) -> bool {
+        let mut slices = replica.slices.iter().filter_map(|id| self.slices.get(id));
+        self.reports_arrive() && slices.all(|slice| self.is_demand_known(slice))
     }
 
     /// Returns this controller's part of a replica, as a multiple of the part that each controller would have if
--- a/crates/policy/src/rules/overrides.rs
+++ b/crates/policy/src/rules/overrides.rs
@@ -190,7 +190,7 @@
             _ if slice.awaited_version.is_some() => Waiting("an earlier change is not acked yet"),
             _ if self.now - slice.settled_at < backoff => Waiting("it had to leave lately"),
             _ if replica.latency_ratio >= LOW_LATENCY_RATIO => Suspended("the server answers late"),
-            _ if !self.can_accept(replica, slice.load.max(slice.unshed_demand)) => {
+            _ if !self.can_accept_slice(replica, slice, slice.load) => {
                 Suspended("rule 4: the server is cold")
             }
             _ => MOVING_TO_PIN,
--- a/crates/policy/src/rules/placement.rs
+++ b/crates/policy/src/rules/placement.rs
@@ -38,6 +38,13 @@
             && self.fits_slow_start_budget(replica, unshed_demand)
     }
 
+    /// Returns true if a replica may get a slice of this load. A cold replica has to handle retries too, so the demand
+    /// counts there, not only the load, and it must be known.
+    pub(crate) fn can_accept_slice(&self, replica: &Replica, slice: &Slice, load: f64) -> bool {
+        let is_known = !self.is_warming_up(replica) || self.is_demand_known(slice);
+        is_known && self.can_accept(replica, load.max(slice.unshed_demand))
+    }
+
     /// Returns the destination for a slice that leaves another replica, for which `load` must be placed: the
     /// replica with the most headroom, otherwise the least utilized one. Unusable replicas are selected only if
     /// there is no usable one.
@@ -51,9 +58,7 @@
         let first = |ranking: &Ranking, accepts: &dyn Fn(&Replica) -> bool| {
             ranking.first(|id| !owns(id) && self.replicas.get(id).is_some_and(accepts))
         };
-        // A cold replica has to handle retries too, so the demand counts, not only the load.
-        let demand = load.max(slice.unshed_demand);
-        let accepts_slice = |replica: &Replica| self.can_accept(replica, demand);
+        let accepts_slice = |replica: &Replica| self.can_accept_slice(replica, slice, load);
         let with_headroom = first(&self.rankings.by_headroom, &|replica| {
             accepts_slice(replica) && self.is_preferred_if_shared(scope, replica, load)
         });
@@ -67,7 +72,9 @@
         match scope {
             DestinationScope::WithCapacity => usable,
             DestinationScope::AnyWarm => usable.or_else(warm),
-            DestinationScope::Any => usable.or_else(warm).or_else(|| self.least_over_budget(demand, &owns)),
+            DestinationScope::Any => {
+                usable.or_else(warm).or_else(|| self.least_over_budget(load.max(slice.unshed_demand), &owns))
+            }
         }
     }
 
--- a/crates/policy/src/rules/shared_replicas.rs
+++ b/crates/policy/src/rules/shared_replicas.rs
@@ -62,7 +62,7 @@
 
     fn may_return_to(&self, slice: &Slice, candidate: &ReplicaId) -> bool {
         let accepts_slice = |replica: &Replica| {
-            !replica.moved_this_round && self.can_accept(replica, slice.load.max(slice.unshed_demand))
+            !replica.moved_this_round && self.can_accept_slice(replica, slice, slice.load)
         };
         !slice.table.desired.contains_key(candidate)
             && self.replicas.get(candidate).is_some_and(accepts_slice)
