A cold replica leaves shared slices once a report shows more than it can answer

Cause: slices left a cold replica only when their mean demand of three seconds exceeded 1.2 times its budget, which is up to twice what a warm replica answers. In overload clients retry, the demand grows 2.5 to 4 times within 3 to 6 s, and reports are about a second late.

Change: as soon as the newest report period alone shows more than may be assigned to it, a cold replica leaves the slices that a usable warm replica owns too.

Why it works: the reaction comes one to two seconds earlier, needs no destination, and takes away the slices whose other owners fail over to it.

All of crates/policy passes.

--- a/crates/policy/src/measure/load_estimates.rs
+++ b/crates/policy/src/measure/load_estimates.rs
@@ -20,6 +20,7 @@
     load: f64,
     burst_load: f64,
     demand: f64,
+    newest_demand: f64,
     unshed_demand: f64,
 }
 
@@ -124,6 +125,7 @@
             slice.load = measured.load;
             slice.burst_load = measured.burst_load;
             slice.demand = measured.demand;
+            slice.newest_demand = measured.newest_demand;
             slice.unshed_demand = measured.unshed_demand;
             for (id, share) in slice.table.request_shares() {
                 if let Some(replica) = self.replicas.get_mut(&id) {
@@ -152,10 +154,12 @@
             |window| slice.refused.as_ref().map_or(0.0, |counter| self.request_rate(counter, window, since));
         let unshed = |window| admitted(window) + (1.0 - RETRIED_SHARE_OF_FAILURES) * refused(window);
         let load = |window| (admitted(window) - RETRIED_SHARE_OF_FAILURES * failed(window)).max(0.0);
+        let demand = admitted(BURST_WINDOW).max(admitted(LOAD_WINDOW));
         SliceLoad {
             load: load(LOAD_WINDOW),
             burst_load: load(BURST_WINDOW),
-            demand: admitted(BURST_WINDOW).max(admitted(LOAD_WINDOW)),
+            demand,
+            newest_demand: demand.max(admitted(self.deployment.report_period)),
             unshed_demand: unshed(BURST_WINDOW).max(unshed(LOAD_WINDOW)),
         }
     }
--- a/crates/policy/src/measure/slow_start.rs
+++ b/crates/policy/src/measure/slow_start.rs
@@ -4,6 +4,7 @@
 use crate::measure::windows::BURST_WINDOW;
 use crate::state::controller::ControllerState;
 use crate::state::replica::Replica;
+use crate::state::slice::Slice;
 
 /// A slow-start budget as a share of the load that would make the cold replica collapse (docs/design.md,
 /// Evacuation).
@@ -86,6 +87,14 @@
         self.reports_arrive() && slices.all(|slice| self.is_demand_known(slice))
     }
 
+    /// Returns true if the slices of a cold replica were last reported to bring more than may be assigned to it.
+    pub(crate) fn has_outgrown_assignable_rate(&self, id: ReplicaId, replica: &Replica) -> bool {
+        let newest_demand = |slice: &Slice| slice.newest_demand * slice.table.request_share(id);
+        let slices = || replica.slices.iter().filter_map(|slice| self.slices.get(slice));
+        self.is_warming_up(replica)
+            && slices().map(newest_demand).sum::<f64>() > self.assignable_rate(replica)
+    }
+
     /// Returns this controller's part of a replica, as a multiple of the part that each controller would have if
     /// the replica were divided evenly. A cold replica is assigned to a single controller by a draw that gives the
     /// same result at all controllers, because an even part of its budget would be less than most slices need.
--- a/crates/policy/src/rules/evacuation.rs
+++ b/crates/policy/src/rules/evacuation.rs
@@ -73,6 +73,8 @@
             if replica.is_some_and(|replica| replica.withdrawn || must_leave) {
                 self.mark_pending(id, Priority::Urgent);
             }
+        } else if let Some(cold) = from.filter(|from| self.must_leave_shared_slice(id, *from)) {
+            self.replace_owner(id, Some(cold), None, Priority::Urgent);
         } else if must_leave || replica.is_some_and(|replica| self.is_over_budget(replica)) {
             if let Some(to) = self.find_destination(slice, slice.load, scope) {
                 let from = from.unwrap_or(to);
@@ -95,6 +97,14 @@
         self.exceeds_budget(replica) && self.may_offload_cold_replica(replica)
     }
 
+    /// Returns true if a cold replica has outgrown what may be assigned to it and a usable warm replica owns the slice
+    /// too. No destination has to be found then, so the slice leaves before the replica exceeds its budget.
+    fn must_leave_shared_slice(&self, id: SliceId, from: ReplicaId) -> bool {
+        let is_usable_and_warm = |(_, owner): (ReplicaId, &Replica)| self.is_usable_and_warm(owner);
+        self.replicas.get(&from).is_some_and(|replica| self.has_outgrown_assignable_rate(from, replica))
+            && self.owners(&self.slices[&id]).any(is_usable_and_warm)
+    }
+
     fn exceeds_budget(&self, replica: &Replica) -> bool {
         replica.demand > self.slow_start_budget(replica) * MAX_BUDGET_OVERRUN
     }
--- a/crates/policy/src/state/routing_table.rs
+++ b/crates/policy/src/state/routing_table.rs
@@ -72,6 +72,11 @@
         self.desired.iter().map(move |(id, weight)| (*id, weight / total))
     }
 
+    /// Returns the share of the slice's requests that a replica gets.
+    pub(crate) fn request_share(&self, replica: ReplicaId) -> f64 {
+        self.request_shares().find(|(id, _)| *id == replica).map_or(0.0, |(_, share)| share)
+    }
+
     /// Returns the endpoints that are not standbys.
     pub(crate) fn owners(&self) -> impl Iterator<Item = ReplicaId> + '_ {
         self.desired.keys().copied().filter(|id| !self.is_standby(id))
--- a/crates/policy/src/state/slice.rs
+++ b/crates/policy/src/state/slice.rs
@@ -21,6 +21,8 @@
     pub burst_load: f64,
     /// The last estimate of requests per second including all retries, which is the load on the replica.
     pub demand: f64,
+    /// Like `demand`, over the newest report period if that is more: it shows growth early, with more noise.
+    pub newest_demand: f64,
     /// The last estimate of requests per second including all retries, if no load were shed.
     pub unshed_demand: f64,
     /// The time since which this controller has owned the slice.
@@ -61,6 +63,7 @@
             load: 0.0,
             burst_load: 0.0,
             demand: 0.0,
+            newest_demand: 0.0,
             unshed_demand: 0.0,
             granted_at: now,
             observed_since: Moment::default(),
