Notices about cold replicas in a module of their own; one list of channel commands

The notices of slow start stood in two modules beside the limits, each budget was computed twice per tick for them, and the actions that need the command channel were listed in two matches.

Change: `measure/slow_start_notices.rs` has the notices; the limits and their constants stand together in `measure/slow_start.rs`; `Action::needs_channel` replaces the second list. No behaviour changes.

--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -327,6 +327,11 @@
 }
 
 impl Action {
+    /// Returns true if the action is a command, which can only be carried out through the command channel.
+    pub fn needs_channel(&self) -> bool {
+        self.reaches_proxies() || matches!(self, Action::Sync { .. })
+    }
+
     /// Returns true if the action changes state held by the proxies.
     pub fn reaches_proxies(&self) -> bool {
         match self {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -107,18 +107,8 @@
     /// Takes the actions that do not need the command channel. They can be carried out while no command can be
     /// sent, so that a disconnected channel delays neither timers nor requests for the replica list.
     pub fn take_background_actions(&mut self) -> Vec<Action> {
-        let needs_channel = |action: &Action| {
-            !matches!(
-                action,
-                Action::RequestReplicaList
-                    | Action::StartTimer { .. }
-                    | Action::ReplicaEjected { .. }
-                    | Action::ColdReplicaAssigned { .. }
-                    | Action::ColdReplicaOverBudget { .. }
-            )
-        };
         let actions = std::mem::take(&mut self.state.actions);
-        let (commands, background) = actions.into_iter().partition(needs_channel);
+        let (commands, background) = actions.into_iter().partition(Action::needs_channel);
         self.state.actions = commands;
         background
     }
--- a/crates/policy/src/measure/mod.rs
+++ b/crates/policy/src/measure/mod.rs
@@ -8,5 +8,6 @@
 pub(crate) mod report_timing;
 pub(crate) mod shared_load;
 pub(crate) mod slow_start;
+pub(crate) mod slow_start_notices;
 pub(crate) mod table_changes;
 pub(crate) mod windows;
--- a/crates/policy/src/measure/slow_start.rs
+++ b/crates/policy/src/measure/slow_start.rs
@@ -1,6 +1,6 @@
 //! Slow start: limits on the load of a replica that is warming up.
 
-use crate::api::{Action, ReplicaId, SliceId, SlowStartBasis};
+use crate::api::ReplicaId;
 use crate::measure::windows::BURST_WINDOW;
 use crate::state::controller::ControllerState;
 use crate::state::replica::Replica;
@@ -9,6 +9,8 @@
 /// A slow-start budget as a share of the load that would make the cold replica collapse (docs/design.md,
 /// Evacuation).
 const SLOW_START_SAFETY_FACTOR: f64 = 0.55;
+/// The multiple of its slow-start budget that a cold replica's demand may reach before slices are moved away.
+const MAX_BUDGET_OVERRUN: f64 = 1.2;
 /// Lower bound of the warm-up time used as a divisor, in seconds.
 const MIN_WARM_UP_SECONDS: f64 = 0.1;
 
@@ -95,6 +97,11 @@
             && slices().map(newest_demand).sum::<f64>() > self.assignable_rate(replica)
     }
 
+    /// Returns true if a replica's demand exceeds this slow-start budget by so much that slices must leave it.
+    pub(crate) fn exceeds_budget(replica: &Replica, budget: f64) -> bool {
+        replica.demand > budget * MAX_BUDGET_OVERRUN
+    }
+
     /// Returns this controller's part of a replica, as a multiple of the part that each controller would have if
     /// the replica were divided evenly. A cold replica is assigned to a single controller by a draw that gives the
     /// same result at all controllers, because an even part of its budget would be less than most slices need.
@@ -118,40 +125,4 @@
         let budget_left = self.assignable_rate(replica) - replica.unshed_demand;
         self.averages.headroom(replica).min(budget_left)
     }
-
-    /// Returns the owners of a slice that are warming up.
-    pub(crate) fn cold_owners(&self, id: SliceId) -> Vec<ReplicaId> {
-        let Some(slice) = self.slices.get(&id) else { return Vec::new() };
-        let cold = self.owners(slice).filter(|(_, replica)| self.is_warming_up(replica));
-        cold.map(|(owner, _)| owner).collect()
-    }
-
-    /// Reports to observers which replicas have become owners of a slice while warming up.
-    pub(crate) fn report_cold_owners(&mut self, id: SliceId, previous: &[ReplicaId]) {
-        let added: Vec<_> =
-            self.cold_owners(id).into_iter().filter(|owner| !previous.contains(owner)).collect();
-        let reports: Vec<_> = added
-            .into_iter()
-            .filter_map(|replica| {
-                let basis = self.slow_start_basis(id, replica)?;
-                Some(Action::ColdReplicaAssigned { replica, slice: id, basis })
-            })
-            .collect();
-        self.actions.extend(reports);
-    }
-
-    fn slow_start_basis(&self, id: SliceId, owner: ReplicaId) -> Option<SlowStartBasis> {
-        let slice = self.slices.get(&id)?;
-        let replica = self.replicas.get(&owner)?;
-        let global_reduction = self.global_admission.applied.unwrap_or_default();
-        Some(SlowStartBasis {
-            age: self.now - replica.running_since.unwrap_or_default(),
-            slice_demand: slice.demand,
-            reduction: slice.applied_reduction.max(global_reduction),
-            owners: slice.table.owners().count(),
-            granted_for: self.now - slice.granted_at,
-            replica_demand: replica.demand,
-            budget: self.slow_start_budget(replica),
-        })
-    }
 }
--- a/crates/policy/src/rules/evacuation.rs
+++ b/crates/policy/src/rules/evacuation.rs
@@ -4,7 +4,7 @@
 //! This avoids requests to replicas that will not answer. A withdrawal is one line per replica, so standby
 //! endpoints take over long before every table has been rewritten.
 
-use crate::api::{Action, ReplicaId, SliceId};
+use crate::api::{ReplicaId, SliceId};
 use crate::rules::placement::DestinationScope;
 use crate::state::admission::HALTED_REDUCTION;
 use crate::state::controller::ControllerState;
@@ -14,9 +14,6 @@
 use crate::state::slice::Slice;
 use std::mem::take;
 
-/// The multiple of its slow-start budget that a cold replica's demand may reach before slices are moved away.
-const MAX_BUDGET_OVERRUN: f64 = 1.2;
-
 /// A slice that may have to leave a replica, or that has no endpoint.
 struct Departure {
     load: f64,
@@ -94,7 +91,8 @@
     }
 
     fn is_over_budget(&self, replica: &Replica) -> bool {
-        self.exceeds_budget(replica) && self.may_offload_cold_replica(replica)
+        Self::exceeds_budget(replica, self.slow_start_budget(replica))
+            && self.may_offload_cold_replica(replica)
     }
 
     /// Returns true if a cold replica has outgrown what may be assigned to it and a usable warm replica owns the slice
@@ -105,24 +103,6 @@
             && self.owners(&self.slices[&id]).any(is_usable_and_warm)
     }
 
-    fn exceeds_budget(&self, replica: &Replica) -> bool {
-        replica.demand > self.slow_start_budget(replica) * MAX_BUDGET_OVERRUN
-    }
-
-    /// Reports to observers the replicas that have begun to exceed their slow-start budgets.
-    fn report_over_budget(&mut self) {
-        let exceeding: Vec<_> = self.replicas.values().map(|replica| self.exceeds_budget(replica)).collect();
-        let budgets: Vec<_> = self.replicas.values().map(|replica| self.slow_start_budget(replica)).collect();
-        for (((id, replica), exceeds), budget) in self.replicas.iter_mut().zip(exceeding).zip(budgets) {
-            let began = exceeds && !replica.exceeds_budget;
-            replica.exceeds_budget = exceeds;
-            if began {
-                let demand = replica.demand;
-                self.actions.push(Action::ColdReplicaOverBudget { replica: *id, demand, budget });
-            }
-        }
-    }
-
     /// Replaces a standby, which must be usable and warm. A withdrawn standby is harmless, so it is kept while
     /// more urgent commands are pending.
     fn replace_standby(&mut self, id: SliceId, standby: ReplicaId) {
