One place each for a slice's load at a replica, for known demands and for starting tests

Cause: on a second reading the change since had written things twice: - a slice's load was added to a replica in two loops, which every new estimate had to extend (refresh of the estimates, change of a table); - whether reports arrive was summed anew for each slice of each candidate; - the start of the program in cold_replicas.rs stood in faults.rs and in `ControllerProcess::start_with` too; - tests of slow start repeated their setup and a search for the cold replica's slices.

Change: `Replica::add_slice_load`; `are_demands_known` asks once whether reports arrive, and only where the budget has room; whether a slice has a warm owner is asked before the cold one's newest demand is summed; `ControllerProcess::start_at`; two functions in slow_start.rs. Behaviour and assertions are the same: the conditions have no side effects, and the sums have the same terms in the same order.

--- a/crates/controller/tests/cold_replicas.rs
+++ b/crates/controller/tests/cold_replicas.rs
@@ -4,12 +4,11 @@
 mod support;
 
 use rustix::process::Signal;
-use serde_json::json;
 use std::collections::BTreeMap;
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use support::fake_fleet::FakeFleet;
-use support::{command, example_config, ConfigFile, ControllerProcess};
+use support::ControllerProcess;
 
 /// The interval of collectors' reports, and the window that each covers.
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
@@ -78,12 +77,7 @@
 }
 
 fn start_controller(fleet: &FakeFleet) -> ControllerProcess {
-    let mut file = example_config();
-    file["distributor"]["address"] = json!(fleet.relay.to_string());
-    let file = ConfigFile::write(&file.to_string());
-    let mut command = command(&file);
-    command.env("PROXY_DISCOVERY", fleet.discovery.to_string());
-    let mut controller = ControllerProcess::spawn(command, file);
+    let mut controller = ControllerProcess::start_at(fleet.relay, fleet.discovery, |_| {});
     controller.wait_for_log("relay snapshot complete");
     controller
 }
--- a/crates/controller/tests/faults.rs
+++ b/crates/controller/tests/faults.rs
@@ -4,13 +4,12 @@
 
 mod support;
 
-use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use support::fake_fleet::FakeFleet;
-use support::{command, example_config, ConfigFile, ControllerProcess};
+use support::ControllerProcess;
 use whinwall_fault_injection::proxy::{forward, FaultSource, InjectionLog};
 use whinwall_fault_injection::schedule;
 
@@ -82,12 +81,9 @@
 /// connections.
 fn recovery_time(relay_faults: &str, discovery_faults: &str) -> Duration {
     let fleet = FakeFleet::start(4, 24, 3);
-    let mut file = example_config();
-    file["distributor"]["address"] = json!(start_fault_proxy(fleet.relay, relay_faults).to_string());
-    let file = ConfigFile::write(&file.to_string());
-    let mut command = command(&file);
-    command.env("PROXY_DISCOVERY", start_fault_proxy(fleet.discovery, discovery_faults).to_string());
-    let mut program = ControllerProcess::spawn(command, file);
+    let relay = start_fault_proxy(fleet.relay, relay_faults);
+    let discovery = start_fault_proxy(fleet.discovery, discovery_faults);
+    let mut program = ControllerProcess::start_at(relay, discovery, |_| {});
     fleet.set_listed_state(2, "leaving", 0);
     let duration = fleet.wait_until_unused("s-2");
     // The controller still runs and accepts connections.
--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -249,12 +249,17 @@
     }
 
     pub fn start_with(relay: &FakeRelay, discovery: &FakeDiscovery, change: impl Fn(&mut Value)) -> Self {
+        ControllerProcess::start_at(relay.address, discovery.address, change)
+    }
+
+    /// Starts the process with these addresses of the relay and of the discovery agent.
+    pub fn start_at(relay: SocketAddr, discovery: SocketAddr, change: impl Fn(&mut Value)) -> Self {
         let mut file = example_config();
-        file["distributor"]["address"] = json!(relay.address.to_string());
+        file["distributor"]["address"] = json!(relay.to_string());
         change(&mut file);
         let file = ConfigFile::write(&file.to_string());
         let mut command = command(&file);
-        command.env("PROXY_DISCOVERY", discovery.address.to_string());
+        command.env("PROXY_DISCOVERY", discovery.to_string());
         ControllerProcess::spawn(command, file)
     }
 
--- a/crates/policy/src/measure/load_estimates.rs
+++ b/crates/policy/src/measure/load_estimates.rs
@@ -129,12 +129,7 @@
             slice.unshed_demand = measured.unshed_demand;
             for (id, share) in slice.table.request_shares() {
                 if let Some(replica) = self.replicas.get_mut(&id) {
-                    replica.load += slice.load * share;
-                    replica.demand += slice.demand * share;
-                    replica.unshed_demand += slice.unshed_demand * share;
-                    if !slice.table.is_standby(&id) {
-                        replica.failover_demand += slice.unshed_demand;
-                    }
+                    replica.add_slice_load(id, slice, share, 1.0);
                 }
             }
         }
--- a/crates/policy/src/measure/report_timing.rs
+++ b/crates/policy/src/measure/report_timing.rs
@@ -47,19 +47,24 @@
         counter.sum(end, window) / window.seconds().max(MIN_RATE_SECONDS)
     }
 
-    /// Returns true if reports say what a slice's demand is: one has covered it since it was granted, or they have
-    /// arrived for so long without one that it has no requests.
-    pub(crate) fn is_demand_known(&self, slice: &Slice) -> bool {
+    /// Returns true if reports say what the demand of each of these slices is.
+    pub(crate) fn are_demands_known<'a>(&self, mut slices: impl Iterator<Item = &'a Slice>) -> bool {
+        self.reports_arrive() && slices.all(|slice| self.is_covered_or_idle(slice))
+    }
+
+    /// Returns true if a report has covered a slice since it was granted, or if reports have arrived for so long without
+    /// one that it has no requests.
+    fn is_covered_or_idle(&self, slice: &Slice) -> bool {
         let Some(first_line_at) = self.reporting.first_line_at else { return false };
         let is_covered = slice.admitted.newest_bucket_end() > slice.granted_at;
         let idle_time = self.deployment.report_period.times(PERIODS_UNTIL_SLICE_IS_IDLE) + self.reporting.lag;
         let is_idle = self.now - slice.granted_at.max(first_line_at) >= idle_time;
-        self.reports_arrive() && (is_covered || is_idle)
+        is_covered || is_idle
     }
 
     /// Returns false once reports have ceased, which would look like a demand of 0. While aggregated reports are
     /// interrupted, the last estimates are kept.
-    pub(crate) fn reports_arrive(&self) -> bool {
+    fn reports_arrive(&self) -> bool {
         let window = RECENT_WINDOW + self.reporting.lag;
         self.reporting.flow == ReportFlow::Interrupted || self.reporting.lines.sum(self.now, window) > 0.0
     }
--- a/crates/policy/src/measure/slow_start.rs
+++ b/crates/policy/src/measure/slow_start.rs
@@ -81,20 +81,18 @@
             expected + unshed_demand <= self.assignable_rate(replica)
                 && replica.failover_demand + unshed_demand <= self.slow_start_budget(replica)
         };
-        !self.is_warming_up(replica) || (self.demands_are_known_at(replica) && has_room())
+        !self.is_warming_up(replica) || (has_room() && self.are_demands_known(self.slices_at(replica)))
     }
 
-    fn demands_are_known_at(&self, replica: &Replica) -> bool {
-        let mut slices = replica.slices.iter().filter_map(|id| self.slices.get(id));
-        self.reports_arrive() && slices.all(|slice| self.is_demand_known(slice))
+    fn slices_at<'a>(&'a self, replica: &'a Replica) -> impl Iterator<Item = &'a Slice> {
+        replica.slices.iter().filter_map(|id| self.slices.get(id))
     }
 
     /// Returns true if the slices of a cold replica were last reported to bring more than may be assigned to it.
     pub(crate) fn has_outgrown_assignable_rate(&self, id: ReplicaId, replica: &Replica) -> bool {
         let newest_demand = |slice: &Slice| slice.newest_demand * slice.table.request_share(id);
-        let slices = || replica.slices.iter().filter_map(|slice| self.slices.get(slice));
         self.is_warming_up(replica)
-            && slices().map(newest_demand).sum::<f64>() > self.assignable_rate(replica)
+            && self.slices_at(replica).map(newest_demand).sum::<f64>() > self.assignable_rate(replica)
     }
 
     /// Returns true if a replica's demand exceeds this slow-start budget by so much that slices must leave it.
--- a/crates/policy/src/measure/table_changes.rs
+++ b/crates/policy/src/measure/table_changes.rs
@@ -43,14 +43,8 @@
         let sign = change.sign();
         for (replica_id, share) in slice.table.request_shares() {
             if let Some(replica) = self.replicas.get_mut(&replica_id) {
-                replica.load += sign * slice.load * share;
-                replica.demand += sign * slice.demand * share;
-                replica.unshed_demand += sign * slice.unshed_demand * share;
-                if slice.table.is_standby(&replica_id) {
-                    replica.standby_count += sign;
-                } else {
-                    replica.failover_demand += sign * slice.unshed_demand;
-                }
+                replica.add_slice_load(replica_id, slice, share, sign);
+                replica.standby_count += if slice.table.is_standby(&replica_id) { sign } else { 0.0 };
             }
         }
         for replica_id in slice.table.desired.keys().chain(slice.table.applied.keys()) {
--- a/crates/policy/src/rules/evacuation.rs
+++ b/crates/policy/src/rules/evacuation.rs
@@ -99,8 +99,11 @@
     /// too. No destination has to be found then, so the slice leaves before the replica exceeds its budget.
     fn must_leave_shared_slice(&self, id: SliceId, from: ReplicaId) -> bool {
         let is_usable_and_warm = |(_, owner): (ReplicaId, &Replica)| self.is_usable_and_warm(owner);
-        self.replicas.get(&from).is_some_and(|replica| self.has_outgrown_assignable_rate(from, replica))
-            && self.owners(&self.slices[&id]).any(is_usable_and_warm)
+        self.owners(&self.slices[&id]).any(is_usable_and_warm)
+            && self
+                .replicas
+                .get(&from)
+                .is_some_and(|replica| self.has_outgrown_assignable_rate(from, replica))
     }
 
     /// Replaces a standby, which must be usable and warm. A withdrawn standby is harmless, so it is kept while
--- a/crates/policy/src/rules/placement.rs
+++ b/crates/policy/src/rules/placement.rs
@@ -8,6 +8,7 @@
 use crate::state::routing_table::{SliceMove, FULL_WEIGHT};
 use crate::state::slice::Slice;
 use crate::time::Span;
+use std::iter;
 
 /// A replica that started less than this ago accepts one slice per round (docs/design.md, The ordinary path).
 const RECENT_START_PERIOD: Span = Span::ms(30_000);
@@ -41,7 +42,7 @@
     /// Returns true if a replica may get a slice of this load. A cold replica has to handle retries too, so the demand
     /// counts there, not only the load, and it must be known.
     pub(crate) fn can_accept_slice(&self, replica: &Replica, slice: &Slice, load: f64) -> bool {
-        let is_known = !self.is_warming_up(replica) || self.is_demand_known(slice);
+        let is_known = !self.is_warming_up(replica) || self.are_demands_known(iter::once(slice));
         is_known && self.can_accept(replica, load.max(slice.unshed_demand))
     }
 
--- a/crates/policy/src/state/replica.rs
+++ b/crates/policy/src/state/replica.rs
@@ -1,10 +1,11 @@
 //! A replica as known to this controller: its listed properties, its reports, and the decisions made about it.
 
-use crate::api::{ReplicaListing, ReplicaState, SliceId, SubsetMembership, ZoneId};
+use crate::api::{ReplicaId, ReplicaListing, ReplicaState, SliceId, SubsetMembership, ZoneId};
 use crate::random::Random;
 use crate::state::recent_counter::LONGEST_LOOKBACK;
 use crate::state::replica_reports::{RecentCounts, ReplicaReports};
 use crate::state::shared_load::SharedLoad;
+use crate::state::slice::Slice;
 use crate::time::{Moment, Span};
 use std::collections::BTreeSet;
 
@@ -198,6 +199,16 @@
         self.clear_reports();
     }
 
+    /// Adds `sign` times a slice's estimated load to the replica's, according to its part in the slice's table.
+    pub(crate) fn add_slice_load(&mut self, id: ReplicaId, slice: &Slice, share: f64, sign: f64) {
+        self.load += sign * slice.load * share;
+        self.demand += sign * slice.demand * share;
+        self.unshed_demand += sign * slice.unshed_demand * share;
+        if !slice.table.is_standby(&id) {
+            self.failover_demand += sign * slice.unshed_demand;
+        }
+    }
+
     /// Returns true if the replica is not listed, no table names it, and no report on it is recent enough for any
     /// rule.
     pub(crate) fn is_removable(&self, now: Moment) -> bool {
--- a/crates/policy/tests/slow_start.rs
+++ b/crates/policy/tests/slow_start.rs
@@ -40,12 +40,22 @@
     fleet.list_replica(replica);
 }
 
-#[test]
-fn owner_that_is_warming_up_is_reported_with_what_is_known_of_its_slice() {
+/// An even fleet in which a replica drains and one that has been running for `age_ms` was added, a second later.
+fn even_fleet_after_drain(age_ms: u64) -> Fleet {
     let mut fleet = even_fleet();
-    add_cold_replica(&mut fleet, 4000);
+    add_cold_replica(&mut fleet, age_ms);
     drain(&mut fleet, 0);
     fleet.advance(1000);
+    fleet
+}
+
+fn slices_at_cold_replica(fleet: &Fleet) -> Vec<SliceId> {
+    fleet.store.keys().copied().filter(|slice| owners_of(fleet, *slice).contains(&COLD)).collect()
+}
+
+#[test]
+fn owner_that_is_warming_up_is_reported_with_what_is_known_of_its_slice() {
+    let fleet = even_fleet_after_drain(4000);
     let assigned = fleet.log.iter().find_map(|action| match action {
         Action::ColdReplicaAssigned { replica: COLD, slice, basis } => Some((*slice, *basis)),
         _ => None,
@@ -60,10 +70,7 @@
 
 #[test]
 fn cold_replica_that_exceeds_its_budget_is_reported_once() {
-    let mut fleet = even_fleet();
-    add_cold_replica(&mut fleet, 0);
-    drain(&mut fleet, 0);
-    fleet.advance(1000);
+    let mut fleet = even_fleet_after_drain(0);
     let slice = *fleet.store.iter().find(|(_, table)| table.contains_key(&COLD)).expect("a slice moved").0;
     fleet.request_rates.insert(slice, 20.0);
     fleet.advance(4000);
@@ -119,8 +126,11 @@
     fleet.advance(3000);
     drain(&mut fleet, 0);
     fleet.advance(1000);
-    let slices = fleet.store.keys().filter(|slice| owners_of(&fleet, **slice).contains(&COLD)).count();
-    assert_eq!(slices, 0, "slices at a replica with a budget of 12 requests/s or less that already gets 40");
+    assert_eq!(
+        slices_at_cold_replica(&fleet).len(),
+        0,
+        "slices at a replica with a budget of 12 requests/s or less that already gets 40"
+    );
 }
 
 #[test]
@@ -131,8 +141,7 @@
     add_cold_replica(&mut fleet, 0);
     drain(&mut fleet, 0);
     fleet.advance(1000);
-    let slices = fleet.store.keys().filter(|slice| owners_of(&fleet, **slice).contains(&COLD)).count();
-    assert_eq!(slices, 0, "slices of unknown demand at a cold replica");
+    assert_eq!(slices_at_cold_replica(&fleet).len(), 0, "slices of unknown demand at a cold replica");
 }
 
 /// One of five controllers, with a slice on each of `WARM_REPLICAS`.
@@ -153,10 +162,6 @@
     fleet
 }
 
-fn slices_at_cold_replica(fleet: &Fleet) -> Vec<SliceId> {
-    fleet.store.keys().copied().filter(|slice| owners_of(fleet, *slice).contains(&COLD)).collect()
-}
-
 /// The requests per second of the slices of the cold replica, whatever their other owners do.
 fn requests_for_cold_replica(fleet: &Fleet) -> f64 {
     slices_at_cold_replica(fleet).iter().map(|slice| fleet.request_rates[slice]).sum()
