Log of a cold replica over its budget: age, attempts, heaviest slice and its demand before

When a cold replica exceeded its budget the log had its demand and its budget only. Whether one slice came into demand, retries multiplied, or owners were lost could not be told from it.

Change: "cold replica over budget" also has the age of the replica, the attempts that proxies reported, the number of its slices, and of the heaviest one its demand now, its demand when its owners last changed, the time since, and the number of owners. The notice carries a type of its own.

Result: decisions are unchanged. Tests of policy and routing pass; the test of the notice checks the new fields.

--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -300,10 +300,8 @@
     ColdReplicaOverBudget {
         /// The replica that is warming up.
         replica: ReplicaId,
-        /// The requests per second at the replica, as estimated.
-        demand: f64,
-        /// The requests per second that the replica may be sent.
-        budget: f64,
+        /// What is known of its load.
+        load: ColdReplicaLoad,
     },
 }
 
@@ -326,6 +324,38 @@
     pub budget: f64,
 }
 
+/// What is known of a replica that is warming up when its demand exceeds its slow-start budget.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdReplicaLoad {
+    /// The time since the start of the replica.
+    pub age: Span,
+    /// The requests per second at the replica, as estimated.
+    pub demand: f64,
+    /// The attempts per second that proxies reported, whatever slices caused them.
+    pub attempts: f64,
+    /// The requests per second that the replica may be sent.
+    pub budget: f64,
+    /// The number of slices that the replica owns.
+    pub slices: usize,
+    /// The slice with the highest demand of those.
+    pub heaviest: Option<HeaviestSlice>,
+}
+
+/// The slice with the highest demand of a replica that is warming up.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HeaviestSlice {
+    /// The slice.
+    pub slice: SliceId,
+    /// The requests per second of the slice, as estimated.
+    pub demand: f64,
+    /// The estimate when its owners last changed.
+    pub demand_at_change: f64,
+    /// The time since its owners last changed.
+    pub unchanged_for: Span,
+    /// The number of its owners.
+    pub owners: usize,
+}
+
 impl Action {
     /// Returns true if the action is a command, which can only be carried out through the command channel.
     pub fn needs_channel(&self) -> bool {
--- a/crates/policy/src/measure/slow_start_notices.rs
+++ b/crates/policy/src/measure/slow_start_notices.rs
@@ -1,7 +1,9 @@
 //! Notices to observers about replicas that are warming up.
 
-use crate::api::{Action, ReplicaId, SliceId, SlowStartBasis};
+use crate::api::{Action, ColdReplicaLoad, HeaviestSlice, ReplicaId, SliceId, SlowStartBasis};
 use crate::state::controller::ControllerState;
+use crate::state::replica::Replica;
+use crate::state::slice::Slice;
 
 impl ControllerState {
     /// Returns the owners of a slice that are warming up.
@@ -42,15 +44,39 @@
 
     /// Reports to observers the replicas that have begun to exceed their slow-start budgets.
     pub(crate) fn report_over_budget(&mut self) {
-        let budgets: Vec<f64> =
-            self.replicas.values().map(|replica| self.slow_start_budget(replica)).collect();
-        for ((id, replica), budget) in self.replicas.iter_mut().zip(budgets) {
-            let demand = replica.demand;
-            let exceeds = Self::exceeds_budget(replica, budget);
-            if exceeds && !replica.exceeds_budget {
-                self.actions.push(Action::ColdReplicaOverBudget { replica: *id, demand, budget });
-            }
-            replica.exceeds_budget = exceeds;
+        let loads: Vec<_> =
+            self.replicas.iter().map(|(id, replica)| self.load_over_budget(*id, replica)).collect();
+        for ((id, replica), load) in self.replicas.iter_mut().zip(loads) {
+            let notice = load.filter(|_| !replica.exceeds_budget);
+            self.actions.extend(notice.map(|load| Action::ColdReplicaOverBudget { replica: *id, load }));
+            replica.exceeds_budget = load.is_some();
         }
     }
+
+    /// Returns what is known of the load of a replica that exceeds its slow-start budget.
+    fn load_over_budget(&self, id: ReplicaId, replica: &Replica) -> Option<ColdReplicaLoad> {
+        let budget = self.slow_start_budget(replica);
+        Self::exceeds_budget(replica, budget).then(|| ColdReplicaLoad {
+            age: self.now - replica.running_since.unwrap_or_default(),
+            demand: replica.demand,
+            attempts: replica.attempt_rate,
+            budget,
+            slices: replica.slices.len(),
+            heaviest: self.heaviest_slice(id, replica),
+        })
+    }
+
+    fn heaviest_slice(&self, owner: ReplicaId, replica: &Replica) -> Option<HeaviestSlice> {
+        let demand_there = |slice: &Slice| slice.demand * slice.table.request_share(owner);
+        let slices = replica.slices.iter().filter_map(|id| Some((*id, self.slices.get(id)?)));
+        let heaviest =
+            slices.max_by(|(_, one), (_, other)| demand_there(one).total_cmp(&demand_there(other)));
+        heaviest.map(|(id, slice)| HeaviestSlice {
+            slice: id,
+            demand: slice.demand,
+            demand_at_change: slice.demand_at_change,
+            unchanged_for: self.now - slice.owners_changed_at,
+            owners: slice.table.owners().count(),
+        })
+    }
 }
--- a/crates/policy/src/measure/table_changes.rs
+++ b/crates/policy/src/measure/table_changes.rs
@@ -83,6 +83,8 @@
         self.replace_endpoint(id, from, to, priority);
         if let Some(slice) = self.slices.get_mut(&id) {
             slice.settled_at = self.now;
+            slice.owners_changed_at = self.now;
+            slice.demand_at_change = slice.demand;
         }
     }
 }
--- a/crates/policy/src/state/slice.rs
+++ b/crates/policy/src/state/slice.rs
@@ -39,6 +39,10 @@
     pub awaited_version: Option<u16>,
     /// The time at which the table last changed, or at which that change was acknowledged.
     pub settled_at: Moment,
+    /// The time at which the owners last changed.
+    pub owners_changed_at: Moment,
+    /// The demand when the owners last changed.
+    pub demand_at_change: f64,
     /// The moves to the replica that the slice is pinned to.
     pub pin_moves: PinMoves,
     /// The time since which requests are held back for a change of owner, under single writer.
@@ -72,6 +76,8 @@
             applied_reduction: 0.0,
             awaited_version: None,
             settled_at: now,
+            owners_changed_at: now,
+            demand_at_change: 0.0,
             pin_moves: PinMoves::default(),
             halted_at: None,
         }
--- a/crates/policy/tests/slow_start.rs
+++ b/crates/policy/tests/slow_start.rs
@@ -78,11 +78,15 @@
         .log
         .iter()
         .filter_map(|action| match action {
-            Action::ColdReplicaOverBudget { replica: COLD, demand, budget } => Some((*demand, *budget)),
+            Action::ColdReplicaOverBudget { replica: COLD, load } => Some(*load),
             _ => None,
         })
         .collect();
-    assert!(matches!(over_budget[..], [(demand, budget)] if demand > budget), "{over_budget:?}");
+    let [load] = over_budget[..] else { panic!("{over_budget:?}") };
+    assert!(load.demand > load.budget, "{load:?}");
+    let heaviest = load.heaviest.expect("the replica owns a slice");
+    assert_eq!((heaviest.slice, load.slices, heaviest.owners), (slice, 1, 1));
+    assert!(heaviest.demand_at_change < 3.0 && heaviest.demand > 3.0, "{heaviest:?}");
 }
 
 /// Reports one second of six overloaded replicas, which answer four requests each in nine tenths of the target
--- a/crates/routing/src/log_event.rs
+++ b/crates/routing/src/log_event.rs
@@ -4,7 +4,7 @@
 use crate::source_failures::Source;
 use std::fmt;
 use whinwall_overrides::StoreEvent;
-use whinwall_policy::api::{ChannelLoad, SliceId, SlowStartBasis};
+use whinwall_policy::api::{ChannelLoad, ColdReplicaLoad, HeaviestSlice, SliceId, SlowStartBasis};
 use whinwall_policy::time::Span;
 
 /// Identifies one attempt of a relay request in the log.
@@ -140,10 +140,8 @@
     ColdReplicaOverBudget {
         /// The name of the replica.
         replica: String,
-        /// The requests per second at the replica, as estimated.
-        demand: f64,
-        /// The requests per second that the replica may be sent.
-        budget: f64,
+        /// What is known of its load.
+        load: ColdReplicaLoad,
     },
     /// Aggregated reports are stale; routing tables and admission rates stay unchanged.
     ReportsStale {
@@ -216,9 +214,7 @@
                 write!(f, "slice assigned to cold replica replica={replica} slice={slice}")?;
                 write_slow_start_basis(f, basis)
             }
-            LogEvent::ColdReplicaOverBudget { replica, demand, budget } => {
-                write!(f, "cold replica over budget replica={replica} demand={demand:.1} budget={budget:.1}")
-            }
+            LogEvent::ColdReplicaOverBudget { replica, load } => write_cold_replica_load(f, replica, load),
             LogEvent::ReportsStale { silence } => {
                 write!(f, "reports stale silence_s={:.0}", silence.seconds())
             }
@@ -245,3 +241,19 @@
         granted_for.seconds()
     )
 }
+
+fn write_cold_replica_load(f: &mut fmt::Formatter, replica: &str, load: &ColdReplicaLoad) -> fmt::Result {
+    let ColdReplicaLoad { age, demand, attempts, budget, slices, heaviest } = load;
+    write!(
+        f,
+        "cold replica over budget replica={replica} demand={demand:.1} budget={budget:.1} age_s={:.1} attempts={attempts:.1} slices={slices}",
+        age.seconds()
+    )?;
+    let Some(heaviest) = heaviest else { return Ok(()) };
+    let HeaviestSlice { slice, demand, demand_at_change, unchanged_for, owners } = heaviest;
+    write!(
+        f,
+        " slice={slice} slice_demand={demand:.1} demand_at_change={demand_at_change:.1} unchanged_s={:.1} owners={owners}",
+        unchanged_for.seconds()
+    )
+}
--- a/crates/routing/src/reducer/relay_commands.rs
+++ b/crates/routing/src/reducer/relay_commands.rs
@@ -238,9 +238,9 @@
                 self.log(LogEvent::ColdReplicaAssigned { replica, slice, basis });
                 return None;
             }
-            Action::ColdReplicaOverBudget { replica, demand, budget } => {
+            Action::ColdReplicaOverBudget { replica, load } => {
                 let replica = self.names.name(replica)?;
-                self.log(LogEvent::ColdReplicaOverBudget { replica, demand, budget });
+                self.log(LogEvent::ColdReplicaOverBudget { replica, load });
                 return None;
             }
         })
