--- a/crates/controller/tests/cold_replicas.rs
+++ b/crates/controller/tests/cold_replicas.rs
@@ -71,8 +71,24 @@
 
     /// The requests per second that a replica is sent according to the stored tables.
     fn load(&self, replica: &str) -> f64 {
+        self.load_at(&self.rates, replica)
+    }
+
+    /// The requests per second that a replica is sent if the slices have these rates.
+    fn load_at(&self, rates: &[f64], replica: &str) -> f64 {
         let share = |slice| self.shares(slice).into_iter().find(|(name, _)| name == replica);
-        self.rates.iter().enumerate().filter_map(|(slice, rate)| Some(rate * share(slice)?.1)).sum()
+        rates.iter().enumerate().filter_map(|(slice, rate)| Some(rate * share(slice)?.1)).sum()
+    }
+
+    /// The highest load of a replica if any one slice comes into as much demand as the busiest one has.
+    fn load_with_a_slice_in_demand(&self, replica: &str) -> f64 {
+        let highest = self.rates.iter().copied().fold(0.0, f64::max);
+        let with_demand = |slice| {
+            let mut rates = self.rates.clone();
+            rates[slice] = highest;
+            self.load_at(&rates, replica)
+        };
+        (0..self.rates.len()).map(with_demand).fold(0.0, f64::max)
     }
 }
 
@@ -129,3 +145,18 @@
         "{load} requests/s, a replica that has just started collapses at {collapse_load}"
     );
 }
+
+#[test]
+fn returned_replica_does_not_collapse_when_a_slice_comes_into_demand_while_others_have_room() {
+    let owners = [0, 0, 1, 2, 2, 3, 3, 4, 4];
+    let test = ColdReplicaTest::start(6, &owners, &[4.0, 4.0, 30.0, 4.0, 4.0, 4.0, 4.0, 4.0, 4.0]);
+    test.report(5);
+    test.fleet.set_listed_state(5, "active", wall_clock_ms_ago(Duration::from_secs(5)));
+    test.fleet.set_listed_state(0, "leaving", 0);
+    test.fleet.wait_until_unused("s-0");
+    // After 5 s of 15 it can do 0.47 of what a warm one can, and collapses at three times that.
+    let mean_of_warm_replicas = test.rates.iter().sum::<f64>() / 5.0;
+    let collapse_load = 3.0 * 0.47 * mean_of_warm_replicas;
+    let load = test.load_with_a_slice_in_demand("s-5");
+    assert!(load <= collapse_load, "{load} requests/s, the replica collapses at {collapse_load}");
+}
--- a/crates/policy/tests/slow_start.rs
+++ b/crates/policy/tests/slow_start.rs
@@ -90,15 +90,15 @@
 }
 
 /// Reports one second of six overloaded replicas, which answer four requests each in nine tenths of the target
-/// latency. Slice n of replica n gets 18 requests, slice 10 of replica 0 gets ten of the class that is shed first.
-fn report_overload(policy: &mut Policy, second: u64) -> Vec<Action> {
+/// latency. Slice n of replica n gets 18 requests, slice 10 of replica 0 some of the class that is shed first.
+fn report_overload(policy: &mut Policy, second: u64, requests_for_slice_10: f64) -> Vec<Action> {
     let (now, window) = (at_ms(second * 1000), Span::ms(1000));
     let mut report_demand = |slice, request_class, requests| {
         policy.demand_reported(now, slice, DemandReport { request_class, window, requests, failed: 0.0 });
     };
     (0..6).for_each(|slice| report_demand(slice, 0, 16.0));
     (0..6).for_each(|slice| report_demand(slice, 1, 2.0));
-    report_demand(10, 0, 10.0);
+    report_demand(10, 0, requests_for_slice_10);
     for replica in 0..6 {
         let mean_latency = Span::ms(900);
         let report = EndpointReport { zone: 0, window, attempts: 4.0, failed: 0.0, mean_latency };
@@ -111,16 +111,51 @@
 fn demand_that_was_shed_counts_when_a_slice_moves_to_a_cold_replica() {
     let mut policy = policy_with_replicas(deployment(), 6);
     policy.slice_granted(at_ms(0), 10, &[(0, 1.0)]);
-    let shed: Vec<_> = (1..18).flat_map(|second| report_overload(&mut policy, second)).collect();
+    let shed: Vec<_> = (1..18).flat_map(|second| report_overload(&mut policy, second, 10.0)).collect();
     assert!(shed.iter().any(|action| reduces_admission(action, Some(10), 1)), "nothing was shed");
     let changes = [listing(COLD, ReplicaState::Ready, 15_000), listing(0, ReplicaState::Draining, 0)];
     policy.replicas_listed(at_ms(18_000), ListScope::Changes, &changes);
-    let moves = report_overload(&mut policy, 18);
+    let moves = report_overload(&mut policy, 18, 10.0);
     let to_cold = |action: &Action| matches!(action, Action::SetEndpoint { slice: 10, replica: COLD, weight } if *weight >= 1.0);
     // It can do 0.44 of the four requests that the others answer, and collapses at three times that.
     assert!(!moves.iter().any(to_cold), "a cold replica is sent 10 requests/s, of which 9 were shed before");
 }
 
+/// The last admission rate that was sent for a request class of a slice.
+fn last_admission_rate(actions: &[Action], slice: SliceId, class_mask: u64) -> Option<f64> {
+    let rate = |action: &Action| match action {
+        Action::SetAdmission { slice: Some(id), request_classes, admission_rate, .. }
+            if *id == slice && (*request_classes == 0 || request_classes & class_mask > 0) =>
+        {
+            Some(*admission_rate)
+        }
+        _ => None,
+    };
+    actions.iter().rev().find_map(rate)
+}
+
+#[test]
+fn requests_shed_before_a_slice_moved_to_a_cold_replica_are_not_all_admitted_there_at_once() {
+    let requests = 10.0;
+    let mut policy = policy_with_replicas(deployment(), 6);
+    policy.slice_granted(at_ms(0), 10, &[(0, 1.0)]);
+    let mut actions: Vec<_> =
+        (1..18).flat_map(|second| report_overload(&mut policy, second, requests)).collect();
+    let changes = [
+        listing(COLD, ReplicaState::Ready, 15_000),
+        listing(COLD - 1, ReplicaState::Ready, 15_000),
+        listing(0, ReplicaState::Draining, 0),
+    ];
+    policy.replicas_listed(at_ms(18_000), ListScope::Changes, &changes);
+    actions.extend((18..22).flat_map(|second| report_overload(&mut policy, second, requests)));
+    let is_assigned = |action: &Action| matches!(action, Action::ColdReplicaAssigned { slice: 10, .. });
+    assert!(actions.iter().any(is_assigned), "slice 10 moved to no cold replica");
+    let admitted = requests * last_admission_rate(&actions, 10, 1).expect("the slice was shed");
+    // After 6 s it can do 0.68 of the four requests that the others answer, and collapses at three times that.
+    let collapse_load = 3.0 * 0.68 * 4.0;
+    assert!(admitted <= collapse_load, "{admitted} requests/s, the replica collapses at {collapse_load}");
+}
+
 #[test]
 fn cold_replica_that_reports_show_to_be_full_gets_no_slice() {
     let mut fleet = even_fleet();
