No slice goes to a cold replica while the warm ones stay within their bands without it

Cause: a cold replica got as many slices as fit its budget by their last measured demand. Nothing bounds what one slice brings later: in demand it has ten to fifty times the requests within a second, and reports (1 to 2 s) and the channel (up to 3 s of queue in a release) are slower than the collapse (2 s).

Change: can_accept refuses a cold replica while warm capacity * (1 + phi) is at least all capacity, so that the warm ones would stay within their bands.

Why it works: what is not at a cold replica can't bring it anything.

--- a/crates/policy/src/measure/fleet_averages.rs
+++ b/crates/policy/src/measure/fleet_averages.rs
@@ -32,6 +32,7 @@
         let burst_load: f64 = self.slices.values().map(|slice| slice.burst_load).sum();
         let utilization = load / capacity;
         let averages = FleetAverages {
+            warm_capacity_share: self.measure_warm_capacity_share(),
             utilization,
             band_half_width: BAND_HALF_WIDTH * utilization * self.fleet_slice_ratio().sqrt(),
             observed_service_rate: self.measure_observed_service_rate(),
@@ -45,6 +46,20 @@
         }
     }
 
+    /// Returns true if the replicas that are warm stay within their bands without those that are warming up.
+    pub(crate) fn warm_replicas_suffice(&self) -> bool {
+        self.averages.warm_capacity_share * (1.0 + BAND_HALF_WIDTH) >= 1.0
+    }
+
+    /// Returns the share of the usable replicas' capacity that is warm.
+    pub(crate) fn measure_warm_capacity_share(&self) -> f64 {
+        let capacity_of = |replica: &Replica| replica.service_rate * replica.weight_factor;
+        let usable = || self.replicas.values().filter(|replica| self.is_usable(replica));
+        let warm = usable().filter(|replica| !self.is_warming_up(replica));
+        let capacity: f64 = usable().map(capacity_of).sum();
+        warm.map(capacity_of).sum::<f64>() / capacity.max(MIN_CAPACITY)
+    }
+
     fn is_averaged(&self, replica: &Replica) -> bool {
         self.is_usable(replica) && replica.ownership > 0.0
     }
--- a/crates/policy/src/measure/load_estimates.rs
+++ b/crates/policy/src/measure/load_estimates.rs
@@ -74,6 +74,7 @@
             replica.effective_capacity =
                 replica.service_rate * replica.weight_factor * replica.ownership.max(1.0);
         }
+        self.averages.warm_capacity_share = self.measure_warm_capacity_share();
         self.rebuild_rankings();
         true
     }
--- a/crates/policy/src/measure/slow_start.rs
+++ b/crates/policy/src/measure/slow_start.rs
@@ -74,14 +74,19 @@
     }
 
     /// Returns true if a replica is warm, or if its slow-start budget has room for this demand, even if the other owners
-    /// of its slices fail. While the demand of a slice there is unknown, it has no room.
+    /// of its slices fail. While the demand of a slice there is unknown, it has no room. It also has none while warm
+    /// replicas suffice, because any slice may come into more demand than a cold replica can take.
     pub(crate) fn fits_slow_start_budget(&self, replica: &Replica, unshed_demand: f64) -> bool {
+        if !self.is_warming_up(replica) {
+            return true;
+        }
+        if self.warm_replicas_suffice() {
+            return false;
+        }
         let expected = replica.unshed_demand.max(replica.attempt_rate);
-        let has_room = || {
-            expected + unshed_demand <= self.assignable_rate(replica)
-                && replica.failover_demand + unshed_demand <= self.slow_start_budget(replica)
-        };
-        !self.is_warming_up(replica) || (has_room() && self.are_demands_known(self.slices_at(replica)))
+        expected + unshed_demand <= self.assignable_rate(replica)
+            && replica.failover_demand + unshed_demand <= self.slow_start_budget(replica)
+            && self.are_demands_known(self.slices_at(replica))
     }
 
     fn slices_at<'a>(&'a self, replica: &'a Replica) -> impl Iterator<Item = &'a Slice> {
