A reduction ends in steps when its slice moves to a cold replica

Cause: a slice follows its least reduced owner. A cold replica starts without a reduction, so that a round after the move all requests are admitted that were shed before, up to ten times the demand that was measured under the reduction; seven tenths of those shed are not in the estimate, as repetitions.

Change: while an owner is warming up, a slice's reduction falls by at most 0.15 a round, the step by which reductions end elsewhere.

Why it works: what arrives grows no faster than reports show it, and a replica that turns late raises its own reduction before all is admitted.

--- a/crates/policy/src/rules/load_shedding.rs
+++ b/crates/policy/src/rules/load_shedding.rs
@@ -11,10 +11,12 @@
 use crate::state::pending_slices::Priority;
 use crate::state::replica::Replica;
 use crate::state::schedule::ROUND_PERIOD;
+use crate::state::slice::Slice;
 use std::mem::take;
 
 /// The decrease of a reduction per round when the latency ratio is just below `LOW_LATENCY_RATIO`; up to twice
-/// this for lower latencies. The reduction of an overloaded cold replica grows by the same step.
+/// this for lower latencies. The reduction of an overloaded cold replica grows by the same step, and that of a slice
+/// that it got ends by this step.
 const REDUCTION_STEP: f64 = 0.15;
 /// The weight of the answered share in the growth of a reduction: each step adds the share (1 - this * answered
 /// share) of the difference between the reduction and 1.
@@ -120,13 +122,24 @@
         }
     }
 
-    /// Sets each slice's reduction to that of its least reduced owner, if it exceeds the global reduction.
+    /// Returns the reduction of a slice's least reduced owner. While an owner is warming up, a former reduction ends in
+    /// steps: the requests that it holds back may be several times what the replica can take.
+    fn owners_reduction(&self, slice: &Slice) -> f64 {
+        let least_reduced = self.owners(slice).map(|(_, owner)| owner.reduction).fold(1.0, f64::min);
+        let is_owned_by_cold_replica = self.owners(slice).any(|(_, owner)| self.is_warming_up(owner));
+        if is_owned_by_cold_replica {
+            least_reduced.max(slice.reduction - REDUCTION_STEP)
+        } else {
+            least_reduced
+        }
+    }
+
+    /// Sets each slice's reduction to that of its owners, if it exceeds the global reduction.
     fn refresh_slice_reductions(&mut self) {
         let global_reduction = self.global_admission.reduction;
+        let reductions: Vec<f64> = self.slices.values().map(|slice| self.owners_reduction(slice)).collect();
         let mut changed = Vec::new();
-        for (id, slice) in &mut self.slices {
-            let owners = slice.table.owners().filter_map(|owner| self.replicas.get(&owner));
-            let reduction = owners.map(|owner| owner.reduction).fold(1.0, f64::min);
+        for ((id, slice), reduction) in self.slices.iter_mut().zip(reductions) {
             let applied = slice.applied_reduction;
             slice.reduction = if reduction <= global_reduction {
                 0.0
