A sum over an empty window is 0, not -0

Cause: the sum of no numbers is -0.0, and the new log line of a cold replica over its budget said "attempts=-0.0".

Change: WindowedCounter::sum adds to 0.0.

Result: no decision compares the sign of a zero; tests of policy pass.

--- a/crates/policy/src/windowed_counter.rs
+++ b/crates/policy/src/windowed_counter.rs
@@ -59,7 +59,7 @@
 
     /// Returns the sum over the window that ends at `now`; the current bucket counts in full.
     pub fn sum(&self, now: Moment, window: Span) -> f64 {
-        self.buckets(now, window).map(|bucket| self.bucket_sum(bucket)).sum()
+        self.buckets(now, window).fold(0.0, |sum, bucket| sum + self.bucket_sum(bucket))
     }
 
     /// Returns the start of the oldest non-empty bucket within the window that ends at `now`.
