Slices that must leave go to cold replicas again once the fleet is late

Change: cold replicas that are not needed are still no destination of moves for balance, of further owners and of slices that leave ejected replicas. Slices that leave draining or gone replicas may go to them, within their budgets, once the median replica answers in more than 0.35 of the target latency. The budget itself no longer asks whether warm ones suffice; placement does.

--- a/crates/policy/src/measure/fleet_averages.rs
+++ b/crates/policy/src/measure/fleet_averages.rs
@@ -1,6 +1,7 @@
 //! Averages over the fleet: the mean utilization (AvgL of DDMC, see [`crate::rules::rebalance`]) and related
 //! values.
 
+use crate::measure::admission::LOW_LATENCY_RATIO;
 use crate::measure::windows::LOAD_WINDOW;
 use crate::state::controller::ControllerState;
 use crate::state::fleet_averages::FleetAverages;
@@ -33,6 +34,7 @@
         let utilization = load / capacity;
         let averages = FleetAverages {
             warm_capacity_share: self.measure_warm_capacity_share(),
+            median_latency_ratio: self.median_of_usable(|replica| replica.latency_ratio),
             utilization,
             band_half_width: BAND_HALF_WIDTH * utilization * self.fleet_slice_ratio().sqrt(),
             observed_service_rate: self.measure_observed_service_rate(),
@@ -51,6 +53,11 @@
         self.averages.warm_capacity_share * (1.0 + BAND_HALF_WIDTH) >= 1.0
     }
 
+    /// Returns true if the median replica no longer answers fast.
+    pub(crate) fn is_fleet_late(&self) -> bool {
+        self.averages.median_latency_ratio > LOW_LATENCY_RATIO
+    }
+
     /// Returns the share of the usable replicas' capacity that is warm.
     pub(crate) fn measure_warm_capacity_share(&self) -> f64 {
         let capacity_of = |replica: &Replica| replica.service_rate * replica.weight_factor;
--- a/crates/policy/src/measure/slow_start.rs
+++ b/crates/policy/src/measure/slow_start.rs
@@ -74,15 +74,11 @@
     }
 
     /// Returns true if a replica is warm, or if its slow-start budget has room for this demand, even if the other owners
-    /// of its slices fail. While the demand of a slice there is unknown, it has no room. It also has none while warm
-    /// replicas suffice, because any slice may come into more demand than a cold replica can take.
+    /// of its slices fail. While the demand of a slice there is unknown, it has no room.
     pub(crate) fn fits_slow_start_budget(&self, replica: &Replica, unshed_demand: f64) -> bool {
         if !self.is_warming_up(replica) {
             return true;
         }
-        if self.warm_replicas_suffice() {
-            return false;
-        }
         let expected = replica.unshed_demand.max(replica.attempt_rate);
         expected + unshed_demand <= self.assignable_rate(replica)
             && replica.failover_demand + unshed_demand <= self.slow_start_budget(replica)
--- a/crates/policy/src/rules/placement.rs
+++ b/crates/policy/src/rules/placement.rs
@@ -39,6 +39,14 @@
             && self.fits_slow_start_budget(replica, unshed_demand)
     }
 
+    /// Returns true if a replica is warming up and not needed as a destination, because the warm ones suffice. Any slice
+    /// may come into more demand than a cold replica can take. Slices that must leave go to cold replicas all the same
+    /// once the fleet is late.
+    pub(crate) fn is_kept_in_reserve(&self, replica: &Replica, scope: DestinationScope) -> bool {
+        let is_needed = scope == DestinationScope::Any && self.is_fleet_late();
+        self.is_warming_up(replica) && self.warm_replicas_suffice() && !is_needed
+    }
+
     /// Returns true if a replica may get a slice of this load. A cold replica has to handle retries too, so the demand
     /// counts there, not only the load, and it must be known.
     pub(crate) fn can_accept_slice(&self, replica: &Replica, slice: &Slice, load: f64) -> bool {
@@ -59,7 +67,9 @@
         let first = |ranking: &Ranking, accepts: &dyn Fn(&Replica) -> bool| {
             ranking.first(|id| !owns(id) && self.replicas.get(id).is_some_and(accepts))
         };
-        let accepts_slice = |replica: &Replica| self.can_accept_slice(replica, slice, load);
+        let accepts_slice = |replica: &Replica| {
+            !self.is_kept_in_reserve(replica, scope) && self.can_accept_slice(replica, slice, load)
+        };
         let with_headroom = first(&self.rankings.by_headroom, &|replica| {
             accepts_slice(replica) && self.is_preferred_if_shared(scope, replica, load)
         });
--- a/crates/policy/src/rules/rebalance.rs
+++ b/crates/policy/src/rules/rebalance.rs
@@ -8,6 +8,7 @@
 use crate::api::{ReplicaId, ReportFlow};
 use crate::measure::admission::LOW_LATENCY_RATIO;
 use crate::measure::load_estimates::MovableSlice;
+use crate::rules::placement::DestinationScope;
 use crate::state::controller::ControllerState;
 use crate::state::pending_slices::Priority;
 use crate::state::replica::Replica;
@@ -172,6 +173,7 @@
             |replica: &Replica| replica.utilization() < self.averages.band(replica).high;
         let is_light = |replica: &Replica| {
             self.is_rebalancing_candidate(replica)
+                && !self.is_kept_in_reserve(replica, DestinationScope::WithCapacity)
                 && (is_below_band(replica) || (source_weight_is_reduced && is_below_upper_limit(replica)))
                 && self.can_accept(replica, 0.0)
                 && replica.latency_ratio < LOW_LATENCY_RATIO
--- a/crates/policy/src/rules/shared_replicas.rs
+++ b/crates/policy/src/rules/shared_replicas.rs
@@ -6,6 +6,7 @@
 //! once.
 
 use crate::api::{ReplicaId, SliceId, SubsetMembership};
+use crate::rules::placement::DestinationScope;
 use crate::state::controller::ControllerState;
 use crate::state::replica::Replica;
 use crate::state::routing_table::SliceMove;
@@ -62,7 +63,9 @@
 
     fn may_return_to(&self, slice: &Slice, candidate: &ReplicaId) -> bool {
         let accepts_slice = |replica: &Replica| {
-            !replica.moved_this_round && self.can_accept_slice(replica, slice, slice.load)
+            !replica.moved_this_round
+                && !self.is_kept_in_reserve(replica, DestinationScope::WithCapacity)
+                && self.can_accept_slice(replica, slice, slice.load)
         };
         !slice.table.desired.contains_key(candidate)
             && self.replicas.get(candidate).is_some_and(accepts_slice)
--- a/crates/policy/src/state/fleet_averages.rs
+++ b/crates/policy/src/state/fleet_averages.rs
@@ -7,6 +7,8 @@
 pub(crate) struct FleetAverages {
     /// The share of the usable replicas' capacity that is warm, whichever controllers own it.
     pub warm_capacity_share: f64,
+    /// The ratio of the median usable replica's mean latency to the tightest target latency.
+    pub median_latency_ratio: f64,
     /// The mean utilization (AvgL of DDMC): load over effective capacity.
     pub utilization: f64,
     /// Half the width of the band around the mean utilization (phi of DDMC).
