Notices of cold replicas: one age, one list of slices, loads only for new ones

The load of each cold replica over its budget was put together every tick, though only the first is reported; its age was computed in three places, and its slices listed in two.

Change: what is reported is computed when it is reported; age and slices_at serve all.

Result: no decision and no log line changes.

--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -335,13 +335,13 @@
     pub attempts: f64,
     /// The requests per second that the replica may be sent.
     pub budget: f64,
-    /// The number of slices that the replica owns.
+    /// The number of slices whose tables name the replica.
     pub slices: usize,
-    /// The slice with the highest demand of those.
+    /// The slice that brings the replica the most requests.
     pub heaviest: Option<HeaviestSlice>,
 }
 
-/// The slice with the highest demand of a replica that is warming up.
+/// The slice that brings a replica that is warming up the most requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HeaviestSlice {
     /// The slice.
--- a/crates/policy/src/measure/slow_start.rs
+++ b/crates/policy/src/measure/slow_start.rs
@@ -1,10 +1,11 @@
 //! Slow start: limits on the load of a replica that is warming up.
 
-use crate::api::ReplicaId;
+use crate::api::{ReplicaId, SliceId};
 use crate::measure::windows::BURST_WINDOW;
 use crate::state::controller::ControllerState;
 use crate::state::replica::Replica;
 use crate::state::slice::Slice;
+use crate::time::Span;
 
 /// A slow-start budget as a share of the load that would make the cold replica collapse (docs/design.md,
 /// Evacuation).
@@ -15,11 +16,16 @@
 const MIN_WARM_UP_SECONDS: f64 = 0.1;
 
 impl ControllerState {
+    /// Returns the time since the start of a replica's process; since the epoch if the start is unknown.
+    pub(crate) fn age(&self, replica: &Replica) -> Span {
+        self.now - replica.running_since.unwrap_or_default()
+    }
+
     /// Returns the share of its full capacity that a replica currently has. It grows linearly from the share at
     /// start-up to 1.
     fn warm_capacity_share(&self, replica: &Replica) -> f64 {
-        let age = (self.now - replica.running_since.unwrap_or_default()).seconds();
-        let warmed_share = age / self.deployment.warm_up.seconds().max(MIN_WARM_UP_SECONDS);
+        let warmed_share =
+            self.age(replica).seconds() / self.deployment.warm_up.seconds().max(MIN_WARM_UP_SECONDS);
         let initial = self.deployment.cold_capacity_share;
         (initial + (1.0 - initial) * warmed_share).min(1.0)
     }
@@ -82,16 +88,21 @@
         let expected = replica.unshed_demand.max(replica.attempt_rate);
         expected + unshed_demand <= self.assignable_rate(replica)
             && replica.failover_demand + unshed_demand <= self.slow_start_budget(replica)
-            && self.are_demands_known(self.slices_at(replica))
+            && self.are_demands_known(self.slices_at(replica).map(|(_, slice)| slice))
     }
 
-    fn slices_at<'a>(&'a self, replica: &'a Replica) -> impl Iterator<Item = &'a Slice> {
-        replica.slices.iter().filter_map(|id| self.slices.get(id))
+    /// Returns the slices whose tables name a replica.
+    pub(crate) fn slices_at<'a>(
+        &'a self,
+        replica: &'a Replica,
+    ) -> impl Iterator<Item = (SliceId, &'a Slice)> {
+        replica.slices.iter().filter_map(|id| Some((*id, self.slices.get(id)?)))
     }
 
     /// Returns true if the slices of a cold replica were last reported to bring more than may be assigned to it.
     pub(crate) fn has_outgrown_assignable_rate(&self, id: ReplicaId, replica: &Replica) -> bool {
-        let newest_demand = |slice: &Slice| slice.newest_demand * slice.table.request_share(id);
+        let newest_demand =
+            |(_, slice): (SliceId, &Slice)| slice.newest_demand * slice.table.request_share(id);
         self.is_warming_up(replica)
             && self.slices_at(replica).map(newest_demand).sum::<f64>() > self.assignable_rate(replica)
     }
--- a/crates/policy/src/measure/slow_start_notices.rs
+++ b/crates/policy/src/measure/slow_start_notices.rs
@@ -32,7 +32,7 @@
         let replica = self.replicas.get(&owner)?;
         let global_reduction = self.global_admission.applied.unwrap_or_default();
         Some(SlowStartBasis {
-            age: self.now - replica.running_since.unwrap_or_default(),
+            age: self.age(replica),
             slice_demand: slice.demand,
             reduction: slice.applied_reduction.max(global_reduction),
             owners: slice.table.owners().count(),
@@ -44,33 +44,39 @@
 
     /// Reports to observers the replicas that have begun to exceed their slow-start budgets.
     pub(crate) fn report_over_budget(&mut self) {
-        let loads: Vec<_> =
-            self.replicas.iter().map(|(id, replica)| self.load_over_budget(*id, replica)).collect();
-        for ((id, replica), load) in self.replicas.iter_mut().zip(loads) {
-            let notice = load.filter(|_| !replica.exceeds_budget);
-            self.actions.extend(notice.map(|load| Action::ColdReplicaOverBudget { replica: *id, load }));
-            replica.exceeds_budget = load.is_some();
+        let budget_excesses: Vec<_> =
+            self.replicas.iter().map(|(id, replica)| self.budget_excess(*id, replica)).collect();
+        for (replica, (exceeds_budget, notice)) in self.replicas.values_mut().zip(budget_excesses) {
+            replica.exceeds_budget = exceeds_budget;
+            self.actions.extend(notice);
         }
     }
 
-    /// Returns what is known of the load of a replica that exceeds its slow-start budget.
-    fn load_over_budget(&self, id: ReplicaId, replica: &Replica) -> Option<ColdReplicaLoad> {
+    /// Returns true if a replica exceeds its slow-start budget, and the notice if that is new.
+    fn budget_excess(&self, id: ReplicaId, replica: &Replica) -> (bool, Option<Action>) {
         let budget = self.slow_start_budget(replica);
-        Self::exceeds_budget(replica, budget).then(|| ColdReplicaLoad {
-            age: self.now - replica.running_since.unwrap_or_default(),
+        let exceeds_budget = Self::exceeds_budget(replica, budget);
+        let is_new = exceeds_budget && !replica.exceeds_budget;
+        let load = is_new.then(|| self.cold_replica_load(id, replica, budget));
+        (exceeds_budget, load.map(|load| Action::ColdReplicaOverBudget { replica: id, load }))
+    }
+
+    fn cold_replica_load(&self, id: ReplicaId, replica: &Replica, budget: f64) -> ColdReplicaLoad {
+        ColdReplicaLoad {
+            age: self.age(replica),
             demand: replica.demand,
             attempts: replica.attempt_rate,
             budget,
             slices: replica.slices.len(),
             heaviest: self.heaviest_slice(id, replica),
-        })
+        }
     }
 
     fn heaviest_slice(&self, owner: ReplicaId, replica: &Replica) -> Option<HeaviestSlice> {
         let demand_there = |slice: &Slice| slice.demand * slice.table.request_share(owner);
-        let slices = replica.slices.iter().filter_map(|id| Some((*id, self.slices.get(id)?)));
-        let heaviest =
-            slices.max_by(|(_, one), (_, other)| demand_there(one).total_cmp(&demand_there(other)));
+        let heaviest = self
+            .slices_at(replica)
+            .max_by(|(_, one), (_, other)| demand_there(one).total_cmp(&demand_there(other)));
         heaviest.map(|(id, slice)| HeaviestSlice {
             slice: id,
             demand: slice.demand,
--- a/crates/policy/src/rules/load_shedding.rs
+++ b/crates/policy/src/rules/load_shedding.rs
@@ -15,8 +15,8 @@
 use std::mem::take;
 
 /// The decrease of a reduction per round when the latency ratio is just below `LOW_LATENCY_RATIO`; up to twice
-/// this for lower latencies. The reduction of an overloaded cold replica grows by the same step, and that of a slice
-/// that it got ends by this step.
+/// this for lower latencies. The reduction of an overloaded cold replica grows by the same step, and the former
+/// reduction of a slice at a cold replica shrinks by at most this step.
 const REDUCTION_STEP: f64 = 0.15;
 /// The weight of the answered share in the growth of a reduction: each step adds the share (1 - this * answered
 /// share) of the difference between the reduction and 1.
--- a/crates/routing/src/log_event.rs
+++ b/crates/routing/src/log_event.rs
@@ -246,14 +246,16 @@
     let ColdReplicaLoad { age, demand, attempts, budget, slices, heaviest } = load;
     write!(
         f,
-        "cold replica over budget replica={replica} demand={demand:.1} budget={budget:.1} age_s={:.1} attempts={attempts:.1} slices={slices}",
+        "cold replica over budget replica={replica} demand={demand:.1} budget={budget:.1} age_s={:.1} \
+         attempts={attempts:.1} slices={slices}",
         age.seconds()
     )?;
     let Some(heaviest) = heaviest else { return Ok(()) };
     let HeaviestSlice { slice, demand, demand_at_change, unchanged_for, owners } = heaviest;
     write!(
         f,
-        " slice={slice} slice_demand={demand:.1} demand_at_change={demand_at_change:.1} unchanged_s={:.1} owners={owners}",
+        " slice={slice} slice_demand={demand:.1} demand_at_change={demand_at_change:.1} \
+         unchanged_s={:.1} owners={owners}",
         unchanged_for.seconds()
     )
 }
