--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec "$(dirname "$0")/../play.sh" spent-messages "$(dirname "$0")"
--- a/review/world/cases.rs
+++ b/review/world/cases.rs
@@ -30,7 +30,6 @@
         lease_ms: 4000,
         write_life_ms: 620,
         work_ms: (60, 200),
-        long_work: (0.0, 0, 0),
         transit_ms: (130, 430),
         sync_ms: (94, 490),
         head: 16.0,
@@ -62,7 +61,6 @@
         lease_ms: 4000,
         write_life_ms: 20,
         work_ms: (150, 400),
-        long_work: (0.0, 0, 0),
         transit_ms: (91, 290),
         sync_ms: (150, 360),
         head: 8.0,
@@ -154,6 +152,9 @@
         for number in 0..count {
             let address = lock(&shared).governors[number].listen.clone();
             while !answers_ping(&address) {
+                if let Ok(Some(status)) = deployment.governors[number].try_wait() {
+                    return Err(CannotRun(format!("n{number} did not start: {status}")));
+                }
                 if deployment.begun.elapsed() > READY_LIMIT {
                     return Err(CannotRun(format!("n{number} is not ready after 30 s")));
                 }
@@ -204,7 +205,7 @@
     let outcome = match case {
         "grant-returns" => grant_returns(record, run, folder, trouble, seed),
         "stale-line" => stale_line(record, run, folder, trouble, seed),
-        "late-halt" => late_halt(record, run, folder, trouble, seed),
+        "spent-messages" => spent_messages(record, run, folder, trouble, seed),
         _ => Err(CannotRun(format!("no case {case}"))),
     };
     match outcome {
@@ -276,7 +277,7 @@
     }
     if trouble {
         let shared = deployment.shared.clone();
-        deployment.relays[CUT].cut(&shared, false);
+        deployment.relays[CUT].cut(&shared);
         deployment.play_for(2.0)?;
         give_all(&deployment, &slices, OTHER);
         deployment.play_for(4.0)?;
@@ -297,7 +298,7 @@
     let slices = own_slices(&deployment);
     let shared = deployment.shared.clone();
     if trouble {
-        deployment.relays[CUT].cut(&shared, false);
+        deployment.relays[CUT].cut(&shared);
     }
     deployment.play_for(0.5)?;
     lock(&shared).change_state(&[0, 1], State::Leaving);
@@ -344,31 +345,23 @@
     Ok(deployment)
 }
 
-/// One owner a slice: a replica drains while the way to the relay is cut for a short time, so that the halt of its
-/// slices arrives late. Repeated with three more replicas.
-fn late_halt(record: &str, run: &str, folder: &str, trouble: bool, seed: u64) -> Result<Deployment, CannotRun> {
+/// One owner a slice, at most 12 messages to a proxy in 10 s: a replica drains while the relay leaves calls without an
+/// answer for 3 s.
+fn spent_messages(record: &str, run: &str, folder: &str, trouble: bool, seed: u64) -> Result<Deployment, CannotRun> {
     let mut site = exclusive_site(1);
-    site.message_cap = 0;
-    site.transit_ms = (120, 140);
-    site.work_ms = (60, 150);
-    site.long_work = (0.08, 400, 590);
+    site.grace_ms = 2000;
+    site.hot_share = 0.0;
     let mut deployment = Deployment::start(site, record, run, folder, seed)?;
     let shared = deployment.shared.clone();
-    deployment.play_for(12.0)?;
-    for _ in 0..4 {
-        if trouble {
-            deployment.relays[CUT].cut(&shared, true);
-        }
-        {
-            let mut world = lock(&shared);
-            let drained = owner_of(&world, 0).ok_or(CannotRun("slice 0 has no owner".into()))?;
-            world.change_state(&[drained], State::Leaving);
-        }
-        deployment.play_for(1.5)?;
-        if trouble {
-            deployment.relays[CUT].heal(&shared);
-        }
-        deployment.play_for(12.0)?;
+    deployment.play_for(14.0)?;
+    {
+        let mut world = lock(&shared);
+        world.governors[CUT].loses_calls = trouble;
+        let drained = owner_of(&world, 0).ok_or(CannotRun("slice 0 has no owner".into()))?;
+        world.change_state(&[drained], State::Leaving);
     }
+    deployment.play_for(3.0)?;
+    lock(&shared).governors[CUT].loses_calls = false;
+    deployment.play_for(15.0)?;
     Ok(deployment)
 }
--- a/review/world/net.rs
+++ b/review/world/net.rs
@@ -73,14 +73,12 @@
         Ok(RelaySocket { address, listener, governor, fillers: Vec::new() })
     }
 
-    /// Cuts the way between the governor and the relay: open connections fall silent, new ones do not come up. After a
-    /// short cut an open watch goes on, with what was written meanwhile.
-    pub fn cut(&mut self, shared: &Shared, is_short: bool) {
+    /// Cuts the way between the governor and the relay: open connections fall silent, new ones do not come up.
+    pub fn cut(&mut self, shared: &Shared) {
         {
             let mut world = lock(shared);
             let governor = &mut world.governors[self.governor];
             governor.cut = true;
-            governor.keeps_watches = is_short;
             governor.connection_epoch += 1;
             let text = format!("the way between {} and the relay is cut", governor.name);
             world.log(&text);
@@ -106,18 +104,12 @@
         let mut world = lock(shared);
         let governor = &mut world.governors[self.governor];
         governor.cut = false;
-        let epoch = governor.connection_epoch;
-        if governor.keeps_watches {
-            governor.watchers.iter_mut().for_each(|watcher| watcher.epoch = epoch);
-        }
-        let held = std::mem::take(&mut governor.held_news);
-        world.news(self.governor, &held);
-        let text = format!("the way between {} and the relay is back", world.governors[self.governor].name);
+        let text = format!("the way between {} and the relay is back", governor.name);
         world.log(&text);
     }
 }
 
-fn serve_relay(mut stream: TcpStream, shared: &Shared, governor: usize, mut epoch: u64) {
+fn serve_relay(mut stream: TcpStream, shared: &Shared, governor: usize, epoch: u64) {
     _ = stream.set_nodelay(true);
     _ = stream.set_nonblocking(false);
     _ = stream.set_read_timeout(Some(Duration::from_millis(20)));
@@ -131,10 +123,6 @@
             let state = &world.governors[governor];
             if state.connection_epoch != epoch {
                 let is_cut = state.cut;
-                if is_watch && state.keeps_watches {
-                    epoch = state.connection_epoch;
-                    continue;
-                }
                 drop(world);
                 if !is_cut {
                     reset(stream);
@@ -191,6 +179,10 @@
     if !world.serves {
         return stream.write_all(b"ERR too_many_calls\r\n").is_ok();
     }
+    if world.governors[governor].loses_calls {
+        world.lose_call(governor, orders);
+        return true;
+    }
     let taken = world.call(governor, orders);
     stream.write_all(format!("OK {taken}\r\n").as_bytes()).is_ok()
 }
--- a/review/world/platform.rs
+++ b/review/world/platform.rs
@@ -11,6 +11,10 @@
 
 pub const MS: u64 = 1_000;
 pub const SECOND: u64 = 1_000 * MS;
+/// The time limits of the rules are longer on sockets by this time.
+const SOCKET_SLACK: u64 = 300 * MS;
+/// Time limits wait for this time after a call of the relay that gets no answer.
+const WAIT_AFTER_SILENCE: u64 = 1500 * MS;
 
 /// A small random number generator (xorshift).
 pub struct Random(pub u64);
@@ -50,8 +54,6 @@
     pub write_life_ms: u64,
     /// The time that a replica takes for an operation, in ms.
     pub work_ms: (u64, u64),
-    /// The share of operations that take long, and their time, in ms.
-    pub long_work: (f64, u64, u64),
     /// The time from the channel to the proxy, in ms.
     pub transit_ms: (u64, u64),
     /// The time until a proxy has read a slice from the store that is given anew, in ms.
@@ -175,9 +177,8 @@
     pub listen: String,
     /// True while the way between the governor and the relay is cut.
     pub cut: bool,
-    /// True if open watches go on after the cut, with the news that was held meanwhile.
-    pub keeps_watches: bool,
-    pub held_news: String,
+    /// True while the relay leaves calls without an answer and does not carry them out.
+    pub loses_calls: bool,
     /// Connections of an earlier number are dead.
     pub connection_epoch: u64,
     pub watchers: Vec<Watcher>,
@@ -208,8 +209,8 @@
     latest_epoch: BTreeMap<usize, u64>,
     record: BufWriter<File>,
     pub violations: Vec<String>,
-    /// Checks the rule on drains from this time on.
-    pub drain_slack: u64,
+    /// The spans during which time limits wait, in order and without overlap.
+    waits: Vec<(u64, u64)>,
     pub sends: u64,
     pub refused: u64,
     pub writes: u64,
@@ -268,7 +269,7 @@
             latest_epoch: BTreeMap::new(),
             record: BufWriter::new(file),
             violations: Vec::new(),
-            drain_slack: 300 * MS,
+            waits: Vec::new(),
             sends: 0,
             refused: 0,
             writes: 0,
@@ -282,8 +283,7 @@
             name,
             listen,
             cut: false,
-            keeps_watches: false,
-            held_news: String::new(),
+            loses_calls: false,
             connection_epoch: 0,
             watchers: Vec::new(),
             list_watchers: Vec::new(),
@@ -464,9 +464,7 @@
         };
         let zone = self.proxies[proxy].zone;
         let runs = self.replicas[replica].runs;
-        let (share, long_low, long_high) = self.site.long_work;
-        let is_long = self.random.next() < share;
-        let (low, high) = if is_long { (long_low, long_high) } else { self.site.work_ms };
+        let (low, high) = self.site.work_ms;
         let work = self.random.between(low * MS, high * MS);
         let sum = self.governors[holder].loads.entry((zone, replica)).or_default();
         sum.tries += 1;
@@ -530,7 +528,8 @@
         let holder = self.slices[slice].holder;
         let Some(told) = self.governors[holder].told.get(&replica).copied() else { return };
         let since = told.max(self.slices[slice].given_at);
-        if now > since + self.site.grace_ms * MS + self.drain_slack {
+        let waited: u64 = self.waits.iter().map(|(from, to)| (*to).min(now).saturating_sub((*from).max(since))).sum();
+        if now - since - waited > self.site.grace_ms * MS + SOCKET_SLACK {
             let text = format!(
                 "rule 3: proxy {proxy} sent an operation of slice {slice} to {} ({}), {} ms after {} was told",
                 self.replicas[replica].id,
@@ -548,9 +547,6 @@
     pub fn news(&mut self, governor: usize, text: &str) {
         let governor = &mut self.governors[governor];
         if governor.cut {
-            if governor.keeps_watches {
-                governor.held_news.push_str(text);
-            }
             return;
         }
         let epoch = governor.connection_epoch;
@@ -599,6 +595,17 @@
         }
     }
 
+    /// Leaves a call without an answer. Time limits wait.
+    pub fn lose_call(&mut self, governor: usize, orders: &str) {
+        let now = self.now();
+        let text = format!("{} ordered {orders}: not carried out, no answer", self.governors[governor].name);
+        self.log(&text);
+        match self.waits.last_mut() {
+            Some((_, end)) if *end >= now => *end = now + WAIT_AFTER_SILENCE,
+            _ => self.waits.push((now, now + WAIT_AFTER_SILENCE)),
+        }
+    }
+
     fn replica_of(&self, id: &str) -> Option<usize> {
         self.replicas.iter().position(|replica| replica.id == id)
     }
