No owner is changed on a hold that a reassignment of the slice has ended

Cause: after an interruption of the relay watch a slice with the same table was taken for untouched. The assignment resets admission rates, so the hold is gone, and proxies may write by the other controller's table until their lease ends. The same belief was acted on by pending requests, sent again ahead of the watch, and by a request that was still connecting when the cut ended.

While the watch is interrupted no single writer is replaced, pending changes of owner are dropped, and a request that is not sent yet is cancelled.

Why it works: all that a change of owner rests on (hold, lease, acknowledgements) now begins after the last moment at which another controller may have had the slice.

Tests: reassigned_slices.rs runs the reducer against a model of the store.

Transport tests got one field.

--- a/crates/controller/src/program/effects.rs
+++ b/crates/controller/src/program/effects.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tokio::sync::mpsc::Sender;
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tracing::{debug_span, Span};
 use whinwall_override_store::WriteBatch;
 use whinwall_overrides::{encoding, ClockStamp, SaveError, Timeline};
@@ -28,17 +28,26 @@
     /// Address of the relay; `None` during shutdown, when no more requests are sent.
     target: watch::Sender<Option<SocketAddr>>,
     has_request_in_flight: bool,
+    /// Cancels the newest request when it is dropped; `None` before the first one.
+    cancellation: Option<oneshot::Sender<()>>,
 }
 
 impl RelayRequests {
     pub(super) fn new(requests: Sender<RelayRequest>, target: watch::Sender<Option<SocketAddr>>) -> Self {
-        RelayRequests { requests, target, has_request_in_flight: false }
+        RelayRequests { requests, target, has_request_in_flight: false, cancellation: None }
     }
 
-    fn send(&mut self, request: RelayRequest) {
+    fn send(&mut self, relay: SocketAddr, line: String, needs_new_connection: bool) {
+        let (canceller, cancellation) = oneshot::channel();
         self.has_request_in_flight = true;
+        self.cancellation = Some(canceller);
         // The reducer waits for the response before its next request, so the queue of capacity 1 is never full.
-        _ = self.requests.try_send(request);
+        _ = self.requests.try_send(RelayRequest { relay, line, needs_new_connection, cancellation });
+    }
+
+    /// Cancels the request in flight if it has not been sent yet.
+    fn cancel_unsent(&mut self) {
+        self.cancellation = None;
     }
 
     pub(super) fn set_target(&self, relay: SocketAddr) {
@@ -178,8 +187,9 @@
             }
             Effect::RelayRequest { relay, line, needs_new_connection } => {
                 tracing::debug!(request = line, "relay request");
-                self.relay.send(RelayRequest { relay, line, needs_new_connection });
+                self.relay.send(relay, line, needs_new_connection);
             }
+            Effect::CancelUnsentRelayRequest => self.relay.cancel_unsent(),
             Effect::WatchRelay { relay } => self.watches.watch_relay(relay),
             Effect::WatchRegistry { discovery, since } => self.watches.watch_registry(discovery, since),
             Effect::RenewRegistryWatch { discovery, since } => {
--- /dev/null
+++ b/crates/controller/tests/reassigned_slices.rs
@@ -0,0 +1,95 @@
+//! Slices that are assigned to another controller and back while this one can't see it: it is cut off from the relay, or
+//! its relay watch is interrupted.
+
+mod support;
+
+use serde_json::json;
+use support::store_model::StoreModel;
+use whinwall_policy::time::Span;
+
+const SLICES: u32 = 12;
+/// The slices that s-2 owns at the start.
+const SLICES_OF_DRAINED: [u32; 2] = [2, 8];
+const WRITE_LIFETIME: Span = Span::ms(620);
+const TABLE_LEASE: Span = Span::ms(4000);
+
+fn single_writer_store() -> StoreModel {
+    StoreModel::serving(SLICES, |settings| {
+        settings["familyInfo"]["singleWriter"] = json!(true);
+        settings["familyInfo"]["writeLifeNs"] = json!(WRITE_LIFETIME.as_ns());
+        settings["familyInfo"]["tenureNs"] = json!(TABLE_LEASE.as_ns());
+    })
+}
+
+fn is_moved(store: &StoreModel) -> bool {
+    SLICES_OF_DRAINED.iter().all(|slice| !store.rig.store[slice].contains_key("s-2"))
+}
+
+fn assert_rule_kept_and_slices_moved(mut store: StoreModel, context: &str) {
+    store.advance_ms(15_000);
+    assert_eq!(store.violations, Vec::<String>::new(), "{context}");
+    assert!(
+        is_moved(&store),
+        "{context}: the slices of the drained replica have not moved: {:?}",
+        store.rig.store
+    );
+    let held_back: Vec<u32> = (0..SLICES).filter(|slice| store.is_held_back(*slice)).collect();
+    assert!(held_back.is_empty(), "{context}: requests are still held back for slices {held_back:?}");
+}
+
+/// Drains a replica and cuts the controller off `held_ms` after the requests of its slices are held back. The other
+/// controller has the slices from 2 s after the cut begins until `return_ms` after it ends.
+fn cut_during_owner_change(held_ms: u64, cut_ms: u64, return_ms: u64) {
+    let mut store = single_writer_store();
+    store.rig.drain("s-2");
+    assert!(store.advance_until(2000, |store| store.is_held_back(2)));
+    store.advance_ms(held_ms);
+    store.cut();
+    store.advance_ms(2000);
+    store.assign_to_other();
+    store.advance_ms(cut_ms - 2000);
+    if return_ms == 0 {
+        store.assign_back();
+        store.heal();
+    } else {
+        store.heal();
+        store.advance_ms(return_ms);
+        store.assign_back();
+    }
+    let context = format!("cut {held_ms} ms after the hold for {cut_ms} ms, return after {return_ms} ms");
+    assert_rule_kept_and_slices_moved(store, &context);
+}
+
+/// Guards against a new owner without a hold on requests: the hold ends when the slice returns from another controller
+/// (review/1).
+#[test]
+fn slice_that_returns_after_a_cut_is_held_back_again_before_its_owner_changes() {
+    for held_ms in [0, 300, 1000, 3000, 5500] {
+        for (cut_ms, return_ms) in [(4000, 0), (6000, 0), (6000, 100), (6000, 400), (9000, 1200)] {
+            cut_during_owner_change(held_ms, cut_ms, return_ms);
+        }
+    }
+}
+
+/// Guards against a new owner without a hold on requests: a request that was delayed by the cut still sets it (review/1).
+#[test]
+fn pending_owner_changes_are_dropped_when_the_slices_may_have_been_reassigned() {
+    for held_ms in (200..1000).step_by(20) {
+        cut_during_owner_change(held_ms, 6000, 0);
+    }
+}
+
+/// Guards against a hold that is believed to stand after a lost watch that no cut explains (review/1).
+#[test]
+fn slice_that_returns_while_the_watch_is_reset_is_held_back_again_before_its_owner_changes() {
+    for held_ms in (0..6000).step_by(150) {
+        let mut store = single_writer_store();
+        store.rig.drain("s-2");
+        assert!(store.advance_until(2000, |store| store.is_held_back(2)));
+        store.advance_ms(held_ms);
+        store.reset_watch();
+        store.assign_to_other();
+        store.assign_back();
+        assert_rule_kept_and_slices_moved(store, &format!("watch reset {held_ms} ms after the hold"));
+    }
+}
--- a/crates/controller/tests/request_bytes.rs
+++ b/crates/controller/tests/request_bytes.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
-use tokio::sync::{mpsc, watch as watch_channel};
+use tokio::sync::{mpsc, oneshot, watch as watch_channel};
 use whinwall_protocol::discovery::watch_path;
 use whinwall_protocol::relay::{encode_request, WATCH_REQUEST};
 use whinwall_transport::{registry_watch, relay_requests, relay_watch};
@@ -85,8 +85,9 @@
         let (_relay_sender, relay_receiver) = watch_channel::channel(Some(relay));
         actix_rt::spawn(relay_requests::serve(request_receiver, relay_receiver, inbox));
         let line = encode_request(&["SET,1,s-1,1", "SYNC,9,0"]);
+        let (_canceller, cancellation) = oneshot::channel();
         request_sender
-            .send(relay_requests::RelayRequest { relay, line, needs_new_connection: false })
+            .send(relay_requests::RelayRequest { relay, line, needs_new_connection: false, cancellation })
             .await
             .unwrap();
         actix_rt::task::spawn_blocking(|| received.join().unwrap()).await.unwrap()
--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod fake_fleet;
 pub mod managed_controller;
 pub mod rig;
+pub mod store_model;
 
 use actix_http::body::BodyStream;
 use actix_http::{HttpService, Request, Response};
--- a/crates/controller/tests/transport.rs
+++ b/crates/controller/tests/transport.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::sync::mpsc::channel;
 use std::time::Duration;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use whinwall_controller::program::configuration::{self, ProcessEnvironment};
 use whinwall_serving::shutdown;
 use whinwall_transport::listener::{self, LocalReader};
@@ -83,11 +83,13 @@
                 (mpsc::channel(1), mpsc::channel(1));
             let (relay_sender, relay_receiver) = watch::channel(Some(relay));
             actix_rt::spawn(relay_requests::serve(request_receiver, relay_receiver, inbox));
+            let (_canceller, cancellation) = oneshot::channel();
             request_sender
                 .send(relay_requests::RelayRequest {
                     relay,
                     line: "APPLY SYNC,1,1".into(),
                     needs_new_connection: false,
+                    cancellation,
                 })
                 .await
                 .unwrap();
@@ -107,6 +109,44 @@
     }
 }
 
+/// Guards against a request that is sent although the state it was based on is no longer known (review/1): the
+/// connection comes up only after the request was cancelled.
+#[test]
+fn request_that_is_cancelled_while_connecting_is_not_sent() {
+    let (listener, queued, relay) = unresponsive_listener();
+    run(async {
+        let ((request_sender, request_receiver), (inbox, mut arrived)) = (mpsc::channel(1), mpsc::channel(1));
+        let (_relay_sender, relay_receiver) = watch::channel(Some(relay));
+        actix_rt::spawn(relay_requests::serve(request_receiver, relay_receiver, inbox));
+        let (canceller, cancellation) = oneshot::channel();
+        let line = "APPLY SYNC,1,1".into();
+        let request = relay_requests::RelayRequest { relay, line, needs_new_connection: false, cancellation };
+        request_sender.send(request).await.unwrap();
+        while request_sender.capacity() == 0 {
+            actix_rt::task::yield_now().await;
+        }
+        drop(canceller);
+        let time_limit = limits::CONNECT_RETRY_INTERVAL * limits::MAX_CONNECT_ATTEMPTS as u32 / 2;
+        let response = actix_rt::time::timeout(time_limit, arrived.recv())
+            .await
+            .expect("no response before the connect attempt times out");
+        let Some(Input::RelayResponse(Err(RequestError::NotSent(_)))) = response else {
+            panic!("{response:?}")
+        };
+    });
+    // Whatever was queued at the listener has been sent nothing.
+    let queued: Vec<std::net::TcpStream> = queued;
+    drop(queued);
+    listener.set_nonblocking(true).unwrap();
+    let accepted = std::iter::from_fn(|| listener.accept().ok());
+    for (mut stream, _) in accepted {
+        stream.set_nonblocking(false).unwrap();
+        let mut received = Vec::new();
+        _ = std::io::Read::read_to_end(&mut stream, &mut received);
+        assert_eq!(received, b"", "a cancelled request was sent");
+    }
+}
+
 /// After a panic a new incarnation accepts connections. Those of the previous incarnation are closed, even if they are
 /// idle.
 #[test]
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -124,12 +124,22 @@
     /// Returns true if the table of the slice may be sent. Under single writer, each stage of a change of owner
     /// must wait for acknowledgements from all connected proxies, for the end of the table lease of proxies that
     /// disconnected from this controller or from the slice's previous controller, and for the lifetime of a write.
+    /// While the relay's events are interrupted, the slice may be assigned to another controller and back, which ends
+    /// the hold on its requests, so only the first stage may be sent.
     fn may_send_table(&self, slice: &Slice) -> bool {
-        if !self.deployment.single_writer || slice.applied_reduction != HALTED_REDUCTION {
+        let is_halted = slice.applied_reduction == HALTED_REDUCTION;
+        let sets_owner = is_halted || slice.table.applied.is_empty();
+        if !self.deployment.single_writer || !sets_owner {
+            return true;
+        }
+        if !self.channel.events_arrive() {
+            return false;
+        }
+        if !is_halted {
             return true;
         }
         let write_lifetime = self.deployment.write_lifetime;
-        let left_at = self.proxies.last_left_at.max(slice.granted_at);
+        let left_at = self.proxies.last_left_at.max(slice.exclusive_since);
         let absent_proxies_stopped = self.now - left_at >= self.deployment.table_lease + write_lifetime;
         let writes_ended = |halted_at: Moment| self.now - halted_at >= write_lifetime;
         slice.awaited_version.is_none() && absent_proxies_stopped && slice.halted_at.is_none_or(writes_ended)
--- a/crates/policy/src/events.rs
+++ b/crates/policy/src/events.rs
@@ -104,13 +104,34 @@
         self.slices.insert(id, Slice::new(table, now));
         self.change_table(id, |_| {});
         self.report_cold_owners(id, &[]);
-        // Withdrawals are not sent to proxies that join while no table of this controller names the replica.
+        self.repeat_withdrawals_in_table(now, id);
+        self.fleet_changed = true;
+    }
+
+    /// Discards what is known of these slices only if no other controller has owned them meanwhile: admission rates
+    /// are reset when a slice is assigned, proxies may still use the table of the other controller, and a withdrawal
+    /// that was sent meanwhile did not reach proxies on behalf of these slices.
+    pub(crate) fn record_possible_reassignment(&mut self, now: Moment, ids: &[SliceId]) {
+        for id in ids {
+            let Some(slice) = self.slices.get_mut(id) else { continue };
+            slice.exclusive_since = now;
+            slice.halted_at = None;
+            if slice.applied_reduction != 0.0 {
+                self.invalidate_applied_admission(*id);
+            }
+            self.repeat_withdrawals_in_table(now, *id);
+        }
+    }
+
+    /// Schedules the withdrawals in force of replicas in a slice's table. A withdrawal is not sent to proxies while no
+    /// table of this controller names the replica.
+    fn repeat_withdrawals_in_table(&mut self, now: Moment, id: SliceId) {
+        let Some(slice) = self.slices.get(&id) else { return };
         let is_withdrawn = |id: &ReplicaId| self.replicas.get(id).is_some_and(|replica| replica.withdrawn);
         let stays_withdrawn =
             |id: &ReplicaId| is_withdrawn(id) && !self.withdrawals.reinstatements.contains(id);
-        let withdrawn: Vec<_> = table.iter().map(|(id, _)| *id).filter(stays_withdrawn).collect();
+        let withdrawn: Vec<_> = slice.table.applied.keys().copied().filter(stays_withdrawn).collect();
         withdrawn.into_iter().for_each(|id| self.withdrawals.schedule(id, now));
-        self.fleet_changed = true;
     }
 
     pub(crate) fn invalidate_applied_admission(&mut self, id: SliceId) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -165,14 +165,15 @@
     }
 
     /// Handles an interruption of the relay's events. No acknowledgement can arrive during it, so none counts as
-    /// overdue.
-    pub fn acks_interrupted(&mut self) {
-        self.state.channel.interrupt_acks();
+    /// overdue, and the assignment of slices is unknown, so no single writer is replaced.
+    pub fn relay_events_interrupted(&mut self) {
+        self.state.channel.interrupt_events();
     }
 
-    /// Handles the restart of the relay's events. Earlier acknowledgements may have been lost.
-    pub fn acks_resumed(&mut self, now: Moment) {
-        self.state.channel.resume_acks(now);
+    /// Handles the restart of the relay's events, after the stored state was read. Earlier acknowledgements may
+    /// have been lost.
+    pub fn relay_events_resumed(&mut self, now: Moment) {
+        self.state.channel.resume_events(now);
     }
 
     /// Records that the reply with this version was sent again because its outcome is unknown. Its lines may be in
@@ -203,6 +204,13 @@
         self.run_rules(now);
     }
 
+    /// Handles slices that this controller still owns with the tables that were sent, after an interruption of the
+    /// relay's events. Another controller may have owned them meanwhile.
+    pub fn slices_possibly_reassigned(&mut self, now: Moment, slices: &[SliceId]) {
+        self.state.record_possible_reassignment(now, slices);
+        self.run_rules(now);
+    }
+
     /// Handles the removal of a slice from this controller.
     pub fn slice_revoked(&mut self, now: Moment, slice: SliceId) {
         self.state.remove_slice(slice);
--- a/crates/policy/src/measure/admission.rs
+++ b/crates/policy/src/measure/admission.rs
@@ -2,7 +2,7 @@
 
 use crate::api::{Action, SliceId};
 use crate::deployment::RequestClass;
-use crate::state::admission::{HALTED_REDUCTION, RETRIES_ONLY_REDUCTION};
+use crate::state::admission::{HALTED_REDUCTION, RETRIES_ONLY_REDUCTION, UNKNOWN_REDUCTION};
 use crate::state::controller::ControllerState;
 
 /// Answers are late if the ratio of mean latency to the tightest target latency is above this (docs/design.md,
@@ -52,8 +52,10 @@
         };
         let rate = |class| self.admission_rate(desired, class);
         let retries_changed = retries != self.allowed_retries(applied);
-        let is_changed =
-            |class: &usize| retries_changed || rate(*class) != self.admission_rate(applied, *class);
+        let is_unknown = applied == UNKNOWN_REDUCTION;
+        let is_changed = |class: &usize| {
+            is_unknown || retries_changed || rate(*class) != self.admission_rate(applied, *class)
+        };
         if (0..class_count).all(|class| is_changed(&class) && rate(class) == rate(0)) {
             return vec![command(0, rate(0))];
         }
--- a/crates/policy/src/state/command_channel.rs
+++ b/crates/policy/src/state/command_channel.rs
@@ -49,7 +49,7 @@
     last_activity_at: Moment,
     /// True while the relay's events arrive. Without them no acknowledgements arrive either, so none counts as
     /// overdue.
-    acks_can_arrive: bool,
+    events_arrive: bool,
     /// True if acknowledgements may have been lost since the last one that was received or the last message that
     /// was sent.
     pub acks_lost: bool,
@@ -71,7 +71,7 @@
             last_version,
             last_sequence: 0,
             last_activity_at: Moment::default(),
-            acks_can_arrive: true,
+            events_arrive: true,
             acks_lost: false,
             last_opened_at: Moment::default(),
             opened_messages: WindowedCounter::new(MESSAGE_BUCKET_DURATION, buckets),
@@ -89,15 +89,20 @@
         f64::from(self.fleet_size).max(self.proxies.len() as f64)
     }
 
-    /// Records that acknowledgements can't arrive until further notice.
-    pub(crate) fn interrupt_acks(&mut self) {
-        self.acks_can_arrive = false;
+    /// Records that no events of the relay arrive until further notice.
+    pub(crate) fn interrupt_events(&mut self) {
+        self.events_arrive = false;
     }
 
-    /// Records that acknowledgements arrive again, that some may have been lost meanwhile, and that waiting times
-    /// for them restart.
-    pub(crate) fn resume_acks(&mut self, now: Moment) {
-        self.acks_can_arrive = true;
+    /// Returns true while the relay's events arrive, so that a slice that is assigned to another controller is known.
+    pub(crate) fn events_arrive(&self) -> bool {
+        self.events_arrive
+    }
+
+    /// Records that events arrive again, that acknowledgements may have been lost meanwhile, and that waiting times for
+    /// them restart.
+    pub(crate) fn resume_events(&mut self, now: Moment) {
+        self.events_arrive = true;
         self.acks_lost = true;
         self.last_activity_at = now;
         for since in self.proxies.values_mut().filter_map(|proxy| proxy.awaiting_ack_since.as_mut()) {
@@ -105,9 +110,9 @@
         }
     }
 
-    /// Returns the time since the last channel activity; zero while acknowledgements can't arrive.
+    /// Returns the time since the last channel activity; zero while no events arrive.
     pub(crate) fn ack_silence(&self, now: Moment) -> Span {
-        if self.acks_can_arrive {
+        if self.events_arrive {
             now - self.last_activity_at
         } else {
             Span::default()
@@ -193,7 +198,7 @@
     }
 
     fn is_responsive(&self, now: Moment, proxy: ProxyId) -> bool {
-        let is_stalled = |proxy: &ConnectedProxy| self.acks_can_arrive && proxy.is_stalled(now);
+        let is_stalled = |proxy: &ConnectedProxy| self.events_arrive && proxy.is_stalled(now);
         self.proxies.get(&proxy).is_some_and(|proxy| !is_stalled(proxy))
     }
 
--- a/crates/policy/src/state/slice.rs
+++ b/crates/policy/src/state/slice.rs
@@ -27,6 +27,9 @@
     pub unshed_demand: f64,
     /// The time since which this controller has owned the slice.
     pub granted_at: Moment,
+    /// The time until which another controller may have owned the slice. Later than `granted_at` if the relay's events
+    /// were interrupted since.
+    pub exclusive_since: Moment,
     /// The time since which there are reports on the slice, if there were none before.
     pub observed_since: Moment,
     /// The number of moves to another owner.
@@ -70,6 +73,7 @@
             newest_demand: 0.0,
             unshed_demand: 0.0,
             granted_at: now,
+            exclusive_since: now,
             observed_since: Moment::default(),
             move_count: 0,
             reduction: 0.0,
--- a/crates/policy/tests/load_shedding.rs
+++ b/crates/policy/tests/load_shedding.rs
@@ -74,3 +74,32 @@
     });
     assert_eq!(last, Some(1.0), "reduction for all slices did not end with one proxy");
 }
+
+/// Guards against load that is no longer shed: the admission rates of a slice are reset when it is assigned to another
+/// controller and back, which an interruption of the relay's events can hide (review/1).
+#[test]
+fn reductions_are_sent_again_after_the_slices_may_have_been_reassigned() {
+    let mut policy = policy_with_replicas(single_writer_deployment(), 9);
+    let late_replica = |second, replica, _| (0.0, if second > 5 && replica == 0 { 900 } else { 100 });
+    let is_reduced =
+        |action: &Action| matches!(action, Action::SetAdmission { slice: Some(0), retries: 0, .. });
+    // The first step only stops retries and leaves all admission rates at 1.
+    let mut second = 1;
+    while !run_reports(&mut policy, second..second + 1, 1, 9, &late_replica).iter().any(is_reduced) {
+        second += 1;
+        assert!(second < 30, "nothing is reduced");
+    }
+    let now = at_ms(second * 1000 + 500);
+    policy.relay_events_interrupted();
+    policy.slices_possibly_reassigned(now, &(0..9).collect::<Vec<_>>());
+    policy.relay_events_resumed(now);
+    let sent = policy.collect_actions(now);
+    let mut classes_sent = 0;
+    for action in &sent {
+        if let Action::SetAdmission { slice: Some(slice), request_classes, retries, .. } = action {
+            assert_eq!((*slice, *retries), (0, 0), "{sent:?}");
+            classes_sent |= if *request_classes == 0 { 0b11 } else { *request_classes };
+        }
+    }
+    assert_eq!(classes_sent, 0b11, "request classes whose admission is sent again: {sent:?}");
+}
--- a/crates/routing/src/events.rs
+++ b/crates/routing/src/events.rs
@@ -125,6 +125,8 @@
         /// True if the last attempt failed, so that the request needs a new connection.
         needs_new_connection: bool,
     },
+    /// Cancel the relay request in flight if it has not been sent yet. It then fails as not sent.
+    CancelUnsentRelayRequest,
     /// Open the relay watch.
     WatchRelay {
         /// The relay's address.
--- a/crates/routing/src/outbox.rs
+++ b/crates/routing/src/outbox.rs
@@ -30,6 +30,7 @@
 struct PendingCommand {
     text: String,
     slice: Option<SliceId>,
+    sets_endpoint: bool,
     version: Option<u16>,
 }
 
@@ -98,7 +99,9 @@
                 bytes = 0;
             }
             bytes += text.len() + 1;
-            request.push(PendingCommand { text, slice: command.slice(), version: command.version() });
+            let sets_endpoint = matches!(command, Command::SetEndpoint { .. });
+            let (slice, version) = (command.slice(), command.version());
+            request.push(PendingCommand { text, slice, sets_endpoint, version });
         }
         self.requests.extend((!request.is_empty()).then_some(request));
     }
@@ -127,11 +130,17 @@
         }
     }
 
-    /// The slices whose routing tables the pending commands change.
+    /// The slices that the pending commands are for.
     pub fn slices(&self) -> BTreeSet<SliceId> {
         self.requests.iter().flatten().filter_map(|command| command.slice).collect()
     }
 
+    /// The slices whose endpoints the pending commands change.
+    pub fn slices_with_new_endpoints(&self) -> BTreeSet<SliceId> {
+        let commands = self.requests.iter().flatten().filter(|command| command.sets_endpoint);
+        commands.filter_map(|command| command.slice).collect()
+    }
+
     /// Marks the first request as in flight and returns it, to be sent now. Returns `None` if there is no request, one
     /// is in flight already, or the next attempt waits for the end of a backoff.
     pub fn send_next(&mut self) -> Option<NextRequest> {
--- a/crates/routing/src/reducer/relay_watch.rs
+++ b/crates/routing/src/reducer/relay_watch.rs
@@ -15,7 +15,7 @@
 impl Reducer {
     pub(super) fn open_relay_watch(&mut self) {
         self.relay.slices_with_recent_commands = self.commands.outbox.slices();
-        self.policy.acks_interrupted();
+        self.relay_events_interrupted();
         // The watch is opened now: a pending reopening after a backoff would only interrupt it.
         self.timers.cancel(Timer::RelayWatch);
         self.effects.push(Effect::WatchRelay { relay: self.targets.relay });
@@ -24,11 +24,30 @@
     pub(super) fn relay_watch_lost(&mut self, now: Moment, error: &StreamError) {
         self.relay.snapshot = RoutingSnapshot::default();
         self.relay.needs_reread = false;
-        self.policy.acks_interrupted();
+        self.relay_events_interrupted();
         self.source_failed(Source::RelayWatch, error);
         self.start_after_backoff(now, Timer::RelayWatch);
     }
 
+    /// Handles the time until the store has been read again. Meanwhile slices may be assigned to another controller and
+    /// back, which ends the hold on requests that a change of a single writer depends on. Pending changes of this kind
+    /// are dropped, and the policy decides again once it knows the stored tables.
+    fn relay_events_interrupted(&mut self) {
+        self.policy.relay_events_interrupted();
+        if !self.settings.deployment.single_writer {
+            return;
+        }
+        let slices = self.commands.outbox.slices_with_new_endpoints();
+        if slices.is_empty() {
+            return;
+        }
+        for slice in &slices {
+            self.commands.outbox.drop_commands_for_slice(*slice);
+        }
+        self.relay.slices_to_reread.extend(slices);
+        self.effects.push(Effect::CancelUnsentRelayRequest);
+    }
+
     /// Reopens the relay watch to read the store again. No commands are issued until that is done or has failed.
     pub(super) fn reread_store(&mut self) {
         self.relay.needs_reread = true;
@@ -82,6 +101,7 @@
     fn slice_revoked(&mut self, now: Moment, slice: SliceId) {
         self.relay.snapshot.remove_slice(slice);
         self.relay.tables.remove(&slice);
+        self.relay.slices_to_reread.remove(&slice);
         self.remove_coverage_of_slice(slice);
         self.commands.outbox.drop_commands_for_slice(slice);
         self.policy.slice_revoked(now, slice);
@@ -97,6 +117,7 @@
     /// endpoints, or if the watch failed in between, the policy would treat the routing table as empty and fill it.
     fn apply_tables(&mut self, now: Moment, tables: BTreeMap<SliceId, RoutingTable>) {
         let is_snapshot = self.relay.snapshot.is_in_progress();
+        let mut unchanged = Vec::new();
         for (slice, table) in tables {
             // After an interruption of the watch most routing tables equal the known ones or are explained by pending
             // commands. They are not passed to the policy again, which would discard their load estimates.
@@ -104,7 +125,8 @@
             let is_unchanged = known.is_some_and(|known| {
                 *known == table || self.relay.slices_with_recent_commands.contains(&slice)
             });
-            if is_snapshot && is_unchanged {
+            if is_snapshot && is_unchanged && !self.relay.slices_to_reread.contains(&slice) {
+                unchanged.push(slice);
                 continue;
             }
             let endpoints: Vec<_> = table.iter().map(|(replica, weight)| (*replica, *weight)).collect();
@@ -114,9 +136,14 @@
             } else {
                 self.policy.slice_granted(now, slice, &endpoints);
             }
+            self.relay.slices_to_reread.remove(&slice);
             self.relay.tables.insert(slice, table);
             self.relay.snapshot.count_changed_slice();
         }
+        if !unchanged.is_empty() {
+            // The same table does not prove that no other controller has owned the slice.
+            self.policy.slices_possibly_reassigned(now, &unchanged);
+        }
     }
 
     /// Completes the snapshot, and removes proxies and slices that are not in it.
@@ -126,7 +153,7 @@
         let Some(contents) = self.relay.snapshot.finish() else { return };
         self.relay.first_granted_slices.clear();
         self.relay.needs_reread = false;
-        self.policy.acks_resumed(now);
+        self.policy.relay_events_resumed(now);
         let departed: Vec<_> = self.relay.proxies.difference(&contents.proxies).copied().collect();
         for proxy in departed {
             self.proxy_left(now, proxy);
--- a/crates/routing/src/relay_view.rs
+++ b/crates/routing/src/relay_view.rs
@@ -17,6 +17,9 @@
     /// Slices that were unknown before the snapshot in progress granted them. An endpoint that the snapshot adds to
     /// one of them later belongs to the table of the grant, even if commands for the slice were issued in between.
     pub first_granted_slices: BTreeSet<SliceId>,
+    /// Slices with commands that were dropped although the store may not have applied them. Their tables are passed to
+    /// the policy again with the next snapshot, whatever they are.
+    pub slices_to_reread: BTreeSet<SliceId>,
     /// True if the store may differ from `tables`, for example because a request was rejected, or was in flight while
     /// one of its slices was granted or revoked. No commands are issued until the store has been reread or the watch
     /// is lost.
--- a/crates/transport/src/error.rs
+++ b/crates/transport/src/error.rs
@@ -59,6 +59,11 @@
     pub relay: SocketAddr,
 }
 
+/// A relay request was cancelled before it was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("cancelled")]
+pub struct RequestCancelled;
+
 /// The reason why a connection ended.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum StreamError {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use bounds::Bounds;
 pub use closing::ConnectionShutdown;
-pub use error::{Cause, HttpStatusError, RelayAddressChanged, RequestError, StreamError};
+pub use error::{Cause, HttpStatusError, RelayAddressChanged, RequestCancelled, RequestError, StreamError};
 
 use actix_rt::net::TcpStream;
 use futures_util::stream::FuturesUnordered;
--- a/crates/transport/src/relay_requests.rs
+++ b/crates/transport/src/relay_requests.rs
@@ -2,14 +2,14 @@
 
 use super::framing::LineCodec;
 use super::{
-    catch_panic, connect, limits, with_timeout, Cause, Input, InputSender, RelayAddressChanged, RequestError,
-    StreamError,
+    catch_panic, connect, limits, with_timeout, Cause, Input, InputSender, RelayAddressChanged,
+    RequestCancelled, RequestError, StreamError,
 };
 use actix_codec::Framed;
 use actix_rt::net::TcpStream;
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 /// A request to the relay.
 pub struct RelayRequest {
@@ -19,6 +19,8 @@
     pub line: String,
     /// True if the request must be sent on a new connection, because responses on the open one are not reliable.
     pub needs_new_connection: bool,
+    /// Ends when the request must no longer be sent. A request that was sent already is not affected.
+    pub cancellation: oneshot::Receiver<()>,
 }
 
 /// The reused connection.
@@ -52,9 +54,9 @@
                 request = requests.recv() => request,
             },
         };
-        let Some(RelayRequest { relay, line, needs_new_connection }) = request else { return };
-        open = open.filter(|open| !needs_new_connection && open.relay == relay);
-        let outcome = catch_panic(send_request(relay, &mut open, &mut target, line)).await;
+        let Some(request) = request else { return };
+        open = open.filter(|open| !request.needs_new_connection && open.relay == request.relay);
+        let outcome = catch_panic(send_request(request, &mut open, &mut target)).await;
         let outcome = outcome.unwrap_or_else(|panicked| Err(RequestError::OutcomeUnknown(panicked)));
         if outcome.is_err() {
             // A late response must not be attributed to the next request.
@@ -67,22 +69,25 @@
 }
 
 async fn send_request(
-    relay: SocketAddr,
+    request: RelayRequest,
     open: &mut Option<OpenConnection>,
     target: &mut watch::Receiver<Option<SocketAddr>>,
-    line: String,
 ) -> Result<String, RequestError> {
+    let RelayRequest { relay, line, mut cancellation, .. } = request;
     let aborted = || {
         let cause = Cause::new(RelayAddressChanged { relay });
         Err(RequestError::NotSent(StreamError::Unreachable(cause)))
     };
+    let cancelled = || Err(RequestError::NotSent(StreamError::Unreachable(Cause::new(RequestCancelled))));
     let framed = match open {
         _ if *target.borrow() != Some(relay) => return aborted(),
+        _ if is_cancelled(&mut cancellation) => return cancelled(),
         Some(open) => &mut open.framed,
         None => {
             let stream = tokio::select! {
                 biased;
                 _ = target.wait_for(|target| *target != Some(relay)) => return aborted(),
+                _ = &mut cancellation => return cancelled(),
                 stream = connect(relay) => stream.map_err(RequestError::NotSent)?,
             };
             let framed = Framed::new(stream, LineCodec::with_crlf(limits::MAX_LINE_BYTES));
@@ -98,3 +103,7 @@
         None => Err(RequestError::OutcomeUnknown(StreamError::Closed)),
     }
 }
+
+fn is_cancelled(cancellation: &mut oneshot::Receiver<()>) -> bool {
+    cancellation.try_recv() != Err(oneshot::error::TryRecvError::Empty)
+}
--- a/crates/transport/tests/errors.rs
+++ b/crates/transport/tests/errors.rs
@@ -2,7 +2,7 @@
 
 use std::io::{Error, ErrorKind};
 use std::net::SocketAddr;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use whinwall_transport::relay_requests::{self, RelayRequest};
 use whinwall_transport::{Cause, Input, RelayAddressChanged, RequestError, StreamError};
 
@@ -33,7 +33,9 @@
         let (requests, request_queue) = mpsc::channel(1);
         let (_target, target) = watch::channel(Some(current));
         let (inputs, mut input_queue) = mpsc::channel(1);
-        let request = RelayRequest { relay: previous, line: "APPLY".into(), needs_new_connection: false };
+        let (_canceller, cancellation) = oneshot::channel();
+        let line = "APPLY".into();
+        let request = RelayRequest { relay: previous, line, needs_new_connection: false, cancellation };
         requests.send(request).await.ok().unwrap();
         actix_rt::spawn(relay_requests::serve(request_queue, target, inputs));
         input_queue.recv().await
