Resends of a request without an answer leave messages for the time after it

Cause: an attempt without an answer may have been carried out, so each counts as a message to every proxy, and the site allows 12 in 10 s. Only the count was limited, not the pace: one attempt every 150 to 250 ms used all of them within 2.5 s. New messages were spread over the window, resends were not.

Evidence, record on: LIMIT,0,*,0,0;...;SYNC,44777,0 at 14.053, 14.204 and so on, twelve times until 16.524, none carried out; the next at 24.332, answered at once. The relay answered from 17.05 on.

Change: the first resend follows at once while messages are spare; further ones are spread over the time until the window permits another message. Every attempt counts.

Why it works: the next attempt is never further away than one such pause, however long the outage lasts, and the limit holds with all attempts counted.

Before, on: "grace 2000 ms, outage 2000 ms, 3 drains before: held back Span after the time limits began to run again"; now it passes.

--- /dev/null
+++ b/crates/controller/tests/lost_responses.rs
@@ -0,0 +1,71 @@
+//! Requests of the relay whose responses get lost, with and without a limit on messages per proxy.
+
+mod support;
+
+use serde_json::json;
+use support::store_model::{Answers, StoreModel};
+use whinwall_policy::time::{Moment, Span};
+
+const SLICES: u32 = 12;
+const SLICE_OF_DRAINED: u32 = 2;
+const MESSAGE_LIMIT: usize = 12;
+const MESSAGE_WINDOW: Span = Span::ms(10_000);
+/// The time for which the limits of the rules wait after a request without a response.
+const WAIT_AFTER_SILENCE: Span = Span::ms(1500);
+
+/// A site with single writers, and with a limit on messages and this drain grace period.
+fn store_with_message_limit(grace: Span) -> StoreModel {
+    StoreModel::serving(SLICES, |settings| {
+        settings["familyInfo"]["singleWriter"] = json!(true);
+        settings["familyInfo"]["updateCap"] = json!(MESSAGE_LIMIT);
+        settings["familyInfo"]["reloadSpanNs"] = json!(MESSAGE_WINDOW.as_ns());
+        settings["obligations"]["drainGraceNs"] = json!(grace.as_ns());
+    })
+}
+
+/// Each request that the relay has received may have become a message to each proxy.
+fn assert_message_limit(received_at: &[Moment], context: &str) {
+    for first in received_at {
+        let in_window =
+            received_at.iter().filter(|at| *at >= first && **at - *first < MESSAGE_WINDOW).count();
+        assert!(in_window <= MESSAGE_LIMIT, "{context}: {in_window} messages within {MESSAGE_WINDOW:?}");
+    }
+}
+
+/// Guards against resends that use up the limit on messages, so that a draining replica gets requests long after the
+/// relay responds again (review/3).
+#[test]
+fn requests_for_a_draining_replica_are_held_back_soon_after_lost_responses() {
+    for grace_ms in [2000, 2500, 4000] {
+        for outage_ms in [200, 1000, 2000, 3000, 4500, 6000, 12_000] {
+            for used_messages in [0, 3] {
+                let context =
+                    format!("grace {grace_ms} ms, outage {outage_ms} ms, {used_messages} drains before");
+                let grace = Span::ms(grace_ms);
+                let mut store = store_with_message_limit(grace);
+                for replica in 3..3 + used_messages {
+                    store.rig.drain(&format!("s-{replica}"));
+                    store.advance_ms(1500);
+                }
+                store.answers = Answers::Ignored;
+                store.rig.drain("s-2");
+                store.advance_ms(outage_ms);
+                store.answers = Answers::Arrive;
+                let waited_until = *store.received_at.last().unwrap() + WAIT_AFTER_SILENCE;
+                let end = store.rig.now + Span::ms(30_000);
+                while !store.is_applied_hold(SLICE_OF_DRAINED) && store.rig.now < end {
+                    store.advance_ms(10);
+                }
+                let applied_at = store.rig.now;
+                assert!(
+                    applied_at <= waited_until + grace,
+                    "{context}: held back {:?} after the time limits began to run again",
+                    applied_at - waited_until
+                );
+                store.advance_ms(15_000);
+                assert_message_limit(&store.received_at, &context);
+                assert_eq!(store.violations, Vec::<String>::new(), "{context}");
+            }
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -267,7 +267,8 @@
 impl Policy {
     /// Returns true if the reply with this version may be sent again. It must fit into the queue in addition to
     /// its first copy, unless acknowledgements are overdue, in which case nothing can still be queued. The message
-    /// limit must also allow another message, because each attempt may have been applied.
+    /// limit must also allow another message, because each attempt may have been applied, and resends after the first one
+    /// are spread over the time.
     pub fn may_resend(&self, now: Moment, version: u16) -> bool {
         self.state.may_resend(now, version)
     }
--- a/crates/policy/src/rules/rate_limit.rs
+++ b/crates/policy/src/rules/rate_limit.rs
@@ -27,6 +27,13 @@
     next_available_in: Span,
 }
 
+impl OpenableMessages {
+    /// Returns the time between two messages if they are spread over the time until the window permits another one.
+    fn spacing(&self) -> Span {
+        self.next_available_in.times(1.0 / self.remaining.max(1.0))
+    }
+}
+
 impl ControllerState {
     /// Returns true if there is room for `lines` more lines to each proxy under both limits. A message always has
     /// room in the queue if nothing is unacknowledged; further messages are spaced so that overhead does not fill
@@ -65,7 +72,22 @@
         let lines = self.channel.unacked_lines(now) + self.channel.lines_of_version(version);
         let fits = lines <= self.deployment.queue_capacity_lines * USABLE_QUEUE_SHARE;
         let is_overdue = self.channel.ack_silence(now) > ACK_TIMEOUT;
-        (fits || is_overdue) && self.remaining_messages(now, 1.0) >= 1.0
+        (fits || is_overdue)
+            && self.remaining_messages(now, 1.0) >= 1.0
+            && self.has_waited_to_resend(now, version)
+    }
+
+    /// Returns true if enough time has passed since the last message to resend this one. The first resend may follow at
+    /// once, since most responses that get lost are single ones. Further ones are spread over the time until the window
+    /// permits another message: otherwise they use up the limit within a few seconds, and nothing can be sent once the
+    /// relay responds again.
+    fn has_waited_to_resend(&self, now: Moment, version: u16) -> bool {
+        let is_first = self.channel.sent.get(&version).is_none_or(|message| message.send_count <= 1);
+        let spacing = match self.openable_messages(now, 1.0) {
+            Some(openable) if !(is_first && self.has_spare_messages(now)) => openable.spacing(),
+            _ => Span::default(),
+        };
+        now - self.channel.last_sent_at >= spacing
     }
 
     /// Returns the number of messages that each proxy may still get within the window if this share of the limit
@@ -84,19 +106,19 @@
 
     /// Returns the messages that may be opened if this share of the limit is used; `None` if the window is empty
     /// or there is no limit.
-    fn openable_messages(&self, share: f64) -> Option<OpenableMessages> {
+    fn openable_messages(&self, now: Moment, share: f64) -> Option<OpenableMessages> {
         let window = self.message_window();
-        let oldest = self.channel.opened_messages.oldest_bucket_start(self.now, window)?;
-        let remaining = self.remaining_messages(self.now, share) - 1.0;
+        let oldest = self.channel.opened_messages.oldest_bucket_start(now, window)?;
+        let remaining = self.remaining_messages(now, share) - 1.0;
         remaining
             .is_finite()
-            .then(|| OpenableMessages { remaining, next_available_in: window - (self.now - oldest) })
+            .then(|| OpenableMessages { remaining, next_available_in: window - (now - oldest) })
     }
 
     /// Returns true if the messages that remain after the next one suffice until the window permits another one,
     /// with one sent per `MAX_WAIT_SHARE_OF_GRACE` of the drain grace period.
-    fn has_spare_messages(&self) -> bool {
-        self.openable_messages(1.0).is_none_or(|openable| {
+    fn has_spare_messages(&self, now: Moment) -> bool {
+        self.openable_messages(now, 1.0).is_none_or(|openable| {
             let wait_share = MAX_WAIT_SHARE_OF_GRACE * (openable.remaining - 1.0);
             self.deployment.drain_grace.times(wait_share) >= openable.next_available_in
         })
@@ -108,10 +130,8 @@
     fn may_open_message(&self, share: f64, gap: Span, priority: Priority) -> bool {
         let can_wait = priority != Priority::NoEndpoint;
         let max_share = if can_wait { DEFERRABLE_MESSAGE_SHARE } else { 1.0 };
-        let spacing = match self.openable_messages(max_share) {
-            Some(openable) if can_wait || !self.has_spare_messages() => {
-                openable.next_available_in.times(1.0 / openable.remaining.max(1.0))
-            }
+        let spacing = match self.openable_messages(self.now, max_share) {
+            Some(openable) if can_wait || !self.has_spare_messages(self.now) => openable.spacing(),
             _ => Span::default(),
         };
         let has_waited = self.now - self.channel.last_opened_at >= gap.max(spacing);
--- a/crates/policy/src/state/command_channel.rs
+++ b/crates/policy/src/state/command_channel.rs
@@ -56,6 +56,8 @@
     /// The number of opened messages, including resent ones.
     pub opened_messages: WindowedCounter,
     pub last_opened_at: Moment,
+    /// The time at which a message was last opened or resent.
+    pub last_sent_at: Moment,
 }
 
 impl CommandChannel {
@@ -74,6 +76,7 @@
             events_arrive: true,
             acks_lost: false,
             last_opened_at: Moment::default(),
+            last_sent_at: Moment::default(),
             opened_messages: WindowedCounter::new(MESSAGE_BUCKET_DURATION, buckets),
         }
     }
@@ -130,6 +133,7 @@
         if let Some(message) = self.sent.get_mut(&version) {
             message.add_copies(self.proxies.keys().copied());
             self.last_activity_at = now;
+            self.last_sent_at = now;
             self.opened_messages.add(now, 1.0);
         }
     }
@@ -236,6 +240,7 @@
         self.last_version = self.last_version.wrapping_add(1);
         self.opened_messages.add(now, 1.0);
         self.last_opened_at = now;
+        self.last_sent_at = now;
         self.last_activity_at = now;
         self.acks_lost = false;
         self.last_sequence += 1;
