The lifetime of a write counts from the time at which requests are held back

What callers may see: writes of a slice with two replicas at once.

Cause: before a new owner gets writes, those at the previous one are given the lifetime of a write to end. It counted from the order that holds requests back. If its request is delayed, by lost answers or a cut, proxies hold them back later.

Evidence: lost_responses.rs, lifetime_of_a_write_..., the reducer with a model of the relay (simulated). Before, on: "Ignored for 0 ms ... slice 2: requests admitted Span before the last write ended"; now it passes, for outages of 0 to 5 s.

Change: the time counts from the acknowledgements of all connected proxies, and is waited for before requests are admitted again. The owner is set before that: while all proxies hold requests back, no write reaches either owner.

Why it works: no proxy sends a write after its acknowledgement.

--- a/crates/controller/tests/lost_responses.rs
+++ b/crates/controller/tests/lost_responses.rs
@@ -69,3 +69,29 @@
         }
     }
 }
+
+/// Guards against a new owner that gets writes while the previous one has some in hand: the requests are held back later
+/// than ordered, and the lifetime of a write was counted from the order.
+#[test]
+fn lifetime_of_a_write_counts_from_the_time_at_which_requests_are_held_back() {
+    for outage_ms in (0..5000).step_by(250) {
+        for answers in [Answers::Ignored, Answers::Lost] {
+            let context = format!("{answers:?} for {outage_ms} ms");
+            let mut store = StoreModel::serving(SLICES, |settings| {
+                settings["familyInfo"]["singleWriter"] = json!(true);
+                settings["familyInfo"]["writeLifeNs"] = json!(Span::ms(620).as_ns());
+            });
+            store.answers = answers;
+            store.rig.drain("s-2");
+            store.advance_ms(outage_ms);
+            store.answers = Answers::Arrive;
+            store.advance_ms(20_000);
+            assert_eq!(store.violations, Vec::<String>::new(), "{context}");
+            assert!(
+                !store.rig.store[&SLICE_OF_DRAINED].contains_key("s-2"),
+                "{context}: the slice has not moved"
+            );
+            assert!(!store.is_held_back(SLICE_OF_DRAINED), "{context}: its requests are still held back");
+        }
+    }
+}
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -96,7 +96,7 @@
         let removals = self.removal_mode();
         let Some(slice) = self.slices.get_mut(&update.slice) else { return };
         if slice.applied_reduction != update.reduction && update.reduction == HALTED_REDUCTION {
-            slice.halted_at = Some(self.now);
+            slice.halt_confirmed_at = None;
         }
         slice.applied_reduction = update.reduction;
         let changes_table = !slice.table.is_applied();
@@ -122,8 +122,8 @@
     }
 
     /// Returns true if the table of the slice may be sent. Under single writer, each stage of a change of owner
-    /// must wait for acknowledgements from all connected proxies, for the end of the table lease of proxies that
-    /// disconnected from this controller or from the slice's previous controller, and for the lifetime of a write.
+    /// must wait for acknowledgements from all connected proxies, and for the end of the table lease of proxies that
+    /// disconnected from this controller or from the slice's previous controller.
     /// While the relay's events are interrupted, the slice may be assigned to another controller and back, which ends
     /// the hold on its requests, so only the first stage may be sent.
     fn may_send_table(&self, slice: &Slice) -> bool {
@@ -135,13 +135,20 @@
         if !self.channel.events_arrive() {
             return false;
         }
-        if !is_halted {
-            return true;
-        }
-        let write_lifetime = self.deployment.write_lifetime;
+        !is_halted || (self.is_halt_effective(slice) && self.has_waited_for_writes(slice))
+    }
+
+    /// Returns true if no proxy sends requests for a slice whose requests are held back.
+    fn is_halt_effective(&self, slice: &Slice) -> bool {
         let left_at = self.proxies.last_left_at.max(slice.exclusive_since);
-        let absent_proxies_stopped = self.now - left_at >= self.deployment.table_lease + write_lifetime;
-        let writes_ended = |halted_at: Moment| self.now - halted_at >= write_lifetime;
-        slice.awaited_version.is_none() && absent_proxies_stopped && slice.halted_at.is_none_or(writes_ended)
+        let absent_time = self.deployment.table_lease + self.deployment.write_lifetime;
+        slice.awaited_version.is_none() && self.now - left_at >= absent_time
+    }
+
+    /// Returns true if the owner may be changed, or if the new owner may get writes because those at the previous one
+    /// have ended. Proxies may have held requests back long after that was ordered.
+    fn has_waited_for_writes(&self, slice: &Slice) -> bool {
+        let writes_ended = |at: Moment| self.now - at >= self.deployment.write_lifetime;
+        !slice.table.is_applied() || slice.halt_confirmed_at.is_some_and(writes_ended)
     }
 }
--- a/crates/policy/src/state/controller.rs
+++ b/crates/policy/src/state/controller.rs
@@ -3,7 +3,7 @@
 use crate::api::{Action, ProxyId, ReplicaId, SliceId};
 use crate::deployment::Deployment;
 use crate::random::Random;
-use crate::state::admission::GlobalAdmission;
+use crate::state::admission::{GlobalAdmission, HALTED_REDUCTION};
 use crate::state::command_channel::CommandChannel;
 use crate::state::fleet_averages::FleetAverages;
 use crate::state::link_latency::Links;
@@ -146,6 +146,9 @@
             if let Some(slice) = slice {
                 slice.awaited_version = None;
                 slice.settled_at = self.now;
+                if slice.applied_reduction == HALTED_REDUCTION {
+                    slice.halt_confirmed_at.get_or_insert(self.now);
+                }
             }
         }
         if sent.unacked_copies.is_empty() {
--- a/crates/policy/src/state/slice.rs
+++ b/crates/policy/src/state/slice.rs
@@ -48,8 +48,9 @@
     pub demand_at_change: f64,
     /// The moves to the replica that the slice is pinned to.
     pub pin_moves: PinMoves,
-    /// The time since which requests are held back for a change of owner, under single writer.
-    pub halted_at: Option<Moment>,
+    /// The time at which all connected proxies had confirmed that they hold requests back for a change of owner, under
+    /// single writer.
+    pub halt_confirmed_at: Option<Moment>,
 }
 
 /// The number of moves of a slice to its pin, and the override that caused them.
@@ -83,7 +84,7 @@
             owners_changed_at: now,
             demand_at_change: 0.0,
             pin_moves: PinMoves::default(),
-            halted_at: None,
+            halt_confirmed_at: None,
         }
     }
 
