After a suspension the relay watch is read before an owner is changed

Cause: timers fire before the program has read what the relay watch delivered. A change of owner whose lease has ended meanwhile is sent on a hold that the assignment has ended.

Before: "suspended 400 ms after the hold: slice 2: new owner Span(0) after its assignment, but its requests are not held back".

Change: if input was not drained for 1.5 s, where slices have a single writer, the watch is opened again first. While it is being read no owner is changed. The tests of reassigned_slices.rs also have slices whose lease still runs when they are held back, since a change of owner now follows the acknowledgements at once otherwise.

--- a/crates/controller/tests/reassigned_slices.rs
+++ b/crates/controller/tests/reassigned_slices.rs
@@ -37,13 +37,33 @@
     assert!(held_back.is_empty(), "{context}: requests are still held back for slices {held_back:?}");
 }
 
-/// Drains a replica and cuts the controller off `held_ms` after the requests of its slices are held back. The other
-/// controller has the slices from 2 s after the cut begins until `return_ms` after it ends.
-fn cut_during_owner_change(held_ms: u64, cut_ms: u64, return_ms: u64) {
+/// The time since which the controller has had its slices when a replica drains.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Assigned {
+    Long,
+    /// The owner may be changed only once the table lease has ended.
+    Recently,
+}
+
+/// Drains a replica and stops `held_ms` after the requests of its slices are held back.
+fn store_with_hold(assigned: Assigned, held_ms: u64) -> StoreModel {
     let mut store = single_writer_store();
+    if assigned == Assigned::Recently {
+        store.assign_to_other();
+        store.advance_ms(100);
+        store.assign_back();
+        store.advance_ms(100);
+    }
     store.rig.drain("s-2");
     assert!(store.advance_until(2000, |store| store.is_held_back(2)));
     store.advance_ms(held_ms);
+    store
+}
+
+/// Cuts the controller off `held_ms` after the requests for the slices of a draining replica are held back. The other
+/// controller has the slices from 2 s after the cut begins until `return_ms` after it ends.
+fn cut_during_owner_change(assigned: Assigned, held_ms: u64, cut_ms: u64, return_ms: u64) {
+    let mut store = store_with_hold(assigned, held_ms);
     store.cut();
     store.advance_ms(2000);
     store.assign_to_other();
@@ -56,7 +76,8 @@
         store.advance_ms(return_ms);
         store.assign_back();
     }
-    let context = format!("cut {held_ms} ms after the hold for {cut_ms} ms, return after {return_ms} ms");
+    let context =
+        format!("{assigned:?}, cut {held_ms} ms after the hold for {cut_ms} ms, return after {return_ms} ms");
     assert_rule_kept_and_slices_moved(store, &context);
 }
 
@@ -66,7 +87,9 @@
 fn slice_that_returns_after_a_cut_is_held_back_again_before_its_owner_changes() {
     for held_ms in [0, 300, 1000, 3000, 5500] {
         for (cut_ms, return_ms) in [(4000, 0), (6000, 0), (6000, 100), (6000, 400), (9000, 1200)] {
-            cut_during_owner_change(held_ms, cut_ms, return_ms);
+            for assigned in [Assigned::Long, Assigned::Recently] {
+                cut_during_owner_change(assigned, held_ms, cut_ms, return_ms);
+            }
         }
     }
 }
@@ -75,22 +98,37 @@
 #[test]
 fn pending_owner_changes_are_dropped_when_the_slices_may_have_been_reassigned() {
     for held_ms in (200..1000).step_by(20) {
-        cut_during_owner_change(held_ms, 6000, 0);
+        cut_during_owner_change(Assigned::Long, held_ms, 6000, 0);
+    }
+    // The lease ends during the cut, before or after the controller notices it.
+    for held_ms in (1000..5000).step_by(100) {
+        cut_during_owner_change(Assigned::Recently, held_ms, 6000, 0);
     }
 }
 
 /// Guards against a hold that is believed to stand after a lost watch that no cut explains (review/1).
 #[test]
 fn slice_that_returns_while_the_watch_is_reset_is_held_back_again_before_its_owner_changes() {
-    for held_ms in (0..6000).step_by(150) {
-        let mut store = single_writer_store();
-        store.rig.drain("s-2");
-        assert!(store.advance_until(2000, |store| store.is_held_back(2)));
-        store.advance_ms(held_ms);
-        store.reset_watch();
-        store.assign_to_other();
-        store.assign_back();
-        assert_rule_kept_and_slices_moved(store, &format!("watch reset {held_ms} ms after the hold"));
+    for assigned in [Assigned::Long, Assigned::Recently] {
+        for held_ms in (0..6000).step_by(150) {
+            let mut store = store_with_hold(assigned, held_ms);
+            store.reset_watch();
+            store.assign_to_other();
+            store.assign_back();
+            let context = format!("{assigned:?}, watch reset {held_ms} ms after the hold");
+            assert_rule_kept_and_slices_moved(store, &context);
+        }
+    }
+}
+
+/// Guards against a new owner without a hold on requests: the process is suspended, and its timers fire before it reads
+/// that the slice was reassigned meanwhile.
+#[test]
+fn slice_that_returns_while_the_process_is_suspended_is_held_back_again_before_its_owner_changes() {
+    for held_ms in (0..5000).step_by(100) {
+        let mut store = store_with_hold(Assigned::Recently, held_ms);
+        store.suspend_during_reassignment(6000);
+        assert_rule_kept_and_slices_moved(store, &format!("suspended {held_ms} ms after the hold"));
     }
 }
 
--- a/crates/controller/tests/support/store_model.rs
+++ b/crates/controller/tests/support/store_model.rs
@@ -71,6 +71,8 @@
     /// Acknowledgements in transit: the time of their arrival, and the version.
     acks: Vec<(Moment, String)>,
     request_since: Option<Moment>,
+    /// Lines of the relay watch that the controller has not read; `None` unless it is suspended.
+    unread_lines: Option<Vec<String>>,
 }
 
 impl StoreModel {
@@ -103,6 +105,7 @@
             next_heartbeat: now,
             acks: Vec::new(),
             request_since: None,
+            unread_lines: None,
         };
         model.rig.send_list();
         model.advance_ms(20_000);
@@ -124,6 +127,23 @@
         self.step();
     }
 
+    /// Suspends the controller's process for this many milliseconds. In the middle of this time all slices are assigned
+    /// to another controller, and at its end they are assigned back. The controller's timers fire before it reads what
+    /// the relay watch has delivered meanwhile.
+    pub fn suspend_during_reassignment(&mut self, ms: u64) {
+        self.unread_lines = Some(Vec::new());
+        self.rig.now = self.rig.now + Span::ms(ms / 2);
+        self.assign_to_other();
+        self.rig.now = self.rig.now + Span::ms(ms / 2);
+        self.assign_back();
+        self.rig.drain_input();
+        self.serve_request();
+        for line in self.unread_lines.take().unwrap_or_default() {
+            self.send_event(&line);
+        }
+        self.step();
+    }
+
     /// Resets the relay watch.
     pub fn reset_watch(&mut self) {
         self.lose_watch(StreamError::Closed);
@@ -136,7 +156,7 @@
             self.holds.remove(&slice);
             self.send_event(&format!("* GRANT {slice} 0"));
         }
-        self.rig.drain_input();
+        self.drain_input();
     }
 
     /// Assigns all slices to this controller, with the stored tables.
@@ -151,7 +171,13 @@
                 }
             }
         }
-        self.rig.drain_input();
+        self.drain_input();
+    }
+
+    fn drain_input(&mut self) {
+        if self.unread_lines.is_none() {
+            self.rig.drain_input();
+        }
     }
 
     /// Changes the table of a slice of the other controller.
@@ -266,9 +292,11 @@
 
     /// Sends a line on the relay watch, if it is open.
     fn send_event(&mut self, line: &str) {
-        if let (false, Watch::Open { last_line_at }) = (self.is_cut, &mut self.watch) {
-            *last_line_at = self.rig.now;
-            self.rig.relay_event(line);
+        let (false, Watch::Open { last_line_at }) = (self.is_cut, &mut self.watch) else { return };
+        *last_line_at = self.rig.now;
+        match &mut self.unread_lines {
+            Some(lines) => lines.push(line.to_string()),
+            None => self.rig.relay_event(line),
         }
     }
 
--- a/crates/routing/src/log_event.rs
+++ b/crates/routing/src/log_event.rs
@@ -47,6 +47,11 @@
         /// The number of known replicas.
         replicas: usize,
     },
+    /// The program was suspended. The relay watch is opened again.
+    Suspended {
+        /// The time since the input was last drained.
+        gap: Span,
+    },
     /// A source of information failed for the first time since it last worked.
     SourceFailed {
         /// The source.
@@ -176,6 +181,7 @@
                 "relay snapshot complete proxies={proxies} slices={slices} \
                  changed_slices={changed_slices} replicas={replicas}"
             ),
+            LogEvent::Suspended { gap } => write!(f, "program was suspended gap_s={:.1}", gap.seconds()),
             LogEvent::SourceFailed { source, reason } => {
                 write!(f, "{} failed reason={reason:?}", source.log_name())
             }
--- a/crates/routing/src/reducer.rs
+++ b/crates/routing/src/reducer.rs
@@ -42,6 +42,8 @@
     settings: Settings,
     targets: Targets,
     started_at: Moment,
+    /// The time at which [`Event::InputDrained`] was last applied.
+    drained_at: Moment,
     /// For backoff jitter: controllers that lose their connections at the same time must not reconnect at the same
     /// time.
     random: Random,
@@ -71,6 +73,7 @@
             settings,
             targets,
             started_at: now,
+            drained_at: now,
             random: Random::from_seed(!seed),
             names: ReplicaNames::default(),
             list_version: EndpointListVersion::new(known_list.version),
--- a/crates/routing/src/reducer/timers.rs
+++ b/crates/routing/src/reducer/timers.rs
@@ -2,13 +2,16 @@
 
 use super::Reducer;
 use crate::events::Effect;
+use crate::log_event::LogEvent;
 use crate::overrides::Overrides;
 use crate::timers::Timer;
-use whinwall_policy::time::Moment;
+use whinwall_policy::time::{Moment, Span};
 use whinwall_transport::limits;
 
 /// The fraction of a backoff that is random.
 const BACKOFF_JITTER: f64 = 0.5;
+/// The program was suspended if it has not drained its input for this time; it does so at least once a second.
+const MAX_DRAIN_GAP: Span = Span::ms(1500);
 
 impl Reducer {
     /// Starts a timer after a backoff with jitter.
@@ -18,6 +21,7 @@
     }
 
     pub(super) fn input_drained(&mut self, now: Moment) {
+        self.check_for_suspension(now);
         while let Some(timer) = self.timers.pop_due(now) {
             self.timer_fired(now, timer);
         }
@@ -31,6 +35,16 @@
         self.schedule_wake_up();
     }
 
+    /// Reopens the relay watch if the program was suspended. Slices may have been assigned to another controller and back
+    /// meanwhile, and the timers would fire before the program has read that.
+    fn check_for_suspension(&mut self, now: Moment) {
+        let gap = now - std::mem::replace(&mut self.drained_at, now);
+        if gap > MAX_DRAIN_GAP && self.settings.deployment.single_writer {
+            self.log(LogEvent::Suspended { gap });
+            self.open_relay_watch();
+        }
+    }
+
     fn timer_fired(&mut self, now: Moment, timer: Timer) {
         match timer {
             Timer::Policy(token) => self.policy.timer_fired(now, token),
