Requests wait for the previous owner's writes also after an interrupted watch

What callers would see: two replicas with writes of a slice in hand, if the relay watch breaks just after the owner of a slice was changed.

Cause: after an interruption the hold on a slice's requests is unknown, and its end was sent at once. If the slice was not reassigned, the hold still stood, and writes at the previous owner had not had their time to end.

Evidence: store_orders.rs, random orders of cuts, resets, lost answers, suspensions, reassignments, drains and proxies that leave, the reducer with the model of the store.

Change: the time of the confirmed hold is kept until requests are admitted, and waited for. The lease counts for a new owner only, not for the end of a hold.

--- a/crates/controller/tests/support/store_model.rs
+++ b/crates/controller/tests/support/store_model.rs
@@ -64,6 +64,8 @@
     table_lease: Span,
     own_slices: BTreeSet<u32>,
     assigned_at: BTreeMap<u32, Moment>,
+    /// The time at which a proxy disconnected that has not connected again.
+    proxy_left_at: Option<Moment>,
     holds: BTreeMap<u32, Hold>,
     is_cut: bool,
     watch: Watch,
@@ -99,6 +101,7 @@
             table_lease: Span::ns(lease_ns),
             assigned_at: own_slices.iter().map(|slice| (*slice, now)).collect(),
             own_slices,
+            proxy_left_at: None,
             holds: BTreeMap::new(),
             is_cut: false,
             watch: Watch::Closed,
@@ -150,6 +153,24 @@
         self.rig.drain_input();
     }
 
+    /// Disconnects the last proxy, or connects it again.
+    pub fn toggle_proxy(&mut self) {
+        if self.proxy_left_at.take().is_some() {
+            self.send_event(&format!("* SUBSCRIBE {} north 21.5 0", self.rig.proxies));
+            self.rig.proxies += 1;
+        } else {
+            self.rig.proxies -= 1;
+            self.proxy_left_at = Some(self.rig.now);
+            self.send_event(&format!("* CLOSED {}", self.rig.proxies));
+        }
+        self.rig.drain_input();
+    }
+
+    /// Returns true while the controller is cut off from the relay.
+    pub fn is_cut(&self) -> bool {
+        self.is_cut
+    }
+
     /// Assigns all slices to another controller.
     pub fn assign_to_other(&mut self) {
         for slice in std::mem::take(&mut self.own_slices) {
@@ -392,6 +413,14 @@
         if elapsed < self.table_lease + self.write_lifetime {
             self.violations.push(format!("slice {slice}: new owner {elapsed:?} after its assignment"));
         }
+        if let Some(left_at) = self.proxy_left_at {
+            // A proxy that had applied the hold before it left keeps to it.
+            let held = self.holds.get(&slice).is_some_and(|hold| left_at >= hold.since + PROXY_DELAY);
+            let absent_time = now - left_at;
+            if !held && absent_time < self.table_lease + self.write_lifetime {
+                self.violations.push(format!("slice {slice}: new owner {absent_time:?} after a proxy left"));
+            }
+        }
         match self.holds.get_mut(&slice) {
             Some(hold) if now - hold.since >= PROXY_DELAY => hold.owner_changed = true,
             Some(hold) => {
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -95,7 +95,7 @@
         self.pending_slices.clear(update.slice);
         let removals = self.removal_mode();
         let Some(slice) = self.slices.get_mut(&update.slice) else { return };
-        if slice.applied_reduction != update.reduction && update.reduction == HALTED_REDUCTION {
+        if slice.applied_reduction != update.reduction {
             slice.halt_confirmed_at = None;
         }
         slice.applied_reduction = update.reduction;
@@ -121,34 +121,46 @@
         self.mark_pending(id, remainder_priority);
     }
 
-    /// Returns true if the table of the slice may be sent. Under single writer, each stage of a change of owner
-    /// must wait for acknowledgements from all connected proxies, and for the end of the table lease of proxies that
-    /// disconnected from this controller or from the slice's previous controller.
-    /// While the relay's events are interrupted, the slice may be assigned to another controller and back, which ends
-    /// the hold on its requests, so only the first stage may be sent.
+    /// Returns true if the table of the slice may be sent. Under single writer, the stages of a change of owner wait
+    /// for each other. While the relay's events are interrupted, the slice may be assigned to another controller and
+    /// back, which ends the hold on its requests, so only the first stage may be sent.
     fn may_send_table(&self, slice: &Slice) -> bool {
-        let is_halted = slice.applied_reduction == HALTED_REDUCTION;
-        let sets_owner = is_halted || slice.table.applied.is_empty();
-        if !self.deployment.single_writer || !sets_owner {
+        if !self.deployment.single_writer {
             return true;
         }
-        if !self.channel.events_arrive() {
-            return false;
+        let is_halted = slice.applied_reduction == HALTED_REDUCTION;
+        let (table, events_arrive) = (&slice.table, self.channel.events_arrive());
+        if !table.is_applied() && is_halted {
+            events_arrive && self.may_set_owner(slice)
+        } else if !table.is_applied() {
+            events_arrive || !table.applied.is_empty()
+        } else if is_halted || slice.halt_confirmed_at.is_some() {
+            events_arrive && self.may_admit_requests(slice)
+        } else {
+            true
         }
-        !is_halted || (self.is_halt_effective(slice) && self.has_waited_for_writes(slice))
     }
 
-    /// Returns true if no proxy sends requests for a slice whose requests are held back.
-    fn is_halt_effective(&self, slice: &Slice) -> bool {
-        let left_at = self.proxies.last_left_at.max(slice.exclusive_since);
-        let absent_time = self.deployment.table_lease + self.deployment.write_lifetime;
-        slice.awaited_version.is_none() && self.now - left_at >= absent_time
+    /// Returns true if a slice whose requests are held back may get another owner: all connected proxies have
+    /// acknowledged the hold, and the table lease has ended for proxies that disconnected from this controller or from
+    /// the slice's previous controller.
+    fn may_set_owner(&self, slice: &Slice) -> bool {
+        slice.awaited_version.is_none()
+            && self.has_lease_ended(self.proxies.last_left_at.max(slice.exclusive_since))
     }
 
-    /// Returns true if the owner may be changed, or if the new owner may get writes because those at the previous one
-    /// have ended. Proxies may have held requests back long after that was ordered.
-    fn has_waited_for_writes(&self, slice: &Slice) -> bool {
+    /// Returns true if the requests of a slice may be admitted after a change of owner: all connected proxies have
+    /// acknowledged the change, and the writes at the previous owner have ended. Proxies may have held requests back
+    /// long after that was ordered.
+    fn may_admit_requests(&self, slice: &Slice) -> bool {
         let writes_ended = |at: Moment| self.now - at >= self.deployment.write_lifetime;
-        !slice.table.is_applied() || slice.halt_confirmed_at.is_some_and(writes_ended)
+        slice.awaited_version.is_none()
+            && self.has_lease_ended(self.proxies.last_left_at)
+            && slice.halt_confirmed_at.is_some_and(writes_ended)
+    }
+
+    /// Returns true if no write by a table that a proxy has held without a connection since `left_at` is in progress.
+    fn has_lease_ended(&self, left_at: Moment) -> bool {
+        self.now - left_at >= self.deployment.table_lease + self.deployment.write_lifetime
     }
 }
--- a/crates/policy/src/state/slice.rs
+++ b/crates/policy/src/state/slice.rs
@@ -49,7 +49,7 @@
     /// The moves to the replica that the slice is pinned to.
     pub pin_moves: PinMoves,
     /// The time at which all connected proxies had confirmed that they hold requests back for a change of owner, under
-    /// single writer.
+    /// single writer; `None` once requests are admitted again.
     pub halt_confirmed_at: Option<Moment>,
 }
 
--- a/crates/routing/src/reducer/timers.rs
+++ b/crates/routing/src/reducer/timers.rs
@@ -10,8 +10,9 @@
 
 /// The fraction of a backoff that is random.
 const BACKOFF_JITTER: f64 = 0.5;
-/// The program was suspended if it has not drained its input for this time; it does so at least once a second.
-const MAX_DRAIN_GAP: Span = Span::ms(1500);
+/// The program was suspended if it has not drained its input for this time; it does so at each tick of the policy, which
+/// are 250 ms apart.
+const MAX_DRAIN_GAP: Span = Span::ms(750);
 
 impl Reducer {
     /// Starts a timer after a backoff with jitter.
