A hold that is carried out after its slice was reassigned is ended

What callers would see: the requests of a slice are refused for ever.

Cause: a request that holds a slice's requests back is in flight while the slice goes to another controller and back, and the relay carries it out after that. The store is read again then, but it shows tables only. The table was the same, so the admission rate was believed to be as the assignment had left it.

It failed before and passes now.

--- a/crates/controller/tests/store_orders.rs
+++ b/crates/controller/tests/store_orders.rs
@@ -17,6 +17,9 @@
 const EVENTS: usize = 40;
 /// The seeds of a run in CI.
 const DEFAULT_SEEDS: std::ops::Range<u64> = 0..150;
+/// A seed in which a request that holds requests back is in flight while its slice is assigned to another controller and
+/// back, and is carried out after that. The requests were held back for ever.
+const HOLD_AFTER_REASSIGNMENT_SEED: u64 = 4434;
 /// The time after the last failure within which all changes have to be carried out: a table lease, the lifetime of a
 /// write, and a window of the limit on messages for each stage of a change of owner.
 const RECOVERY_MS: u64 = 40_000;
@@ -97,10 +100,12 @@
     assert!(snapshot.is_some_and(|line| line.contains("changed_slices=0")), "seed {seed}: {snapshot:?}");
 }
 
-fn seeds() -> std::ops::Range<u64> {
-    let Ok(text) = std::env::var("STORE_ORDER_SEEDS") else { return DEFAULT_SEEDS };
+fn seeds() -> Vec<u64> {
+    let Ok(text) = std::env::var("STORE_ORDER_SEEDS") else {
+        return DEFAULT_SEEDS.chain([HOLD_AFTER_REASSIGNMENT_SEED]).collect();
+    };
     let (first, end) = text.split_once("..").expect("STORE_ORDER_SEEDS is FIRST..END");
-    first.parse().expect("first seed")..end.parse().expect("end of the seeds")
+    (first.parse().expect("first seed")..end.parse().expect("end of the seeds")).collect()
 }
 
 /// Guards against any belief of the controller about the store that outlives what it rested on (review/1 to review/3).
--- a/crates/routing/src/outbox.rs
+++ b/crates/routing/src/outbox.rs
@@ -219,11 +219,11 @@
         }
     }
 
-    /// Returns true if a slice of the request in flight was revoked or granted since the request was sent. If the
-    /// relay applied the request after that, the routing table in the store differs from the one that was read.
-    pub fn has_reassigned_slices(&self) -> bool {
+    /// The slices of the request in flight that were revoked or granted since the request was sent. If the relay applied
+    /// the request after that, their routing tables and admission rates in the store differ from the known ones.
+    pub fn reassigned_in_flight(&self) -> BTreeSet<SliceId> {
         let slices = self.requests.front().into_iter().flatten().filter_map(|command| command.slice);
-        slices.into_iter().any(|slice| self.reassigned_slices.contains(&slice))
+        slices.filter(|slice| self.reassigned_slices.contains(slice)).collect()
     }
 
     fn drop_reassigned_commands(&mut self) {
--- a/crates/routing/src/reducer/relay_commands.rs
+++ b/crates/routing/src/reducer/relay_commands.rs
@@ -66,7 +66,11 @@
         let response = response.and_then(|response| validate_accepted_count(response, command_count));
         let is_not_applied = matches!(response, Ok(Response::Retryable(_)) | Err(RequestError::NotSent(_)));
         let mut needs_reread = self.relay.is_ambiguous;
-        needs_reread |= !is_not_applied && self.commands.outbox.has_reassigned_slices();
+        if !is_not_applied {
+            let reassigned = self.commands.outbox.reassigned_in_flight();
+            needs_reread |= !reassigned.is_empty();
+            self.relay.slices_to_reread.extend(reassigned);
+        }
         match response {
             Ok(Response::Accepted(accepted_count)) => {
                 self.commands.counts.accepted += 1;
--- a/crates/routing/src/reducer/relay_watch.rs
+++ b/crates/routing/src/reducer/relay_watch.rs
@@ -210,6 +210,8 @@
         for slice in revoked {
             self.slice_revoked(now, slice);
         }
+        let tables = &self.relay.tables;
+        self.relay.slices_to_reread.retain(|slice| tables.contains_key(slice));
         self.log(LogEvent::SnapshotComplete {
             proxies: self.relay.proxies.len(),
             slices: self.relay.tables.len(),
