--- a/crates/controller/tests/reassigned_slices.rs
+++ b/crates/controller/tests/reassigned_slices.rs
@@ -71,14 +71,7 @@
     store.advance_ms(2000);
     store.assign_to_other();
     store.advance_ms(cut_ms - 2000);
-    if return_ms == 0 {
-        store.assign_back();
-        store.heal();
-    } else {
-        store.heal();
-        store.advance_ms(return_ms);
-        store.assign_back();
-    }
+    store.heal_and_assign_back(return_ms);
     let context =
         format!("{assigned:?}, cut {held_ms} ms after the hold for {cut_ms} ms, return after {return_ms} ms");
     assert_rule_kept_and_slices_moved(store, &context);
@@ -169,14 +162,7 @@
                 store.set_table(slice, &[("s-4", 1.0), ("s-5", 0.01)]);
             }
             store.advance_ms(4000);
-            if return_ms == 0 {
-                store.assign_back();
-                store.heal();
-            } else {
-                store.heal();
-                store.advance_ms(return_ms);
-                store.assign_back();
-            }
+            store.heal_and_assign_back(return_ms);
             store.advance_ms(8000);
             let context = format!("drained {pending_ms} ms after the cut, return after {return_ms} ms");
             assert_replica_is_left(&mut store, "s-4", &context);
--- a/crates/controller/tests/support/store_model.rs
+++ b/crates/controller/tests/support/store_model.rs
@@ -147,6 +147,16 @@
         self.step();
     }
 
+    /// Ends the cut and assigns all slices to this controller: before the end of the cut, or this much later.
+    pub fn heal_and_assign_back(&mut self, return_ms: u64) {
+        if return_ms == 0 {
+            self.assign_back();
+        }
+        self.heal();
+        self.advance_ms(return_ms);
+        self.assign_back();
+    }
+
     /// Resets the relay watch.
     pub fn reset_watch(&mut self) {
         self.lose_watch(StreamError::Closed);
--- a/crates/routing/src/reducer.rs
+++ b/crates/routing/src/reducer.rs
@@ -3,6 +3,7 @@
 //!
 //! This module dispatches events. The submodules handle them, and hold the state that only one of them needs.
 
+mod actions;
 mod endpoint_list;
 mod management;
 mod overrides;
