Resends leave room in the queue for the time after lost answers

Cause: the queue's capacity is a budget too. Each copy may wait in it; resends filled it within a second, and then nothing was sent until nothing had been acknowledged for 3 s since the last copy.

Evidence (the reducer with a model of the relay), lost_responses.rs, requests_for_a_draining_replica_are_held_back_in_time_with_a_short_queue. Before, on: "queue of 110 lines, outage 3500 ms: held back after the time limits had run for Span", grace 2 s; now it passes for queues of 110 to 1,000 lines.

Change: resends after the first one are spread over the 3 s after which a copy counts as not carried out, and each copy is dropped 3 s after it was sent if nothing was acknowledged since, not 3 s after the last copy.

Why it works: while answers are lost a copy leaves the count as often as one is sent, so the next attempt is never further away than 3 s divided by the copies that fit.

Result: tests of policy, lost_responses, event_races, channel_limit, reducer and store_orders pass.

--- a/crates/controller/tests/lost_responses.rs
+++ b/crates/controller/tests/lost_responses.rs
@@ -95,3 +95,49 @@
         }
     }
 }
+
+/// Returns how long the time limits of the rules have run between two times. They wait after each request without a
+/// response.
+fn time_limits_ran(unanswered_at: &[Moment], from: Moment, until: Moment) -> Span {
+    let (mut ran, mut waiting_until) = (Span::default(), from);
+    for at in unanswered_at {
+        if *at > waiting_until {
+            ran = ran + (*at - waiting_until);
+        }
+        waiting_until = *at + WAIT_AFTER_SILENCE;
+    }
+    if until > waiting_until {
+        ran = ran + (until - waiting_until);
+    }
+    ran
+}
+
+/// Guards against resends that fill the queue at once, so that the next one has to wait for three seconds, and a draining
+/// replica gets requests beyond the grace period (the same cause as review/3).
+#[test]
+fn requests_for_a_draining_replica_are_held_back_in_time_with_a_short_queue() {
+    let grace = Span::ms(2000);
+    for queue_capacity in [110, 150, 200, 300, 1000] {
+        for outage_ms in [200, 1000, 2000, 3000, 3500, 4500, 6000] {
+            let context = format!("queue of {queue_capacity} lines, outage {outage_ms} ms");
+            let mut store = StoreModel::serving(SLICES, |settings| {
+                settings["familyInfo"]["singleWriter"] = json!(true);
+                settings["familyInfo"]["queueCap"] = json!(queue_capacity);
+                settings["obligations"]["drainGraceNs"] = json!(grace.as_ns());
+            });
+            let requests_before = store.received_at.len();
+            let drained_at = store.rig.now;
+            store.answers = Answers::Ignored;
+            store.rig.drain("s-2");
+            store.advance_ms(outage_ms);
+            store.answers = Answers::Arrive;
+            let unanswered_at = store.received_at[requests_before..].to_vec();
+            let end = store.rig.now + Span::ms(30_000);
+            while !store.is_applied_hold(SLICE_OF_DRAINED) && store.rig.now < end {
+                store.advance_ms(10);
+            }
+            let ran = time_limits_ran(&unanswered_at, drained_at, store.rig.now);
+            assert!(ran <= grace, "{context}: held back after the time limits had run for {ran:?}");
+        }
+    }
+}
--- a/crates/policy/src/rules/rate_limit.rs
+++ b/crates/policy/src/rules/rate_limit.rs
@@ -79,15 +79,30 @@
 
     /// Returns true if enough time has passed since the last message to resend this one. The first resend may follow at
     /// once, since most responses that get lost are single ones. Further ones are spread over the time until the window
-    /// permits another message: otherwise they use up the limit within a few seconds, and nothing can be sent once the
-    /// relay responds again.
+    /// permits another message, and over the time until copies that were not carried out leave the queue: otherwise they
+    /// use up the limits within a few seconds, and nothing can be sent once the relay responds again.
     fn has_waited_to_resend(&self, now: Moment, version: u16) -> bool {
-        let is_first = self.channel.sent.get(&version).is_none_or(|message| message.send_count <= 1);
-        let spacing = match self.openable_messages(now, 1.0) {
+        let is_first = self.channel.sent.get(&version).is_none_or(|message| !message.was_resent);
+        let message_spacing = match self.openable_messages(now, 1.0) {
             Some(openable) if !(is_first && self.has_spare_messages(now)) => openable.spacing(),
             _ => Span::default(),
         };
-        now - self.channel.last_sent_at >= spacing
+        let queue_spacing = if is_first {
+            Span::default()
+        } else {
+            ACK_TIMEOUT.times(1.0 / self.copies_that_fit(now, version))
+        };
+        now - self.channel.last_sent_at >= message_spacing.max(queue_spacing)
+    }
+
+    /// Returns the number of copies of the message with this version that fit into the queue beside other messages; at
+    /// least 1.
+    fn copies_that_fit(&self, now: Moment, version: u16) -> f64 {
+        let lines = self.channel.lines_of_version(version).max(1.0);
+        let sent = self.channel.sent.get(&version).map_or(0, |message| message.send_count);
+        let other_lines = (self.channel.unacked_lines(now) - lines * f64::from(sent)).max(0.0);
+        let usable = self.deployment.queue_capacity_lines * USABLE_QUEUE_SHARE - other_lines;
+        (usable / lines).floor().max(1.0)
     }
 
     /// Returns the number of messages that each proxy may still get within the window if this share of the limit
--- a/crates/policy/src/rules/tick.rs
+++ b/crates/policy/src/rules/tick.rs
@@ -12,9 +12,7 @@
             return false;
         }
         self.deadlines.tick = self.now + TICK_PERIOD;
-        if self.channel.ack_silence(self.now) > ACK_TIMEOUT {
-            self.channel.drop_extra_copies();
-        }
+        self.channel.drop_lost_copies(self.now - ACK_TIMEOUT);
         self.pending_work.start_tick(self.reporting.flow);
         true
     }
--- a/crates/policy/src/state/command_channel.rs
+++ b/crates/policy/src/state/command_channel.rs
@@ -47,6 +47,8 @@
     last_sequence: u64,
     /// The time at which an acknowledgement was last received or a message was last sent.
     last_activity_at: Moment,
+    /// The time at which an acknowledgement was last received, or the relay's events resumed.
+    last_ack_at: Moment,
     /// True while the relay's events arrive. Without them no acknowledgements arrive either, so none counts as
     /// overdue.
     events_arrive: bool,
@@ -73,6 +75,7 @@
             last_version,
             last_sequence: 0,
             last_activity_at: Moment::default(),
+            last_ack_at: Moment::default(),
             events_arrive: true,
             acks_lost: false,
             last_opened_at: Moment::default(),
@@ -108,6 +111,7 @@
         self.events_arrive = true;
         self.acks_lost = true;
         self.last_activity_at = now;
+        self.last_ack_at = now;
         for since in self.proxies.values_mut().filter_map(|proxy| proxy.awaiting_ack_since.as_mut()) {
             *since = now;
         }
@@ -131,7 +135,7 @@
     /// Records that the message with this version was sent again.
     pub(crate) fn record_resend(&mut self, now: Moment, version: u16) {
         if let Some(message) = self.sent.get_mut(&version) {
-            message.add_copies(self.proxies.keys().copied());
+            message.add_copies(now, self.proxies.keys().copied());
             self.last_activity_at = now;
             self.last_sent_at = now;
             self.opened_messages.add(now, 1.0);
@@ -158,6 +162,7 @@
     /// times, one acknowledgement stands for one copy.
     pub(crate) fn record_ack(&mut self, now: Moment, proxy: ProxyId, version: u16) -> Option<Moment> {
         self.last_activity_at = now;
+        self.last_ack_at = now;
         self.acks_lost = false;
         let SentMessage { sequence, sent_at, .. } = *self.sent.get(&version)?;
         for message in self.sent.values_mut().filter(|message| message.sequence <= sequence) {
@@ -206,11 +211,14 @@
         self.proxies.get(&proxy).is_some_and(|proxy| !is_stalled(proxy))
     }
 
-    /// Drops the additional copies of resent messages. Called once acknowledgements are overdue, which shows that
-    /// only one attempt was carried out.
-    pub(crate) fn drop_extra_copies(&mut self) {
+    /// Drops the copies of resent messages that were sent before this time, if no acknowledgement has arrived since they
+    /// were sent, which shows that they were not carried out. The last copy of a message is kept.
+    pub(crate) fn drop_lost_copies(&mut self, sent_before: Moment) {
+        if !self.events_arrive {
+            return;
+        }
         let resent = self.sent.values_mut().filter(|message| message.send_count > 1);
-        resent.for_each(SentMessage::keep_one_copy);
+        resent.for_each(|message| message.remove_lost_copies(self.last_ack_at, sent_before));
     }
 
     /// Returns the lines of one copy of the message with this version to all proxies.
@@ -245,7 +253,7 @@
         self.acks_lost = false;
         self.last_sequence += 1;
         let mut message = SentMessage::new(now, self.last_sequence, overhead_lines);
-        message.add_copies(self.proxies.keys().copied());
+        message.add_copies(now, self.proxies.keys().copied());
         for proxy in self.proxies.values_mut() {
             proxy.awaiting_ack_since.get_or_insert(now);
         }
