A copy that was not carried out delays no change of owner

What callers would see: at sites with single writers, two more seconds of refused requests when one response is lost and the resend is lost too.

Test: owner_changes_although_a_resend_was_not_carried_out (the reducer with a model of the relay).

Result: tests of policy, lost_responses, event_races, channel_limit, reducer and store_orders pass.

--- a/crates/controller/tests/lost_responses.rs
+++ b/crates/controller/tests/lost_responses.rs
@@ -141,3 +141,24 @@
         }
     }
 }
+
+/// Guards against a change of owner that waits for the acknowledgement of a copy that was not carried out: the response
+/// to the first copy was lost, and the second copy was lost itself.
+#[test]
+fn owner_changes_although_a_resend_was_not_carried_out() {
+    for lost_ms in [50, 150, 250, 400] {
+        let mut store = StoreModel::serving(SLICES, |settings| {
+            settings["familyInfo"]["singleWriter"] = json!(true);
+        });
+        store.answers = Answers::Lost;
+        store.rig.drain("s-2");
+        store.advance_ms(lost_ms);
+        store.answers = Answers::Ignored;
+        store.advance_ms(250);
+        store.answers = Answers::Arrive;
+        // Within 3 s without an acknowledgement the copy counts as not carried out; the stages follow.
+        store.advance_ms(4500);
+        let table = &store.rig.store[&SLICE_OF_DRAINED];
+        assert!(!table.contains_key("s-2"), "{lost_ms} ms: the slice has not moved");
+    }
+}
--- a/crates/policy/src/rules/tick.rs
+++ b/crates/policy/src/rules/tick.rs
@@ -13,6 +13,9 @@
         }
         self.deadlines.tick = self.now + TICK_PERIOD;
         self.channel.drop_lost_copies(self.now - ACK_TIMEOUT);
+        if self.channel.ack_silence(self.now) > ACK_TIMEOUT {
+            self.channel.drop_extra_copies();
+        }
         self.pending_work.start_tick(self.reporting.flow);
         true
     }
--- a/crates/policy/src/state/command_channel.rs
+++ b/crates/policy/src/state/command_channel.rs
@@ -211,6 +211,13 @@
         self.proxies.get(&proxy).is_some_and(|proxy| !is_stalled(proxy))
     }
 
+    /// Drops the additional copies of resent messages. Called once acknowledgements are overdue, which shows that
+    /// only one attempt was carried out.
+    pub(crate) fn drop_extra_copies(&mut self) {
+        let resent = self.sent.values_mut().filter(|message| message.send_count > 1);
+        resent.for_each(SentMessage::keep_one_copy);
+    }
+
     /// Drops the copies of resent messages that were sent before this time, if no acknowledgement has arrived since they
     /// were sent, which shows that they were not carried out. The last copy of a message is kept.
     pub(crate) fn drop_lost_copies(&mut self, sent_before: Moment) {
--- a/crates/policy/src/state/sent_message.rs
+++ b/crates/policy/src/state/sent_message.rs
@@ -51,6 +51,15 @@
         self.sent_times.push(now);
     }
 
+    /// Keeps one copy per proxy that has acknowledged none.
+    pub(super) fn keep_one_copy(&mut self) {
+        let send_count = std::mem::replace(&mut self.send_count, 1);
+        self.sent_times.drain(..self.sent_times.len() - 1);
+        self.unacked_copies.retain(|_, copies| *copies >= send_count);
+        self.unacked_copies.values_mut().for_each(|copies| *copies = 1);
+        self.unacked_copy_count = self.unacked_copies.len() as u32;
+    }
+
     /// Removes the copies that were sent after `last_ack_at` and before `sent_before`, except for the last one. They
     /// were not carried out, since no proxy has acknowledged anything since.
     pub(super) fn remove_lost_copies(&mut self, last_ack_at: Moment, sent_before: Moment) {
