--- /dev/null
+++ b/review/standins/scenarios.rs
@@ -0,0 +1,249 @@
+//! The scenarios: one for each case.
+
+use crate::{build, lock, play, CallFault, Shared, Site, State, World};
+use std::fs::File;
+use std::path::PathBuf;
+
+/// The temporary folder of this run; removed at its end.
+struct Folder(PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+pub fn has_trouble() -> bool {
+    std::env::var("TROUBLE").map_or(true, |value| value != "0")
+}
+
+pub fn run(arguments: &[String]) -> i32 {
+    let base = std::env::var("TMPDIR").unwrap_or("/tmp".into());
+    let folder = PathBuf::from(base).join(format!("whinwall-review-{}", std::process::id()));
+    if std::fs::create_dir_all(&folder).is_err() {
+        return 2;
+    }
+    let folder = Folder(folder);
+    let record_path = std::env::var("RECORD").unwrap_or("record.txt".into());
+    let Ok(record) = File::create(&record_path) else { return 2 };
+    let name = arguments.first().map_or("", String::as_str);
+    match name {
+        "fuzz" => fuzz(arguments, folder.0.clone(), record),
+        "restart-in-handover" => restart_in_handover(folder.0.clone(), record),
+        "no-levels" => no_levels(folder.0.clone(), record),
+        _ => {
+            eprintln!("no such case: {name:?}");
+            2
+        }
+    }
+}
+
+/// True if every governor answered after each of its starts.
+fn all_answer(shared: &Shared) -> bool {
+    lock(shared).governors.iter().all(|governor| governor.answered_at.is_some())
+}
+
+/// Prints the outcome and returns the exit code.
+fn outcome(shared: &Shared, could_run: bool) -> i32 {
+    let mut world = lock(shared);
+    let summary = format!(
+        "ops sent={} answered={} refused={}; governor starts={}; rules broken {} times",
+        world.sent_ops,
+        world.good_ops,
+        world.refused_ops,
+        world.governors.iter().map(|governor| governor.starts).sum::<u32>(),
+        world.broken.len()
+    );
+    world.note(&summary);
+    println!("{summary}");
+    for line in world.broken.iter().take(5) {
+        println!("{line}");
+    }
+    match (could_run, world.broken.is_empty()) {
+        (false, _) => 2,
+        (true, true) => 0,
+        (true, false) => 1,
+    }
+}
+
+fn start_all(shared: &Shared) {
+    let mut world = lock(shared);
+    for governor in 0..world.governors.len() {
+        world.start_governor(governor);
+    }
+}
+
+/// A replica is replaced as at a release: listed as draining, gone `drain` ms later, and back cold under its id.
+fn replace(world: &mut World, replica: usize, drain: f64, back: f64) {
+    if world.replicas[replica].state != State::Active {
+        return;
+    }
+    world.list_change(replica, State::Leaving);
+    world.after(drain, move |world| {
+        world.kill_replica(replica);
+        world.list_change(replica, State::Left);
+        world.after(back, move |world| {
+            world.replicas[replica].runs = true;
+            world.replicas[replica].started_ms = unix_ms();
+            world.list_change(replica, State::Active);
+        });
+    });
+}
+
+fn unix_ms() -> u64 {
+    std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+}
+
+/// Looks for orders of events that break a rule: disruptions drawn from the seed. Not a case; a tool of the review.
+fn fuzz(arguments: &[String], folder: PathBuf, record: File) -> i32 {
+    let seed: u64 = arguments.get(2).and_then(|text| text.parse().ok()).unwrap_or(1);
+    let length: f64 = arguments.get(3).and_then(|text| text.parse().ok()).unwrap_or(60_000.0);
+    let kinds: &str = arguments.get(4).map_or("all", String::as_str);
+    let mut site = match arguments.get(1).map(String::as_str) {
+        Some("kitchen") => Site::kitchen(),
+        Some("kitchen-long") => Site { write_life: 3000.0, op_timeout: 3000.0, service: (60.0, 900.0), ..Site::kitchen() },
+        Some("turnolar") => Site { messages_most: 30, ..Site::regina() },
+        _ => Site::regina(),
+    };
+    if seed % 2 == 0 {
+        site.governors = 2;
+    }
+    let shared = build(site, seed, folder, record);
+    start_all(&shared);
+    {
+        let mut world = lock(&shared);
+        world.long_writes = 0.05;
+        let list: Vec<&str> = if kinds == "all" {
+            vec!["kill", "term", "watch", "mute", "proxy", "cut", "replace", "gone", "list", "silentlist", "call", "hup"]
+        } else {
+            kinds.split('+').collect()
+        };
+        let mut at = 8000.0;
+        while at < length - 6000.0 {
+            let kind = list[world.rng.below(list.len())].to_string();
+            let pause = world.rng.range(200.0, 4000.0);
+            world.at(at, move |world| disrupt(world, &kind));
+            at += pause;
+        }
+    }
+    play(&shared, length);
+    outcome(&shared, true)
+}
+
+fn disrupt(world: &mut World, kind: &str) {
+    let governor = world.rng.below(world.governors.len());
+    let replica = world.rng.below(world.replicas.len());
+    let up = world.governors[governor].answered_at.is_some();
+    match kind {
+        "kill" if up => {
+            let down = world.rng.range(300.0, 4000.0);
+            world.kill_governor(governor, down);
+        }
+        "term" if up => {
+            let down = world.rng.range(100.0, 2000.0);
+            world.restart_governor(governor, down);
+        }
+        "watch" => world.break_watch(governor),
+        "mute" => world.mute_watch(governor),
+        "proxy" | "cut" => {
+            let part = world.rng.range(0.1, 0.5);
+            let length = world.rng.range(1800.0, 4300.0);
+            let silent = world.rng.draw() < 0.5;
+            let proxies = world.site.proxies;
+            for proxy in 0..proxies {
+                if world.rng.draw() < part {
+                    if kind == "proxy" {
+                        world.kill_proxy(proxy, length);
+                    } else {
+                        world.cut_proxy(proxy, length, silent);
+                    }
+                }
+            }
+        }
+        "replace" => {
+            let away = world.replicas.iter().filter(|replica| replica.state != State::Active).count();
+            if away * 3 < world.replicas.len() {
+                let (drain, back) = (world.rng.range(2500.0, 6000.0), world.rng.range(500.0, 5000.0));
+                replace(world, replica, drain, back);
+            }
+        }
+        "gone" => {
+            let away = world.replicas.iter().filter(|replica| replica.state != State::Active).count();
+            if away * 3 < world.replicas.len() && world.replicas[replica].state == State::Active {
+                world.kill_replica(replica);
+                let notice = world.rng.range(840.0, 4600.0);
+                let back = world.rng.range(3000.0, 12_000.0);
+                world.after(notice, move |world| {
+                    world.list_change(replica, State::Left);
+                    world.after(back, move |world| {
+                        world.replicas[replica].runs = true;
+                        world.replicas[replica].started_ms = unix_ms();
+                        world.list_change(replica, State::Active);
+                    });
+                });
+            }
+        }
+        "list" => world.break_list(governor),
+        "silentlist" => {
+            world.governors[governor].list_silent = true;
+            let length = world.rng.range(500.0, 4000.0);
+            world.after(length, move |world| {
+                world.governors[governor].list_silent = false;
+                // The connections of the outage are of no further use.
+                world.break_list(governor);
+            });
+        }
+        "call" => {
+            let faults = [CallFault::ResetAfter, CallFault::ResetBefore, CallFault::Silent, CallFault::Spoilt];
+            world.governors[governor].call_fault = faults[world.rng.below(4)];
+            world.governors[governor].call_fault_share = world.rng.range(0.3, 1.0);
+            let length = world.rng.range(300.0, 3000.0);
+            world.after(length, move |world| world.governors[governor].call_fault_share = 0.0);
+        }
+        "hup" if up => {
+            world.excuse(governor, 4000.0);
+            world.signal(governor, "HUP");
+        }
+        _ => {}
+    }
+}
+
+/// A governor is killed while it moves slices off a replica that drains, and starts again a second later.
+fn restart_in_handover(folder: PathBuf, record: File) -> i32 {
+    let site = Site { single_writer: true, ..Site::regina() };
+    let shared = build(site, 7, folder, record);
+    start_all(&shared);
+    {
+        let mut world = lock(&shared);
+        // One write of five takes 2.7 to 3 s, which is within `writeLifeNs`.
+        world.long_writes = 0.2;
+        world.at(13_000.0, |world| {
+            world.list_change(0, State::Leaving);
+            world.list_change(1, State::Leaving);
+            if has_trouble() {
+                world.after(700.0, |world| world.kill_governor(0, 1000.0));
+            }
+        });
+    }
+    play(&shared, 26_000.0);
+    let could_run = all_answer(&shared);
+    outcome(&shared, could_run)
+}
+
+/// Replicas drain where proxies follow no levels (`levelKind` is `none`) and a slice has one owner.
+fn no_levels(folder: PathBuf, record: File) -> i32 {
+    let site = Site { single_writer: true, level_kind: "none", ..Site::regina() };
+    let shared = build(site, 7, folder, record);
+    start_all(&shared);
+    {
+        let mut world = lock(&shared);
+        world.at(13_000.0, |world| {
+            if has_trouble() {
+                world.list_change(0, State::Leaving);
+            }
+        });
+    }
+    play(&shared, 25_000.0);
+    let could_run = all_answer(&shared);
+    outcome(&shared, could_run)
+}
