Review case 8: a reload while an override is stored loses the file's override

The number of an override that waits for its write is given again to an override of the operators' file; the one replaces the other, and a clear by id ends the wrong one.

--- a/review/standins/scenarios.rs
+++ b/review/standins/scenarios.rs
@@ -2,7 +2,13 @@
 
 use crate::{build, lock, move_platform, play, CallFault, Shared, Site, State, World};
 use std::fs::File;
-use std::path::PathBuf;
+use std::io::{Read, Write};
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// The temporary folder of this run; removed at its end.
 struct Folder(PathBuf);
@@ -33,6 +39,7 @@
         "fuzz" => fuzz(arguments, folder.0.clone(), record),
         "restart-in-handover" => restart_in_handover(folder.0.clone(), record),
         "drain-after-lost-answers" => drain_after_lost_answers(folder.0.clone(), record),
+        "overrides-and-reload" => overrides_and_reload(folder.0.clone(), record),
         "rolling" => rolling(arguments, folder.0.clone(), record),
         "waves" => waves(arguments, folder.0.clone(), record),
         "cold-start" => cold_start(arguments, folder.0.clone(), record),
@@ -105,9 +112,12 @@
         Some("kitchen") => Site::kitchen(),
         Some("kitchen-long") => Site { write_life: 3000.0, op_timeout: 3000.0, service: (60.0, 900.0), ..Site::kitchen() },
         Some("turnolar") => Site { messages_most: 30, ..Site::regina() },
+        Some("ask") => Site { membership: "ask", ..Site::regina() },
+        Some("advice") => Site { gone_is_advice: true, messages_most: 30, ..Site::regina() },
+        Some("three") => Site { governors: 3, slices: 45, ..Site::kitchen() },
         _ => Site::regina(),
     };
-    if seed % 2 == 0 {
+    if seed % 2 == 0 && site.governors == 1 {
         site.governors = 2;
     }
     let shared = build(site, seed, folder, record);
@@ -138,10 +148,10 @@
         }
     }
     let copy = shared.clone();
-    std::thread::spawn(move || {
+    thread::spawn(move || {
         for (at, governor) in moves {
             let wait = at - lock(&copy).now();
-            std::thread::sleep(std::time::Duration::from_millis(wait.max(0.0) as u64));
+            thread::sleep(Duration::from_millis(wait.max(0.0) as u64));
             let now = lock(&copy).now();
             let up = lock(&copy).governors[governor].answered_at;
             if up.is_some_and(|up| now - up > 1000.0) {
@@ -216,8 +226,8 @@
             });
         }
         "call" => {
-            let faults = [CallFault::ResetAfter, CallFault::ResetBefore, CallFault::Silent, CallFault::Spoilt];
-            world.governors[governor].call_fault = faults[world.rng.below(4)];
+            let faults = [CallFault::ResetAfter, CallFault::ResetBefore, CallFault::Silent, CallFault::Spoilt, CallFault::Lost];
+            world.governors[governor].call_fault = faults[world.rng.below(5)];
             world.governors[governor].call_fault_share = world.rng.range(0.3, 1.0);
             let length = world.rng.range(300.0, 3000.0);
             world.after(length, move |world| world.governors[governor].call_fault_share = 0.0);
@@ -383,3 +393,144 @@
     let could_run = all_answer(&shared);
     outcome(&shared, could_run)
 }
+
+/// A request to the management API; returns the status code and the body.
+fn manage(socket: &Path, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+    let mut stream = UnixStream::connect(socket).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(8))).ok()?;
+    let length = body.len();
+    let head = format!("{method} {path} HTTP/1.1\r\nhost: n0\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n");
+    stream.write_all((head + body).as_bytes()).ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    let code = text.split_whitespace().nth(1)?.parse().ok()?;
+    Some((code, text.split_once("\r\n\r\n").map_or(String::new(), |(_, body)| body.to_string())))
+}
+
+/// The ids of the listed overrides that have not ended.
+fn standing(socket: &Path) -> Option<Vec<String>> {
+    let (code, body) = manage(socket, "GET", "/v1/overrides", "")?;
+    let items = body.split("{\"id\":\"").skip(1);
+    let standing = items.filter(|item| !item.contains("\"state\":\"ended"));
+    (code == 200).then(|| standing.filter_map(|item| Some(item.split_once('"')?.0.to_string())).collect())
+}
+
+/// The time in an hour, as in 2026-12-01T22:00:00Z.
+fn in_an_hour() -> String {
+    let seconds = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs()) + 3600;
+    let (days, rest) = (seconds / 86_400, seconds % 86_400);
+    // Days to a date (Howard Hinnant's algorithm).
+    let shifted = days as i64 + 719_468;
+    let era = shifted.div_euclid(146_097);
+    let day_of_era = shifted.rem_euclid(146_097);
+    let year_of_era = (day_of_era - day_of_era / 1460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
+    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let month_index = (5 * day_of_year + 2) / 153;
+    let day = day_of_year - (153 * month_index + 2) / 5 + 1;
+    let month = if month_index < 10 { month_index + 3 } else { month_index - 9 };
+    let year = year_of_era + era * 400 + i64::from(month <= 2);
+    let (hour, minute, second) = (rest / 3600, rest / 60 % 60, rest % 60);
+    format!("{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{second:02}Z")
+}
+
+/// Four operators set overrides by script; a new operators' file with one more override is loaded meanwhile.
+fn overrides_and_reload(folder: PathBuf, record: File) -> i32 {
+    const CLIENTS: usize = 4;
+    const EACH: usize = 30;
+    let (file, socket) = (folder.join("operators.xml"), folder.join("front.sock"));
+    let write_file = {
+        let (folder, file, socket) = (folder.clone(), file.clone(), socket.clone());
+        move |own: &str| {
+            let text = format!(
+                "<?xml version=\"1.0\" encoding=\"UTF-8\"?>\n<operators version=\"1\">\n  <log form=\"text\"/>\n  \
+                 <store folder=\"{}\"/>\n  <management socket=\"{}\"/>\n  <overrides longest=\"12h\" most=\"1000\" \
+                 ended-kept=\"24h\">{own}</overrides>\n</operators>\n",
+                folder.join("store").display(),
+                socket.display()
+            );
+            let new = folder.join("operators.xml.new");
+            std::fs::write(&new, text).and_then(|()| std::fs::rename(&new, &file)).expect("operators' file");
+        }
+    };
+    write_file("");
+    std::env::set_var("WHINWALL_OPERATORS", &file);
+    let site = Site { replicas: CLIENTS * EACH + 1, slices: 2 * (CLIENTS * EACH + 1), ..Site::regina() };
+    let shared = build(site, 7, folder, record);
+    start_all(&shared);
+    let names: Vec<String> = lock(&shared).replicas.iter().map(|replica| replica.id.clone()).collect();
+    let copy = shared.clone();
+    let script = thread::spawn(move || {
+        thread::sleep(Duration::from_secs(4));
+        let note = |text: String| lock(&copy).note(&text);
+        let acked = Arc::new(AtomicUsize::new(0));
+        let clients: Vec<_> = (0..CLIENTS)
+            .map(|client| {
+                let (socket, names, acked) = (socket.clone(), names.clone(), acked.clone());
+                thread::spawn(move || {
+                    let mut set = Vec::new();
+                    for number in 0..EACH {
+                        let server = &names[client * EACH + number];
+                        let id = format!("r-{client}-{number}");
+                        let body = format!(
+                            r#"{{"kind":"weight","server":"{server}","factor":0.9,"author":"op{client}","reason":"old firmware","for":"30m"}}"#
+                        );
+                        let answer = manage(&socket, "PUT", &format!("/v1/overrides/{id}"), &body);
+                        if answer.is_some_and(|(code, _)| code == 201) {
+                            set.push(id);
+                            acked.fetch_add(1, Ordering::SeqCst);
+                        }
+                    }
+                    set
+                })
+            })
+            .collect();
+        let reload = || {
+            let own = format!(
+                "<out id=\"f-night\" server=\"{}\" author=\"mb\" reason=\"disk is failing\" until=\"{}\"/>",
+                names[CLIENTS * EACH],
+                in_an_hour()
+            );
+            write_file(&own);
+            lock(&copy).signal(0, "HUP");
+        };
+        if has_trouble() {
+            while acked.load(Ordering::SeqCst) < CLIENTS * EACH / 3 {
+                thread::sleep(Duration::from_millis(1));
+            }
+            reload();
+        }
+        let set: Vec<String> = clients.into_iter().flat_map(|client| client.join().unwrap_or_default()).collect();
+        note(format!("{} overrides set and acknowledged as stored", set.len()));
+        if !has_trouble() {
+            reload();
+        }
+        thread::sleep(Duration::from_secs(2));
+        let Some(listed) = standing(&socket) else { return false };
+        note(format!("{} overrides listed as standing", listed.len()));
+        let missing: Vec<&str> = set
+            .iter()
+            .map(String::as_str)
+            .chain(["f-night"])
+            .filter(|id| !listed.iter().any(|known| known == id))
+            .collect();
+        if !missing.is_empty() {
+            let text = format!("accepted and not listed: {missing:?}");
+            lock(&copy).broke("overrides are always shown", text);
+        }
+        // The operator ends the override of the file before its time.
+        let cleared = manage(&socket, "POST", "/v1/overrides/f-night/clear", r#"{"by":"mb"}"#);
+        note(format!("clear of f-night: {cleared:?}"));
+        thread::sleep(Duration::from_secs(1));
+        let Some(after) = standing(&socket) else { return false };
+        let ended: Vec<&String> =
+            listed.iter().filter(|id| *id != "f-night" && !after.iter().any(|known| known == *id)).collect();
+        if !ended.is_empty() {
+            let text = format!("the clear of f-night ended {ended:?} of another operator");
+            lock(&copy).broke("overrides are always shown", text);
+        }
+        set.len() == CLIENTS * EACH
+    });
+    play(&shared, 12_000.0);
+    let could_run = script.join().unwrap_or(false) && all_answer(&shared);
+    outcome(&shared, could_run)
+}
