--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -389,6 +389,15 @@
     TcpListener::bind("127.0.0.1:0").expect("a free port on loopback")
 }
 
+/// An address that nobody uses, for the governor to listen on: outside the range that the system gives to clients, as
+/// it stays unused until the governor has started.
+fn free_address(number: usize) -> SocketAddr {
+    let first = std::process::id() * 16 + number as u32 * 16;
+    let ports = (0..10_000).map(|step| 20_000 + (first + step * 37) % 10_000);
+    let mut free = ports.filter_map(|port| TcpListener::bind(("127.0.0.1", port as u16)).ok());
+    free.next().and_then(|listener| listener.local_addr().ok()).expect("a free port on loopback")
+}
+
 impl World {
     pub fn now(&self) -> Ms {
         self.started.elapsed().as_secs_f64() * 1000.0
@@ -1737,10 +1746,9 @@
         .collect();
     let mut sockets = Vec::new();
     let governors = (0..governors)
-        .map(|_| {
+        .map(|number| {
             let (relay, discovery) = (free_listener(), free_listener());
-            // Free while nobody listens on it; the governor binds it.
-            let listen = free_listener().local_addr().expect("address");
+            let listen = free_address(number);
             let governor = Governor {
                 child: None,
                 starts: 0,
