--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -1374,8 +1374,7 @@
     /// Breaks the news connections of a governor; the governor opens new ones.
     pub fn break_watch(&mut self, governor: usize) {
         self.note(&format!("relay breaks off the news to n{governor}"));
-        let now = self.now();
-        self.governors[governor].excused_until = now + 4000.0;
+        self.excuse(governor, 4000.0);
         for watcher in std::mem::take(&mut self.governors[governor].watchers) {
             _ = watcher.lines.send(None);
         }
@@ -1425,8 +1424,7 @@
     /// The open news connections of a governor fall silent.
     pub fn mute_watch(&mut self, governor: usize) {
         self.note(&format!("news to n{governor} fall silent"));
-        let now = self.now();
-        self.governors[governor].excused_until = now + 6500.0;
+        self.excuse(governor, 6500.0);
         for watcher in &mut self.governors[governor].watchers {
             watcher.mute = true;
         }
