--- a/review/standins/scenarios.rs
+++ b/review/standins/scenarios.rs
@@ -41,6 +41,7 @@
         "drain-after-lost-answers" => drain_after_lost_answers(folder.0.clone(), record),
         "overrides-and-reload" => overrides_and_reload(folder.0.clone(), record),
         "hold-forgotten" => hold_forgotten(folder.0.clone(), record),
+        "roll" => roll(arguments, folder.0.clone(), record),
         "herd" => herd(arguments, folder.0.clone(), record),
         "join" => join(arguments, folder.0.clone(), record),
         "rolling" => rolling(arguments, folder.0.clone(), record),
@@ -686,3 +687,57 @@
     let could_run = all_answer(&shared);
     outcome(&shared, could_run)
 }
+
+/// Half of the replicas are replaced in steps while five governors are restarted one at a time and discovery moves; one
+/// replica hangs. Not a case; a tool of the review.
+fn roll(arguments: &[String], folder: PathBuf, record: File) -> i32 {
+    let seed: u64 = arguments.get(1).and_then(|text| text.parse().ok()).unwrap_or(1);
+    let site = match arguments.get(2).map(String::as_str) {
+        Some("kitchen") => Site {
+            governors: 5,
+            proxies: 24,
+            replicas: 20,
+            slices: 110,
+            queue_cap: 24_000.0,
+            ..Site::kitchen()
+        },
+        _ => Site { governors: 5, proxies: 24, replicas: 20, slices: 110, ..Site::regina() },
+    };
+    let shared = build(site, seed, folder, record);
+    start_all(&shared);
+    let mut moves = Vec::new();
+    {
+        let mut world = lock(&shared);
+        world.kill_replica_quietly(19);
+        for replica in 0..10 {
+            let at = 13_000.0 + 1800.0 * (replica / 2) as f64 + world.rng.range(0.0, 600.0);
+            let (drain, back) = (world.rng.range(2000.0, 6000.0), world.rng.range(300.0, 2000.0));
+            world.at(at, move |world| replace(world, replica, drain, back));
+        }
+        for governor in 0..5 {
+            let at = 13_500.0 + 2600.0 * governor as f64;
+            let down = world.rng.range(100.0, 1500.0);
+            world.at(at, move |world| world.restart_governor(governor, down));
+            moves.push((
+                13_500.0 + 2600.0 * ((governor + 2) % 5) as f64 + world.rng.range(4500.0, 6500.0),
+                governor,
+            ));
+        }
+    }
+    let copy = shared.clone();
+    thread::spawn(move || {
+        moves.sort_by(|a: &(f64, usize), b| a.0.total_cmp(&b.0));
+        for (at, governor) in moves {
+            let wait = at - lock(&copy).now();
+            thread::sleep(Duration::from_millis(wait.max(0.0) as u64));
+            let now = lock(&copy).now();
+            let up = lock(&copy).governors[governor].answered_at;
+            if up.is_some_and(|up| now - up > 1000.0) {
+                move_platform(&copy, governor);
+            }
+        }
+    });
+    play(&shared, 42_000.0);
+    let could_run = all_answer(&shared);
+    outcome(&shared, could_run)
+}
