--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -394,7 +394,7 @@
 /// An address that nobody uses, for the governor to listen on: outside the range that the system gives to clients, as
 /// it stays unused until the governor has started.
 fn free_address(number: usize) -> SocketAddr {
-    let first = std::process::id() * 16 + number as u32 * 16;
+    let first = std::process::id() * 64 + number as u32 * 8;
     let ports = (0..10_000).map(|step| 20_000 + (first + step * 37) % 10_000);
     let mut free = ports.filter_map(|port| TcpListener::bind(("127.0.0.1", port as u16)).ok());
     free.next().and_then(|listener| listener.local_addr().ok()).expect("a free port on loopback")
