--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -437,7 +437,7 @@
             State::Left => "left",
         };
         format!(
-            r#"{{"id":"{id}","addr":"10.1.0.{replica}:8443","zone":"{}","kind":"std-6","cell":1,"state":"{state}","weight":1.0,"started_ms":{started_ms}}}"#,
+            r#"{{"id":"{id}","addr":"127.1.0.{replica}:8443","zone":"{}","kind":"std-6","cell":1,"state":"{state}","weight":1.0,"started_ms":{started_ms}}}"#,
             self.site.zones[*zone]
         )
     }
@@ -455,7 +455,7 @@
                 let Replica { id, zone, .. } = &self.replicas[replica];
                 let zone = self.site.zones[*zone];
                 let entry = format!(
-                    r#"{{"id":"{id}","addr":"10.1.0.{replica}:8443","zone":"{zone}","kind":"std-6","cell":1,"state":"active","weight":1.0,"started_ms":0}}"#
+                    r#"{{"id":"{id}","addr":"127.1.0.{replica}:8443","zone":"{zone}","kind":"std-6","cell":1,"state":"active","weight":1.0,"started_ms":0}}"#
                 );
                 (replica, (entry, State::Active))
             })
@@ -761,7 +761,7 @@
         let Some(child) = &self.governors[governor].child else { return };
         let pid = child.id().to_string();
         self.note(&format!("{signal} to governor n{governor}"));
-        _ = Command::new("kill").args([&format!("-{signal}"), &pid]).status();
+        _ = Command::new("/bin/sh").args(["-c", &format!("kill -{signal} {pid}")]).status();
     }
 
     /// The process has ended: its streams break, and what waited or travelled is lost.
