A change of owner sets the new owner only after the previous one's writes ended

Cause: the store named the new owner as soon as all proxies had acknowledged the hold on requests; the writes at the previous owner were given time only after that, by keeping the hold. An assignment ends the hold, and a successor finds only the store. Change: the lifetime of a write is awaited before the owner is set, and the same request admits the requests again. The store then never names an owner beside which another has writes, so a successor needs to know nothing else.

--- a/crates/controller/tests/reassigned_slices.rs
+++ b/crates/controller/tests/reassigned_slices.rs
@@ -12,11 +12,15 @@
 const SLICES_OF_DRAINED: [u32; 2] = [2, 8];
 const WRITE_LIFETIME: Span = Span::ms(620);
 const TABLE_LEASE: Span = Span::ms(4000);
+/// The time from a request until the controller has the acknowledgements of all proxies.
+const MAX_ACKNOWLEDGEMENT_TIME: Span = Span::ms(350);
+/// The time between two decisions of a controller without events.
+const MAX_TICK: Span = Span::ms(250);
 
-fn single_writer_store() -> StoreModel {
+fn single_writer_store(write_lifetime: Span) -> StoreModel {
     StoreModel::serving(SLICES, |settings| {
         settings["familyInfo"]["singleWriter"] = json!(true);
-        settings["familyInfo"]["writeLifeNs"] = json!(WRITE_LIFETIME.as_ns());
+        settings["familyInfo"]["writeLifeNs"] = json!(write_lifetime.as_ns());
         settings["familyInfo"]["tenureNs"] = json!(TABLE_LEASE.as_ns());
     })
 }
@@ -50,7 +54,7 @@
 
 /// Drains a replica and stops `held_ms` after the requests of its slices are held back.
 fn store_with_hold(assigned: Assigned, held_ms: u64) -> StoreModel {
-    let mut store = single_writer_store();
+    let mut store = single_writer_store(WRITE_LIFETIME);
     if assigned == Assigned::Recently {
         store.assign_to_other();
         store.advance_ms(100);
@@ -128,6 +132,54 @@
     }
 }
 
+/// Guards against changes of owner that use up the limit on messages or hold requests back for longer than a write and
+/// the acknowledgements take.
+#[test]
+fn change_of_owner_takes_two_messages_and_the_lifetime_of_a_write() {
+    let mut store = single_writer_store(WRITE_LIFETIME);
+    let messages_before = store.received_at.len();
+    store.rig.drain("s-2");
+    assert!(store.advance_until(2000, |store| store.is_held_back(2)));
+    let held_since = store.rig.now;
+    assert!(store.advance_until(5000, |store| !store.is_held_back(2)));
+    let held_for = store.rig.now - held_since;
+    assert!(is_moved(&store));
+    assert_eq!(store.received_at.len() - messages_before, 2, "messages");
+    let expected = MAX_ACKNOWLEDGEMENT_TIME + WRITE_LIFETIME + MAX_TICK;
+    assert!(held_for <= expected, "requests were held back for {held_for:?}, {expected:?} expected");
+    assert_eq!(store.violations, Vec::<String>::new());
+}
+
+/// Guards against two replicas with writes of a slice after a kill: the store named the new owner while the previous one
+/// had writes in hand, and the hold that the new process knows nothing of ended with its start (review/6).
+#[test]
+fn controller_that_starts_again_during_an_owner_change_admits_writes_at_one_replica() {
+    for assigned in [Assigned::Long, Assigned::Recently] {
+        for held_ms in (0..6000).step_by(100) {
+            for down_ms in [0, 300, 1000] {
+                let mut store = store_with_hold(assigned, held_ms);
+                store.restart_controller(down_ms);
+                let context =
+                    format!("{assigned:?}, killed {held_ms} ms after the hold, down for {down_ms} ms");
+                assert_rule_kept_and_slices_moved(store, &context);
+            }
+        }
+    }
+}
+
+/// Guards against two replicas with writes of a slice after a hand-over: the other controller finds the new owner in the
+/// store, and the assignment ends the hold while the previous owner has writes in hand (the same cause as review/6).
+#[test]
+fn controller_that_takes_over_during_an_owner_change_admits_writes_at_one_replica() {
+    for held_ms in (0..2000).step_by(20) {
+        let mut store = store_with_hold(Assigned::Long, held_ms);
+        store.assign_to_other();
+        store.advance_ms(500);
+        store.assign_back();
+        assert_rule_kept_and_slices_moved(store, &format!("handed over {held_ms} ms after the hold"));
+    }
+}
+
 fn shared_store() -> StoreModel {
     StoreModel::serving(SLICES, |_| {})
 }
--- a/crates/controller/tests/store_orders.rs
+++ b/crates/controller/tests/store_orders.rs
@@ -20,6 +20,8 @@
 /// A seed in which a request that holds requests back is in flight while its slice is assigned to another controller and
 /// back, and is carried out after that. The requests were held back for ever.
 const HOLD_AFTER_REASSIGNMENT_SEED: u64 = 4434;
+/// The seeds of a run in CI in which the controller's process is killed and started again as well.
+const DEFAULT_SEEDS_WITH_RESTARTS: std::ops::Range<u64> = 0..150;
 /// The time after the last failure within which all changes have to be carried out: a table lease, the lifetime of a
 /// write, and a window of the limit on messages for each stage of a change of owner.
 const RECOVERY_MS: u64 = 40_000;
@@ -48,7 +50,14 @@
     }
 }
 
-fn apply_random_event(store: &mut StoreModel, random: &mut Random) {
+/// Whether the controller's process is killed and started again in a run.
+#[derive(Clone, Copy, PartialEq)]
+enum Restarts {
+    Never,
+    Random,
+}
+
+fn apply_random_event(store: &mut StoreModel, random: &mut Random, restarts: Restarts) {
     let replica = format!("s-{}", below(random, REPLICAS));
     let ready = store.rig.replicas.values().filter(|state| **state == "active").count();
     match below(random, 14) {
@@ -72,17 +81,18 @@
         10 if !store.is_cut() => store.reset_watch(),
         11 => store.toggle_proxy(),
         12 if !store.is_cut() => store.suspend_during_reassignment(1000 + u64::from(below(random, 7000))),
+        13 if restarts == Restarts::Random => store.restart_controller(u64::from(below(random, 3000))),
         _ => {}
     }
     store.advance_ms(u64::from(below(random, 1500)));
 }
 
-fn run_seed(seed: u64) {
+fn run_seed(seed: u64, restarts: Restarts) {
     let mut random = Random::from_seed(seed);
     let mut store = store(seed);
     store.snapshot_delay = Span::ms(u64::from(below(&mut random, 80)));
     for _ in 0..EVENTS {
-        apply_random_event(&mut store, &mut random);
+        apply_random_event(&mut store, &mut random, restarts);
     }
     store.answers = Answers::Arrive;
     store.heal();
@@ -100,9 +110,10 @@
     assert!(snapshot.is_some_and(|line| line.contains("changed_slices=0")), "seed {seed}: {snapshot:?}");
 }
 
-fn seeds() -> Vec<u64> {
+/// The seeds of `STORE_ORDER_SEEDS`, or else these.
+fn seeds_or(default: impl Iterator<Item = u64>) -> Vec<u64> {
     let Ok(text) = std::env::var("STORE_ORDER_SEEDS") else {
-        return DEFAULT_SEEDS.chain([HOLD_AFTER_REASSIGNMENT_SEED]).collect();
+        return default.collect();
     };
     let (first, end) = text.split_once("..").expect("STORE_ORDER_SEEDS is FIRST..END");
     (first.parse().expect("first seed")..end.parse().expect("end of the seeds")).collect()
@@ -111,8 +122,16 @@
 /// Guards against any belief of the controller about the store that outlives what it rested on (review/1 to review/3).
 #[test]
 fn single_writers_and_known_tables_survive_random_orders_of_failures() {
-    for seed in seeds() {
-        run_seed(seed);
+    for seed in seeds_or(DEFAULT_SEEDS.chain([HOLD_AFTER_REASSIGNMENT_SEED])) {
+        run_seed(seed, Restarts::Never);
+    }
+}
+
+/// Guards against what a controller that knows only the store takes for granted, in any order of failures (review/6).
+#[test]
+fn single_writers_and_known_tables_survive_restarts_in_random_orders_of_failures() {
+    for seed in seeds_or(DEFAULT_SEEDS_WITH_RESTARTS) {
+        run_seed(seed, Restarts::Random);
     }
 }
 
@@ -120,5 +139,5 @@
 /// out, its response is lost and the relay watch is reset, so that the hold is forgotten while it still stands.
 #[test]
 fn hold_with_a_change_of_owner_in_flight_ends_after_the_writes() {
-    run_seed(8324);
+    run_seed(8324, Restarts::Never);
 }
--- a/crates/controller/tests/support/rig.rs
+++ b/crates/controller/tests/support/rig.rs
@@ -8,6 +8,7 @@
 use whinwall_protocol::relay::{decode_event, Response};
 use whinwall_protocol::{collector, discovery};
 use whinwall_routing::{Effect, Event, LogEvent, Reducer};
+use whinwall_settings::Settings;
 use whinwall_transport::{RequestError, StreamError, Targets};
 
 /// Stored routing tables: weights by replica, for each slice.
@@ -16,6 +17,9 @@
 /// A reducer with its simulated environment: relay, endpoint list and proxies.
 pub struct Rig {
     pub reducer: Reducer,
+    settings: Settings,
+    /// The seed of the running controller, another one at each start.
+    seed: u64,
     pub now: Moment,
     pub wake_at: Option<Moment>,
     pub store: Store,
@@ -59,7 +63,9 @@
         let now = Moment::default() + Span::ms(1_800_000_000_000);
         let targets = Targets { discovery: DISCOVERY, relay: RELAY };
         let mut rig = Rig {
-            reducer: Reducer::new(settings, targets, seed, &discovery::List::default(), now),
+            reducer: Reducer::new(settings.clone(), targets, seed, &discovery::List::default(), now),
+            settings,
+            seed,
             now,
             wake_at: None,
             store: (0..slices).map(|n| (n, BTreeMap::from([(format!("s-{}", n % 6), 1.0)]))).collect(),
@@ -78,6 +84,18 @@
         rig
     }
 
+    /// Replaces the controller by a new one that knows nothing. The store and the proxies stay as they are.
+    pub fn restart(&mut self) {
+        self.seed += 1;
+        let targets = Targets { discovery: DISCOVERY, relay: RELAY };
+        let (settings, known_list) = (self.settings.clone(), discovery::List::default());
+        self.reducer = Reducer::new(settings, targets, self.seed, &known_list, self.now);
+        self.pending_request = None;
+        self.wake_at = None;
+        self.other_effects.clear();
+        self.apply(Event::Started);
+    }
+
     /// A reducer that has received the endpoint list and the relay snapshot and has sent its first commands.
     pub fn serving() -> Self {
         Rig::new().start_serving()
--- a/crates/controller/tests/support/store_model.rs
+++ b/crates/controller/tests/support/store_model.rs
@@ -184,7 +184,7 @@
     /// Assigns all slices to another controller.
     pub fn assign_to_other(&mut self) {
         for slice in std::mem::take(&mut self.own_slices) {
-            self.holds.remove(&slice);
+            self.release_hold(slice);
             self.send_event(&format!("* GRANT {slice} 0"));
         }
         self.drain_input();
@@ -194,7 +194,7 @@
     pub fn assign_back(&mut self) {
         for (slice, table) in self.rig.store.clone() {
             if self.own_slices.insert(slice) {
-                self.holds.remove(&slice);
+                self.release_hold(slice);
                 self.assigned_at.insert(slice, self.rig.now);
                 self.send_event(&format!("* GRANT {slice} 1"));
                 for (replica, weight) in table {
@@ -218,6 +218,22 @@
         self.rig.store.insert(slice, table);
     }
 
+    /// Kills the controller's process and starts it again this much later. Its slices are without a controller meanwhile;
+    /// then the new process is assigned them, and knows nothing but the store.
+    pub fn restart_controller(&mut self, down_ms: u64) {
+        for slice in std::mem::take(&mut self.own_slices) {
+            self.release_hold(slice);
+        }
+        self.watch = Watch::Closed;
+        self.acks.clear();
+        self.request_since = None;
+        self.rig.now = self.rig.now + Span::ms(down_ms);
+        self.rig.restart();
+        self.rig.send_list();
+        self.step();
+        self.assign_back();
+    }
+
     /// Advances the time by this many milliseconds.
     pub fn advance_ms(&mut self, ms: u64) {
         let end = self.rig.now + Span::ms(ms);
@@ -432,7 +448,15 @@
             }
         }
         match self.holds.get_mut(&slice) {
-            Some(hold) if now - hold.since >= PROXY_DELAY => hold.owner_changed = true,
+            Some(hold) if now - hold.since >= PROXY_DELAY => {
+                hold.owner_changed = true;
+                let writes_ended_at = hold.since + PROXY_DELAY + self.write_lifetime;
+                if now < writes_ended_at {
+                    let early = writes_ended_at - now;
+                    self.violations
+                        .push(format!("slice {slice}: new owner {early:?} before the last write ended"));
+                }
+            }
             Some(hold) => {
                 let elapsed = now - hold.since;
                 self.violations
@@ -448,12 +472,18 @@
         if !self.own_slices.contains(&slice) {
             return;
         }
-        let now = self.rig.now;
         if holds_back {
-            self.holds.entry(slice).or_insert(Hold { since: now, owner_changed: false });
-            return;
+            self.holds.entry(slice).or_insert(Hold { since: self.rig.now, owner_changed: false });
+        } else {
+            self.release_hold(slice);
         }
+    }
+
+    /// Ends the hold on a slice's requests, by a command or because the slice is assigned. The requests go to the stored
+    /// owner then, so the writes at the previous one must have ended.
+    fn release_hold(&mut self, slice: u32) {
         let Some(hold) = self.holds.remove(&slice).filter(|hold| hold.owner_changed) else { return };
+        let now = self.rig.now;
         let writes_ended_at = hold.since + PROXY_DELAY + self.write_lifetime;
         if now < writes_ended_at {
             let early = writes_ended_at - now;
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -3,7 +3,8 @@
 //!
 //! It avoids commands that change nothing. Where a slice has a single writer, it also prevents two simultaneous
 //! owners: a proxy that applies a change late still writes to the previous owner, so the slice's requests are held
-//! back and the writes in flight are given time to end before another owner gets them.
+//! back, and the writes in flight are given time to end before the store names another owner. A controller that takes
+//! over the slice, knowing only the store, may therefore admit requests at once.
 
 use crate::api::{Action, ReplicaId, SliceId};
 use crate::state::admission::HALTED_REDUCTION;
@@ -47,8 +48,10 @@
         let table = &slice.table;
         let changes_single_writer =
             !table.is_applied() && self.deployment.single_writer && !table.applied.is_empty();
+        let must_halt_first = changes_single_writer && slice.applied_reduction != HALTED_REDUCTION;
         let reduction = match priority {
-            _ if changes_single_writer => HALTED_REDUCTION,
+            _ if must_halt_first => HALTED_REDUCTION,
+            _ if changes_single_writer => slice.reduction,
             Priority::NoEndpoint | Priority::Urgent => slice.applied_reduction,
             Priority::Normal | Priority::StandbyOnly => slice.reduction,
         };
@@ -58,7 +61,6 @@
             Priority::Urgent => *weight >= FULL_WEIGHT || was_owner(id),
             Priority::Normal | Priority::StandbyOnly => true,
         };
-        let must_halt_first = changes_single_writer && slice.applied_reduction != HALTED_REDUCTION;
         let endpoints = if must_halt_first {
             Vec::new()
         } else {
@@ -89,7 +91,7 @@
     }
 
     /// Records what was sent for a slice in this reply. If a single writer's change of owner was sent without
-    /// endpoints, the change has only begun.
+    /// endpoints, only the hold on its requests was sent.
     fn record_sent(&mut self, update: &SliceUpdate, command_count: usize) {
         let version = (command_count > 0).then(|| self.add_lines(command_count as f64));
         self.pending_slices.clear(update.slice);
@@ -121,42 +123,30 @@
         self.mark_pending(id, remainder_priority);
     }
 
-    /// Returns true if the table of the slice may be sent. Under single writer, the stages of a change of owner wait
-    /// for each other. While the relay's events are interrupted, the slice may be assigned to another controller and
-    /// back, which ends the hold on its requests, so only the first stage may be sent.
+    /// Returns true if the changes of the slice may be sent. Under single writer, the new owner waits for the hold on
+    /// requests. While the relay's events are interrupted, the slice may be assigned to another controller and back,
+    /// which ends the hold, so only the hold itself and changes of admission may be sent.
     fn may_send_table(&self, slice: &Slice) -> bool {
-        if !self.deployment.single_writer {
+        if !self.deployment.single_writer || slice.table.is_applied() {
             return true;
         }
-        let is_halted = slice.applied_reduction == HALTED_REDUCTION;
-        let (table, events_arrive) = (&slice.table, self.channel.events_arrive());
-        if !table.is_applied() && is_halted {
+        let events_arrive = self.channel.events_arrive();
+        if slice.applied_reduction == HALTED_REDUCTION {
             events_arrive && self.may_set_owner(slice)
-        } else if !table.is_applied() {
-            events_arrive || !table.applied.is_empty()
-        } else if is_halted || slice.halt_confirmed_at.is_some() {
-            events_arrive && self.may_admit_requests(slice)
         } else {
-            true
+            events_arrive || !slice.table.applied.is_empty()
         }
     }
 
     /// Returns true if a slice whose requests are held back may get another owner: all connected proxies have
-    /// acknowledged the hold, and the table lease has ended for proxies that disconnected from this controller or from
-    /// the slice's previous controller.
+    /// acknowledged the hold, the writes that they sent before it have ended, and the table lease has ended for proxies
+    /// that disconnected from this controller or from the slice's previous controller. The lifetime of a write counts
+    /// from the acknowledgements, since proxies may have held requests back long after that was ordered.
     fn may_set_owner(&self, slice: &Slice) -> bool {
-        slice.awaited_version.is_none()
-            && self.has_lease_ended(self.proxies.last_left_at.max(slice.exclusive_since))
-    }
-
-    /// Returns true if the requests of a slice may be admitted after a change of owner: all connected proxies have
-    /// acknowledged the change, and the writes at the previous owner have ended. Proxies may have held requests back
-    /// long after that was ordered.
-    fn may_admit_requests(&self, slice: &Slice) -> bool {
         let writes_ended = |at: Moment| self.now - at >= self.deployment.write_lifetime;
         slice.awaited_version.is_none()
-            && self.has_lease_ended(self.proxies.last_left_at)
             && slice.halt_confirmed_at.is_some_and(writes_ended)
+            && self.has_lease_ended(self.proxies.last_left_at.max(slice.exclusive_since))
     }
 
     /// Returns true if no write by a table that a proxy has held without a connection since `left_at` is in progress.
--- a/crates/policy/src/events.rs
+++ b/crates/policy/src/events.rs
@@ -115,9 +115,7 @@
         for id in ids {
             let Some(slice) = self.slices.get_mut(id) else { continue };
             slice.exclusive_since = now;
-            if !slice.table.is_applied() {
-                slice.halt_confirmed_at = None;
-            }
+            slice.halt_confirmed_at = None;
             if slice.applied_reduction != 0.0 {
                 self.invalidate_applied_admission(*id);
             }
