--- a/crates/controller/tests/reassigned_slices.rs
+++ b/crates/controller/tests/reassigned_slices.rs
@@ -4,13 +4,15 @@
 mod support;
 
 use serde_json::json;
-use support::store_model::StoreModel;
+use support::store_model::{Answers, StoreModel};
 use whinwall_policy::time::Span;
 
 const SLICES: u32 = 12;
 /// The slices that s-2 owns at the start.
 const SLICES_OF_DRAINED: [u32; 2] = [2, 8];
 const WRITE_LIFETIME: Span = Span::ms(620);
+/// A write may take longer than the controller needs to read the store again.
+const LONG_WRITE_LIFETIME: Span = Span::ms(3000);
 const TABLE_LEASE: Span = Span::ms(4000);
 /// The time from a request until the controller has the acknowledgements of all proxies.
 const MAX_ACKNOWLEDGEMENT_TIME: Span = Span::ms(350);
@@ -54,7 +56,11 @@
 
 /// Drains a replica and stops `held_ms` after the requests of its slices are held back.
 fn store_with_hold(assigned: Assigned, held_ms: u64) -> StoreModel {
-    let mut store = single_writer_store(WRITE_LIFETIME);
+    store_with_hold_and_writes(assigned, held_ms, WRITE_LIFETIME)
+}
+
+fn store_with_hold_and_writes(assigned: Assigned, held_ms: u64, write_lifetime: Span) -> StoreModel {
+    let mut store = single_writer_store(write_lifetime);
     if assigned == Assigned::Recently {
         store.assign_to_other();
         store.advance_ms(100);
@@ -180,6 +186,25 @@
     }
 }
 
+/// Guards against writes that are admitted early after the relay's connections were reset: the change of owner was carried
+/// out, its response was lost, and the hold was forgotten with the table that was read again (review/7).
+#[test]
+fn reset_during_an_owner_change_admits_no_writes_before_those_of_the_previous_owner_end() {
+    for held_ms in (0..4000).step_by(20) {
+        for answers in [Answers::Lost, Answers::Ignored] {
+            let mut store = store_with_hold_and_writes(Assigned::Long, held_ms, LONG_WRITE_LIFETIME);
+            store.answers = answers;
+            store.advance_ms(60);
+            store.reset_watch();
+            store.answers = Answers::Arrive;
+            assert_rule_kept_and_slices_moved(
+                store,
+                &format!("{answers:?}, reset {held_ms} ms after the hold"),
+            );
+        }
+    }
+}
+
 fn shared_store() -> StoreModel {
     StoreModel::serving(SLICES, |_| {})
 }
--- a/crates/controller/tests/store_orders.rs
+++ b/crates/controller/tests/store_orders.rs
@@ -136,8 +136,9 @@
 }
 
 /// Guards against requests that are admitted before the previous owner's writes have ended: a change of owner is carried
-/// out, its response is lost and the relay watch is reset, so that the hold is forgotten while it still stands.
+/// out, its response is lost and the relay watch is reset, so that the hold is forgotten while it still stands (review/7).
 #[test]
 fn hold_with_a_change_of_owner_in_flight_ends_after_the_writes() {
     run_seed(8324, Restarts::Never);
+    run_seed(57_896, Restarts::Never);
 }
