A hold ordered before an assignment is read has an end

The relay carries the order out after the assignment, the controller reads the assignment after the answer, and takes it for the reset of the hold. Change: a slice that is lost while its admission is believed reduced is remembered; its next grant is no reset, and its admission is sent again. The set holds at most the slices, and each leaves with its grant.

--- a/crates/controller/tests/store_orders.rs
+++ b/crates/controller/tests/store_orders.rs
@@ -142,3 +142,10 @@
     run_seed(8324, Restarts::Never);
     run_seed(57_896, Restarts::Never);
 }
+
+/// Guards against a hold without an end: the process is suspended and orders the hold before it reads that the slice was
+/// assigned anew; the assignment is then taken for the end of the hold.
+#[test]
+fn hold_that_is_ordered_before_the_assignment_is_read_has_an_end() {
+    run_seed(50_100, Restarts::Never);
+}
--- a/crates/policy/src/events.rs
+++ b/crates/policy/src/events.rs
@@ -100,8 +100,13 @@
         }
     }
 
+    /// Adds a slice that is granted. The grant resets its admission, unless this controller reduced it after the grant,
+    /// before it had read of it; then the admission is sent again.
     pub(crate) fn add_slice(&mut self, now: Moment, id: SliceId, table: &[(ReplicaId, f64)]) {
         self.slices.insert(id, Slice::new(table, now));
+        if self.removed_while_reduced.remove(&id) {
+            self.invalidate_applied_admission(id);
+        }
         self.change_table(id, |_| {});
         self.report_cold_owners(id, &[]);
         self.repeat_withdrawals_in_table(now, id);
@@ -144,7 +149,10 @@
     pub(crate) fn remove_slice(&mut self, id: SliceId) {
         self.pending_slices.clear(id);
         self.change_table(id, |table| *table = RoutingTable::default());
-        self.slices.remove(&id);
+        let removed = self.slices.remove(&id);
+        if removed.is_some_and(|slice| slice.applied_reduction != 0.0) {
+            self.removed_while_reduced.insert(id);
+        }
     }
 }
 
--- a/crates/policy/src/state/controller.rs
+++ b/crates/policy/src/state/controller.rs
@@ -19,7 +19,7 @@
 use crate::state::withdrawals::Withdrawals;
 use crate::time::Moment;
 use crate::windowed_counter::WindowedCounter;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::mem::take;
 
 /// The complete state of one controller. It is not persisted.
@@ -32,6 +32,8 @@
     pub started_at: Moment,
     pub replicas: BTreeMap<ReplicaId, Replica>,
     pub slices: BTreeMap<SliceId, Slice>,
+    /// Slices that were removed while their admission was reduced. At most all slices; each leaves with its next grant.
+    pub removed_while_reduced: BTreeSet<SliceId>,
     pub proxies: ProxyHistory,
     pub channel: CommandChannel,
     /// The actions of the next reply.
@@ -91,6 +93,7 @@
             started_at: now,
             replicas: BTreeMap::new(),
             slices: BTreeMap::new(),
+            removed_while_reduced: BTreeSet::new(),
             proxies: ProxyHistory { applied_until: BTreeMap::new(), last_left_at: now },
             actions: Vec::new(),
             is_replying: false,
