A rejected override no longer takes the one it would have replaced with it

Cause: a new override and the ends of those that it replaces are one write. A write that is reported as failed may be in the store; the next one removed the new override, but did not write the older ones again, which are in force and stored as ended. Change: what a failed change would have ended is written again with the next write. Measured: the new test failed before (the store held neither override after the retry) and passes; the package's tests pass.

--- a/crates/overrides/src/registry/mod.rs
+++ b/crates/overrides/src/registry/mod.rs
@@ -274,11 +274,13 @@
         }
     }
 
-    /// Discards a change that could not be stored. Its new records may nevertheless be in the store and must not be
-    /// restored after a restart, so the next write removes them.
+    /// Discards a change that could not be stored. It may nevertheless be in the store and must not be restored after a
+    /// restart, so the next write removes the new override, and writes those again that it would have ended.
     pub fn abandon(&mut self, change: &RegistryChange) {
         for entry in &change.writes {
-            if !self.overrides.contains_key(&entry.number) {
+            if self.overrides.contains_key(&entry.number) {
+                self.pending_writes.insert(entry.number);
+            } else {
                 self.reserve_number(entry.number);
                 self.pending_removals.push(entry.number);
             }
--- a/crates/overrides/tests/manager.rs
+++ b/crates/overrides/tests/manager.rs
@@ -202,6 +202,24 @@
     assert_eq!(harness.stored_ids(), ["b"]);
 }
 
+/// Guards against an acknowledged override that a restart loses: a newer one for its replica is rejected, as its write
+/// failed, but the store has the write and with it the end of the older one.
+#[test]
+fn failed_write_does_not_end_the_override_that_it_would_have_replaced() {
+    let mut harness = Harness::with_store_read();
+    let set = |id: &str| ChangeRequest::Set(out_of_service(id, "s-1", 60_000));
+    harness.request(1, set("older"));
+    harness.complete_save();
+    harness.request(2, set("newer"));
+    let serial = harness.store_pending();
+    harness.report_outcome(serial, Err(SaveError::new("flush")));
+    assert_eq!(harness.replies[&2], ChangeReply::NotStored("flush".into()));
+    harness.advance(5000);
+    assert!(harness.complete_save(), "the write is retried without a request");
+    assert_eq!(harness.active_ids(), ["older"]);
+    assert_eq!(harness.stored_ids(), ["older"]);
+}
+
 #[test]
 fn clearing_and_expiry_do_not_wait_for_the_store() {
     let mut harness = Harness::with_store_read();
