A reload while an override is being stored shares no number with it

Cause: a request's number was taken only when its record was stored; a reload does not wait for the store and gave the same number to its own override, which the request then replaced. Ids and replicas could clash in the same way. Change: numbers are taken before the write begins; a reload compares the file with the overrides as they are once the write has ended, and a failed write leaves nothing listed.

--- a/crates/overrides/src/manager/mod.rs
+++ b/crates/overrides/src/manager/mod.rs
@@ -246,7 +246,8 @@
     ) -> Result<(), OverrideError> {
         let previous_limits = self.registry.limits().clone();
         self.registry.set_limits(limits);
-        match self.registry.propose_configured(now, wall_time, &configured) {
+        let being_stored = self.pending_save.as_ref().and_then(PendingSave::new_change);
+        match self.registry.propose_configured(now, wall_time, &configured, being_stored) {
             Ok(change) => {
                 self.has_changed |= !change.is_empty();
                 self.registry.apply(change);
--- a/crates/overrides/src/manager/saving.rs
+++ b/crates/overrides/src/manager/saving.rs
@@ -39,6 +39,13 @@
     pub clears: Vec<PendingClear>,
 }
 
+impl PendingSave {
+    /// Returns the change that takes effect once it is stored.
+    pub fn new_change(&self) -> Option<&RegistryChange> {
+        self.set.as_ref().map(|set| &set.change)
+    }
+}
+
 impl OverrideManager {
     pub(super) fn is_save_due(&self, now: Moment) -> bool {
         if !self.pending_clears.is_empty() {
@@ -52,6 +59,9 @@
     pub(super) fn start_save(&mut self, set: Option<PendingSet>) {
         self.last_serial += 1;
         let serial = self.last_serial;
+        if let Some(set) = &set {
+            self.registry.reserve_numbers(&set.change);
+        }
         let unsaved = self.registry.unsaved();
         let timeline = *self.registry.timeline();
         let new_overrides = set.iter().flat_map(|set| &set.change.writes);
--- a/crates/overrides/src/registry/configured.rs
+++ b/crates/overrides/src/registry/configured.rs
@@ -23,6 +23,9 @@
     /// their previous version, and those removed from the file end. An override that was cleared stays cleared until
     /// its entry in the file changes.
     ///
+    /// `being_stored` is a change that was proposed before, and takes effect once it is stored. The file is compared with
+    /// the overrides as they are then, so that neither change undoes the other.
+    ///
     /// # Errors
     /// The first override that cannot be set. In this case no override is set.
     pub fn propose_configured(
@@ -30,9 +33,10 @@
         now: Moment,
         wall_time: Moment,
         configured: &[ConfiguredOverride],
+        being_stored: Option<&RegistryChange>,
     ) -> Result<RegistryChange, OverrideError> {
         let clocks = Clocks { now, wall_time };
-        let mut draft = Draft::new(self);
+        let mut draft = Draft::new(self, being_stored);
         draft.end_removed(now, configured);
         for entry in configured {
             draft.set(clocks, entry)?;
@@ -63,8 +67,14 @@
 }
 
 impl Draft {
-    fn new(registry: &OverrideRegistry) -> Self {
-        Draft { registry: registry.copy_overrides(), change: RegistryChange::default() }
+    /// The overrides that a change being stored would end stay active in the copy, since it may fail.
+    fn new(registry: &OverrideRegistry, being_stored: Option<&RegistryChange>) -> Self {
+        let mut registry = registry.copy_overrides();
+        let new_entries = being_stored.into_iter().flat_map(|change| &change.writes);
+        for entry in new_entries.filter(|entry| entry.is_active()) {
+            registry.insert(entry.clone());
+        }
+        Draft { registry, change: RegistryChange::default() }
     }
 
     fn apply(&mut self, writes: Vec<Override>) {
--- a/crates/overrides/src/registry/mod.rs
+++ b/crates/overrides/src/registry/mod.rs
@@ -274,15 +274,22 @@
         }
     }
 
+    /// Reserves the numbers of a change that is about to be stored, so that no other override gets them meanwhile.
+    pub fn reserve_numbers(&mut self, change: &RegistryChange) {
+        change.writes.iter().for_each(|entry| self.reserve_number(entry.number));
+    }
+
     /// Discards a change that could not be stored. It may nevertheless be in the store and must not be restored after a
-    /// restart, so the next write removes the new override, and writes those again that it would have ended.
+    /// restart, so the next write removes the new override, also if it was replaced while it was being stored, and
+    /// writes those again that it would have ended.
     pub fn abandon(&mut self, change: &RegistryChange) {
         for entry in &change.writes {
-            if self.overrides.contains_key(&entry.number) {
-                self.pending_writes.insert(entry.number);
-            } else {
-                self.reserve_number(entry.number);
-                self.pending_removals.push(entry.number);
+            let is_known = self.overrides.contains_key(&entry.number);
+            match (entry.is_active(), is_known) {
+                (true, true) => self.remove(entry.number),
+                (true, false) => self.pending_removals.push(entry.number),
+                (false, true) => _ = self.pending_writes.insert(entry.number),
+                (false, false) => {}
             }
         }
     }
--- a/crates/overrides/tests/manager.rs
+++ b/crates/overrides/tests/manager.rs
@@ -1,165 +1,10 @@
 //! The override manager: requests, writes to the store and their failures, clears during a write, restarts, retries.
 
-use quickcheck::{Arbitrary, Gen};
-use std::collections::BTreeMap;
-use whinwall_overrides::{
-    encoding, ChangeReply, ChangeRequest, ClockReading, ClockStamp, ConfiguredOverride, Durability,
-    NewOverride, OverrideEffect, OverrideError, OverrideKind, OverrideLimits, OverrideManager, RequestId,
-    SaveError,
-};
-use whinwall_policy::time::{Moment, Span};
-
-/// Returns the time `ms` milliseconds after the start of the test.
-fn moment_ms(ms: u64) -> Moment {
-    Moment::at_ns((1_800_000_000_000 + ms) * 1_000_000)
-}
-
-fn reading(ms: u64) -> ClockReading {
-    ClockReading { boot_id: "a".into(), uptime: Span::ms(ms), wall_time: moment_ms(ms) }
-}
-
-fn out_of_service(id: &str, replica: &str, duration_ms: u64) -> NewOverride {
-    let (kind, duration) = (OverrideKind::Out { replica: replica.into() }, Span::ms(duration_ms));
-    NewOverride { id: id.into(), kind, author: "mb".into(), reason: "disk".into(), duration }
-}
-
-fn set_request(id: &str) -> ChangeRequest {
-    ChangeRequest::Set(out_of_service(id, &format!("s-{id}"), 60_000))
-}
-
-fn limits() -> OverrideLimits {
-    OverrideLimits { max_active: 300, ..OverrideLimits::default() }
-}
-
-/// A manager with a simulated store. Tests decide whether each write succeeds or fails.
-struct Harness {
-    manager: OverrideManager,
-    stored: BTreeMap<u64, Vec<u8>>,
-    stamp: Option<Vec<u8>>,
-    now_ms: u64,
-    replies: BTreeMap<RequestId, ChangeReply>,
-    logged: Vec<String>,
-    pending_save: Option<(u64, OverrideEffect)>,
-}
-
-impl Harness {
-    fn in_memory() -> Self {
-        Harness::new(OverrideManager::in_memory(moment_ms(0), &reading(0), limits()))
-    }
-
-    fn with_unread_store() -> Self {
-        Harness::new(OverrideManager::with_store(moment_ms(0), &reading(0), limits()))
-    }
-
-    fn new(manager: OverrideManager) -> Self {
-        Harness {
-            manager,
-            stored: BTreeMap::new(),
-            stamp: None,
-            now_ms: 0,
-            replies: BTreeMap::new(),
-            logged: Vec::new(),
-            pending_save: None,
-        }
-    }
-
-    fn with_store_read() -> Self {
-        let mut harness = Harness::with_unread_store();
-        harness.read_store();
-        harness
-    }
-
-    fn read_store(&mut self) {
-        let records: Vec<_> = self.stored.iter().map(|(n, bytes)| (*n, bytes.clone())).collect();
-        self.manager.handle_store_read(
-            moment_ms(self.now_ms),
-            &reading(self.now_ms),
-            self.stamp.as_deref(),
-            &records,
-        );
-        self.take_effects();
-    }
-
-    /// Replaces the manager by a new one that reads the stored records, as after a kill and restart of the program.
-    fn restart(&mut self) {
-        let restarted = Harness::with_unread_store();
-        (self.manager, self.pending_save) = (restarted.manager, None);
-        self.read_store();
-    }
+mod support;
 
-    fn take_effects(&mut self) {
-        for effect in self.manager.take_effects() {
-            match effect {
-                OverrideEffect::Save { serial, .. } => {
-                    assert!(self.pending_save.replace((serial, effect)).is_none(), "one write at a time");
-                }
-                OverrideEffect::Reply { request_id, reply } => {
-                    assert!(self.replies.insert(request_id, reply).is_none(), "{request_id} has two replies");
-                }
-                OverrideEffect::Log(event) => self.logged.push(event.to_string()),
-            }
-        }
-    }
-
-    fn request(&mut self, request_id: RequestId, request: ChangeRequest) {
-        self.manager.handle_request(moment_ms(self.now_ms), request_id, request);
-        self.take_effects();
-    }
-
-    /// Stores the pending write without reporting an outcome. Returns its serial number.
-    fn store_pending(&mut self) -> Option<u64> {
-        let (serial, effect) = self.pending_save.take()?;
-        let OverrideEffect::Save { writes, removals, timeline, .. } = effect else { panic!("not a write") };
-        self.stored.extend(writes);
-        self.stored.retain(|number, _| !removals.contains(number));
-        let stamp = ClockStamp {
-            reading: reading(self.now_ms),
-            position: timeline.to_persistent(moment_ms(self.now_ms)),
-        };
-        self.stamp = Some(encoding::encode_stamp(&stamp));
-        Some(serial)
-    }
-
-    /// Lets the pending write succeed. Returns false if there is none.
-    fn complete_save(&mut self) -> bool {
-        let serial = self.store_pending();
-        self.report_outcome(serial, Ok(()))
-    }
-
-    /// Lets the pending write fail without storing anything. Returns false if there is none.
-    fn fail_save(&mut self) -> bool {
-        let serial = self.pending_save.take().map(|(serial, _)| serial);
-        self.report_outcome(serial, Err(SaveError::new("full")))
-    }
-
-    fn report_outcome(&mut self, serial: Option<u64>, outcome: Result<(), SaveError>) -> bool {
-        let Some(serial) = serial else { return false };
-        self.manager.handle_save_outcome(moment_ms(self.now_ms), serial, outcome);
-        self.take_effects();
-        true
-    }
-
-    fn advance(&mut self, ms: u64) {
-        self.now_ms += ms;
-        if self.manager.next_tick_at().is_some_and(|due| due <= moment_ms(self.now_ms)) {
-            self.manager.tick(moment_ms(self.now_ms));
-            self.take_effects();
-        }
-    }
-
-    fn active_ids(&self) -> Vec<&str> {
-        self.manager.registry().active().map(|entry| entry.id.as_str()).collect()
-    }
-
-    /// Returns the ids of the overrides that would be active after a restart.
-    fn stored_ids(&self) -> Vec<String> {
-        let mut restarted = Harness::with_unread_store();
-        (restarted.stored, restarted.stamp, restarted.now_ms) =
-            (self.stored.clone(), self.stamp.clone(), self.now_ms);
-        restarted.read_store();
-        restarted.active_ids().into_iter().map(str::to_string).collect()
-    }
-}
+use quickcheck::{Arbitrary, Gen};
+use support::{configured, moment_ms, out_of_service, set_request, Harness};
+use whinwall_overrides::{ChangeReply, ChangeRequest, Durability, OverrideError, OverrideLimits};
 
 #[test]
 fn override_is_active_once_it_is_stored() {
@@ -189,9 +34,7 @@
     assert!(harness.active_ids().is_empty());
     // The record is stored although the write fails. The next write removes it.
     harness.request(2, set_request("b"));
-    let serial = harness.store_pending().unwrap();
-    harness.manager.handle_save_outcome(moment_ms(harness.now_ms), serial, Err(SaveError::new("flush")));
-    harness.take_effects();
+    assert!(harness.store_and_fail_save());
     assert_eq!(harness.stored_ids(), ["b"], "stored until the next write");
     harness.advance(5000);
     assert!(harness.complete_save(), "the write is retried without a request");
@@ -211,8 +54,7 @@
     harness.request(1, set("older"));
     harness.complete_save();
     harness.request(2, set("newer"));
-    let serial = harness.store_pending();
-    harness.report_outcome(serial, Err(SaveError::new("flush")));
+    harness.store_and_fail_save();
     assert_eq!(harness.replies[&2], ChangeReply::NotStored("flush".into()));
     harness.advance(5000);
     assert!(harness.complete_save(), "the write is retried without a request");
@@ -282,10 +124,7 @@
     harness.request(1, set_request("a"));
     harness.complete_save();
     harness.restart();
-    let file = |expires_at_ms| {
-        let NewOverride { id, kind, author, reason, .. } = out_of_service("f-1", "s-9", 0);
-        vec![ConfiguredOverride { id, kind, author, reason, expires_at: moment_ms(expires_at_ms) }]
-    };
+    let file = |expires_at_ms| vec![configured("f-1", "s-9", expires_at_ms)];
     let mut restarted = Harness::with_unread_store();
     (restarted.stored, restarted.stamp) = (harness.stored.clone(), harness.stamp.clone());
     restarted
@@ -344,16 +183,7 @@
                 4 | 5 => _ = harness.complete_save(),
                 6 => match parameter % 3 {
                     0 => _ = harness.fail_save(),
-                    1 => {
-                        if let Some(serial) = harness.store_pending() {
-                            harness.manager.handle_save_outcome(
-                                moment_ms(harness.now_ms),
-                                serial,
-                                Err(SaveError::new("flush")),
-                            );
-                            harness.take_effects();
-                        }
-                    }
+                    1 => _ = harness.store_and_fail_save(),
                     _ => harness.advance(u64::from(parameter) * 100),
                 },
                 _ => harness.restart(),
@@ -436,9 +266,7 @@
 #[test]
 fn clear_before_the_store_is_read_stays_in_effect_afterwards() {
     let mut harness = Harness::with_unread_store();
-    let NewOverride { id, kind, author, reason, .. } = out_of_service("f-1", "s-9", 0);
-    let configured = ConfiguredOverride { id, kind, author, reason, expires_at: moment_ms(30_000) };
-    harness.manager.apply_configuration(moment_ms(0), moment_ms(0), limits(), vec![configured]).unwrap();
+    harness.reload(&[configured("f-1", "s-9", 30_000)]).unwrap();
     let clear = |id: &str| ChangeRequest::Clear { id: id.into(), by: "mb".into() };
     harness.request(1, clear("f-1"));
     assert!(matches!(harness.replies[&1], ChangeReply::Cleared { durability: Durability::Pending(_), .. }));
--- a/crates/overrides/tests/registry.rs
+++ b/crates/overrides/tests/registry.rs
@@ -266,7 +266,7 @@
 fn configured_overrides_follow_the_file_and_cleared_ones_stay_cleared() {
     let mut registry = registry();
     let apply = |registry: &mut OverrideRegistry, now_s, configured: &[ConfiguredOverride]| {
-        let change = registry.propose_configured(moment_s(now_s), moment_s(now_s), configured)?;
+        let change = registry.propose_configured(moment_s(now_s), moment_s(now_s), configured, None)?;
         registry.apply(change);
         Ok::<_, OverrideError>(())
     };
@@ -291,8 +291,9 @@
 #[test]
 fn wall_clock_step_shortens_but_never_prolongs_overrides() {
     let mut registry = registry();
-    let change =
-        registry.propose_configured(moment_s(0), moment_s(0), &[configured("f-1", "s-1", 600)]).unwrap();
+    let change = registry
+        .propose_configured(moment_s(0), moment_s(0), &[configured("f-1", "s-1", 600)], None)
+        .unwrap();
     registry.apply(change);
     set(&mut registry, moment_s(0), &out_of_service("a", "s-2", 600));
     registry.adjust_to_wall_clock(moment_s(10), moment_s(0) - seconds(3600));
