Every message leaves enough of the limit for urgent ones, whatever was sent before

Callers saw a draining replica get requests for 4.3 s, 2.3 s allowed, after 3 s of calls without an answer (review/9, rule 3). Cause: resends were spread over the time until one more message is available; messages of 7 to 9 s ago made that short, and nearly all that remained were spent within 2 s. Change: a message is sent only if one urgent command can follow in each interval after it, given when each sent message ceases to count (state/message_budget.rs). Resends and deferrable commands spare one more; a resend waits for one interval at most.

--- a/crates/controller/tests/lost_responses.rs
+++ b/crates/controller/tests/lost_responses.rs
@@ -4,6 +4,7 @@
 
 use serde_json::json;
 use support::store_model::{Answers, StoreModel};
+use whinwall_policy::random::Random;
 use whinwall_policy::time::{Moment, Span};
 
 const SLICES: u32 = 12;
@@ -32,6 +33,22 @@
     }
 }
 
+/// Returns how long the time limits of the rules have run between two times. They wait after each request without a
+/// response.
+fn time_limits_ran(unanswered_at: &[Moment], from: Moment, until: Moment) -> Span {
+    let (mut ran, mut waiting_until) = (Span::default(), from);
+    for at in unanswered_at {
+        if *at > waiting_until {
+            ran = ran + (*at - waiting_until);
+        }
+        waiting_until = waiting_until.max(*at + WAIT_AFTER_SILENCE);
+    }
+    if until > waiting_until {
+        ran = ran + (until - waiting_until);
+    }
+    ran
+}
+
 /// Guards against resends that use up the limit on messages, so that a draining replica gets requests long after the
 /// relay responds again (review/3).
 #[test]
@@ -96,20 +113,97 @@
     }
 }
 
-/// Returns how long the time limits of the rules have run between two times. They wait after each request without a
-/// response.
-fn time_limits_ran(unanswered_at: &[Moment], from: Moment, until: Moment) -> Span {
-    let (mut ran, mut waiting_until) = (Span::default(), from);
-    for at in unanswered_at {
-        if *at > waiting_until {
-            ran = ran + (*at - waiting_until);
+/// Returns true if all proxies hold back the requests for each slice whose stored owner is the replica.
+fn is_left(store: &StoreModel, replica: &str) -> bool {
+    let owned = store.rig.store.iter().filter(|(_, table)| table.contains_key(replica));
+    owned.into_iter().all(|(slice, _)| store.is_applied_hold(*slice))
+}
+
+/// Drains a replica and advances until its requests are held back. Returns how long the time limits of the rules have
+/// run until then.
+fn drain_until_left(store: &mut StoreModel, replica: &str) -> Span {
+    let drained_at = store.rig.now;
+    store.rig.drain(replica);
+    assert!(store.advance_until(30_000, |store| is_left(store, replica)), "{replica} is never left");
+    time_limits_ran(&store.unanswered_at, drained_at, store.rig.now)
+}
+
+/// Guards against a limit on messages that is spent on resends because a few messages of it were to become available
+/// soon, and a later drain that waits for the resends to leave the window (review/9).
+#[test]
+fn requests_for_a_replica_that_drains_after_lost_responses_are_held_back_in_time() {
+    let grace = Span::ms(2000);
+    for before_ms in (1000..10_500).step_by(1500) {
+        for outage_ms in [500, 1500, 3000, 4500, 7000] {
+            for after_ms in [0, 700, 2000, 3700, 6000] {
+                let context = format!("drains {before_ms} ms before and {after_ms} ms after {outage_ms} ms");
+                let mut store = store_with_message_limit(grace);
+                store.rig.drain("s-1");
+                store.advance_ms(before_ms);
+                store.answers = Answers::Ignored;
+                store.rig.drain("s-2");
+                store.advance_ms(outage_ms);
+                store.answers = Answers::Arrive;
+                store.advance_ms(after_ms);
+                let ran = drain_until_left(&mut store, "s-3");
+                assert!(ran <= grace, "{context}: held back after the time limits had run for {ran:?}");
+                store.advance_ms(15_000);
+                assert_message_limit(&store.received_at, &context);
+                assert_eq!(store.violations, Vec::<String>::new(), "{context}");
+            }
         }
-        waiting_until = *at + WAIT_AFTER_SILENCE;
     }
-    if until > waiting_until {
-        ran = ran + (until - waiting_until);
+}
+
+/// The seeds of a run in CI of drains, lost responses and resends in random order.
+const DEFAULT_SEEDS: std::ops::Range<u64> = 0..60;
+const DRAINS_PER_SEED: u32 = 14;
+
+fn below(random: &mut Random, limit: u64) -> u64 {
+    (random.draw() * limit as f64) as u64
+}
+
+/// Drains replicas in random intervals while the answers of the relay get lost. A replica returns before it drains again.
+fn run_random_drains(seed: u64) {
+    let mut random = Random::from_seed(seed);
+    let grace = Span::ms(2000 + 500 * (seed % 4));
+    let mut store = store_with_message_limit(grace);
+    for drain in 0..DRAINS_PER_SEED {
+        let context = format!("seed {seed}, drain {drain}, grace {grace:?}");
+        let outages = [Answers::Arrive, Answers::Arrive, Answers::Lost, Answers::Ignored];
+        store.answers = outages[below(&mut random, 4) as usize];
+        if store.answers != Answers::Arrive {
+            store.advance_ms(below(&mut random, 1500));
+        }
+        let replica = format!("s-{}", drain % 6);
+        store.rig.drain(&replica);
+        let drained_at = store.rig.now;
+        let outage_ms = below(&mut random, 3000);
+        if !store.advance_until(outage_ms, |store| is_left(store, &replica)) {
+            store.answers = Answers::Arrive;
+            assert!(store.advance_until(30_000, |store| is_left(store, &replica)), "{context}: never left");
+        }
+        store.answers = Answers::Arrive;
+        let ran = time_limits_ran(&store.unanswered_at, drained_at, store.rig.now);
+        assert!(ran <= grace, "{context}: held back after the time limits had run for {ran:?}");
+        store.advance_ms(below(&mut random, 4000));
+        let returning = format!("s-{}", (drain + 4) % 6);
+        store.rig.replicas.insert(returning, "active");
+        store.rig.send_list();
+        assert_message_limit(&store.received_at, &context);
+        assert_eq!(store.violations, Vec::<String>::new(), "{context}");
     }
-    ran
+}
+
+/// Guards against any order of drains, lost responses and resends that leaves no message for a drain within its grace
+/// period (the same cause as review/9). `MESSAGE_ORDER_SEEDS=0..5000` runs other seeds.
+#[test]
+fn requests_for_draining_replicas_are_held_back_in_time_in_random_orders() {
+    let seeds = std::env::var("MESSAGE_ORDER_SEEDS").map_or(DEFAULT_SEEDS, |text| {
+        let (first, end) = text.split_once("..").expect("MESSAGE_ORDER_SEEDS is FIRST..END");
+        first.parse().expect("first seed")..end.parse().expect("end of the seeds")
+    });
+    seeds.for_each(run_random_drains);
 }
 
 /// Guards against resends that fill the queue at once, so that the next one has to wait for three seconds, and a draining
@@ -125,18 +219,16 @@
                 settings["familyInfo"]["queueCap"] = json!(queue_capacity);
                 settings["obligations"]["drainGraceNs"] = json!(grace.as_ns());
             });
-            let requests_before = store.received_at.len();
             let drained_at = store.rig.now;
             store.answers = Answers::Ignored;
             store.rig.drain("s-2");
             store.advance_ms(outage_ms);
             store.answers = Answers::Arrive;
-            let unanswered_at = store.received_at[requests_before..].to_vec();
             let end = store.rig.now + Span::ms(30_000);
             while !store.is_applied_hold(SLICE_OF_DRAINED) && store.rig.now < end {
                 store.advance_ms(10);
             }
-            let ran = time_limits_ran(&unanswered_at, drained_at, store.rig.now);
+            let ran = time_limits_ran(&store.unanswered_at, drained_at, store.rig.now);
             assert!(ran <= grace, "{context}: held back after the time limits had run for {ran:?}");
         }
     }
--- a/crates/controller/tests/support/store_model.rs
+++ b/crates/controller/tests/support/store_model.rs
@@ -58,6 +58,8 @@
     pub owner_changes: u32,
     /// The times at which the relay received requests, carried out or not.
     pub received_at: Vec<Moment>,
+    /// The times at which the relay received requests that it did not answer.
+    pub unanswered_at: Vec<Moment>,
     /// The time from the opening of a relay watch until the store is read for its snapshot.
     pub snapshot_delay: Span,
     write_lifetime: Span,
@@ -96,6 +98,7 @@
             violations: Vec::new(),
             owner_changes: 0,
             received_at: Vec::new(),
+            unanswered_at: Vec::new(),
             snapshot_delay: Span::default(),
             write_lifetime: Span::ns(write_life_ns),
             table_lease: Span::ns(lease_ns),
@@ -363,6 +366,9 @@
         let Some(request) = self.rig.pending_request.clone() else { return };
         if !self.is_cut && self.request_since.is_none() {
             self.received_at.push(now);
+            if self.answers != Answers::Arrive {
+                self.unanswered_at.push(now);
+            }
         }
         let since = *self.request_since.get_or_insert(now);
         match self.answers {
--- a/crates/policy/src/rules/rate_limit.rs
+++ b/crates/policy/src/rules/rate_limit.rs
@@ -5,7 +5,6 @@
 
 use crate::state::controller::ControllerState;
 use crate::state::pending_slices::Priority;
-use crate::state::schedule::TICK_PERIOD;
 use crate::time::{Moment, Span};
 
 /// The share of the queue's capacity that commands may use (docs/design.md, Rate limiting).
@@ -19,20 +18,9 @@
 /// Acknowledgements are overdue if none has arrived for this time since the last channel activity.
 pub(crate) const ACK_TIMEOUT: Span = Span::ms(3000);
 /// The share of the drain grace period for which an urgent command may wait for its message.
-const MAX_WAIT_SHARE_OF_GRACE: f64 = 0.75;
-
-/// The number of messages that may still be opened, and the time until the window permits another one.
-struct OpenableMessages {
-    remaining: f64,
-    next_available_in: Span,
-}
-
-impl OpenableMessages {
-    /// Returns the time between two messages if they are spread over the time until the window permits another one.
-    fn spacing(&self) -> Span {
-        self.next_available_in.times(1.0 / self.remaining.max(1.0))
-    }
-}
+const MAX_WAIT_SHARE_OF_GRACE: f64 = 0.6;
+/// The number of messages to account for if one is sent and another is spared for an urgent command.
+const WITH_ONE_SPARED: usize = 2;
 
 impl ControllerState {
     /// Returns true if there is room for `lines` more lines to each proxy under both limits. A message always has
@@ -72,9 +60,7 @@
         let lines = self.channel.unacked_lines(now) + self.channel.lines_of_version(version);
         let fits = lines <= self.deployment.queue_capacity_lines * USABLE_QUEUE_SHARE;
         let is_overdue = self.channel.ack_silence(now) > ACK_TIMEOUT;
-        (fits || is_overdue)
-            && self.remaining_messages(now, 1.0) >= 1.0
-            && self.has_waited_to_resend(now, version)
+        (fits || is_overdue) && self.may_send_again(now) && self.has_waited_to_resend(now, version)
     }
 
     /// Returns true if enough time has passed since the last message to resend this one. The first resend may follow at
@@ -83,15 +69,12 @@
     /// use up the limits within a few seconds, and nothing can be sent once the relay responds again.
     fn has_waited_to_resend(&self, now: Moment, version: u16) -> bool {
         let is_first = self.channel.sent.get(&version).is_none_or(|message| !message.was_resent);
-        let message_spacing = match self.openable_messages(now, 1.0) {
-            Some(openable) if !(is_first && self.has_spare_messages(now)) => openable.spacing(),
-            _ => Span::default(),
-        };
-        let queue_spacing = if is_first {
-            Span::default()
-        } else {
-            ACK_TIMEOUT.times(1.0 / self.copies_that_fit(now, version))
-        };
+        if is_first {
+            return true;
+        }
+        let message_spacing =
+            self.channel.message_budget.spacing(now, 1.0).min(self.urgent_message_interval());
+        let queue_spacing = ACK_TIMEOUT.times(1.0 / self.copies_that_fit(now, version));
         now - self.channel.last_sent_at >= message_spacing.max(queue_spacing)
     }
 
@@ -105,52 +88,44 @@
         (usable / lines).floor().max(1.0)
     }
 
-    /// Returns the number of messages that each proxy may still get within the window if this share of the limit
-    /// is used.
-    fn remaining_messages(&self, now: Moment, share: f64) -> f64 {
-        let limit = f64::from(self.deployment.message_limit);
-        if limit == 0.0 {
-            return f64::INFINITY;
-        }
-        limit * share - self.channel.opened_messages.sum(now, self.message_window())
+    /// Returns the interval at which urgent messages must be possible without end.
+    fn urgent_message_interval(&self) -> Span {
+        let interval = self.deployment.drain_grace.times(MAX_WAIT_SHARE_OF_GRACE);
+        self.channel.message_budget.sustainable_interval(interval)
     }
 
-    fn message_window(&self) -> Span {
-        self.deployment.message_window + TICK_PERIOD
+    /// Returns true if this number of messages may be sent now and urgent ones can still follow at their interval,
+    /// whatever was sent before. Every message but an urgent one that has waited for the interval keeps to this, so that
+    /// no urgent one ever waits for longer, after any order of changes and resends.
+    fn sustains_urgent_messages(&self, now: Moment, messages: usize) -> bool {
+        self.channel.message_budget.sustains(now, messages, self.urgent_message_interval())
     }
 
-    /// Returns the messages that may be opened if this share of the limit is used; `None` if the window is empty
-    /// or there is no limit.
-    fn openable_messages(&self, now: Moment, share: f64) -> Option<OpenableMessages> {
-        let window = self.message_window();
-        let oldest = self.channel.opened_messages.oldest_bucket_start(now, window)?;
-        let remaining = self.remaining_messages(now, share) - 1.0;
-        remaining
-            .is_finite()
-            .then(|| OpenableMessages { remaining, next_available_in: window - (now - oldest) })
+    /// Returns true if the limit on messages permits a resend. It spares a message for urgent commands, but not for longer
+    /// than their interval, as newer commands wait for it.
+    fn may_send_again(&self, now: Moment) -> bool {
+        self.sustains_urgent_messages(now, WITH_ONE_SPARED)
+            || (self.has_waited_for_interval(now) && self.sustains_urgent_messages(now, 1))
     }
 
-    /// Returns true if the messages that remain after the next one suffice until the window permits another one,
-    /// with one sent per `MAX_WAIT_SHARE_OF_GRACE` of the drain grace period.
-    fn has_spare_messages(&self, now: Moment) -> bool {
-        self.openable_messages(now, 1.0).is_none_or(|openable| {
-            let wait_share = MAX_WAIT_SHARE_OF_GRACE * (openable.remaining - 1.0);
-            self.deployment.drain_grace.times(wait_share) >= openable.next_available_in
-        })
+    fn has_waited_for_interval(&self, now: Moment) -> bool {
+        now - self.channel.last_sent_at >= self.urgent_message_interval()
     }
 
-    /// Returns true if a message may be opened, at least `gap` after the previous one. The remaining messages are
-    /// spread over the time until the window permits another one, and deferrable commands leave some of them
-    /// unused. Commands that can't wait are sent at once while there are spare messages.
+    /// Returns true if a message may be opened, at least `gap` after the previous one. Deferrable messages are spread
+    /// over the time until the window permits another one, leave a part of the limit unused, and spare one message for
+    /// commands that can't wait.
     fn may_open_message(&self, share: f64, gap: Span, priority: Priority) -> bool {
-        let can_wait = priority != Priority::NoEndpoint;
-        let max_share = if can_wait { DEFERRABLE_MESSAGE_SHARE } else { 1.0 };
-        let spacing = match self.openable_messages(self.now, max_share) {
-            Some(openable) if can_wait || !self.has_spare_messages(self.now) => openable.spacing(),
-            _ => Span::default(),
-        };
-        let has_waited = self.now - self.channel.last_opened_at >= gap.max(spacing);
-        has_waited && self.remaining_messages(self.now, share.min(max_share)) > 1.0
+        let budget = &self.channel.message_budget;
+        let since_last_opened = self.now - self.channel.last_opened_at;
+        if priority == Priority::NoEndpoint {
+            return since_last_opened >= gap
+                && budget.remaining(self.now, share) > 1.0
+                && (self.has_waited_for_interval(self.now) || self.sustains_urgent_messages(self.now, 1));
+        }
+        since_last_opened >= gap.max(budget.spacing(self.now, DEFERRABLE_MESSAGE_SHARE))
+            && budget.remaining(self.now, share.min(DEFERRABLE_MESSAGE_SHARE)) > 1.0
+            && self.sustains_urgent_messages(self.now, WITH_ONE_SPARED)
     }
 
     /// Returns true if acknowledgements should be requested by a message that consists of a version only. This is
@@ -165,7 +140,7 @@
         let is_overdue = self.channel.acks_lost || self.channel.ack_silence(self.now) > ACK_TIMEOUT;
         let blocks_normal_commands =
             unacked + overhead + proxies > capacity * USABLE_QUEUE_SHARE * NORMAL_QUEUE_SHARE;
-        let fits = unacked + overhead <= capacity && self.remaining_messages(self.now, 1.0) > 1.0;
+        let fits = unacked + overhead <= capacity && self.sustains_urgent_messages(self.now, WITH_ONE_SPARED);
         is_overdue && blocks_normal_commands && fits && unacked > 0.0 && self.channel.open_version.is_none()
     }
 }
--- a/crates/policy/src/state/command_channel.rs
+++ b/crates/policy/src/state/command_channel.rs
@@ -1,13 +1,11 @@
 //! The command channel to the proxies: connected proxies and unacknowledged messages.
 
 use crate::api::ProxyId;
+use crate::state::message_budget::MessageBudget;
 use crate::state::sent_message::SentMessage;
 use crate::time::{Moment, Span};
-use crate::windowed_counter::WindowedCounter;
 use std::collections::BTreeMap;
 
-/// The resolution at which messages are counted against their limit.
-const MESSAGE_BUCKET_DURATION: Span = Span::ms(500);
 /// A proxy that acknowledges nothing for this time may be gone, so only its own lines still count as queued. A
 /// slow channel needs less than this to deliver one message to all proxies.
 const STALL_TIMEOUT: Span = Span::ms(8000);
@@ -55,18 +53,16 @@
     /// True if acknowledgements may have been lost since the last one that was received or the last message that
     /// was sent.
     pub acks_lost: bool,
-    /// The number of opened messages, including resent ones.
-    pub opened_messages: WindowedCounter,
+    /// The messages that count against their limit, including resent ones.
+    pub message_budget: MessageBudget,
     pub last_opened_at: Moment,
     /// The time at which a message was last opened or resent.
     pub last_sent_at: Moment,
 }
 
 impl CommandChannel {
-    /// Creates a channel without connected proxies. Messages are counted over `message_window`; versions continue
-    /// after `last_version`.
-    pub(crate) fn new(message_window: Span, fleet_size: u32, last_version: u16) -> Self {
-        let buckets = message_window.as_ns().div_ceil(MESSAGE_BUCKET_DURATION.as_ns()) as usize + 1;
+    /// Creates a channel without connected proxies. Versions continue after `last_version`.
+    pub(crate) fn new(message_budget: MessageBudget, fleet_size: u32, last_version: u16) -> Self {
         CommandChannel {
             proxies: BTreeMap::new(),
             fleet_size,
@@ -80,7 +76,7 @@
             acks_lost: false,
             last_opened_at: Moment::default(),
             last_sent_at: Moment::default(),
-            opened_messages: WindowedCounter::new(MESSAGE_BUCKET_DURATION, buckets),
+            message_budget,
         }
     }
 
@@ -138,7 +134,7 @@
             message.add_copies(now, self.proxies.keys().copied());
             self.last_activity_at = now;
             self.last_sent_at = now;
-            self.opened_messages.add(now, 1.0);
+            self.message_budget.record(now, 1);
         }
     }
 
@@ -153,7 +149,7 @@
     ) {
         if let Some(message) = self.sent.get_mut(&version) {
             message.lines_per_proxy += f64::from(additional_messages) * overhead_lines;
-            self.opened_messages.add(now, f64::from(additional_messages));
+            self.message_budget.record(now, additional_messages);
         }
     }
 
@@ -253,7 +249,7 @@
 
     fn open_message(&mut self, now: Moment, overhead_lines: f64) -> u16 {
         self.last_version = self.last_version.wrapping_add(1);
-        self.opened_messages.add(now, 1.0);
+        self.message_budget.record(now, 1);
         self.last_opened_at = now;
         self.last_sent_at = now;
         self.last_activity_at = now;
--- a/crates/policy/src/state/controller.rs
+++ b/crates/policy/src/state/controller.rs
@@ -7,6 +7,7 @@
 use crate::state::command_channel::CommandChannel;
 use crate::state::fleet_averages::FleetAverages;
 use crate::state::link_latency::Links;
+use crate::state::message_budget::MessageBudget;
 use crate::state::operator_overrides::OperatorOverrides;
 use crate::state::pending_slices::{PendingSlices, Priority};
 use crate::state::ranking::Rankings;
@@ -81,10 +82,11 @@
     /// Creates the state of a controller without any knowledge.
     pub(crate) fn new(deployment: Deployment, seed: u64, now: Moment) -> Self {
         let new_outcomes = |_| ClassOutcomes { admitted: recent_counter(), failed: recent_counter() };
+        let message_budget = MessageBudget::new(deployment.message_limit, deployment.message_window);
         ControllerState {
             // Each incarnation starts at a different version, so that an acknowledgement from before a restart is
             // not taken for one of this incarnation.
-            channel: CommandChannel::new(deployment.message_window, deployment.fleet_size, seed as u16),
+            channel: CommandChannel::new(message_budget, deployment.fleet_size, seed as u16),
             class_outcomes: deployment.request_classes.iter().map(new_outcomes).collect(),
             deadlines: Deadlines::new(now, (!deployment.list_pushed).then_some(now)),
             deployment,
--- a/crates/policy/src/state/mod.rs
+++ b/crates/policy/src/state/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod controller;
 pub(crate) mod fleet_averages;
 pub(crate) mod link_latency;
+pub(crate) mod message_budget;
 pub(crate) mod operator_overrides;
 pub(crate) mod pending_slices;
 pub(crate) mod ranking;
--- a/crates/policy/src/windowed_counter.rs
+++ b/crates/policy/src/windowed_counter.rs
@@ -62,12 +62,6 @@
         self.buckets(now, window).fold(0.0, |sum, bucket| sum + self.bucket_sum(bucket))
     }
 
-    /// Returns the start of the oldest non-empty bucket within the window that ends at `now`.
-    pub fn oldest_bucket_start(&self, now: Moment, window: Span) -> Option<Moment> {
-        let first = self.buckets(now, window).find(|bucket| self.bucket_sum(*bucket) > 0.0)?;
-        Some(Moment::at_ns(first.saturating_mul(self.bucket_duration.as_ns())))
-    }
-
     /// Clears all buckets.
     pub fn clear(&mut self) {
         self.sums.fill(0.0);
