A change of owner that waits for a connection is dropped after 300 ms

Cause: the request waits for a connection while the slices go to another controller and back; it is sent when the cut ends, and the hold on requests that it rests on ended with the assignment. Only the loss of the watch, after 2.5 s, cancelled it. Change: a request that changes a single writer and could not be sent within 300 ms is cancelled; then its changes of owner are dropped, the store is read again and they are decided anew.

--- a/crates/controller/tests/reassigned_slices.rs
+++ b/crates/controller/tests/reassigned_slices.rs
@@ -112,6 +112,25 @@
     }
 }
 
+/// Guards against a new owner without a hold on requests: the request that sets it waits for a connection during a cut
+/// that is too short for the relay watch to be lost, and is sent after the slice has been assigned anew.
+#[test]
+fn owner_change_that_waits_for_a_connection_is_dropped_when_the_slices_may_have_been_reassigned() {
+    for held_ms in (300..1100).step_by(20) {
+        for cut_ms in [1200, 1600, 2000, 2400] {
+            let mut store = store_with_hold(Assigned::Long, held_ms);
+            store.cut();
+            store.advance_ms(cut_ms - 10);
+            store.assign_to_other();
+            store.advance_ms(10);
+            store.assign_back();
+            store.heal();
+            let context = format!("cut {held_ms} ms after the hold for {cut_ms} ms");
+            assert_rule_kept_and_slices_moved(store, &context);
+        }
+    }
+}
+
 /// Guards against a hold that is believed to stand after a lost watch that no cut explains (review/1).
 #[test]
 fn slice_that_returns_while_the_watch_is_reset_is_held_back_again_before_its_owner_changes() {
--- a/crates/routing/src/reducer/relay_commands.rs
+++ b/crates/routing/src/reducer/relay_commands.rs
@@ -20,6 +20,10 @@
 /// The delay before the store is reread after a command was skipped again.
 const SKIPPED_AGAIN_REREAD_DELAY: Span = Span::ms(1000);
 
+/// The time for which a request that changes a single writer may wait for a connection. The relay is a few milliseconds
+/// away; if it can't be reached, another controller may get the slices soon.
+const MAX_UNSENT_TIME: Span = Span::ms(300);
+
 /// Counts of attempts of relay requests since start-up, by outcome.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RequestCounts {
@@ -65,7 +69,10 @@
         let command_count = self.commands.outbox.commands_in_flight();
         let response = response.and_then(|response| validate_accepted_count(response, command_count));
         let is_not_applied = matches!(response, Ok(Response::Retryable(_)) | Err(RequestError::NotSent(_)));
-        let mut needs_reread = self.relay.is_ambiguous;
+        let is_unsent_change_of_writer =
+            matches!(response, Err(RequestError::NotSent(_))) && self.changes_single_writer();
+        let mut needs_reread = self.relay.is_ambiguous || is_unsent_change_of_writer;
+        self.timers.cancel(Timer::UnsentRelayRequest);
         if !is_not_applied {
             let reassigned = self.commands.outbox.reassigned_in_flight();
             needs_reread |= !reassigned.is_empty();
@@ -183,10 +190,20 @@
             self.log(LogEvent::RequestSent { request: label, channel: self.policy.channel_load() });
             let (relay, line) = (self.targets.relay, request.line);
             let needs_new_connection = request.needs_new_connection;
+            if self.changes_single_writer() {
+                self.timers.start(now + MAX_UNSENT_TIME, Timer::UnsentRelayRequest);
+            }
             self.effects.push(Effect::RelayRequest { relay, line, needs_new_connection });
         }
     }
 
+    /// Returns true if pending commands change the owner of a slice that has a single writer. They rest on the hold on its
+    /// requests, which ends if the slice is assigned to another controller and back. If the relay can't be reached, that
+    /// can happen before the relay watch is lost, so such commands are dropped and decided again.
+    fn changes_single_writer(&self) -> bool {
+        self.settings.deployment.single_writer && !self.commands.outbox.slices_with_new_endpoints().is_empty()
+    }
+
     /// Records the slices that the request in flight changes and whose tables the snapshot in progress has not delivered.
     fn record_overlapping_slices(&mut self) {
         if !self.relay.is_being_read {
--- a/crates/routing/src/reducer/timers.rs
+++ b/crates/routing/src/reducer/timers.rs
@@ -50,6 +50,7 @@
         match timer {
             Timer::Policy(token) => self.policy.timer_fired(now, token),
             Timer::RelayRequest => self.commands.outbox.end_backoff(),
+            Timer::UnsentRelayRequest => self.effects.push(Effect::CancelUnsentRelayRequest),
             Timer::RelayWatch => self.open_relay_watch(),
             Timer::RegistryWatch => self.open_registry_watch(now),
             Timer::RegistryRenewal => self.renew_registry_watch(now),
--- a/crates/routing/src/timers.rs
+++ b/crates/routing/src/timers.rs
@@ -10,6 +10,8 @@
     Policy(u64),
     /// The backoff of relay requests ends.
     RelayRequest,
+    /// The relay request in flight must no longer be sent, if it still waits for a connection.
+    UnsentRelayRequest,
     /// The relay watch is reopened.
     RelayWatch,
     /// The registry watch is reopened.
