Clients that keep the HTTP server waiting give way to others

Cause: connections above the limit of 64 were refused or closed, while those below it waited for their clients. Change: if all connections are in use, the one that has waited longest for its client gives way: at once if a request is unfinished (answered with 503), after a second if its last one was answered. A request that was read is never given up. While 64 connections wait for that, no further one is accepted; before, it was closed without an answer.

--- a/crates/management-api/tests/support/mod.rs
+++ b/crates/management-api/tests/support/mod.rs
@@ -1,4 +1,8 @@
 //! A server for tests of the client, and HTTP messages as text.
+//!
+//! Each test program uses a part of this module.
+
+#![allow(dead_code)]
 
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
--- a/crates/serving/src/http.rs
+++ b/crates/serving/src/http.rs
@@ -1,27 +1,37 @@
 //! An HTTP/1.1 server over any stream. Every request that was read at least in part gets a response: that of the
 //! handler, or an error response if the program shuts down, the connection limit is reached, or the handler panics.
-//! Requests are limited in size, duration and number.
+//! Requests are limited in size, duration and number. If the connection limit is reached, the connection whose client has
+//! kept the server waiting longest gives way to a new one.
 
 mod connection;
+mod waiting;
 
 use crate::accept::{drain_backlog, next_connection};
 use crate::shutdown::ShutdownSignal;
 use crate::unix_socket::OwnedUnixListener;
 use actix_http::{RequestHead, StatusCode};
 use actix_rt::net::TcpListener;
-use connection::Connection;
+use connection::{Connection, ServeOutcome};
 use std::future::Future;
 use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::sync::Semaphore;
-use tokio::time::{timeout_at, Instant};
-
-/// The number of connections above the limit that are answered with an error at the same time; further connections are
-/// closed without a response.
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{timeout, timeout_at, Instant};
+use waiting::WaitingConnections;
+
+/// The number of connections above the limit that wait for another one to end at the same time. While there are that
+/// many, no further connection is accepted.
+const MAX_EXCESS_CONNECTIONS: usize = 64;
+/// The number of connections that are answered with an error at the same time, because they were evicted or no other one
+/// has ended in time; further ones are closed without a response.
 const MAX_REJECTIONS: usize = 64;
+/// The time for which a connection above the limit waits for another one to end.
+const MAX_EXCESS_WAIT: Duration = Duration::from_millis(500);
+/// The time between two evictions on behalf of a connection above the limit, if the first one has not sufficed.
+const EVICTION_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Limits on connections and requests.
 #[derive(Clone, Copy, Debug)]
@@ -105,24 +115,42 @@
     handler: Rc<impl Handler>,
     mut signal: ShutdownSignal,
 ) {
-    let server = Server {
+    let server = Rc::new(Server {
         limits,
         handler,
         signal: signal.clone(),
         connections: Arc::new(Semaphore::new(limits.max_connections)),
+        excess_connections: Arc::new(Semaphore::new(MAX_EXCESS_CONNECTIONS)),
         rejections: Arc::new(Semaphore::new(MAX_REJECTIONS)),
-    };
+        waiting: Rc::default(),
+    });
     loop {
-        // No connection is closed to release resources: idle connections time out by themselves.
-        let accepted = next_connection(async || listener.accept().await, || false);
+        // No connection is closed to release descriptors: idle connections time out by themselves.
+        let accepted = async {
+            let admission = server.wait_for_admission().await;
+            (next_connection(async || listener.accept().await, || false).await, admission)
+        };
         tokio::select! {
             biased;
             _ = signal.closing() => break,
-            stream = accepted => server.serve_connection(stream),
+            (stream, admission) = accepted => server.serve_connection(stream, admission),
         }
     }
     listener.unpublish();
-    drain_backlog(async || listener.accept().await, |stream| server.serve_connection(stream)).await;
+    let serve_remaining = |stream| {
+        if let Some(admission) = server.try_admit() {
+            server.serve_connection(stream, admission);
+        }
+    };
+    drain_backlog(async || listener.accept().await, serve_remaining).await;
+}
+
+/// The permission to accept a connection.
+enum Admission {
+    /// It is served.
+    Serve(OwnedSemaphorePermit),
+    /// It waits for another one to end.
+    Wait(OwnedSemaphorePermit),
 }
 
 struct Server<H> {
@@ -130,25 +158,84 @@
     handler: Rc<H>,
     signal: ShutdownSignal,
     connections: Arc<Semaphore>,
+    excess_connections: Arc<Semaphore>,
     rejections: Arc<Semaphore>,
+    waiting: Rc<WaitingConnections>,
 }
 
 impl<H: Handler> Server<H> {
-    fn serve_connection(&self, stream: impl AsyncRead + AsyncWrite + Unpin + 'static) {
-        let connection = Connection::new(stream, self.limits);
-        let (handler, signal) = (self.handler.clone(), self.signal.clone());
-        if let Ok(permit) = self.connections.clone().try_acquire_owned() {
-            actix_rt::spawn(async move {
-                connection.serve(&*handler, signal).await;
-                drop(permit);
-            });
-        } else if let Ok(permit) = self.rejections.clone().try_acquire_owned() {
-            let rejection = handler.reject(StatusCode::SERVICE_UNAVAILABLE, "too many connections");
-            let deadline = Instant::now() + self.limits.request_timeout;
-            actix_rt::spawn(async move {
-                _ = timeout_at(deadline, connection.reject(rejection)).await;
-                drop((permit, signal));
-            });
+    fn try_admit(&self) -> Option<Admission> {
+        let permit = self.connections.clone().try_acquire_owned();
+        let serve = permit.ok().map(Admission::Serve);
+        serve.or_else(|| self.excess_connections.clone().try_acquire_owned().ok().map(Admission::Wait))
+    }
+
+    /// Waits until a further connection may be accepted.
+    async fn wait_for_admission(&self) -> Admission {
+        loop {
+            if let Some(admission) = self.try_admit() {
+                return admission;
+            }
+            actix_rt::time::sleep(EVICTION_INTERVAL).await;
+        }
+    }
+
+    fn serve_connection(
+        self: &Rc<Self>,
+        stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+        admission: Admission,
+    ) {
+        let connection = Connection::new(stream, self.limits, self.waiting.clone());
+        let (server, signal) = (self.clone(), self.signal.clone());
+        actix_rt::spawn(async move {
+            let permit = match admission {
+                Admission::Serve(permit) => Some(permit),
+                Admission::Wait(excess) => {
+                    let permit = server.wait_for_permit(&signal).await;
+                    drop(excess);
+                    permit
+                }
+            };
+            match permit {
+                Some(permit) => server.serve_permitted(connection, permit, signal).await,
+                None => server.reject(connection).await,
+            }
+        });
+    }
+
+    async fn serve_permitted(
+        &self,
+        connection: Connection<impl AsyncRead + AsyncWrite + Unpin>,
+        permit: OwnedSemaphorePermit,
+        signal: ShutdownSignal,
+    ) {
+        let outcome = connection.serve(&*self.handler, signal.clone()).await;
+        // The connection for which this one was evicted is served before the response is written.
+        drop(permit);
+        if let ServeOutcome::EvictedDuringRequest(connection) = outcome {
+            self.reject(connection).await;
         }
+        drop(signal);
+    }
+
+    /// Waits until a connection ends, and evicts those that wait for their clients. Returns `None` if the time limit is
+    /// reached, or the server shuts down.
+    async fn wait_for_permit(&self, signal: &ShutdownSignal) -> Option<OwnedSemaphorePermit> {
+        let deadline = Instant::now() + MAX_EXCESS_WAIT;
+        while Instant::now() < deadline && !signal.has_begun() {
+            self.waiting.evict_longest();
+            let permit = self.connections.clone().acquire_owned();
+            if let Ok(permit) = timeout(EVICTION_INTERVAL, permit).await {
+                return permit.ok();
+            }
+        }
+        None
+    }
+
+    async fn reject(&self, connection: Connection<impl AsyncRead + AsyncWrite + Unpin>) {
+        let Ok(_permit) = self.rejections.try_acquire() else { return };
+        let rejection = self.handler.reject(StatusCode::SERVICE_UNAVAILABLE, "too many connections");
+        let deadline = Instant::now() + self.limits.request_timeout;
+        _ = timeout_at(deadline, connection.reject(rejection)).await;
     }
 }
--- a/crates/serving/src/http/connection.rs
+++ b/crates/serving/src/http/connection.rs
@@ -1,6 +1,7 @@
 //! An HTTP connection, which reads and answers one request after another. It uses the codec of actix-http, but not its
 //! dispatcher, which closes connections with a partially read request when the program shuts down.
 
+use super::waiting::{Awaited, Registration, WaitingConnections};
 use super::{Handler, HttpLimits, HttpRequest, HttpResponse};
 use crate::shutdown::ShutdownSignal;
 use actix_codec::{Decoder, Encoder};
@@ -13,6 +14,7 @@
 use futures_util::FutureExt;
 use std::io;
 use std::panic::AssertUnwindSafe;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
@@ -39,6 +41,23 @@
     Invalid(StatusCode, &'static str),
     /// The connection ends without a request to answer.
     Ended,
+    /// Another connection is served in place of this one.
+    Evicted(ReadPart),
+}
+
+/// What was read of the request that an evicted connection waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadPart {
+    Nothing,
+    Some,
+}
+
+/// How a connection was served.
+pub(super) enum ServeOutcome<S> {
+    /// It has ended.
+    Ended,
+    /// Another connection is served in its place. A part of a request was read, which has to be rejected.
+    EvictedDuringRequest(Connection<S>),
 }
 
 /// The result of waiting for input.
@@ -47,6 +66,8 @@
     TimedOut,
     /// The server is shutting down. Holds the deadline for answering the requests that were read.
     Closing(Instant),
+    /// Another connection is served in place of this one.
+    Evicted,
 }
 
 pub(super) struct Connection<S> {
@@ -55,36 +76,47 @@
     limits: HttpLimits,
     input: BytesMut,
     output: BytesMut,
+    waiting: Rc<WaitingConnections>,
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> Connection<S> {
-    pub(super) fn new(stream: S, limits: HttpLimits) -> Self {
+    pub(super) fn new(stream: S, limits: HttpLimits, waiting: Rc<WaitingConnections>) -> Self {
         let codec = Codec::new(ServiceConfig::default());
-        Connection { stream, codec, limits, input: BytesMut::new(), output: BytesMut::new() }
+        Connection { stream, codec, limits, input: BytesMut::new(), output: BytesMut::new(), waiting }
     }
 
-    /// Serves requests until the connection ends.
-    pub(super) async fn serve(mut self, handler: &impl Handler, mut signal: ShutdownSignal) {
+    /// Serves requests until the connection ends or is evicted.
+    pub(super) async fn serve(
+        mut self,
+        handler: &impl Handler,
+        mut signal: ShutdownSignal,
+    ) -> ServeOutcome<S> {
         let mut idle_timeout = self.limits.request_timeout;
+        let mut awaited = Awaited::Request;
         loop {
-            let (response, is_last) = match self.read_request(idle_timeout, &mut signal).await {
+            let incoming = self.read_request(idle_timeout, awaited, &mut signal).await;
+            let (response, is_last) = match incoming {
                 Incoming::Request(request) => {
                     (call_handler(handler, request).await, !self.codec.keep_alive())
                 }
                 Incoming::Invalid(status, reason) => (handler.reject(status, reason), true),
                 Incoming::Ended => break,
+                Incoming::Evicted(ReadPart::Nothing) => return ServeOutcome::Ended,
+                Incoming::Evicted(ReadPart::Some) => return ServeOutcome::EvictedDuringRequest(self),
             };
             // If the next request was already received, it is answered before the connection closes.
             let is_last = is_last || (signal.has_begun() && self.input.is_empty());
             if self.write_response(response, is_last).await.is_err() {
-                return;
+                return ServeOutcome::Ended;
             }
             if is_last {
                 break;
             }
             idle_timeout = self.limits.keep_alive;
+            awaited = Awaited::NextRequest;
         }
         self.close().await;
+        ServeOutcome::Ended
     }
 
     /// Sends a response without reading a request, and closes the connection.
@@ -94,8 +126,14 @@
         }
     }
 
-    async fn read_request(&mut self, idle_timeout: Duration, signal: &mut ShutdownSignal) -> Incoming {
+    async fn read_request(
+        &mut self,
+        idle_timeout: Duration,
+        awaited: Awaited,
+        signal: &mut ShutdownSignal,
+    ) -> Incoming {
         let mut partial = PartialRequest::default();
+        let mut registration: Option<Registration> = None;
         let mut deadline = Instant::now() + idle_timeout;
         let mut close_by: Option<Instant> = None;
         loop {
@@ -109,11 +147,15 @@
             }
             if partial.mark_begun(&self.input) {
                 deadline = Instant::now() + self.limits.request_timeout;
+                registration = None;
             }
+            let awaited = if partial.has_begun { Awaited::Request } else { awaited };
             let last_response_at = close_by.map(|close_by| close_by - LAST_RESPONSE_MARGIN);
             let wait_until = last_response_at.map_or(deadline, |at| at.min(deadline));
-            match self.wait_for_input(wait_until, signal, close_by).await {
+            match self.wait_for_input(wait_until, signal, close_by, (&mut registration, awaited)).await {
                 WaitOutcome::Read(Ok(1..)) => {}
+                WaitOutcome::Evicted if partial.has_begun => return Incoming::Evicted(ReadPart::Some),
+                WaitOutcome::Evicted => return Incoming::Evicted(ReadPart::Nothing),
                 WaitOutcome::Read(_) => return Incoming::Ended,
                 // The rest of a partial request may still arrive: it is answered when complete, or rejected shortly
                 // before the closing deadline.
@@ -135,20 +177,26 @@
         }
     }
 
-    /// Waits for input, the time limit, or the shutdown. Input takes precedence, so that a request that has arrived is
-    /// answered even during the shutdown.
+    /// Waits for input, the time limit, the shutdown, or the eviction. Input takes precedence, so that a request that has
+    /// arrived is answered even during the shutdown. The connection is registered as waiting only if nothing has arrived.
     async fn wait_for_input(
         &mut self,
         until: Instant,
         signal: &mut ShutdownSignal,
         close_by: Option<Instant>,
+        (registration, awaited): (&mut Option<Registration>, Awaited),
     ) -> WaitOutcome {
         self.input.reserve(READ_BUFFER_BYTES);
+        if let Some(read) = self.stream.read_buf(&mut self.input).now_or_never() {
+            return WaitOutcome::Read(read);
+        }
+        let registration = registration.get_or_insert_with(|| self.waiting.register(awaited));
         tokio::select! {
             biased;
             read = self.stream.read_buf(&mut self.input) => WaitOutcome::Read(read),
             () = sleep_until(until) => WaitOutcome::TimedOut,
             deadline = signal.closing_before(close_by) => WaitOutcome::Closing(deadline),
+            () = registration.evicted() => WaitOutcome::Evicted,
         }
     }
 
