Zones that one peer makes up keep no collector from the aggregator

Cause: a zone that has reported is kept for two hours, and there may be 64. Change: if there are too many, the newest zone without a connected collector makes room. Measured: the new test failed before (the collector of a new zone was refused) and passes; the package's other tests pass.

--- a/crates/aggregation/src/coverage.rs
+++ b/crates/aggregation/src/coverage.rs
@@ -18,6 +18,8 @@
     /// True if the zone has reported to this aggregator or to a peer. False for a zone that connections have only named,
     /// such as one made up by an unauthenticated peer.
     is_known: bool,
+    /// Time of the creation of the entry.
+    added_at: Moment,
     /// Time of the last report, or of the creation of the entry if there has been none.
     last_report_at: Moment,
     missing_since: Option<Moment>,
@@ -51,12 +53,12 @@
     }
 
     fn zone_or_insert(&mut self, now: Moment, name: &str) -> Option<&mut Zone> {
-        let has_room = self.zones.len() < limits::MAX_ZONES && name.len() <= limits::MAX_NAME_BYTES;
-        if !self.zones.contains_key(name) && has_room {
+        if !self.zones.contains_key(name) && name.len() <= limits::MAX_NAME_BYTES && self.has_room() {
             let (missing_since, was_missing_until) = (Some(now), None);
             let new = Zone {
                 collectors: 0,
                 is_known: false,
+                added_at: now,
                 last_report_at: now,
                 missing_since,
                 was_missing_until,
@@ -66,6 +68,17 @@
         self.zones.get_mut(name)
     }
 
+    /// Returns true if a zone can be added. If there are too many, the newest zone without a connected collector is
+    /// removed for it: a peer may have made up any number of names, after those of the fleet's zones.
+    fn has_room(&mut self) -> bool {
+        if self.zones.len() < limits::MAX_ZONES {
+            return true;
+        }
+        let without_collector = self.zones.iter().filter(|(_, zone)| zone.collectors == 0);
+        let newest = without_collector.max_by_key(|(_, zone)| zone.added_at).map(|(name, _)| name.clone());
+        newest.is_some_and(|name| self.zones.remove(&name).is_some())
+    }
+
     /// Records a report of a collector.
     ///
     /// # Errors
--- a/crates/aggregation/src/program/event_loop.rs
+++ b/crates/aggregation/src/program/event_loop.rs
@@ -34,7 +34,7 @@
 /// Maximum number of connections to the listener. Collectors of all zones and the other aggregators may each have more
 /// than one.
 const MAX_CONNECTIONS: usize = 512;
-/// Memory limit for incomplete lines in bytes. The same limit applies to lines queued for the event loop.
+/// Memory limit for incomplete lines in bytes.
 const MAX_LINE_BYTES: usize = 16 << 20;
 /// Reason in the reply to a peer whose last line is incomplete at shutdown.
 const SHUTTING_DOWN: &str = "shutting down";
--- a/crates/aggregation/tests/bounds.rs
+++ b/crates/aggregation/tests/bounds.rs
@@ -64,6 +64,24 @@
     assert_eq!(aggregator.status().series, 2);
 }
 
+/// Guards against collectors that are refused because one peer has named, and reported for, as many zones as there may be.
+#[test]
+fn zones_that_one_connection_makes_up_keep_no_collector_out() {
+    let mut aggregator = aggregator();
+    let now = moment(START_MS + 100.0);
+    for zone in 0..1000 {
+        let name = format!("made-up-{zone}");
+        aggregator.apply(now, Event::CollectorJoined { connection: 100, zone: &name });
+        let report = demand_report(1, "lookup");
+        aggregator.apply(now, Event::ReportReceived { connection: 100, report });
+    }
+    assert_eq!(aggregator.status().zones, MAX_ZONES);
+    let effects = aggregator.apply(now, Event::CollectorJoined { connection: 101, zone: "north" });
+    assert!(!effects.contains(&Effect::RefuseCollector(101)));
+    // The zone that was known before them is still known.
+    assert_eq!(aggregator.status().zones, MAX_ZONES);
+}
+
 #[test]
 fn collectors_of_zones_above_the_limit_are_refused() {
     let mut aggregator = aggregator();
