--- a/crates/scale-tests/src/process.rs
+++ b/crates/scale-tests/src/process.rs
@@ -74,10 +74,31 @@
 ///
 /// When the path of this executable is unknown, cargo fails to build the program, or the program is missing.
 pub fn program(package: &str, name: &str) -> Result<PathBuf, ProcessError> {
+    built_program(package, name, &program_folder()?)
+}
+
+/// Returns the path of a program of the workspace in the release build, whichever build the running executable belongs
+/// to. Under cargo, builds it first. For measurements whose limits hold for the program as it is deployed.
+///
+/// # Errors
+///
+/// As for [`program`].
+pub fn release_program(package: &str, name: &str) -> Result<PathBuf, ProcessError> {
+    let of_this_build = program_folder()?;
+    let folder = of_this_build.parent().unwrap_or(Path::new(".")).join("release");
+    built_program(package, name, &folder)
+}
+
+/// The folder of the programs of the build that the running executable belongs to.
+fn program_folder() -> Result<PathBuf, ProcessError> {
     let executable = std::env::current_exe().map_err(io_error("path of the running executable"))?;
     let folder = executable.parent().unwrap_or(Path::new("."));
     // Test executables are in the subfolder `deps`.
     let folder = if folder.ends_with("deps") { folder.parent().unwrap_or(folder) } else { folder };
+    Ok(folder.to_path_buf())
+}
+
+fn built_program(package: &str, name: &str, folder: &Path) -> Result<PathBuf, ProcessError> {
     let program = folder.join(name);
     if let Some(cargo) = std::env::var_os("CARGO") {
         build(cargo, package, name, folder)?;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,7 @@
 mod flood;
 mod incarnation;
 mod ledger;
+pub mod overload;
 pub mod plan;
 mod program;
 pub mod run;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 use whinwall_scale_tests::process::controller_program;
+use whinwall_soak::overload::{self, Attack, Listener};
 use whinwall_soak::run::run_seed;
 use whinwall_soak::SoakError;
 
@@ -25,13 +26,18 @@
     /// How long each seed is played, in seconds
     #[arg(long, default_value_t = 20)]
     seconds: u64,
+    /// Attacks each listener of the programs in turn, each attack for --seconds, in place of the seeds
+    #[arg(long)]
+    overload: bool,
     /// The controller's program; otherwise the one beside this program
     #[arg(long)]
     program: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
-    match run_seeds(Arguments::parse()) {
+    let arguments = Arguments::parse();
+    let outcome = if arguments.overload { run_attacks(&arguments) } else { run_seeds(arguments) };
+    match outcome {
         Ok(0) => ExitCode::SUCCESS,
         Ok(_) => ExitCode::from(EXIT_VIOLATIONS),
         Err(error) => {
@@ -41,6 +47,20 @@
     }
 }
 
+/// Runs all attacks on all listeners and returns the number of violations.
+fn run_attacks(arguments: &Arguments) -> Result<usize, SoakError> {
+    let mut violations = 0;
+    for listener in Listener::ALL {
+        for attack in Attack::ALL {
+            let report = overload::run(listener, attack, Duration::from_secs(arguments.seconds))?;
+            println!("{report}");
+            report.violations().iter().for_each(|violation| println!("VIOLATION: {violation}"));
+            violations += report.violations().len();
+        }
+    }
+    Ok(violations)
+}
+
 /// Runs all seeds and returns the number of violations.
 fn run_seeds(arguments: Arguments) -> Result<usize, SoakError> {
     let program = match arguments.program {
--- a/crates/transport/src/limits.rs
+++ b/crates/transport/src/limits.rs
@@ -82,8 +82,7 @@
 /// The maximum number of inputs that wait for the event loop. If it is reached, connections are not read, and TCP flow
 /// control slows down the peers.
 pub const MAX_QUEUED_INPUTS: usize = 1024;
-/// Incomplete lines may use at most the program's memory divided by this number. Queued lines may use the same amount
-/// in addition.
+/// Incomplete lines may use at most the program's memory divided by this number.
 pub const LINE_MEMORY_DIVISOR: usize = 8;
 /// The number of file descriptors reserved for everything except connections to the program's listening address.
 pub const RESERVED_DESCRIPTORS: usize = 64;
