HTTP server: one way to admit a connection, and the wait for a client as a type

Cause: the admission of a connection polled two semaphores every 10 ms, and was decided before the connection came: if one had ended meanwhile, the new one still evicted another, without need. Each wait for input tried a read of its own before the one in select. Change: a connection in excess of the limit holds one permit from its acceptance until it is served; whether it must wait is decided when it has come. ClientWait registers itself when it is first polled, after the read that precedes it in select. The needless eviction was found by reading; it has no test, as a client can't see when the server has noticed that another connection has ended.

--- a/crates/serving/src/http.rs
+++ b/crates/serving/src/http.rs
@@ -127,32 +127,25 @@
     loop {
         // No connection is closed to release descriptors: idle connections time out by themselves.
         let accepted = async {
-            let admission = server.wait_for_admission().await;
-            (next_connection(async || listener.accept().await, || false).await, admission)
+            let excess = server.excess_connections.clone().acquire_owned().await;
+            (next_connection(async || listener.accept().await, || false).await, excess)
         };
         tokio::select! {
             biased;
             _ = signal.closing() => break,
-            (stream, admission) = accepted => server.serve_connection(stream, admission),
+            // The semaphore is never closed.
+            (stream, Ok(excess)) = accepted => server.serve_connection(stream, excess),
         }
     }
     listener.unpublish();
     let serve_remaining = |stream| {
-        if let Some(admission) = server.try_admit() {
-            server.serve_connection(stream, admission);
+        if let Ok(excess) = server.excess_connections.clone().try_acquire_owned() {
+            server.serve_connection(stream, excess);
         }
     };
     drain_backlog(async || listener.accept().await, serve_remaining).await;
 }
 
-/// The permission to accept a connection.
-enum Admission {
-    /// It is served.
-    Serve(OwnedSemaphorePermit),
-    /// It waits for another one to end.
-    Wait(OwnedSemaphorePermit),
-}
-
 struct Server<H> {
     limits: HttpLimits,
     handler: Rc<H>,
@@ -164,38 +157,21 @@
 }
 
 impl<H: Handler> Server<H> {
-    fn try_admit(&self) -> Option<Admission> {
-        let permit = self.connections.clone().try_acquire_owned();
-        let serve = permit.ok().map(Admission::Serve);
-        serve.or_else(|| self.excess_connections.clone().try_acquire_owned().ok().map(Admission::Wait))
-    }
-
-    /// Waits until a further connection may be accepted.
-    async fn wait_for_admission(&self) -> Admission {
-        loop {
-            if let Some(admission) = self.try_admit() {
-                return admission;
-            }
-            actix_rt::time::sleep(EVICTION_INTERVAL).await;
-        }
-    }
-
+    /// Serves a connection in a task of its own. It counts as in excess of the limit until it has a permit.
     fn serve_connection(
         self: &Rc<Self>,
         stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
-        admission: Admission,
+        excess: OwnedSemaphorePermit,
     ) {
         let connection = Connection::new(stream, self.limits, self.waiting.clone());
         let (server, signal) = (self.clone(), self.signal.clone());
+        if let Ok(permit) = self.connections.clone().try_acquire_owned() {
+            actix_rt::spawn(async move { server.serve_permitted(connection, permit, signal).await });
+            return;
+        }
         actix_rt::spawn(async move {
-            let permit = match admission {
-                Admission::Serve(permit) => Some(permit),
-                Admission::Wait(excess) => {
-                    let permit = server.wait_for_permit(&signal).await;
-                    drop(excess);
-                    permit
-                }
-            };
+            let permit = server.wait_for_permit(&signal).await;
+            drop(excess);
             match permit {
                 Some(permit) => server.serve_permitted(connection, permit, signal).await,
                 None => server.reject(connection).await,
--- a/crates/serving/src/http/connection.rs
+++ b/crates/serving/src/http/connection.rs
@@ -1,7 +1,7 @@
 //! An HTTP connection, which reads and answers one request after another. It uses the codec of actix-http, but not its
 //! dispatcher, which closes connections with a partially read request when the program shuts down.
 
-use super::waiting::{Awaited, Registration, WaitingConnections};
+use super::waiting::{Awaited, ClientWait, WaitingConnections};
 use super::{Handler, HttpLimits, HttpRequest, HttpResponse};
 use crate::shutdown::ShutdownSignal;
 use actix_codec::{Decoder, Encoder};
@@ -133,7 +133,7 @@
         signal: &mut ShutdownSignal,
     ) -> Incoming {
         let mut partial = PartialRequest::default();
-        let mut registration: Option<Registration> = None;
+        let mut client_wait = ClientWait::new(&self.waiting, awaited);
         let mut deadline = Instant::now() + idle_timeout;
         let mut close_by: Option<Instant> = None;
         loop {
@@ -147,12 +147,11 @@
             }
             if partial.mark_begun(&self.input) {
                 deadline = Instant::now() + self.limits.request_timeout;
-                registration = None;
+                client_wait.request_begun();
             }
-            let awaited = if partial.has_begun { Awaited::Request } else { awaited };
             let last_response_at = close_by.map(|close_by| close_by - LAST_RESPONSE_MARGIN);
             let wait_until = last_response_at.map_or(deadline, |at| at.min(deadline));
-            match self.wait_for_input(wait_until, signal, close_by, (&mut registration, awaited)).await {
+            match self.wait_for_input(wait_until, signal, close_by, &mut client_wait).await {
                 WaitOutcome::Read(Ok(1..)) => {}
                 WaitOutcome::Evicted if partial.has_begun => return Incoming::Evicted(ReadPart::Some),
                 WaitOutcome::Evicted => return Incoming::Evicted(ReadPart::Nothing),
@@ -178,25 +177,21 @@
     }
 
     /// Waits for input, the time limit, the shutdown, or the eviction. Input takes precedence, so that a request that has
-    /// arrived is answered even during the shutdown. The connection is registered as waiting only if nothing has arrived.
+    /// arrived is answered even during the shutdown, and a connection counts as waiting only if nothing has arrived.
     async fn wait_for_input(
         &mut self,
         until: Instant,
         signal: &mut ShutdownSignal,
         close_by: Option<Instant>,
-        (registration, awaited): (&mut Option<Registration>, Awaited),
+        client_wait: &mut ClientWait,
     ) -> WaitOutcome {
         self.input.reserve(READ_BUFFER_BYTES);
-        if let Some(read) = self.stream.read_buf(&mut self.input).now_or_never() {
-            return WaitOutcome::Read(read);
-        }
-        let registration = registration.get_or_insert_with(|| self.waiting.register(awaited));
         tokio::select! {
             biased;
             read = self.stream.read_buf(&mut self.input) => WaitOutcome::Read(read),
             () = sleep_until(until) => WaitOutcome::TimedOut,
             deadline = signal.closing_before(close_by) => WaitOutcome::Closing(deadline),
-            () = registration.evicted() => WaitOutcome::Evicted,
+            () = client_wait.evicted() => WaitOutcome::Evicted,
         }
     }
 
--- a/crates/serving/src/http/waiting.rs
+++ b/crates/serving/src/http/waiting.rs
@@ -15,7 +15,7 @@
 type EvictionRank = (Instant, u64);
 
 /// The waiting connections of a server, in the order in which they are evicted. At most as many as it has connections;
-/// each is removed when its [`Registration`] is dropped.
+/// each is removed when its `Registration` is dropped.
 #[derive(Default)]
 pub(super) struct WaitingConnections {
     state: RefCell<State>,
@@ -38,7 +38,7 @@
 
 impl WaitingConnections {
     /// Registers a connection that waits from now on.
-    pub fn register(self: &Rc<Self>, awaited: Awaited) -> Registration {
+    fn register(self: &Rc<Self>, awaited: Awaited) -> Registration {
         let grace_period = match awaited {
             Awaited::Request => Duration::ZERO,
             Awaited::NextRequest => KEEP_ALIVE_GRACE_PERIOD,
@@ -63,23 +63,43 @@
     }
 }
 
-/// A registered connection.
-pub(super) struct Registration {
+/// The wait of one connection for its client. It begins when [`Self::evicted`] is first polled.
+pub(super) struct ClientWait {
     connections: Rc<WaitingConnections>,
-    rank: EvictionRank,
-    evicted: oneshot::Receiver<()>,
+    awaited: Awaited,
+    registration: Option<Registration>,
 }
 
-impl Registration {
+impl ClientWait {
+    /// Creates a wait that has not begun.
+    pub fn new(connections: &Rc<WaitingConnections>, awaited: Awaited) -> Self {
+        ClientWait { connections: connections.clone(), awaited, registration: None }
+    }
+
+    /// Records that a part of the request was read. The wait for the rest begins anew.
+    pub fn request_begun(&mut self) {
+        self.awaited = Awaited::Request;
+        self.registration = None;
+    }
+
     /// Waits until the connection is evicted. Must not be called again after it has returned.
     pub async fn evicted(&mut self) {
+        let register = || self.connections.register(self.awaited);
+        let registration = self.registration.get_or_insert_with(register);
         // The sender is dropped only with the registration or the server.
-        if (&mut self.evicted).await.is_err() {
+        if (&mut registration.evicted).await.is_err() {
             std::future::pending::<()>().await;
         }
     }
 }
 
+/// A registered connection.
+struct Registration {
+    connections: Rc<WaitingConnections>,
+    rank: EvictionRank,
+    evicted: oneshot::Receiver<()>,
+}
+
 impl Drop for Registration {
     fn drop(&mut self) {
         self.connections.state.borrow_mut().evictions.remove(&self.rank);
