Random orders share their seeds and draws; two names and two comments say what is meant

Cause: two test files read ranges of seeds and drew numbers with the same code; a function that removes a zone had the name of a query, and a comment of its test said more than its assertion. Change: support/random_orders.rs; make_capacity; the comments. Draws, assertions and behaviour are as they were.

--- a/crates/aggregation/src/coverage.rs
+++ b/crates/aggregation/src/coverage.rs
@@ -53,7 +53,7 @@
     }
 
     fn zone_or_insert(&mut self, now: Moment, name: &str) -> Option<&mut Zone> {
-        if !self.zones.contains_key(name) && name.len() <= limits::MAX_NAME_BYTES && self.has_room() {
+        if !self.zones.contains_key(name) && name.len() <= limits::MAX_NAME_BYTES && self.make_capacity() {
             let (missing_since, was_missing_until) = (Some(now), None);
             let new = Zone {
                 collectors: 0,
@@ -68,9 +68,9 @@
         self.zones.get_mut(name)
     }
 
-    /// Returns true if a zone can be added. If there are too many, the newest zone without a connected collector is
-    /// removed for it: a peer may have made up any number of names, after those of the fleet's zones.
-    fn has_room(&mut self) -> bool {
+    /// Removes the newest zone without a connected collector if there are too many to add one: a peer may have made up any
+    /// number of names, after those of the fleet's zones. Returns true if a zone can be added.
+    fn make_capacity(&mut self) -> bool {
         if self.zones.len() < limits::MAX_ZONES {
             return true;
         }
--- a/crates/aggregation/tests/bounds.rs
+++ b/crates/aggregation/tests/bounds.rs
@@ -78,7 +78,7 @@
     assert_eq!(aggregator.status().zones, MAX_ZONES);
     let effects = aggregator.apply(now, Event::CollectorJoined { connection: 101, zone: "north" });
     assert!(!effects.contains(&Effect::RefuseCollector(101)));
-    // The zone that was known before them is still known.
+    // The limit still holds.
     assert_eq!(aggregator.status().zones, MAX_ZONES);
 }
 
--- a/crates/controller/tests/lost_responses.rs
+++ b/crates/controller/tests/lost_responses.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use serde_json::json;
+use support::random_orders::{below, seeds_from_environment};
 use support::store_model::{Answers, StoreModel};
 use whinwall_policy::random::Random;
 use whinwall_policy::time::{Moment, Span};
@@ -159,10 +160,6 @@
 const DEFAULT_SEEDS: std::ops::Range<u64> = 0..60;
 const DRAINS_PER_SEED: u32 = 14;
 
-fn below(random: &mut Random, limit: u64) -> u64 {
-    (random.draw() * limit as f64) as u64
-}
-
 /// Drains replicas in random intervals while the answers of the relay get lost. A replica returns before it drains again.
 fn run_random_drains(seed: u64) {
     let mut random = Random::from_seed(seed);
@@ -173,12 +170,12 @@
         let outages = [Answers::Arrive, Answers::Arrive, Answers::Lost, Answers::Ignored];
         store.answers = outages[below(&mut random, 4) as usize];
         if store.answers != Answers::Arrive {
-            store.advance_ms(below(&mut random, 1500));
+            store.advance_ms(u64::from(below(&mut random, 1500)));
         }
         let replica = format!("s-{}", drain % 6);
         store.rig.drain(&replica);
         let drained_at = store.rig.now;
-        let outage_ms = below(&mut random, 3000);
+        let outage_ms = u64::from(below(&mut random, 3000));
         if !store.advance_until(outage_ms, |store| is_left(store, &replica)) {
             store.answers = Answers::Arrive;
             assert!(store.advance_until(30_000, |store| is_left(store, &replica)), "{context}: never left");
@@ -186,7 +183,7 @@
         store.answers = Answers::Arrive;
         let ran = time_limits_ran(&store.unanswered_at, drained_at, store.rig.now);
         assert!(ran <= grace, "{context}: held back after the time limits had run for {ran:?}");
-        store.advance_ms(below(&mut random, 4000));
+        store.advance_ms(u64::from(below(&mut random, 4000)));
         let returning = format!("s-{}", (drain + 4) % 6);
         store.rig.replicas.insert(returning, "active");
         store.rig.send_list();
@@ -199,10 +196,7 @@
 /// period (the same cause as review/9). `MESSAGE_ORDER_SEEDS=0..5000` runs other seeds.
 #[test]
 fn requests_for_draining_replicas_are_held_back_in_time_in_random_orders() {
-    let seeds = std::env::var("MESSAGE_ORDER_SEEDS").map_or(DEFAULT_SEEDS, |text| {
-        let (first, end) = text.split_once("..").expect("MESSAGE_ORDER_SEEDS is FIRST..END");
-        first.parse().expect("first seed")..end.parse().expect("end of the seeds")
-    });
+    let seeds = seeds_from_environment("MESSAGE_ORDER_SEEDS").unwrap_or(DEFAULT_SEEDS);
     seeds.for_each(run_random_drains);
 }
 
--- a/crates/controller/tests/store_orders.rs
+++ b/crates/controller/tests/store_orders.rs
@@ -6,6 +6,7 @@
 mod support;
 
 use serde_json::json;
+use support::random_orders::{below, seeds_from_environment};
 use support::store_model::{Answers, StoreModel};
 use whinwall_policy::random::Random;
 use whinwall_policy::time::Span;
@@ -36,10 +37,6 @@
     })
 }
 
-fn below(random: &mut Random, limit: u32) -> u32 {
-    (random.draw() * f64::from(limit)) as u32
-}
-
 /// Another controller moves half of the slices.
 fn move_slices_elsewhere(store: &mut StoreModel, random: &mut Random) {
     for slice in 0..SLICES {
@@ -112,11 +109,7 @@
 
 /// The seeds of `STORE_ORDER_SEEDS`, or else these.
 fn seeds_or(default: impl Iterator<Item = u64>) -> Vec<u64> {
-    let Ok(text) = std::env::var("STORE_ORDER_SEEDS") else {
-        return default.collect();
-    };
-    let (first, end) = text.split_once("..").expect("STORE_ORDER_SEEDS is FIRST..END");
-    (first.parse().expect("first seed")..end.parse().expect("end of the seeds")).collect()
+    seeds_from_environment("STORE_ORDER_SEEDS").map_or_else(|| default.collect(), Iterator::collect)
 }
 
 /// Guards against any belief of the controller about the store that outlives what it rested on (review/1 to review/3).
--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -4,6 +4,7 @@
 pub mod channel_model;
 pub mod fake_fleet;
 pub mod managed_controller;
+pub mod random_orders;
 pub mod rig;
 pub mod store_model;
 
--- a/crates/policy/src/state/slice.rs
+++ b/crates/policy/src/state/slice.rs
@@ -49,7 +49,7 @@
     /// The moves to the replica that the slice is pinned to.
     pub pin_moves: PinMoves,
     /// The time at which all connected proxies had confirmed that they hold requests back for a change of owner, under
-    /// single writer; `None` once requests are admitted again, or may be because the slice was possibly reassigned.
+    /// single writer; `None` once requests are admitted again, or the slice may have been reassigned.
     pub halt_confirmed_at: Option<Moment>,
 }
 
