Overload probes use the soak's HTTP request and response

Cause: the overload tool wrote requests and read responses again that clients/http.rs writes and reads. Change: both use one function each, for any stream.

--- a/crates/soak/src/clients/http.rs
+++ b/crates/soak/src/clients/http.rs
@@ -26,7 +26,7 @@
 }
 
 #[derive(Debug)]
-pub(super) struct Response {
+pub(crate) struct Response {
     pub status: u16,
     /// True if the server closes the connection after this response.
     pub is_last: bool,
@@ -39,9 +39,14 @@
     Ok(stream)
 }
 
-pub(super) fn request_text(method: &str, path: &str, body: &str) -> String {
+pub(crate) fn request_text(method: &str, path: &str, body: &str) -> String {
+    request_text_with_headers(method, path, "", body)
+}
+
+/// Each of the headers ends with CRLF.
+pub(crate) fn request_text_with_headers(method: &str, path: &str, headers: &str, body: &str) -> String {
     let length = body.len();
-    format!("{method} {path} HTTP/1.1\r\nhost: n0\r\ncontent-length: {length}\r\n\r\n{body}")
+    format!("{method} {path} HTTP/1.1\r\nhost: n0\r\n{headers}content-length: {length}\r\n\r\n{body}")
 }
 
 /// Sends a request, at once or in two parts, and reads the response.
@@ -69,7 +74,7 @@
     }
 }
 
-fn read_response(stream: &mut UnixStream) -> std::io::Result<Response> {
+pub(crate) fn read_response(stream: &mut impl Read) -> std::io::Result<Response> {
     let mut head = Vec::new();
     let mut byte = [0];
     while !head.ends_with(b"\r\n\r\n") {
--- a/crates/soak/src/clients/mod.rs
+++ b/crates/soak/src/clients/mod.rs
@@ -1,7 +1,7 @@
 //! Clients that send requests continuously, keep their connections open, and check how each request ends.
 
 mod collector;
-mod http;
+pub(crate) mod http;
 mod management;
 
 use crate::incarnation::Incarnation;
--- a/crates/soak/src/overload/probe.rs
+++ b/crates/soak/src/overload/probe.rs
@@ -2,7 +2,8 @@
 
 use super::protocol::Protocol;
 use super::stream::{Endpoint, Stream};
-use std::io::{Read, Write};
+use crate::clients::http::read_response;
+use std::io::{BufRead, BufReader, Write};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -87,30 +88,16 @@
 /// Sends a request and reads its answer. Fails if the request was refused.
 fn exchange(stream: &mut Stream, protocol: Protocol) -> std::io::Result<()> {
     stream.write_all(&protocol.sound_request())?;
-    let mut answer = Vec::new();
-    let mut buffer = [0; 16384];
-    while !is_complete(&answer, protocol) {
-        let count = stream.read(&mut buffer)?;
-        if count == 0 {
-            return Err(std::io::ErrorKind::UnexpectedEof.into());
-        }
-        answer.extend_from_slice(&buffer[..count]);
-    }
     let is_served = match protocol {
-        Protocol::Lines => answer.starts_with(b"{\"@type\":\"PONG\"}"),
-        Protocol::Management | Protocol::Metrics => answer.starts_with(b"HTTP/1.1 200"),
+        Protocol::Lines => read_line(stream)?.starts_with("{\"@type\":\"PONG\"}"),
+        Protocol::Management | Protocol::Metrics => read_response(stream)?.status == 200,
     };
     is_served.then_some(()).ok_or_else(|| std::io::ErrorKind::ConnectionRefused.into())
 }
 
-fn is_complete(answer: &[u8], protocol: Protocol) -> bool {
-    if protocol == Protocol::Lines {
-        return answer.ends_with(b"\n");
-    }
-    let text = String::from_utf8_lossy(answer);
-    let Some((head, body)) = text.split_once("\r\n\r\n") else { return false };
-    let head = head.to_lowercase();
-    let length = head.lines().find_map(|line| line.strip_prefix("content-length:"));
-    let length = length.and_then(|length| length.trim().parse().ok()).unwrap_or(0);
-    body.len() >= length
+fn read_line(stream: &mut Stream) -> std::io::Result<String> {
+    let mut line = String::new();
+    // One answer comes at a time, so the buffer holds nothing of a further one.
+    BufReader::new(stream).read_line(&mut line)?;
+    Ok(line)
 }
--- a/crates/soak/src/overload/protocol.rs
+++ b/crates/soak/src/overload/protocol.rs
@@ -1,7 +1,7 @@
 //! The bytes that clients send at a listener, sound or not.
 
 use super::attack::Attack;
-use std::fmt::Write;
+use crate::clients::http::request_text_with_headers;
 
 /// The number of short fields in a request, more than any limit.
 const SHORT_FIELDS: usize = 60_000;
@@ -80,10 +80,14 @@
                 b"{\"@type\":\"LOAD\",\"az\":7,\"host\":[]}\n".to_vec()
             }
             (Protocol::Lines, Attack::NewNames) => {
-                let mut text = String::new();
-                // Writing to a string cannot fail.
-                _ = write!(text, "{{\"@type\":\"SOURCE\",\"az\":\"zone-{number}\"}}\n{{\"@type\":\"LOAD\",\"az\":\"zone-{number}\",\"host\":\"host-{number}\",\"n\":5,\"bad\":0,\"avg\":1.0,\"window\":1000.0}}\n{{\"@type\":\"SHARD\",\"partition\":{},\"kind\":\"kind-{number}\",\"n\":5,\"bad\":0,\"window\":1000.0}}\n", number % 20);
-                text.into_bytes()
+                let (zone, slice) = (format!("zone-{number}"), number % 20);
+                let reports = format!(
+                    "{{\"@type\":\"LOAD\",\"az\":\"{zone}\",\"host\":\"host-{number}\",\"n\":5,\"bad\":0,\
+                     \"avg\":1.0,\"window\":1000.0}}\n\
+                     {{\"@type\":\"SHARD\",\"partition\":{slice},\"kind\":\"kind-{number}\",\"n\":5,\"bad\":0,\
+                     \"window\":1000.0}}\n"
+                );
+                [source(&zone), reports.into_bytes()].concat()
             }
             (Protocol::Lines, _) => self.sound_request(),
             (_, Attack::UnsoundRequests) => b"NO SUCH THING\r\n\r\n".to_vec(),
@@ -102,9 +106,6 @@
 }
 
 fn http(method: &str, path: &str, body: &str) -> Vec<u8> {
-    let length = body.len();
-    format!(
-        "{method} {path} HTTP/1.1\r\nhost: n0\r\nauthorization: Bearer {TOKEN}\r\ncontent-length: {length}\r\n\r\n{body}"
-    )
-    .into_bytes()
+    let authorization = format!("authorization: Bearer {TOKEN}\r\n");
+    request_text_with_headers(method, path, &authorization, body).into_bytes()
 }
