--- a/crates/management-api/tests/crowded_server.rs
+++ b/crates/management-api/tests/crowded_server.rs
@@ -107,23 +107,23 @@
 /// Guards against requests that are carried out long after their client has gone: it sends many at once and closes the
 /// connection without reading an answer.
 #[test]
-fn requests_of_a_client_that_has_gone_are_not_passed_on() {
+fn requests_of_a_client_that_has_gone_are_not_forwarded() {
     let (_server, address, mut requests) = start_server();
     let stream = send(address, &metrics_request().repeat(200));
     let first = requests.blocking_recv().unwrap();
     drop(stream);
-    let (mut passed_on, mut next) = (1, Some(first));
+    let (mut forwarded, mut next) = (1, Some(first));
     while let Some(pending) = next.take() {
         _ = pending.reply_to.send(Reply::Metrics("# EOF\n".into()));
         // The server closes the connection with the first response that cannot be written.
         next = receive_within(&mut requests, Duration::from_millis(500));
-        passed_on += usize::from(next.is_some());
+        forwarded += usize::from(next.is_some());
     }
-    assert!(passed_on <= MAX_PASSED_ON, "{passed_on} requests of 200 were passed on");
+    assert!(forwarded <= MAX_FORWARDED, "{forwarded} requests of 200 were forwarded");
 }
 
 /// The request in hand when the client goes, and those whose responses the system takes before it knows.
-const MAX_PASSED_ON: usize = 3;
+const MAX_FORWARDED: usize = 3;
 
 fn receive_within(requests: &mut mpsc::Receiver<PendingRequest>, limit: Duration) -> Option<PendingRequest> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
--- a/crates/scale-tests/src/one/mod.rs
+++ b/crates/scale-tests/src/one/mod.rs
@@ -13,7 +13,7 @@
 pub use error::MeasureError;
 
 use crate::fakes::fleet::FleetSize;
-use crate::process::controller_program;
+use crate::programs::controller_program;
 use crate::results::Folder;
 use aggregated::Subsetting;
 use std::path::{Path, PathBuf};
--- a/crates/scale-tests/src/process.rs
+++ b/crates/scale-tests/src/process.rs
@@ -1,11 +1,10 @@
-//! Builds and starts programs of the workspace, reads their resource usage from `/proc`, and ends them by process id.
+//! Starts programs of the workspace, reads their resource usage from `/proc`, and ends them by process id.
 
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
-use std::ffi::OsString;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{channel, Receiver};
 use std::thread;
@@ -17,8 +16,6 @@
 const PING_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time between two checks for the exit of a program.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(2);
-/// The name of the controller's package and of its program.
-const CONTROLLER_PROGRAM: &str = "whinwall-controller";
 /// Text of the log line that controllers and aggregators write once they listen. The address follows, up to the next
 /// space.
 const LISTENING_LOG_TEXT: &str = "listening for collectors address=";
@@ -53,70 +50,11 @@
     NoPong(String),
 }
 
-fn io_error(operation: impl Into<String>) -> impl FnOnce(std::io::Error) -> ProcessError {
+pub(crate) fn io_error(operation: impl Into<String>) -> impl FnOnce(std::io::Error) -> ProcessError {
     let operation = operation.into();
     |source| ProcessError::Io { operation, source }
 }
 
-/// Returns the path of the controller's program in the folder of the running executable. Under cargo, builds it first.
-///
-/// # Errors
-///
-/// As for [`program`].
-pub fn controller_program() -> Result<PathBuf, ProcessError> {
-    program(CONTROLLER_PROGRAM, CONTROLLER_PROGRAM)
-}
-
-/// Returns the path of a program of the workspace in the folder of the running executable. Under cargo, builds it
-/// first, so that the program matches the sources.
-///
-/// # Errors
-///
-/// When the path of this executable is unknown, cargo fails to build the program, or the program is missing.
-pub fn program(package: &str, name: &str) -> Result<PathBuf, ProcessError> {
-    built_program(package, name, &program_folder()?)
-}
-
-/// Returns the path of a program of the workspace in the release build, whichever build the running executable belongs
-/// to. Under cargo, builds it first. For measurements whose limits hold for the program as it is deployed.
-///
-/// # Errors
-///
-/// As for [`program`].
-pub fn release_program(package: &str, name: &str) -> Result<PathBuf, ProcessError> {
-    let of_this_build = program_folder()?;
-    let folder = of_this_build.parent().unwrap_or(Path::new(".")).join("release");
-    built_program(package, name, &folder)
-}
-
-/// The folder of the programs of the build that the running executable belongs to.
-fn program_folder() -> Result<PathBuf, ProcessError> {
-    let executable = std::env::current_exe().map_err(io_error("path of the running executable"))?;
-    let folder = executable.parent().unwrap_or(Path::new("."));
-    // Test executables are in the subfolder `deps`.
-    let folder = if folder.ends_with("deps") { folder.parent().unwrap_or(folder) } else { folder };
-    Ok(folder.to_path_buf())
-}
-
-fn built_program(package: &str, name: &str, folder: &Path) -> Result<PathBuf, ProcessError> {
-    let program = folder.join(name);
-    if let Some(cargo) = std::env::var_os("CARGO") {
-        build(cargo, package, name, folder)?;
-    }
-    program.is_file().then_some(program.clone()).ok_or(ProcessError::NotBuilt(program))
-}
-
-fn build(cargo: OsString, package: &str, name: &str, folder: &Path) -> Result<(), ProcessError> {
-    let mut command = Command::new(cargo);
-    command.args(["build", "--quiet", "--jobs", "3", "--package", package, "--bin", name]);
-    if folder.ends_with("release") {
-        command.arg("--release");
-    }
-    command.current_dir(env!("CARGO_MANIFEST_DIR"));
-    let status = command.status().map_err(io_error("cargo build"))?;
-    status.success().then_some(()).ok_or_else(|| ProcessError::NotBuilt(folder.join(name)))
-}
-
 /// The resource usage of a process so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Usage {
--- a/crates/scale-tests/tests/aggregated.rs
+++ b/crates/scale-tests/tests/aggregated.rs
@@ -6,7 +6,7 @@
 use whinwall_scale_tests::one::aggregated::{measure, Subsetting};
 use whinwall_scale_tests::one::steady::Times;
 use whinwall_scale_tests::one::test_bed::Setup;
-use whinwall_scale_tests::process::{controller_program, program};
+use whinwall_scale_tests::programs::{controller_program, program};
 
 const MEMORY_LIMIT_BYTES: u64 = 64 << 20;
 const TIMES: Times = Times { warm_up: Duration::from_secs(2), measured: Duration::from_secs(4) };
--- a/crates/scale-tests/tests/one.rs
+++ b/crates/scale-tests/tests/one.rs
@@ -12,7 +12,8 @@
 use whinwall_scale_tests::one::report;
 use whinwall_scale_tests::one::steady::{self, Case, Times};
 use whinwall_scale_tests::one::test_bed::{Setup, TestBed};
-use whinwall_scale_tests::process::{controller_program, Usage};
+use whinwall_scale_tests::process::Usage;
+use whinwall_scale_tests::programs::controller_program;
 use whinwall_scale_tests::results::Folder;
 
 /// Limit of the resident memory of a controller with a small fleet. It leaves a wide margin for debug builds.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
-use whinwall_scale_tests::process::controller_program;
+use whinwall_scale_tests::programs::controller_program;
 use whinwall_soak::overload::{self, Attack, Listener};
 use whinwall_soak::run::run_seed;
 use whinwall_soak::SoakError;
--- a/crates/soak/src/overload/target.rs
+++ b/crates/soak/src/overload/target.rs
@@ -13,7 +13,8 @@
 use whinwall_scale_tests::fakes::fleet::FleetSize;
 use whinwall_scale_tests::fakes::relay::Relay;
 use whinwall_scale_tests::fakes::Traffic;
-use whinwall_scale_tests::process::{release_program, RunningProgram};
+use whinwall_scale_tests::process::RunningProgram;
+use whinwall_scale_tests::programs::release_program;
 
 /// The time limit for the start of a program.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/soak/tests/overload.rs
+++ b/crates/soak/tests/overload.rs
@@ -10,7 +10,7 @@
 /// Held during the attacks on a listener: those on another one would take processor time from its sound client.
 static MACHINE: Mutex<()> = Mutex::new(());
 
-fn assert_overload_is_borne(listener: Listener) {
+fn assert_limits_are_kept(listener: Listener) {
     let _alone = MACHINE.lock().unwrap_or_else(PoisonError::into_inner);
     let reports: Vec<_> =
         Attack::ALL.into_iter().map(|attack| run(listener, attack, DURATION).unwrap()).collect();
@@ -24,26 +24,26 @@
 }
 
 #[test]
-fn controller_bears_bad_clients() {
-    assert_overload_is_borne(Listener::Controller);
+fn controller_keeps_its_limits_under_bad_clients() {
+    assert_limits_are_kept(Listener::Controller);
 }
 
 #[test]
-fn management_socket_bears_bad_clients() {
-    assert_overload_is_borne(Listener::ManagementSocket);
+fn management_socket_keeps_its_limits_under_bad_clients() {
+    assert_limits_are_kept(Listener::ManagementSocket);
 }
 
 #[test]
-fn management_address_bears_bad_clients() {
-    assert_overload_is_borne(Listener::ManagementAddress);
+fn management_address_keeps_its_limits_under_bad_clients() {
+    assert_limits_are_kept(Listener::ManagementAddress);
 }
 
 #[test]
-fn aggregator_bears_bad_clients() {
-    assert_overload_is_borne(Listener::Aggregator);
+fn aggregator_keeps_its_limits_under_bad_clients() {
+    assert_limits_are_kept(Listener::Aggregator);
 }
 
 #[test]
-fn metrics_of_the_aggregator_bear_bad_clients() {
-    assert_overload_is_borne(Listener::AggregatorMetrics);
+fn metrics_of_the_aggregator_keep_their_limits_under_bad_clients() {
+    assert_limits_are_kept(Listener::AggregatorMetrics);
 }
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -1,7 +1,7 @@
 //! A short soak test with fixed seeds. Longer ones are started manually (`whinwall-soak`).
 
 use std::time::Duration;
-use whinwall_scale_tests::process::controller_program;
+use whinwall_scale_tests::programs::controller_program;
 use whinwall_soak::plan::Plan;
 use whinwall_soak::run::run_seed;
 use whinwall_soak::unconfirmed_clears::UnconfirmedClears;
